--- /dev/null
+++ b/pw/base/inlet.py
@@ -0,0 +1,343 @@
+"""The server side of HTTP/1.1, by h11 (design 3). Strictly one ask at a time on a connection."""
+import collections
+import selectors
+
+import h11
+
+from pw.base import link as links
+from pw.base import ring
+
+REASONS = {
+    200: b"OK", 307: b"Temporary Redirect", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+    408: b"Request Timeout", 409: b"Conflict", 412: b"Precondition Failed", 413: b"Content Too Large",
+    415: b"Unsupported Media Type", 421: b"Misdirected Request", 422: b"Unprocessable Content", 429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
+}
+OUT_HIGH = 256 * 1024
+Limits = collections.namedtuple("Limits", "head_bytes body_bytes head_s idle_s")
+
+
+class Ask:
+    """One request of a user agent, whole, and the way to answer it."""
+
+    __slots__ = ("door", "method", "target", "headers", "body", "at", "begun_at", "on_gone", "on_drain", "is_answered", "is_started", "note")
+
+    def __init__(self, *, door, method, target, headers, begun_at):
+        self.door = door
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.begun_at = begun_at
+        self.at = begun_at
+        self.on_gone = None
+        self.on_drain = None
+        self.is_answered = False
+        self.is_started = False
+        self.note = None
+
+    def header(self, name: bytes, default: bytes = b"") -> bytes:
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+    def text(self, name: bytes, default: str = "") -> str:
+        return self.header(name, default.encode()).decode("latin-1")
+
+    def reply(self, *, status: int, headers=(), body: bytes = b"", is_last=False) -> None:
+        if self.is_answered or self.is_started:
+            return
+        self.start(status=status, headers=[*headers, (b"Content-Length", b"%d" % len(body))], is_last=is_last)
+        self.data(body)
+        self.end()
+
+    def start(self, *, status: int, headers, is_last=False) -> None:
+        self.is_started = True
+        self.door.start(ask=self, status=status, headers=headers, is_last=is_last)
+
+    def data(self, data: bytes) -> None:
+        if data:
+            self.door.send(h11.Data(data=data))
+
+    def end(self) -> None:
+        self.is_answered = True
+        self.door.finish(ask=self)
+
+    def abort(self) -> None:
+        """Ends the connection so that the answer can't look complete."""
+        self.is_answered = True
+        self.door.close(is_hard=True)
+
+
+class Door:
+    """One accepted connection."""
+
+    def __init__(self, *, hall, sock):
+        self.hall = hall
+        self.loop = hall.loop
+        self.sock = sock
+        self.is_open = True
+        self.is_ending = False
+        self._out = bytearray()
+        self._ask = None
+        self._chunks = []
+        self._size = 0
+        self._has_head = False
+        self._is_broken = False
+        self._mask = selectors.EVENT_READ
+        self._is_paused = False
+        self._served = 0
+        self._limits = hall.limits()
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
+        self._head_begun = None
+        links.tune(sock=sock, silence_s=hall.silence_s)
+        self.loop.watch(sock=sock, mask=self._mask, act=self._ready)
+        self._timer = self.loop.after(delay=self._limits.idle_s, act=self._idle)
+
+    def _idle(self) -> None:
+        if not self.is_open:
+            return
+        if self._ask is not None and self._has_head is False:
+            return
+        if self._head_begun is not None or self._has_head:
+            self._refuse(status=408)
+            return
+        self.close()
+
+    def _arm(self, *, delay: float) -> None:
+        self.loop.cancel(timer=self._timer)
+        self._timer = self.loop.after(delay=delay, act=self._idle)
+
+    def _refuse(self, *, status: int) -> None:
+        """An answer to what never became a whole ask; the connection ends after it."""
+        self._has_head = False
+        self._is_broken = True
+        text = b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % (status, REASONS.get(status, b"Error"))
+        self.is_ending = True
+        self._write(text)
+
+    def _ready(self, mask) -> None:
+        if mask & selectors.EVENT_WRITE:
+            self._flush()
+        if mask & selectors.EVENT_READ and self.is_open:
+            try:
+                data = self.sock.recv(131072)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._gone()
+                return
+            if not data:
+                self._gone()
+                return
+            if self._is_broken or self.is_ending:
+                return
+            self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
+        if self._ask is None and not self._has_head and self._head_begun is None:
+            self._head_begun = self.loop.now()
+            self._arm(delay=self._limits.head_s)
+        try:
+            self._h11.receive_data(data)
+        except h11.RemoteProtocolError as fault:
+            self._refuse(status=fault.error_status_hint or 400)
+            return
+        self._pump()
+
+    def _pump(self) -> None:
+        while self.is_open and not self._is_broken:
+            if self._ask is not None and not self._has_head:
+                return  # an ask is being answered; what follows waits
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as fault:
+                self._refuse(status=fault.error_status_hint or 400)
+                return
+            kind = type(event)
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self._h11.they_are_waiting_for_100_continue:
+                    self._write(self._h11.send(h11.InformationalResponse(status_code=100, headers=[])))
+                return
+            if kind is h11.Request:
+                headers = list(event.headers)
+                lengths = {value for name, value in headers if name == b"content-length"}
+                has_chunks = any(name == b"transfer-encoding" for name, _value in headers)
+                if (lengths and has_chunks) or len(lengths) > 1:
+                    self._refuse(status=400)
+                    return
+                if sum(len(name) + len(value) + 4 for name, value in headers) + len(event.target) > self._limits.head_bytes:
+                    self._refuse(status=431)
+                    return
+                if lengths and int(next(iter(lengths))) > self._limits.body_bytes:
+                    self._refuse(status=413)
+                    return
+                self._ask = Ask(
+                    door=self, method=event.method, target=event.target, headers=headers,
+                    begun_at=self._head_begun or self.loop.now(),
+                )
+                self._has_head = True
+                self._chunks = []
+                self._size = 0
+                self._arm(delay=self._limits.idle_s)
+            elif kind is h11.Data:
+                self._size += len(event.data)
+                if self._size > self._limits.body_bytes:
+                    self._refuse(status=413)
+                    return
+                self._chunks.append(bytes(event.data))
+            elif kind is h11.EndOfMessage:
+                ask = self._ask
+                ask.body = b"".join(self._chunks)
+                ask.at = self.loop.now()
+                self._chunks = []
+                self._has_head = False
+                self._head_begun = None
+                self.loop.cancel(timer=self._timer)
+                self._served += 1
+                self.hall.take(ask)
+                return
+            elif kind is h11.ConnectionClosed:
+                self.close()
+                return
+
+    def start(self, *, ask, status: int, headers, is_last: bool) -> None:
+        if not self.is_open:
+            return
+        headers = [*headers]
+        if is_last or self.hall.is_leaving or self.is_ending:
+            headers.append((b"Connection", b"close"))
+        elif self._limits.idle_s > 2:
+            headers.append((b"Keep-Alive", b"timeout=%d" % int(self._limits.idle_s * 0.7)))
+        self.send(h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b"")))
+
+    def send(self, event) -> None:
+        if not self.is_open:
+            return
+        data = self._h11.send(event)
+        if data:
+            self._write(data)
+
+    def finish(self, *, ask) -> None:
+        if not self.is_open:
+            return
+        self.send(h11.EndOfMessage())
+        self._ask = None
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._limits = self.hall.limits()
+            self._h11.start_next_cycle()
+            self._arm(delay=self._limits.idle_s)
+            if self._h11.trailing_data[0]:
+                self._head_begun = self.loop.now()
+                self.loop.command(act=self._pump)
+        else:
+            self.is_ending = True
+            if not self._out:
+                self.close()
+
+    def queued(self) -> int:
+        return len(self._out)
+
+    def _write(self, data: bytes) -> None:
+        was_empty = not self._out
+        self._out += data
+        if was_empty:
+            self._flush()
+
+    def _flush(self) -> None:
+        if not self.is_open:
+            return
+        try:
+            while self._out:
+                count = self.sock.send(memoryview(self._out)[:131072])
+                del self._out[:count]
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._gone()
+            return
+        if not self._out and self.is_ending and (self._ask is None or self._is_broken):
+            self.close()
+            return
+        if not self._out and self._ask is not None and self._ask.on_drain is not None:
+            self._ask.on_drain()
+        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out else 0)
+        if self.is_open and mask != self._mask:
+            self._mask = mask
+            self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
+
+    def _gone(self) -> None:
+        ask = self._ask
+        self.close()
+        if ask is not None and ask.on_gone is not None and not ask.is_answered:
+            ask.on_gone()
+
+    def is_idle(self) -> bool:
+        return self._ask is None and self._head_begun is None
+
+    def close(self, *, is_hard=False) -> None:
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.loop.cancel(timer=self._timer)
+        self.loop.unwatch(sock=self.sock)
+        self.hall.doors.discard(self)
+        if not is_hard:
+            # Unread bytes would turn the close into a reset that can eat the answer.
+            try:
+                while self.sock.recv(65536):
+                    pass
+            except OSError:
+                pass
+        self.sock.close()
+
+
+class Hall:
+    """A listener and its connections. `on_ask(ask)` takes each whole ask."""
+
+    def __init__(self, *, loop, address, on_ask, limits, silence_s, most_doors=3000):
+        self.loop = loop
+        self.limits = limits
+        self.silence_s = silence_s
+        self.is_leaving = False
+        self.doors = set()
+        self._most_doors = most_doors
+        self._on_ask = on_ask
+        self._sock = links.listen(address=address)
+        self._is_listening = True
+        loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
+
+    def _ready(self, _mask) -> None:
+        while True:
+            try:
+                sock, _address = self._sock.accept()
+            except (BlockingIOError, ConnectionError):
+                return
+            except OSError as fault:
+                ring.note("accept", fault=str(fault))
+                return
+            sock.setblocking(False)
+            if len(self.doors) >= self._most_doors:
+                sock.close()
+                continue
+            self.doors.add(Door(hall=self, sock=sock))
+
+    def take(self, ask) -> None:
+        self._on_ask(ask)
+
+    def leave(self) -> None:
+        """Answers end their connections from now on; idle ones are closed after their lookups are old."""
+        self.is_leaving = True
+
+    def close_idle(self) -> None:
+        for door in list(self.doors):
+            if door.is_idle():
+                door.close()
+
+    def stop_listening(self) -> None:
+        if self._is_listening:
+            self._is_listening = False
+            self.loop.unwatch(sock=self._sock)
+            self._sock.close()
--- /dev/null
+++ b/pw/base/link.py
@@ -0,0 +1,225 @@
+"""Held connections between our own processes (design 4): beats, TCP_USER_TIMEOUT, bounded buffers, backoff with jitter."""
+import errno
+import random
+import selectors
+import socket
+
+from pw.base import problems
+from pw.base import ring
+from pw.base import wire
+
+OUT_LIMIT = 32 * 1024 * 1024
+
+
+def tune(*, sock, silence_s: float) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(silence_s * 1000))
+    except OSError as fault:
+        ring.note("no TCP_USER_TIMEOUT", fault=str(fault))
+
+
+def listen(*, address: tuple, backlog: int = 512):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(backlog)
+    sock.setblocking(False)
+    return sock
+
+
+class Link:
+    """One connection. `on_message(link, message)` and `on_end(link, reason)` are called on the loop."""
+
+    def __init__(self, *, loop, sock, on_message, on_end, silence_s, is_connecting=False, peer=""):
+        self.loop = loop
+        self.sock = sock
+        self.peer = peer
+        self.hello = None
+        self.is_open = True
+        self.is_up = not is_connecting
+        self.heard_at = loop.now()
+        self.opened_at = loop.now()
+        self.silence_s = silence_s
+        self._on_message = on_message
+        self._on_end = on_end
+        self._in = bytearray()
+        self._out = bytearray()
+        self.is_stalled = False
+        tune(sock=sock, silence_s=silence_s)
+        self._mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if is_connecting else 0)
+        loop.watch(sock=sock, mask=self._mask, act=self._ready)
+        self._check = loop.after(delay=silence_s / 2, act=self._check_silence)
+
+    def _check_silence(self) -> None:
+        if not self.is_open:
+            return
+        if self.loop.now() - self.heard_at > self.silence_s:
+            self.close(reason="silent")
+            return
+        self._check = self.loop.after(delay=self.silence_s / 4, act=self._check_silence)
+
+    def queued(self) -> int:
+        return len(self._out)
+
+    def send(self, message: tuple) -> None:
+        self.send_bytes(wire.pack(message))
+
+    def send_bytes(self, data: bytes) -> None:
+        if not self.is_open:
+            return
+        if len(self._out) + len(data) > OUT_LIMIT:
+            self.close(reason="peer does not read")
+            return
+        was_empty = not self._out
+        self._out += data
+        if was_empty and self.is_up:
+            self._flush()
+        elif self.is_up is False:
+            pass
+
+    def _flush(self) -> None:
+        try:
+            while self._out:
+                count = self.sock.send(memoryview(self._out)[:262144])
+                del self._out[:count]
+        except BlockingIOError:
+            pass
+        except OSError as fault:
+            self.close(reason=str(fault))
+            return
+        self._set_mask()
+
+    def _set_mask(self) -> None:
+        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out or not self.is_up else 0)
+        if mask != self._mask and self.is_open:
+            self._mask = mask
+            self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
+
+    def _ready(self, mask) -> None:
+        if mask & selectors.EVENT_WRITE:
+            if not self.is_up:
+                code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if code:
+                    self.close(reason=errno.errorcode.get(code, str(code)))
+                    return
+                self.is_up = True
+                self.heard_at = self.loop.now()
+            self._flush()
+        if mask & selectors.EVENT_READ and self.is_open:
+            try:
+                data = self.sock.recv(262144)
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                self.close(reason=str(fault))
+                return
+            if not data:
+                self.close(reason="closed")
+                return
+            self.heard_at = self.loop.now()
+            self._in += data
+            try:
+                messages = wire.unpack_from(self._in)
+            except problems.FrameProblem as fault:
+                self.close(reason=str(fault))
+                return
+            for message in messages:
+                if not self.is_open:
+                    return
+                if message[0] == "beat":
+                    continue
+                self._on_message(self, message)
+
+    def close(self, *, reason: str = "") -> None:
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.loop.cancel(timer=self._check)
+        self.loop.unwatch(sock=self.sock)
+        self.sock.close()
+        self._on_end(self, reason)
+
+
+class Dialer:
+    """Keeps one link to an address, with growing pauses."""
+
+    def __init__(self, *, loop, address, on_up, on_message, on_end, silence_s, source_ip=""):
+        self.loop = loop
+        self.address = address
+        self.link = None
+        self._on_up = on_up
+        self._on_message = on_message
+        self._on_end = on_end
+        self._silence_s = silence_s
+        self._source_ip = source_ip
+        self._pause_s = silence_s / 40
+        self._is_stopped = False
+        self._is_told = False
+        self._dial()
+
+    def _dial(self) -> None:
+        if self._is_stopped:
+            return
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex(self.address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            self._again()
+            return
+        self.link = Link(
+            loop=self.loop, sock=sock, on_message=self._take, on_end=self._ended, silence_s=self._silence_s,
+            is_connecting=True, peer="%s:%d" % self.address,
+        )
+        self._on_up(self.link)
+
+    def _take(self, link, message) -> None:
+        self._pause_s = self._silence_s / 40
+        self._on_message(link, message)
+
+    def _ended(self, link, reason) -> None:
+        if self.link is link:
+            self.link = None
+        self._on_end(link, reason)
+        self._again()
+
+    def _again(self) -> None:
+        if self._is_stopped:
+            return
+        self._pause_s = min(self._pause_s * 1.6, self._silence_s / 4)
+        self.loop.after(delay=self._pause_s * random.uniform(0.5, 1.0), act=self._dial)
+
+    def stop(self) -> None:
+        self._is_stopped = True
+        if self.link is not None:
+            self.link.close(reason="stopped")
+
+
+class Port:
+    """Takes links from others."""
+
+    def __init__(self, *, loop, address, on_link, on_message, on_end, silence_s):
+        self.loop = loop
+        self._sock = listen(address=address)
+        self._on_link = on_link
+        self._on_message = on_message
+        self._on_end = on_end
+        self._silence_s = silence_s
+        loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
+
+    def _ready(self, _mask) -> None:
+        while True:
+            try:
+                sock, address = self._sock.accept()
+            except (BlockingIOError, ConnectionError):
+                return
+            except OSError as fault:
+                ring.note("accept", fault=str(fault))
+                return
+            sock.setblocking(False)
+            link = Link(
+                loop=self.loop, sock=sock, on_message=self._on_message, on_end=self._on_end,
+                silence_s=self._silence_s, peer="%s:%d" % address[:2],
+            )
+            self._on_link(link)
--- /dev/null
+++ b/pw/base/problems.py
@@ -0,0 +1,45 @@
+"""The exception tree. Every problem carries the step and the peer at which it arose (design 2)."""
+
+
+class Problem(Exception):
+    def __init__(self, text: str, *, step: str = "", peer: str = ""):
+        super().__init__(text)
+        self.text = text
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = " ".join(part for part in (self.step, self.peer) if part)
+        return f"{self.text} [{where}]" if where else self.text
+
+
+class SettingsProblem(Problem):
+    pass
+
+
+class FrameProblem(Problem):
+    pass
+
+
+class StoreProblem(Problem):
+    pass
+
+
+class Unreachable(Problem):
+    """No majority answered in time."""
+
+
+class SpecProblem(Problem):
+    """A configuration that can't be in force; `place` names the field."""
+
+    def __init__(self, text: str, *, place: str = "", step: str = "check", peer: str = ""):
+        super().__init__(text, step=step, peer=peer)
+        self.place = place
+
+
+class StaleBase(Problem):
+    """The change was built on another version than the current one."""
+
+    def __init__(self, *, current: int, step: str = "change", peer: str = ""):
+        super().__init__(f"current edition is {current}", step=step, peer=peer)
+        self.current = current
--- /dev/null
+++ b/pw/base/residency.py
@@ -0,0 +1,28 @@
+"""The one place that computes where a request may be served, cached and sent (design 10)."""
+
+
+def permitted(*, homes, older_homes=None):
+    """The permitted regions, or None for all. While an older configuration may be in force, both bind."""
+    if not homes and not older_homes:
+        return None
+    if homes and older_homes:
+        return frozenset(homes) & frozenset(older_homes)
+    return frozenset(homes or older_homes)
+
+
+def lookup_regions(*, spec, host: str, region: str, serving) -> frozenset:
+    """The regions whose proxies a user agent of `region` may be told of for this host.
+
+    Its own region first. Else, regions that are homes of every homed route of that host; without
+    homed routes, any. Empty means that the lookup fails openly.
+    """
+    serving = frozenset(serving)
+    if region in serving:
+        return frozenset((region,))
+    if spec is None:
+        return frozenset()
+    allowed = serving
+    for route in spec.get("routes", ()):
+        if route.get("host", "").lower() == host.lower() and route.get("homeRegions"):
+            allowed &= frozenset(route["homeRegions"])
+    return allowed
--- /dev/null
+++ b/pw/base/ring.py
@@ -0,0 +1,42 @@
+"""Logs: a ring in memory, written out when something goes wrong, and little else."""
+import collections
+import logging
+import sys
+import time
+
+RING_LINES = 200
+_ring = collections.deque(maxlen=RING_LINES)
+_log = logging.getLogger("ploverward")
+_spill_at = [0.0]
+
+
+def start(*, node: str, role: str) -> None:
+    from pythonjsonlogger import json as json_log  # only programs that write need it
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(json_log.JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"node": node, "role": role}))
+    _log.handlers[:] = [handler]
+    _log.setLevel(logging.INFO)
+    _log.propagate = False
+
+
+def note(text: str, **fields) -> None:
+    _ring.append((time.monotonic(), text, fields))
+
+
+def say(text: str, **fields) -> None:
+    """One line at once: start, end, settings."""
+    note(text, **fields)
+    _log.info(text, extra=fields)
+
+
+def spill(reason: str, *, fault=None) -> None:
+    """Something went wrong: the reason now, and the ring behind it, at most every few seconds."""
+    note(reason)
+    _log.error(reason, exc_info=fault)
+    now = time.monotonic()
+    if now - _spill_at[0] < 5.0:
+        return
+    _spill_at[0] = now
+    while _ring:
+        when, text, fields = _ring.popleft()
+        _log.info(text, extra={"at": round(when, 4), **fields})
--- /dev/null
+++ b/pw/ctl/platform.py
@@ -0,0 +1,182 @@
+"""The platform's list of replicas (design 5), by pycurl's multi interface driven by the loop (design 3)."""
+import io
+import json
+import selectors
+
+import pycurl
+
+from pw.base import problems
+
+MOST_PAGES = 200
+
+
+class Caller:
+    """GETs where a resend harms nothing."""
+
+    def __init__(self, *, loop):
+        self._loop = loop
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._timer = None
+        self._masks = {}
+        self._calls = {}
+
+    def get(self, *, url: str, limit_s: float, done) -> None:
+        """`done(problem, status, body)`."""
+        curl = pycurl.Curl()
+        body = io.BytesIO()
+        curl.setopt(pycurl.URL, url)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.TIMEOUT_MS, int(limit_s * 1000))
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(limit_s * 1000))
+        curl.setopt(pycurl.WRITEFUNCTION, body.write)
+        curl.setopt(pycurl.HTTPHEADER, ["Accept: application/json"])
+        self._calls[curl] = (body, done)
+        self._multi.add_handle(curl)
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _on_socket(self, what, sock, _multi, _data) -> None:
+        if what == pycurl.POLL_REMOVE:
+            if self._masks.pop(sock, None) is not None:
+                self._loop.unwatch(sock=sock)
+            return
+        mask = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_READ
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_WRITE
+
+        def act(ready):
+            bits = (pycurl.CSELECT_IN if ready & selectors.EVENT_READ else 0) | (
+                pycurl.CSELECT_OUT if ready & selectors.EVENT_WRITE else 0)
+            self._act(sock, bits)
+
+        if sock in self._masks:
+            self._loop.rewatch(sock=sock, mask=mask, act=act)
+        else:
+            self._loop.watch(sock=sock, mask=mask, act=act)
+        self._masks[sock] = mask
+
+    def _on_timer(self, wait_ms) -> None:
+        self._loop.cancel(timer=self._timer)
+        self._timer = None
+        if wait_ms >= 0:
+            self._timer = self._loop.after(delay=wait_ms / 1000.0, act=lambda: self._act(pycurl.SOCKET_TIMEOUT, 0))
+
+    def _act(self, sock, bits) -> None:
+        self._multi.socket_action(sock, bits)
+        _queued, good, bad = self._multi.info_read()
+        for curl in good:
+            self._end(curl, None)
+        for curl, _code, text in bad:
+            self._end(curl, problems.Problem(text, step="call", peer=curl.getinfo(pycurl.EFFECTIVE_URL)))
+
+    def _end(self, curl, fault) -> None:
+        body, done = self._calls.pop(curl)
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        self._multi.remove_handle(curl)
+        curl.close()
+        self._loop.command(act=lambda: done(fault, status, body.getvalue()))
+
+
+class Watch:
+    """Reads the whole list, page by page, and tells it. One node does it, by duty."""
+
+    def __init__(self, *, loop, address: str, gap_s: float, limit_s: float, on_list):
+        self._loop = loop
+        self._address = address
+        self._gap_s = gap_s
+        self._limit_s = limit_s
+        self._on_list = on_list  # (rows, taken at)
+        self._caller = None
+        self._run = 0
+        self._pause_s = gap_s
+        self.is_on = False
+
+    def start(self) -> None:
+        if self.is_on:
+            return
+        self.is_on = True
+        self._run += 1
+        if self._caller is None:
+            self._caller = Caller(loop=self._loop)
+        self._begin(self._run)
+
+    def stop(self) -> None:
+        self.is_on = False
+        self._run += 1
+
+    def _begin(self, run: int) -> None:
+        if run != self._run:
+            return
+        self._page(run, None, [], self._loop.now())
+
+    def _page(self, run: int, token, rows: list, begun_at: float) -> None:
+        url = f"http://{self._address}/replicas" + (f"?page={token}" if token else "")
+        self._caller.get(
+            url=url, limit_s=self._limit_s,
+            done=lambda fault, status, body: self._take(run, rows, begun_at, fault, status, body),
+        )
+
+    def _take(self, run, rows, begun_at, fault, status, body) -> None:
+        if run != self._run:
+            return
+        token = None
+        is_whole = False
+        if fault is None and status == 200:
+            try:
+                answer = json.loads(body)
+                rows = rows + [read_row(entry=entry) for entry in answer["replicas"]]
+                token = answer.get("nextPage")
+                is_whole = token is None or len(rows) > MOST_PAGES * 1000
+            except (ValueError, KeyError, TypeError):
+                token = None
+        if token is not None and not is_whole:
+            self._page(run, token, rows, begun_at)
+            return
+        if is_whole:
+            self._pause_s = self._gap_s
+            self._on_list(rows, begun_at)
+        else:
+            self._pause_s = min(self._pause_s * 1.5, self._gap_s * 3)
+        pause = max(0.0, begun_at + self._pause_s - self._loop.now())
+        self._loop.after(delay=pause, act=lambda: self._begin(run))
+
+
+def read_row(*, entry: dict) -> dict:
+    """One replica, in our words."""
+    return {
+        "id": str(entry["id"]),
+        "service": str(entry["destination"]),
+        "address": str(entry["address"]),
+        "zone": str(entry["zone"]),
+        "berths": int(entry.get("berths", 1)),
+        "is_clearing": entry.get("condition") != "accepting",
+        "cold_ms": float(entry.get("warmupLeftMs") or 0),
+        "left_ms": entry.get("timeLeftMs"),
+        "models": [model["name"] for model in entry.get("models") or []],
+    }
+
+
+class Roll:
+    """Whether a list differs from the one told last, in what matters."""
+
+    def __init__(self):
+        self._told = {}
+
+    def differs(self, *, rows: list, at: float) -> bool:
+        seen = {}
+        for row in rows:
+            cold_until = at + row["cold_ms"] / 1000.0 if row["cold_ms"] > 0 else 0.0
+            seen[row["id"]] = (
+                (row["service"], row["address"], row["zone"], row["berths"], row["is_clearing"], row["left_ms"] is None),
+                cold_until,
+            )
+        is_new = seen.keys() != self._told.keys() or any(
+            seen[key][0] != self._told[key][0] or seen[key][1] - self._told[key][1] > 0.4 for key in seen
+        )
+        if is_new:
+            self._told = seen
+        return is_new
--- /dev/null
+++ b/pw/dat/outlet.py
@@ -0,0 +1,241 @@
+"""The way to one replica: connections by h11, strictly one ask at a time on each (design 3, 7)."""
+import errno
+import selectors
+import socket
+
+import h11
+
+from pw.base import link as links
+
+MOST_SKIPS = 2
+HOP_NAMES = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+    b"proxy-authenticate", b"proxy-authorization",
+))
+
+
+class Outlet:
+    """One connection. The go that uses it is told: on_head, on_data, on_end, on_fail(reason, was sent)."""
+
+    def __init__(self, *, loop, replica, connect_s: float, silence_s: float, on_free):
+        self.loop = loop
+        self.replica = replica
+        self.is_open = True
+        self.is_up = False
+        self.go = None
+        self.served = 0
+        self.idle_until = 0.0
+        self.idle_at = 0.0
+        self._on_free = on_free
+        self._out = bytearray()
+        self._sent_any = False
+        self._skips = 0
+        self._is_skipping = False
+        self._is_head_seen = False
+        self._is_tainted = False
+        self._must_close = False
+        self._keep_s = None
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setblocking(False)
+        links.tune(sock=self.sock, silence_s=silence_s)
+        code = self.sock.connect_ex(replica.endpoint)
+        self._mask = selectors.EVENT_READ | selectors.EVENT_WRITE
+        self._timer = None
+        if code not in (0, errno.EINPROGRESS):
+            self._timer = loop.after(delay=0, act=lambda: self._broken(errno.errorcode.get(code, str(code))))
+            self._mask = 0
+            return
+        loop.watch(sock=self.sock, mask=self._mask, act=self._ready)
+        self._timer = loop.after(delay=connect_s, act=lambda: self._broken("connect timeout") if not self.is_up else None)
+
+    def take(self, go, *, head: h11.Request, body: bytes) -> None:
+        self.go = go
+        self._request = head
+        self._skips = 0
+        self._is_skipping = False
+        self._is_head_seen = False
+        self._sent_any = False
+        data = self._h11.send(head)
+        if body:
+            data += self._h11.send(h11.Data(data=body))
+        data += self._h11.send(h11.EndOfMessage())
+        self._out += data
+        if self.is_up:
+            self._flush()
+
+    def drop_go(self) -> None:
+        """The go is not wanted any more: the connection ends with it."""
+        self.go = None
+        self.close()
+
+    @property
+    def is_unsent(self) -> bool:
+        return not self._sent_any
+
+    def _ready(self, mask) -> None:
+        if mask & selectors.EVENT_WRITE:
+            if not self.is_up:
+                code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if code:
+                    self._broken(errno.errorcode.get(code, str(code)))
+                    return
+                self.is_up = True
+                self.loop.cancel(timer=self._timer)
+                self.replica.heard_at = self.loop.now()
+                if self.go is None:
+                    self._on_free(self)
+            self._flush()
+        if mask & selectors.EVENT_READ and self.is_open:
+            try:
+                data = self.sock.recv(131072)
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                self._broken(str(fault))
+                return
+            if self.go is None:
+                self.close()  # bytes that belong to no request, or the end of an idle connection
+                return
+            if not data:
+                self._fed_end()
+                return
+            self.replica.heard_at = self.loop.now()
+            self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._h11.receive_data(data)
+            self._pump()
+        except h11.RemoteProtocolError as fault:
+            self._broken(f"not an answer: {fault}")
+
+    def _fed_end(self) -> None:
+        try:
+            self._h11.receive_data(b"")
+            self._pump()
+        except h11.RemoteProtocolError:
+            pass
+        if self.is_open and self.go is not None:
+            self._broken("closed")
+        else:
+            self.close()
+
+    def _pump(self) -> None:
+        while self.is_open and self.go is not None:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            kind = type(event)
+            if kind is h11.InformationalResponse:
+                continue
+            if kind is h11.Response:
+                headers = dict(event.headers)
+                asked = self.go.ask_id
+                told = headers.get(b"x-attempt-id")
+                is_ours = told == asked if told is not None else (self.served == 0 and self._skips == 0 and event.status_code >= 400)
+                if not is_ours:
+                    # One answer too many at the head of ours: it is read past, and the connection ends after.
+                    if self._skips >= MOST_SKIPS or told is None:
+                        self._broken("answer of another request")
+                        return
+                    self._skips += 1
+                    self._is_skipping = True
+                    self._is_tainted = True
+                    continue
+                connection = headers.get(b"connection", b"").lower()
+                self._must_close = b"close" in connection or event.http_version < b"1.1"
+                keep = headers.get(b"keep-alive", b"")
+                self._keep_s = _keep_seconds(keep)
+                is_framed = b"content-length" in headers or b"chunked" in headers.get(b"transfer-encoding", b"").lower()
+                self._is_head_seen = True
+                self.go.on_head(status=event.status_code, headers=event.headers, table=headers, is_framed=is_framed)
+            elif kind is h11.Data:
+                if not self._is_skipping:
+                    self.go.on_data(bytes(event.data))
+            elif kind is h11.EndOfMessage:
+                if self._is_skipping:
+                    trailing = self._h11.trailing_data[0]
+                    self._is_skipping = False
+                    self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
+                    self._h11.send(self._request)
+                    if self._request_has_body():
+                        self._h11.send(h11.Data(data=bytes(self._body_size())))
+                    self._h11.send(h11.EndOfMessage())
+                    if trailing:
+                        self._h11.receive_data(trailing)
+                    continue
+                self._ended()
+                return
+            elif kind is h11.ConnectionClosed:
+                self._broken("closed")
+                return
+
+    def _body_size(self) -> int:
+        for name, value in self._request.headers:
+            if name == b"content-length":
+                return int(value)
+        return 0
+
+    def _request_has_body(self) -> bool:
+        return self._body_size() > 0
+
+    def _ended(self) -> None:
+        go, self.go = self.go, None
+        self.served += 1
+        has_more = bool(self._h11.trailing_data[0])
+        is_reusable = (
+            not has_more and not self._is_tainted and not self._must_close and not self._out
+            and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        )
+        if is_reusable:
+            self._h11.start_next_cycle()
+            self.idle_at = self.loop.now()
+            self.idle_until = self.idle_at + (self._keep_s * 0.6 if self._keep_s is not None else 4.0)
+            self._on_free(self)
+        else:
+            self.close()
+        go.on_end()
+
+    def _flush(self) -> None:
+        try:
+            while self._out:
+                count = self.sock.send(memoryview(self._out)[:131072])
+                if count:
+                    self._sent_any = True
+                del self._out[:count]
+        except BlockingIOError:
+            pass
+        except OSError as fault:
+            self._broken(str(fault))
+            return
+        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out or not self.is_up else 0)
+        if mask != self._mask and self.is_open:
+            self._mask = mask
+            self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
+
+    def _broken(self, reason: str) -> None:
+        if not self.is_open:
+            return
+        go, self.go = self.go, None
+        was_up = self.is_up
+        self.close()
+        if go is not None:
+            go.on_fail(reason=reason, was_sent=self._sent_any, was_up=was_up)
+
+    def close(self) -> None:
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.loop.cancel(timer=self._timer)
+        self.loop.unwatch(sock=self.sock)
+        self.sock.close()
+        self.replica.forget(self)
+
+
+def _keep_seconds(value: bytes):
+    for part in value.split(b","):
+        name, _equals, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/pw/dat/passage.py
@@ -0,0 +1,518 @@
+"""The way of an ask through a proxy: a chain of filters that each may answer (design 7)."""
+import random
+
+import h11
+
+from pw.base import residency
+from pw.dat import outlet as outlets
+from pw.dat.relay import ckf
+from pw.dat.relay import host as relay_host
+
+BUFFER_LIMIT = 512 * 1024
+LIMITED_STATUSES = (408, 421, 429, 503)
+
+
+class Events:
+    """Cuts a stream into whole events and follows their ids (design 7)."""
+
+    def __init__(self):
+        self._buffer = b""
+        self.last_id = None
+
+    def take(self, data: bytes) -> list:
+        self._buffer += data
+        events = []
+        while True:
+            cut = _event_end(self._buffer)
+            if cut < 0:
+                return events
+            events.append(self._buffer[:cut])
+            self._buffer = self._buffer[cut:]
+
+    def rest(self) -> bytes:
+        rest, self._buffer = self._buffer, b""
+        return rest
+
+
+def _event_end(data: bytes) -> int:
+    places = [place + len(mark) for mark in (b"\n\n", b"\r\n\r\n", b"\r\r") if (place := data.find(mark)) >= 0]
+    return min(places) if places else -1
+
+
+def event_id(event: bytes):
+    for line in event.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip()
+    return None
+
+
+def parse_parts(text: str) -> tuple:
+    """X-Prompt-Lead: ID:TOKENS, by commas."""
+    rows = []
+    for item in text.split(","):
+        part, colon, tokens = item.strip().partition(":")
+        if not colon or not tokens.isdigit():
+            return ()
+        rows.append((part, int(tokens)))
+    return tuple(rows)
+
+
+class Go:
+    """One attempt at one replica."""
+
+    def __init__(self, *, passage, replica, number, to_read, permitted):
+        self.passage = passage
+        self.replica = replica
+        self.number = number
+        self.to_read = to_read
+        self.permitted = permitted
+        self.ask_id = passage.ask_id
+        self.outlet = None
+        self.status = 0
+        self.is_over = False
+        self.is_read = False
+        self.sent_at = 0.0
+        self.heard_at = 0.0
+        self.is_first = True
+
+    def on_head(self, **fields) -> None:
+        if not self.is_over:
+            self.heard_at = self.passage.loop.now()
+            self.passage.take_head(self, **fields)
+
+    def on_data(self, data: bytes) -> None:
+        if not self.is_over:
+            self.heard_at = self.passage.loop.now()
+            self.passage.take_data(self, data)
+
+    def on_end(self) -> None:
+        if not self.is_over:
+            self.passage.take_end(self)
+
+    def on_fail(self, *, reason: str, was_sent: bool, was_up: bool) -> None:
+        if not self.is_over:
+            self.passage.take_fail(self, reason=reason, was_sent=was_sent, was_up=was_up)
+
+
+class Passage:
+    """One ask, from the filters to its final answer."""
+
+    def __init__(self, *, proxy, ask):
+        self.proxy = proxy
+        self.loop = proxy.loop
+        self.ask = ask
+        self.ask_id = ask.header(b"x-attempt-id")
+        self.route = None
+        self.service = ""
+        self.permitted = None
+        self.first_homes = ()
+        self.model = ask.text(b"x-model")
+        self.parts = ()
+        self.chain = ()
+        self.prompt_tokens = 0
+        self.deadline = 0.0
+        self.go = None
+        self.goes = 0
+        self.arrivals = 0
+        self.avoid = set()
+        self.is_over = False
+        self.is_unclear = False  # a non-repeatable ask whose bytes are of unclear fate
+        self.has_head = False
+        self.is_streaming = False
+        self.buffer = None
+        self.events = None
+        self.last_id = ask.header(b"last-event-id") or None
+        self.retry_timer = None
+        self.watch_timer = None
+        self.limit_timer = None
+        self.wait_until = 0.0
+        ask.on_gone = self.gone
+
+    # Filters. Each may answer; each edits the head in place.
+    def begin(self) -> None:
+        for act in (self.filter_ready, self.filter_route, self.filter_time, self.filter_prompt):
+            act()
+            if self.is_over:
+                return
+        self.proxy.quota.note_ask(self.service)
+        self.limit_timer = self.loop.at(when=self.deadline, act=self.out_of_time)
+        self.wait_until = self.ask.at + self.aim_s * 0.2
+        self.try_go()
+
+    def filter_ready(self) -> None:
+        if not self.proxy.is_serving:
+            self.reject(after_s=0.5)
+
+    def filter_route(self) -> None:
+        route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
+        if route is None:
+            self.answer(status=404)
+            return
+        self.route = route
+        self.first_homes = route.homes
+        self.service = route.pick(random.random())
+
+    def filter_time(self) -> None:
+        given = self.ask.text(b"x-time-left-ms")
+        left_s = self.route.expiry_s
+        try:
+            left_s = min(left_s, float(given) / 1000.0) if given else left_s
+        except ValueError:
+            self.answer(status=400)
+            return
+        self.deadline = self.ask.begun_at + left_s
+        self.aim_s = self.route.target_s or left_s * 0.25
+
+    def filter_prompt(self) -> None:
+        counts = self.ask.text(b"x-token-count").split(",")
+        if counts[0].strip().isdigit():
+            self.prompt_tokens = int(counts[0])
+        lead = self.ask.text(b"x-prompt-lead")
+        if lead and self.route.is_sticky:
+            self.parts = parse_parts(lead)
+            self.chain = ckf.chain(model=self.model, parts=self.parts)
+            self.prompt_tokens = max(self.prompt_tokens, sum(tokens for _part, tokens in self.parts))
+
+    @property
+    def is_repeatable(self) -> bool:
+        return self.route.is_repeatable
+
+    # Goes.
+    def try_go(self) -> None:
+        if self.is_over:
+            return
+        if self.goes:
+            # A further go stands under the configuration now in force, and the stricter homes of both.
+            route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
+            if route is None:
+                self.fail()
+                return
+            if not any(name == self.service for name, _share in route.portions):
+                self.service = route.pick(random.random())
+            self.route = route
+        self.permitted = residency.permitted(homes=self.route.homes, older_homes=self.first_homes)
+        replica, to_read, is_any = self.proxy.chooser.choose(
+            service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
+            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid)
+        if replica is None:
+            self.wait_or_reject()
+            return
+        if self.arrivals and not self.proxy.quota.try_extra(self.service):
+            self.fail()
+            return
+        outlet = self.proxy.table.outlet(replica=replica, is_repeatable=self.is_repeatable, share=self.proxy.quota.share())
+        if outlet is None:
+            self.avoid.add(replica.id)
+            self.wait_or_reject()
+            return
+        self.goes += 1
+        now = self.loop.now()
+        go = Go(passage=self, replica=replica, number=self.proxy.next_number(), to_read=to_read, permitted=self.permitted)
+        go.sent_at = go.heard_at = now
+        go.outlet = outlet
+        self.go = go
+        replica.running += 1
+        replica.to_read[go.number] = to_read
+        replica.sends.append(now)
+        self.proxy.chooser.note_send(replica=replica, chain=self.chain)
+        self.proxy.tell_send(replica=replica, kind=relay_host.SENT, tokens=to_read, number=go.number)
+        outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
+        if go is self.go and self.is_repeatable:
+            self.watch_silence()
+
+    def head_for(self, replica, now: float) -> h11.Request:
+        headers = []
+        left_ms = max(1, int((self.deadline - now) * 1000))
+        for name, value in self.ask.headers:
+            if name in outlets.HOP_NAMES or name in (
+                b"content-length", b"expect", b"x-time-left-ms", b"x-addressed-replica", b"last-event-id", b"x-urgency",
+            ):
+                continue
+            headers.append((name, value))
+        headers.append((b"X-Time-Left-Ms", b"%d" % left_ms))
+        headers.append((b"X-Addressed-Replica", replica.id.encode()))
+        if self.route.is_sticky:
+            headers.append((b"X-Urgency", b"%d" % max(0, min(9, self.route.urgency))))
+        if self.last_id is not None:
+            headers.append((b"Last-Event-Id", self.last_id))
+        if self.ask.body or self.ask.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"Content-Length", b"%d" % len(self.ask.body)))
+        return h11.Request(method=self.ask.method, target=self.ask.target, headers=headers)
+
+    def watch_silence(self) -> None:
+        """A replica that says nothing on any connection for longer than it should is left for another one."""
+        go = self.go
+        if self.is_over or go is None or go.is_over:
+            return
+        gap_s = self.route.gap_s or self.aim_s
+        patience = max(0.3, gap_s * 0.6) if go.is_read else max(0.3, self.aim_s * 0.7)
+        if not go.outlet.is_up:
+            patience = max(patience, 0.3)
+        quiet = self.loop.now() - max(go.heard_at, go.replica.heard_at)
+        if quiet >= patience and self.may_go_on():
+            self.proxy.suspect(go.replica)
+            outlet = go.outlet
+            self.end_go(go, kind=relay_host.BROKEN)
+            outlet.drop_go()
+            self.after_loss(go)
+            return
+        self.watch_timer = self.loop.after(delay=max(0.02, patience - quiet), act=self.watch_silence)
+
+    def may_go_on(self) -> bool:
+        return self.arrivals_next() <= self.route.tries and self.loop.now() < self.deadline - 0.05
+
+    def arrivals_next(self) -> int:
+        return self.arrivals + 1 + (1 if self.go is not None and not self.go.outlet.is_unsent else 0)
+
+    def end_go(self, go, *, kind: int) -> None:
+        """The go is over; what it did to the replica's busyness ends with it."""
+        if go.is_over:
+            return
+        go.is_over = True
+        go.replica.running -= 1
+        go.replica.to_read.pop(go.number, None)
+        if not go.outlet.is_unsent:
+            self.arrivals += 1
+        self.proxy.tell_send(replica=go.replica, kind=kind, tokens=0, number=go.number)
+        self.loop.cancel(timer=self.watch_timer)
+        if self.go is go:
+            self.go = None
+
+    def take_head(self, go, *, status, headers, table, is_framed) -> None:
+        go.status = status
+        if status == 421 or b"x-not-run" in table:
+            return  # decided at its end: the replica did not run it
+        if 200 <= status < 300:
+            if b"x-postmark" not in table or b"content-encoding" in table or not is_framed:
+                self.spoil(go)
+                return
+            if self.has_head:
+                return  # a resumed stream keeps the head and stamp of its first replica
+            self.kept_headers = [
+                (name, value) for name, value in headers if name not in outlets.HOP_NAMES
+            ]
+            is_stream = self.route.is_stream or table.get(b"content-type", b"").startswith(b"text/event-stream")
+            if is_stream:
+                self.is_streaming = True
+                self.events = Events()
+                self.kept_headers = [(name, value) for name, value in self.kept_headers if name != b"content-length"]
+                self.length = table.get(b"content-length")
+            else:
+                self.buffer = bytearray()
+            return
+        self.kept_headers = [(name, value) for name, value in headers if name not in outlets.HOP_NAMES]
+        self.buffer = bytearray()
+
+    def spoil(self, go) -> None:
+        outlet = go.outlet
+        self.end_go(go, kind=relay_host.BROKEN)
+        outlet.drop_go()
+        self.after_loss(go)
+
+    def open_stream(self) -> None:
+        if not self.has_head:
+            self.has_head = True
+            self.ask.start(status=200 if self.go is None else self.go.status, headers=[
+                *self.kept_headers, (b"Transfer-Encoding", b"chunked")])
+
+    def mark_read(self, go) -> None:
+        """The first event shows that the prompt was read: it counts as kept from now on."""
+        if go.is_read:
+            return
+        go.is_read = True
+        go.replica.to_read.pop(go.number, None)
+        go.replica.suspicion = 0
+        go.replica.suspect_until = 0.0
+        self.proxy.tell_send(replica=go.replica, kind=relay_host.READ, tokens=0, number=go.number)
+        if self.parts:
+            self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts)
+
+    def take_data(self, go, data: bytes) -> None:
+        if go.status == 421 or (self.buffer is None and not self.is_streaming):
+            return
+        if self.is_streaming and 200 <= go.status < 300:
+            self.mark_read(go)
+            for event in self.events.take(data):
+                self.pass_event(event)
+            return
+        if self.buffer is not None:
+            self.buffer += data
+            if len(self.buffer) > BUFFER_LIMIT and not self.has_head:
+                self.has_head = True
+                self.ask.start(status=go.status, headers=self.kept_headers)
+                self.ask.data(bytes(self.buffer))
+                self.buffer = bytearray()
+            elif self.has_head:
+                self.ask.data(bytes(self.buffer))
+                self.buffer = bytearray()
+
+    def pass_event(self, event: bytes) -> None:
+        number = event_id(event)
+        if number is not None:
+            if self.last_id is not None and self.has_head and _is_not_after(number, self.last_id):
+                return  # already passed on
+            self.last_id = number
+        self.open_stream()
+        self.ask.data(event)
+
+    def take_end(self, go) -> None:
+        status = go.status
+        if status == 421 or (status >= 400 and self.buffer is None):
+            self.end_go(go, kind=relay_host.DONE)
+            self.after_not_run(go)
+            return
+        if self.is_streaming and 200 <= status < 300:
+            rest = self.events.rest()
+            self.end_go(go, kind=relay_host.DONE)
+            self.open_stream_after(go)
+            if rest:
+                self.ask.data(rest)
+            self.finish()
+            self.ask.end()
+            return
+        self.end_go(go, kind=relay_host.DONE)
+        if status >= 500 and self.is_repeatable and not self.has_head and self.may_go_on():
+            self.after_loss(go)
+            return
+        if self.has_head and self.is_streaming:
+            self.break_off()  # a failure in place of the rest of a stream
+            return
+        if not self.has_head:
+            body = bytes(self.buffer)
+            headers = [(name, value) for name, value in self.kept_headers if name != b"content-length"]
+            if status in LIMITED_STATUSES:
+                status = 502  # without X-Not-Run it is no promise of the replica, and may be none of ours
+                headers = []
+                body = b""
+            self.finish()
+            self.ask.reply(status=status, headers=headers, body=body)
+            return
+        self.finish()
+        if self.buffer:
+            self.ask.data(bytes(self.buffer))
+        self.ask.end()
+
+    def open_stream_after(self, go) -> None:
+        if not self.has_head:
+            self.has_head = True
+            self.ask.start(status=go.status, headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")])
+
+    def take_fail(self, go, *, reason: str, was_sent: bool, was_up: bool) -> None:
+        self.proxy.note_fault(replica=go.replica, reason=reason, was_up=was_up)
+        self.end_go(go, kind=relay_host.BROKEN if not was_up else relay_host.DONE)
+        if not was_sent:
+            # No byte left this node: it has not run and is not an arrival.
+            self.avoid.add(go.replica.id)
+            if self.goes < 6 and self.loop.now() < self.deadline:
+                self.try_go()
+            else:
+                self.reject_or_break()
+            return
+        self.after_loss(go)
+
+    def after_not_run(self, go) -> None:
+        """The replica did not run it: another one may, inside tries and budget."""
+        if go.status == 421:
+            self.proxy.wrong_replica(go.replica)
+        else:
+            self.proxy.full(go.replica)
+        self.avoid.add(go.replica.id)
+        if self.may_go_on():
+            self.try_go()
+            return
+        self.reject_or_break()
+
+    def after_loss(self, go) -> None:
+        """Bytes of unclear fate."""
+        self.avoid.add(go.replica.id)
+        if self.is_repeatable and self.may_go_on() and (not self.has_head or self.is_streaming):
+            if self.is_streaming:
+                self.events = Events()
+            self.buffer = None
+            self.try_go()
+            return
+        self.is_unclear = True
+        self.fail()
+
+    def wait_or_reject(self) -> None:
+        """No replica can be named now: a short wait within the aim, then an open refusal."""
+        now = self.loop.now()
+        if not self.has_head and now >= self.wait_until or now >= self.deadline or (self.has_head and now > self.ask.at + self.aim_s * 3):
+            self.reject_or_break()
+            return
+        self.avoid = set() if not self.arrivals else self.avoid
+        self.retry_timer = self.loop.after(delay=max(0.02, self.aim_s * 0.05), act=self.try_go)
+
+    def reject_or_break(self) -> None:
+        if self.has_head:
+            self.break_off()
+        elif self.is_unclear or (self.arrivals and self.is_repeatable and self.arrivals > 0 and self.had_loss()):
+            self.fail()
+        else:
+            self.reject(after_s=max(0.05, self.aim_s * 0.3))
+
+    def had_loss(self) -> bool:
+        return self.is_unclear
+
+    def fail(self) -> None:
+        if self.has_head:
+            self.break_off()
+            return
+        if self.arrivals and (self.is_unclear or self.is_repeatable):
+            self.answer(status=502)
+        else:
+            self.reject(after_s=max(0.05, self.aim_s * 0.3))
+
+    def out_of_time(self) -> None:
+        if self.is_over:
+            return
+        go = self.go
+        if go is not None:
+            is_unsent = go.outlet.is_unsent
+            outlet = go.outlet
+            self.end_go(go, kind=relay_host.DONE)
+            outlet.drop_go()
+            self.is_unclear = self.is_unclear or not is_unsent
+        if self.has_head:
+            self.break_off()
+        elif self.arrivals:
+            self.answer(status=504)
+        else:
+            self.reject(after_s=0.1)
+
+    # Final answers.
+    def reject(self, *, after_s: float) -> None:
+        """It has not run and never will; the user agent is told when to come back."""
+        self.answer(status=503, headers=[(b"Retry-After", b"%.2f" % after_s)])
+
+    def answer(self, *, status: int, headers=()) -> None:
+        self.finish()
+        self.ask.reply(status=status, headers=headers)
+
+    def break_off(self) -> None:
+        self.finish()
+        self.ask.abort()
+
+    def finish(self) -> None:
+        self.is_over = True
+        for timer in (self.retry_timer, self.watch_timer, self.limit_timer):
+            self.loop.cancel(timer=timer)
+        self.proxy.passages.discard(self)
+
+    def gone(self) -> None:
+        """The user agent left."""
+        if self.is_over:
+            return
+        go = self.go
+        if go is not None:
+            outlet = go.outlet
+            self.end_go(go, kind=relay_host.DONE)
+            outlet.drop_go()
+        self.finish()
+
+
+def _is_not_after(number: bytes, last: bytes) -> bool:
+    try:
+        return int(number) <= int(last)
+    except ValueError:
+        return number == last
--- /dev/null
+++ b/pw/dat/quota.py
@@ -0,0 +1,56 @@
+"""This proxy's part of the bounds that hold over all machines (design 8)."""
+import collections
+
+
+class Quota:
+    def __init__(self, *, now, settings):
+        self._now = now
+        self._ratio = settings.bound(name="retryRatio")
+        self._window_s = settings.bound(name="retryWindowS", default=10)
+        self._slack = settings.bound(name="retrySlack")
+        self._excess = settings.bound(name="warmupExcess", default=1.0)
+        self._cold_slack = settings.bound(name="warmupSlack")
+        self._entries = {}  # core link: (share, until)
+        self._asks = {}  # service: deque of times
+        self._extras = {}
+
+    def take_entry(self, link, message: tuple) -> None:
+        self._entries[link] = (message[1], self._now() + message[2])
+
+    def share(self) -> float:
+        now = self._now()
+        for link in [link for link, (_share, until) in self._entries.items() if until <= now]:
+            del self._entries[link]
+        return sum(share for share, _until in self._entries.values())
+
+    def _recent(self, table: dict, service: str) -> collections.deque:
+        times = table.setdefault(service, collections.deque())
+        now = self._now()
+        while times and now - times[0] > self._window_s:
+            times.popleft()
+        return times
+
+    def note_ask(self, service: str) -> None:
+        self._recent(self._asks, service).append(self._now())
+
+    def try_extra(self, service: str) -> bool:
+        """Whether one more arrival beyond the first of its ask may be sent; it is charged at once."""
+        extras = self._recent(self._extras, service)
+        allowed = 0.9 * self._ratio * len(self._recent(self._asks, service)) + 0.9 * self._slack * self.share()
+        if len(extras) + 1 > allowed:
+            return False
+        extras.append(self._now())
+        return True
+
+    def may_send(self, *, replica, service: dict, is_hard: bool) -> bool:
+        """The rate that a cold replica bears, over all machines."""
+        per_s = service.get("warmup_per_s", 0.0)
+        if per_s <= 0:
+            return True
+        allowed = (per_s * self._excess + self._cold_slack) * 0.85 * self.share()
+        if allowed <= 0:
+            return not is_hard
+        now = self._now()
+        if allowed < 1:
+            return replica.sent_within(span=1.0 / allowed, now=now) == 0
+        return replica.sent_within(span=1.15, now=now) < int(allowed)
--- /dev/null
+++ b/pw/dat/relay/actor.py
@@ -0,0 +1,108 @@
+"""The actor of one pool generation (docs/relay.md 2): exact ownership for each replica id, refcounts, the
+filter. It hears no evictions, so it models them: an LRU over the replica's cacheTokens."""
+import collections
+
+from pw.dat.relay import ckf
+
+BUCKET_COUNT = 1024
+
+
+class Actor:
+    def __init__(self, *, cache_tokens: int, bucket_count: int = BUCKET_COUNT):
+        self.cache_tokens = cache_tokens
+        self.filter = ckf.Filter(bucket_count=bucket_count)
+        self.lanes = {}  # replica id: lane
+        self._kept = {}  # replica id: OrderedDict hash -> tokens, oldest first
+        self._sizes = {}
+        self._owners = {}  # hash: set of replica ids
+        self._groups = {}  # (fingerprint, lower bucket): hashes that share one slot
+        self.omitted = 0
+
+    def admit(self, replica: str) -> bool:
+        if replica in self.lanes:
+            return True
+        free = set(range(ckf.MOST_LANES)) - set(self.lanes.values())
+        if not free:
+            return False
+        self.lanes[replica] = min(free)
+        self._kept[replica] = collections.OrderedDict()
+        self._sizes[replica] = 0
+        return True
+
+    def owners(self, full_hash: bytes) -> frozenset:
+        return frozenset(self._owners.get(full_hash, ()))
+
+    def kept_tokens(self, replica: str) -> int:
+        return self._sizes.get(replica, 0)
+
+    def read(self, *, replica: str, rows) -> None:
+        """The replica has read this prompt: rows of (canonical hash, tokens), in order."""
+        if not self.admit(replica):
+            self.omitted += 1
+            return
+        kept = self._kept[replica]
+        for full_hash, tokens in rows:
+            if full_hash in kept:
+                kept.move_to_end(full_hash)
+                continue
+            kept[full_hash] = tokens
+            self._sizes[replica] += tokens
+            self._own(replica, full_hash)
+        # Children are used no later than their parents: walk back so that the root is the youngest.
+        for full_hash, _tokens in reversed(rows):
+            if full_hash in kept:
+                kept.move_to_end(full_hash)
+        while self._sizes[replica] > self.cache_tokens and kept:
+            full_hash, tokens = kept.popitem(last=False)
+            self._sizes[replica] -= tokens
+            self._disown(replica, full_hash)
+
+    def forget(self, *, replica: str, full_hash: bytes) -> None:
+        """An unknown removal does nothing."""
+        kept = self._kept.get(replica)
+        if kept is None or full_hash not in kept:
+            return
+        self._sizes[replica] -= kept.pop(full_hash)
+        self._disown(replica, full_hash)
+
+    def drop(self, *, replica: str) -> None:
+        """The replica's life is over: all that it owned goes."""
+        kept = self._kept.pop(replica, None)
+        if kept is None:
+            return
+        for full_hash in kept:
+            self._disown(replica, full_hash)
+        self._sizes.pop(replica, None)
+        self.lanes.pop(replica, None)
+
+    def _group(self, full_hash: bytes) -> tuple:
+        fingerprint, first, second = ckf.place_of(full_hash=full_hash, bucket_count=self.filter.bucket_count)
+        return fingerprint, min(first, second)
+
+    def _bits(self, group: tuple) -> int:
+        bits = 0
+        for full_hash in self._groups.get(group, ()):
+            for owner in self._owners.get(full_hash, ()):
+                bits |= 1 << self.lanes[owner]
+        return bits
+
+    def _own(self, replica: str, full_hash: bytes) -> None:
+        owners = self._owners.setdefault(full_hash, set())
+        owners.add(replica)
+        group = self._group(full_hash)
+        self._groups.setdefault(group, set()).add(full_hash)
+        if not self.filter.put(full_hash=full_hash, bits=self._bits(group)):
+            self.omitted += 1  # an observable omission; ownership stays exact
+
+    def _disown(self, replica: str, full_hash: bytes) -> None:
+        owners = self._owners[full_hash]
+        owners.discard(replica)
+        group = self._group(full_hash)
+        if not owners:
+            del self._owners[full_hash]
+            self._groups[group].discard(full_hash)
+        if self._groups[group]:
+            self.filter.put(full_hash=full_hash, bits=self._bits(group))
+        else:
+            del self._groups[group]
+            self.filter.remove(full_hash=full_hash)
--- /dev/null
+++ b/pw/dat/relay/ckf.py
@@ -0,0 +1,126 @@
+"""The fingerprint filter of a pool (docs/relay.md 3): a cuckoo filter whose slots also say which replicas own.
+
+The source's filter says that some replica of the pool holds a prefix. Choosing one needs to know
+which, so each slot carries a lane bit for every owner. Bucket images are absolute.
+"""
+import hashlib
+import struct
+
+SLOTS = 4
+MOST_LANES = 32
+MOST_KICKS = 64
+_IMAGE = struct.Struct(">" + "HI" * SLOTS)
+EMPTY_IMAGE = _IMAGE.pack(*([0] * (2 * SLOTS)))
+
+
+def place_of(*, full_hash: bytes, bucket_count: int) -> tuple:
+    """(fingerprint, first bucket, second bucket). bucket_count is a power of two."""
+    fingerprint = int.from_bytes(full_hash[:2], "big") or 1
+    first = int.from_bytes(full_hash[2:6], "big") % bucket_count
+    return fingerprint, first, other_bucket(bucket=first, fingerprint=fingerprint, bucket_count=bucket_count)
+
+
+def other_bucket(*, bucket: int, fingerprint: int, bucket_count: int) -> int:
+    return bucket ^ ((fingerprint * 0x5BD1E995 >> 3) % bucket_count)
+
+
+def sequence_hash(*, parent: bytes, token_hash: bytes) -> bytes:
+    """Canonical: the root is the first token hash, each child extends its parent."""
+    return token_hash if not parent else hashlib.blake2b(parent + token_hash, digest_size=8).digest()
+
+
+def token_hash(*, model: str, part: str, tokens: int) -> bytes:
+    return hashlib.blake2b(f"{model}\0{part}\0{tokens}".encode(), digest_size=8).digest()
+
+
+def chain(*, model: str, parts) -> tuple:
+    """Canonical sequence hashes of a prompt: ((hash, tokens), ...)."""
+    rows = []
+    parent = b""
+    for part, tokens in parts:
+        parent = sequence_hash(parent=parent, token_hash=token_hash(model=model, part=part, tokens=tokens))
+        rows.append((parent, tokens))
+    return tuple(rows)
+
+
+def read_image(image: bytes) -> tuple:
+    flat = _IMAGE.unpack(image)
+    return tuple(zip(flat[::2], flat[1::2]))
+
+
+def find(*, buckets, full_hash: bytes) -> int:
+    """Lane bits of the owners by a list of bucket slots; 0 where unknown."""
+    fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=len(buckets))
+    lanes = 0
+    for index in (first, second):
+        for held, bits in buckets[index]:
+            if held == fingerprint:
+                lanes |= bits
+    return lanes
+
+
+class Filter:
+    def __init__(self, *, bucket_count: int):
+        if bucket_count & (bucket_count - 1):
+            raise ValueError("bucket_count must be a power of two")
+        self.bucket_count = bucket_count
+        self.buckets = [[(0, 0)] * SLOTS for _ in range(bucket_count)]
+        self.dirty = set()
+
+    def _locate(self, fingerprint: int, first: int, second: int):
+        for index in (first, second):
+            for slot, (held, _bits) in enumerate(self.buckets[index]):
+                if held == fingerprint:
+                    return index, slot
+        return None
+
+    def put(self, *, full_hash: bytes, bits: int) -> bool:
+        """Sets the lanes of a fingerprint, inserting it; False where there is no room."""
+        fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=self.bucket_count)
+        found = self._locate(fingerprint, first, second)
+        if found is not None:
+            index, slot = found
+            if self.buckets[index][slot][1] != bits:
+                self.buckets[index][slot] = (fingerprint, bits)
+                self.dirty.add(index)
+            return True
+        return self._insert(fingerprint, bits, first, second)
+
+    def _insert(self, fingerprint: int, bits: int, first: int, second: int) -> bool:
+        for index in (first, second):
+            for slot, (held, _bits) in enumerate(self.buckets[index]):
+                if held == 0:
+                    self.buckets[index][slot] = (fingerprint, bits)
+                    self.dirty.add(index)
+                    return True
+        moves = []
+        index = first
+        row = (fingerprint, bits)
+        for step in range(MOST_KICKS):
+            slot = (step + row[0]) % SLOTS
+            moves.append((index, slot, self.buckets[index][slot]))
+            row, self.buckets[index][slot] = self.buckets[index][slot], row
+            index = other_bucket(bucket=index, fingerprint=row[0], bucket_count=self.bucket_count)
+            for free, (held, _bits) in enumerate(self.buckets[index]):
+                if held == 0:
+                    self.buckets[index][free] = row
+                    self.dirty.add(index)
+                    self.dirty.update(place for place, _slot, _old in moves)
+                    return True
+        for index, slot, old in reversed(moves):  # no room: nothing is left half moved
+            self.buckets[index][slot] = old
+        return False
+
+    def remove(self, *, full_hash: bytes) -> None:
+        fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=self.bucket_count)
+        found = self._locate(fingerprint, first, second)
+        if found is not None:
+            index, slot = found
+            self.buckets[index][slot] = (0, 0)
+            self.dirty.add(index)
+
+    def image(self, index: int) -> bytes:
+        flat = []
+        for held, bits in self.buckets[index]:
+            flat += (held, bits)
+        return _IMAGE.pack(*flat)
--- /dev/null
+++ b/pw/dat/relay/pool_registry.py
@@ -0,0 +1,100 @@
+"""The catalogue of live pool generations (docs/relay.md 4). Withdrawal always comes before teardown."""
+from pw.base import problems
+from pw.base import ring
+from pw.dat.relay import actor as actors
+from pw.dat.relay import hub as hubs
+
+
+class Pool:
+    def __init__(self, *, identity, service, model, generation, actor):
+        self.identity = identity
+        self.service = service
+        self.model = model
+        self.generation = generation
+        self.actor = actor
+        self.hub = None
+        self.catalogued = {}
+
+    @property
+    def name(self) -> str:
+        return "%d/%s/%s" % self.identity
+
+
+class Registry:
+    """Owns all pools of one relay. `on_withdraw(pool)` is called before a pool is torn down."""
+
+    def __init__(self, *, on_withdraw, on_catalogue, first_generation: int):
+        self.pools = {}  # PoolId: Pool
+        self._on_withdraw = on_withdraw
+        self._on_catalogue = on_catalogue
+        self._generation = first_generation
+
+    def sync(self, *, resolved: dict, conflicts=()) -> None:
+        """Brings the pools to what resolution says."""
+        for identity in list(self.pools):
+            if identity not in resolved or identity in conflicts:
+                self.withdraw(identity=identity)
+        is_changed = False
+        for identity, (service, model, cache_tokens, replicas) in resolved.items():
+            pool = self.pools.get(identity)
+            if pool is None:
+                self._generation += 1
+                pool = Pool(
+                    identity=identity, service=service, model=model, generation=self._generation,
+                    actor=actors.Actor(cache_tokens=cache_tokens),
+                )
+                self.pools[identity] = pool
+                is_changed = True
+            for gone in set(pool.actor.lanes) - replicas:
+                pool.actor.drop(replica=gone)
+            for replica in sorted(replicas):
+                pool.actor.admit(replica)
+            if pool.actor.lanes != pool.catalogued:
+                pool.catalogued = dict(pool.actor.lanes)
+                is_changed = True
+        if is_changed:
+            # Cleared lanes are published before a lane can be told under another replica's name.
+            for pool in self.pools.values():
+                if pool.hub is not None:
+                    pool.hub.flush()
+            self._on_catalogue()
+
+    def rows(self) -> tuple:
+        return tuple(
+            (pool.name, pool.service, pool.model, pool.generation, tuple(sorted(pool.catalogued.items())))
+            for pool in self.pools.values()
+        )
+
+    def withdraw(self, *, identity) -> None:
+        pool = self.pools.pop(identity, None)
+        if pool is None:
+            return
+        self._on_withdraw(pool)
+        pool.hub = None
+        pool.actor = None
+
+    def find(self, *, service: str, model: str):
+        for pool in self.pools.values():
+            if pool.service == service and pool.model == model:
+                return pool
+        return None
+
+    def subscribe(self, *, link) -> None:
+        for pool in self.pools.values():
+            self.join(pool=pool, link=link)
+
+    def join(self, *, pool, link) -> None:
+        if pool.hub is None:  # lazy: the first subscriber makes it
+            pool.hub = hubs.Hub(identity=pool.name, generation=pool.generation, actor=pool.actor)
+        pool.hub.join(link)
+
+    def flush(self) -> None:
+        for identity, pool in list(self.pools.items()):
+            if pool.hub is None:
+                continue
+            try:
+                pool.hub.check(generation=pool.generation)
+                pool.hub.flush()
+            except (hubs.Fenced, problems.FrameProblem, ValueError) as fault:
+                ring.spill(f"pool {pool.name} is fenced: {fault}")
+                self.withdraw(identity=identity)
--- /dev/null
+++ b/pw/dat/replicas.py
@@ -0,0 +1,126 @@
+"""The replicas as this proxy sees them: one owner of the table (design 5, 7, 8)."""
+import collections
+
+from pw.dat import outlet as outlets
+
+
+class Replica:
+    def __init__(self, *, row: dict, endpoint: tuple, region: str, now: float):
+        self.id = row["id"]
+        self.service = row["service"]
+        self.endpoint = endpoint
+        self.zone = row["zone"]
+        self.region = region
+        self.berths = row["berths"]
+        self.models = row["models"]
+        self.is_clearing = row["is_clearing"]
+        self.is_listed = True
+        self.cold_until = 0.0
+        self.idle = []
+        self.outlets = set()
+        self.heard_at = now
+        self.suspect_until = 0.0
+        self.suspicion = 0
+        self.running = 0
+        self.to_read = {}  # go number: tokens still to be read
+        self.sends = collections.deque()
+        self.step_s = 0.0
+
+    def forget(self, outlet) -> None:
+        self.outlets.discard(outlet)
+        if outlet in self.idle:
+            self.idle.remove(outlet)
+
+    def close_idle(self) -> None:
+        for outlet in list(self.idle):
+            outlet.close()
+
+    def sent_within(self, *, span: float, now: float) -> int:
+        while self.sends and now - self.sends[0] > 2.0:
+            self.sends.popleft()
+        return sum(1 for when in self.sends if now - when <= span)
+
+
+class Table:
+    def __init__(self, *, loop, settings):
+        self._loop = loop
+        self._settings = settings
+        self.replicas = {}
+        self.by_service = {}
+        self.out_zones = frozenset()
+        self.services = {}
+        self._has_list = False
+
+    def region_of(self, zone: str) -> str:
+        return self._settings.zones.get(zone, "")
+
+    def install_list(self, rows: list) -> None:
+        now = self._loop.now()
+        seen = set()
+        for row in rows:
+            seen.add(row["id"])
+            replica = self.replicas.get(row["id"])
+            if replica is None:
+                host, _colon, port = row["address"].rpartition(":")
+                replica = Replica(row=row, endpoint=(host, int(port)), region=self.region_of(row["zone"]), now=now)
+                self.replicas[replica.id] = replica
+                if self._has_list:
+                    # A life that began during traffic: unknown counts as cold.
+                    replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
+            replica.is_clearing = row["is_clearing"]
+            if row["cold_ms"] > 0:
+                replica.cold_until = max(replica.cold_until, now + row["cold_ms"] / 1000.0)
+            if replica.is_clearing:
+                replica.close_idle()
+        for gone in self.replicas.keys() - seen:
+            replica = self.replicas.pop(gone)
+            replica.is_listed = False
+            replica.close_idle()
+        self._has_list = True
+        self.by_service = {}
+        for replica in self.replicas.values():
+            self.by_service.setdefault(replica.service, []).append(replica)
+
+    def install_evacuations(self, zones) -> None:
+        zones = frozenset(zones)
+        back = self.out_zones - zones
+        now = self._loop.now()
+        for replica in self.replicas.values():
+            if replica.zone in back:
+                warmup_s = self.services.get(replica.service, {}).get("warmup_s", 0.0)
+                replica.cold_until = max(replica.cold_until, now + warmup_s)
+            if replica.zone in zones:
+                replica.close_idle()
+        self.out_zones = zones
+
+    def outlet(self, *, replica, is_repeatable: bool, share: float):
+        """An idle connection, or a new one inside this proxy's share of maxConns, or None."""
+        now = self._loop.now()
+        for outlet in list(replica.idle):
+            if now >= outlet.idle_until:
+                outlet.close()
+        if replica.idle:
+            outlet = replica.idle.pop()
+            return outlet
+        most = max(4, int(self.services.get(replica.service, {}).get("max_conns", 64) * share * 0.9))
+        if len(replica.outlets) >= most:
+            return None
+        contact_s = self._settings.bound_s(name="contactMs")
+        outlet = outlets.Outlet(
+            loop=self._loop, replica=replica, connect_s=contact_s / 14, silence_s=contact_s * 2, on_free=self._free)
+        replica.outlets.add(outlet)
+        return outlet
+
+    def _free(self, outlet) -> None:
+        replica = outlet.replica
+        if not replica.is_listed or replica.is_clearing or replica.zone in self.out_zones:
+            outlet.close()
+            return
+        replica.idle.append(outlet)
+
+    def sweep(self) -> None:
+        now = self._loop.now()
+        for replica in self.replicas.values():
+            for outlet in list(replica.idle):
+                if now >= outlet.idle_until:
+                    outlet.close()
