A duty holder's new life takes a new epoch

Cause: a restarted watch holder numbered its list from 1 under the old epoch, below what proxies held.

--- a/ploverward.py
+++ b/ploverward.py
@@ -9,6 +9,7 @@
 from pw.base import settings as settings_files
 
 FLAGS = flags.FLAGS
+flags.DEFINE_bool("chatty", False, "write every note at once, not only when something goes wrong")
 USAGE = """usage: python3 ploverward.py NODE_ROLE
 
 Node roles, started with a settings file named by PLOVERWARD_NODE_FILE:
@@ -20,7 +21,7 @@
 
 def _node(role: str) -> int:
     settings = settings_files.load()
-    ring.start(node=settings.node, role=role)
+    ring.start(node=settings.node, role=role, is_chatty=FLAGS.chatty)
     if role == "core":
         from pw.ctl import core
         return core.Core(settings=settings).run()
--- a/pw/base/ring.py
+++ b/pw/base/ring.py
@@ -8,9 +8,11 @@
 _ring = collections.deque(maxlen=RING_LINES)
 _log = logging.getLogger("ploverward")
 _spill_at = [0.0]
+_is_chatty = [False]
 
 
-def start(*, node: str, role: str) -> None:
+def start(*, node: str, role: str, is_chatty: bool = False) -> None:
+    _is_chatty[0] = is_chatty
     from pythonjsonlogger import json as json_log  # only programs that write need it
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(json_log.JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"node": node, "role": role}))
@@ -21,6 +23,8 @@
 
 def note(text: str, **fields) -> None:
     _ring.append((time.monotonic(), text, fields))
+    if _is_chatty[0]:
+        _log.info(text, extra=fields)
 
 
 def say(text: str, **fields) -> None:
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -369,8 +369,9 @@
         return self.grants.renew(node=peer.address, part=1.0 / len(members), live=live)
 
     def duty(self, name: str) -> tuple:
+        """(epoch, holder, the holder's life): a new life of the same node needs a new epoch."""
         held = self.duties.get(name)
-        return tuple(held) if held else (0, "")
+        return tuple(held) if held else (0, "", "")
 
     def _watch_over(self) -> None:
         """The first live core node in the agreed order watches the platform and names the relays."""
@@ -383,8 +384,8 @@
                 self.core_lost.setdefault(host, now)
         live = [host for host in members if self.is_core_live(host)]
         has_most = len(live) >= ballots.majority(members)
-        epoch, holder = self.duty("watch")
-        if holder == self.own:
+        epoch, holder, life = self.duty("watch")
+        if holder == self.own and life == self.life:
             if not has_most or self.own not in members:
                 self.watch.stop()
                 return
@@ -394,18 +395,23 @@
             self._tell_members()
             return
         self.watch.stop()
-        if not self.acceptor.votes or self.own not in members or not has_most or live[0] != self.own:
+        if not self.acceptor.votes or self.own not in members or not has_most:
             return
-        is_lost = holder not in members or (not self.is_core_live(holder) and now - self.core_lost.get(holder, now) >= self.silence_s / 4)
+        if holder != self.own and live[0] != self.own:
+            return
+        is_lost = (
+            holder not in members or holder == self.own
+            or (not self.is_core_live(holder) and now - self.core_lost.get(holder, now) >= self.silence_s / 4)
+        )
         if is_lost and not self._is_taking:
-            self._take_duty(name="watch", holder=self.own, seen=epoch)
+            self._take_duty(name="watch", holder=self.own, life=self.life, seen=epoch)
 
-    def _take_duty(self, *, name: str, holder: str, seen: int) -> None:
+    def _take_duty(self, *, name: str, holder: str, life: str, seen: int) -> None:
         def edit(payload):
             payload = payload or {}
-            if payload.get(name, [0, ""])[0] != seen:
+            if payload.get(name, [0])[0] != seen:
                 return payload, None
-            return {**payload, name: [seen + 1, holder]}, None
+            return {**payload, name: [seen + 1, holder, life]}, None
 
         def done(_fault, _rev, _payload, _result):
             self._is_taking = False
@@ -418,11 +424,12 @@
             return
         by_region = {}
         for peer in self.proxies():
-            by_region.setdefault(peer.region, []).append(peer.address)
+            by_region.setdefault(peer.region, []).append((peer.address, peer.life))
         for region in sorted(by_region):
-            epoch, holder = self.duty(f"relay/{region}")
-            if holder not in by_region[region]:
-                self._take_duty(name=f"relay/{region}", holder=min(by_region[region]), seen=epoch)
+            epoch, *held = self.duty(f"relay/{region}")
+            if tuple(held) not in by_region[region]:
+                address, life = min(by_region[region])
+                self._take_duty(name=f"relay/{region}", holder=address, life=life, seen=epoch)
                 return
 
     def _tend_core_set(self, members: tuple, now: float) -> None:
@@ -470,13 +477,9 @@
             self.desk.publish(topic="members", epoch=epoch, number=number, data=data)
 
     def _on_list(self, rows: list, at: float) -> None:
-        epoch, holder = self.duty("watch")
-        if holder != self.own:
+        epoch, holder, life = self.duty("watch")
+        if holder != self.own or life != self.life:
             return
-        now = self.loop.now()
-        for row in rows:
-            if row["cold_ms"] > 0:
-                row["cold_ms"] = max(1.0, row["cold_ms"])
         held = self.desk.get("list")
         if self.roll.differs(rows=rows, at=at) or held is None or held[0] != epoch:
             data = json.dumps({"replicas": rows}, separators=(",", ":")).encode()
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -128,14 +128,14 @@
         )
 
     def _follow_duties(self) -> None:
-        for name, (epoch, holder) in self.duties.items():
+        for name, (epoch, holder, life) in self.duties.items():
             if not name.startswith("relay/"):
                 continue
             region = name.partition("/")[2]
             if region not in self.regions:
                 self.regions[region] = mirror.Region(now=self.loop.now, trust_s=self.contact_s)
             if region == self.settings.region:
-                self._keep_relay(epoch, holder)
+                self._keep_relay(epoch, holder, life)
             known = self.relay_dialers.get(region)
             if known is None or known[0] != (epoch, holder):
                 if known is not None:
@@ -149,8 +149,8 @@
                     silence_s=self.silence_s,
                 ))
 
-    def _keep_relay(self, epoch: int, holder: str) -> None:
-        is_mine = holder == self.settings.ip
+    def _keep_relay(self, epoch: int, holder: str, life: str) -> None:
+        is_mine = holder == self.settings.ip and life == self.life
         if self.relay is not None and (not is_mine or self.relay.epoch != epoch):
             self.relay = None
         if is_mine and self.relay is None:
