--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -291,6 +291,8 @@
             link.hello = (role, address)
             if role == "core" and address not in self.dialers:
                 self._dial_cores()
+            if role == "core" and self.acceptor.votes and not self.desk.topics:
+                self._read_all()
             if role == "proxy":
                 self._members_changed = True
             if role in ("core", "proxy"):
--- a/pw/ctl/register/store.py
+++ b/pw/ctl/register/store.py
@@ -15,8 +15,12 @@
 IDENTITY = "\x00identity"
 
 
-def pack_row(row: tuple) -> bytes:
-    body = _ROW.build(row)
+_BATCH = construct.PrefixedArray(construct.VarInt, _ROW)
+
+
+def pack_rows(rows) -> bytes:
+    """One append is one record: a loss of power in the middle of it can only leave a torn tail."""
+    body = _BATCH.build(rows)
     return _RECORD_HEAD.pack(len(body), zlib.crc32(body)) + body
 
 
@@ -34,7 +38,7 @@
         if size == 0 or len(body) < size or zlib.crc32(body) != check:
             break
         try:
-            rows.append(tuple(_ROW.parse(body)))
+            rows += [tuple(row) for row in _BATCH.parse(body)]
         except construct.ConstructError:
             break
         place += _RECORD_HEAD.size + size
@@ -119,9 +123,9 @@
 
     def write(self, *, rows: tuple, incarnation: str, table: tuple) -> None:
         """Appends the rows, or writes the whole table anew where the file is new or long."""
-        data = b"".join(pack_row(row) for row in rows)
+        data = pack_rows(rows)
         if self._is_new or self._size + len(data) > max(self._limit, 4 * self._live_size):
-            whole = pack_row((IDENTITY, 0, incarnation, 0, "", 0, b"")) + b"".join(pack_row(row) for row in table)
+            whole = pack_rows(((IDENTITY, 0, incarnation, 0, "", 0, b""), *table))
             self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=whole)
             self._size = self._live_size = len(whole)
             self._is_new = False
