--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -67,6 +67,7 @@
         self.is_damaged = False
         try:
             incarnation, rows = self.store.load()
+            ring.note("register read", incarnation=incarnation, registers={name: row[5] for name, row in rows.items()})
         except (problems.StoreProblem, OSError) as fault:
             ring.spill(f"the register's file can't be read, this node refills: {fault}")
             incarnation, rows = "", {}
@@ -167,6 +168,7 @@
         if self.acceptor.votes:
             return
         self._refill_number += 1
+        ring.note("refill asked", had={member: len(rows) for member, rows in self._refilled.items()})
         self._refilled = {}
         for member, dialer in self.dialers.items():
             if dialer.link is not None and dialer.link.is_up:
