--- a/pw/base/ring.py
+++ b/pw/base/ring.py
@@ -24,13 +24,13 @@
 def note(text: str, **fields) -> None:
     _ring.append((time.monotonic(), text, fields))
     if _is_chatty[0]:
-        _log.info(text, extra=fields)
+        _log.info(text, extra={"seen": fields})
 
 
 def say(text: str, **fields) -> None:
     """One line at once: start, end, settings."""
     note(text, **fields)
-    _log.info(text, extra=fields)
+    _log.info(text, extra={"seen": fields})
 
 
 def spill(reason: str, *, fault=None) -> None:
@@ -43,4 +43,4 @@
     _spill_at[0] = now
     while _ring:
         when, text, fields = _ring.popleft()
-        _log.info(text, extra={"at": round(when, 4), **fields})
+        _log.info(text, extra={"at": round(when, 4), "seen": fields})
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -28,6 +28,8 @@
     "accept": (12, (NUMBER, TEXT, *_BALLOT, TEXT, NUMBER, BLOB)),
     "accepted": (13, (NUMBER, TEXT, FLAG, *_BALLOT)),
     "chosen": (14, (TEXT, *_BALLOT, NUMBER)),
+    "peek": (17, (NUMBER, TEXT)),
+    "peeked": (18, (NUMBER, TEXT, FLAG, *_BALLOT, *_BALLOT, NUMBER, BLOB)),
     "refill": (15, (NUMBER,)),
     "refilled": (16, (NUMBER, FLAG, rows(TEXT, *_BALLOT, *_BALLOT, NUMBER, BLOB))),
     # news
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -82,6 +82,7 @@
         )
         for name in self.acceptor.table:
             value = self.acceptor.get(name)[3]
+            self.proposer.note_top(name=name, number=self.acceptor.get(name)[0][0])
             if value:
                 self.proposer.known[name] = ballots.unpack(value)[0]
         if not incarnation and self.settings.first_start:
@@ -109,9 +110,15 @@
         if kind in ("prepare", "accept"):
             act = self.acceptor.prepare if kind == "prepare" else self.acceptor.accept
             answer, row = act(message)
+            self.proposer.note_top(name=message[2], number=self.acceptor.get(message[2])[0][0])
             self._make_safe(row, lambda: self._answer(member, link, answer))
         elif kind == "promise":
             self.proposer.take_promise(member, message)
+        elif kind == "peek":
+            answer = self.acceptor.peek(message)
+            self._make_safe(None, lambda: self._answer(member, link, answer))
+        elif kind == "peeked":
+            self.proposer.take_peeked(member, message)
         elif kind == "accepted":
             self.proposer.take_accepted(member, message)
         elif kind == "chosen":
@@ -216,8 +223,10 @@
     def _repair(self, name: str) -> None:
         self.proposer.read(name=name, done=lambda fault, rev, payload, result: None)
 
-    def _on_chosen(self, name: str, ballot: tuple, rev: int, value: bytes) -> None:
+    def _on_chosen(self, name: str, ballot: tuple, rev: int, value: bytes, is_news: bool) -> None:
         self._publish(name, rev, value)
+        if not is_news:
+            return
         for member in self.members():
             if member != self.own:
                 self._send_core(member, ("chosen", name, *ballot, rev))
@@ -233,12 +242,19 @@
         """A value accepted here but not known as chosen for a while is finished by a read."""
         if not self.acceptor.votes:
             return
+        members = self.members()
+        turn = 2 + (members.index(self.own) if self.own in members else len(members))
         for name in REGISTERS:
             rev = self.acceptor.get(name)[2]
-            if rev > self.desk.serial(name)[1]:
-                if self._behind.get(name) == rev:
-                    self._repair(name)
-                self._behind[name] = rev
+            if rev <= self.desk.serial(name)[1]:
+                self._behind.pop(name, None)
+                continue
+            known, beats = self._behind.get(name, (rev, 0))
+            beats = beats + 1 if known == rev else 1
+            if beats >= turn:  # in turn, so that the core nodes do not meet in it
+                self._repair(name)
+                beats = 0
+            self._behind[name] = (rev, beats)
 
 
 class MembersMixin:
--- a/pw/ctl/register/acceptor.py
+++ b/pw/ctl/register/acceptor.py
@@ -37,6 +37,12 @@
         answer = ("promise", number, name, True, self.incarnation, *ballot, *accepted, rev, value)
         return answer, (self.row(name) if is_new else None)
 
+    def peek(self, message: tuple) -> tuple:
+        """What is accepted here; nothing is promised."""
+        _kind, number, name = message
+        promised, accepted, rev, value = self.get(name)
+        return ("peeked", number, name, self.votes, *promised, *accepted, rev, value)
+
     def accept(self, message: tuple) -> tuple:
         _kind, number, name, ballot_n, ballot_p, incarnation, rev, value = message
         ballot = (ballot_n, ballot_p)
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -3,6 +3,8 @@
 Each value carries the core set it stands under. A round needs a majority of every set on its way:
 the one it knew, the one it found with the highest value, and the one it writes.
 """
+import collections
+
 from pw.base import problems
 from pw.ctl.register import ballots
 
@@ -27,12 +29,13 @@
         self._later = later
         self._now = now
         self._chance = chance
-        self._on_chosen = on_chosen  # (name, ballot, rev, value)
+        self._on_chosen = on_chosen  # (name, ballot, rev, value, whether others are to be told)
         self._limit_s = limit_s
         self._patience_s = patience_s
         self._top = {}
         self._number = 0
         self._rounds = {}
+        self._lines = {}  # register: rounds that wait for the one before them
 
     def members(self, name: str) -> tuple:
         return self.known.get(name, self.seeds)
@@ -50,21 +53,76 @@
         work.deadline = self._now() + self._limit_s
         work.timer = None
         work.stage = ""
-        self._rounds[work.number] = work
-        self._prepare(work)
+        line = self._lines.setdefault(name, collections.deque())
+        line.append(work)
+        if len(line) == 1:
+            self._start(work)
 
     def read(self, *, name: str, done) -> None:
         self.change(name=name, edit=None, done=done)
 
+    def _start(self, work) -> None:
+        """Reads look first: where a majority accepted the highest ballot seen, it is chosen and no promise is needed."""
+        if work.edit is None and work.next_set is None:
+            self._peek(work)
+        else:
+            self._prepare(work)
+
     def _finish(self, work, fault, result=None) -> None:
         if self._rounds.pop(work.number, None) is None:
             return
         work.stage = "over"
+        line = self._lines[work.name]
+        line.remove(work)
+        if line:
+            self._later(0, lambda following=line[0]: self._start(following) if following.stage == "" else None)
         if fault is None:
             work.done(None, work.rev, work.payload, result)
         else:
             work.done(fault, 0, None, None)
 
+    def _renumber(self, work) -> int:
+        """A number of its own for each go, so that answers to an older go are never counted."""
+        self._rounds.pop(work.number, None)
+        self._number += 1
+        work.number = self._number
+        self._rounds[work.number] = work
+        return work.number
+
+    def _peek(self, work) -> None:
+        work.stage = "peek"
+        work.promises = {}
+        work.sets = [self.members(work.name)]
+        number = self._renumber(work)
+        for member in work.sets[0]:
+            self._send(member, ("peek", number, work.name))
+        self._later(self._patience_s * 0.5, lambda: self._prepare(work) if work.number == number and work.stage == "peek" else None)
+
+    def take_peeked(self, member: str, message: tuple) -> None:
+        _kind, number, name, is_voter, promised_n, _promised_p, accepted_n, accepted_p, rev, value = message
+        work = self._rounds.get(number)
+        if work is None or work.name != name or work.stage != "peek" or not is_voter:
+            return
+        self._top[name] = max(self._top.get(name, 0), promised_n, accepted_n)
+        work.promises[member] = ((accepted_n, accepted_p), rev, value)
+        members = work.sets[0]
+        if not ballots.has_majority(of=members, among=work.promises):
+            return
+        highest = max(held[0] for held in work.promises.values())
+        holders = {other for other, held in work.promises.items() if held[0] == highest}
+        best = next(held for held in work.promises.values() if held[0] == highest)
+        if highest == ballots.NONE:
+            work.rev, work.payload = 0, None
+            self._finish(work, None)
+            return
+        found, payload = ballots.unpack(best[2])
+        if found == members and ballots.has_majority(of=members, among=holders):
+            work.rev, work.payload = best[1], payload
+            self._on_chosen(name, best[0], best[1], best[2], False)
+            self._finish(work, None)
+        elif found != members or len(work.promises) == len(members):
+            self._prepare(work)
+
     def _prepare(self, work) -> None:
         if work.stage == "over":
             return
@@ -74,11 +132,7 @@
             return
         top = self._top.get(work.name, 0) + 1
         self._top[work.name] = top
-        # A number of its own for each go, so that answers to an older go are never counted.
-        self._rounds.pop(work.number, None)
-        self._number += 1
-        work.number = self._number
-        self._rounds[work.number] = work
+        self._renumber(work)
         work.ballot = (top, self.own)
         work.stage = "prepare"
         work.sets = [self.members(work.name)]
@@ -100,9 +154,14 @@
         if work.stage in ("over", "wait"):
             return
         work.stage = "wait"
-        pause = self._chance() * self._patience_s * 0.25 * min(work.goes, 4)
+        # A round takes about half of the patience: two that meet must come apart by more than that.
+        pause = self._chance() * self._patience_s * 0.4 * min(2 ** (work.goes - 1), 8)
         self._later(pause, lambda: self._prepare(work) if work.stage == "wait" else None)
 
+    def note_top(self, *, name: str, number: int) -> None:
+        """A ballot number known to be in use: a go below it would only be rejected."""
+        self._top[name] = max(self._top.get(name, 0), number)
+
     def take_promise(self, member: str, message: tuple) -> None:
         _kind, number, name, is_granted, incarnation, promised_n, promised_p, accepted_n, accepted_p, rev, value = message
         work = self._rounds.get(number)
@@ -205,5 +264,5 @@
         if all(ballots.has_majority(of=members, among=work.accepts) for members in work.sets):
             fault, result = work.is_write
             self.known[name] = ballots.unpack(work.value)[0]
-            self._on_chosen(name, work.ballot, work.rev, work.value)
+            self._on_chosen(name, work.ballot, work.rev, work.value, True)
             self._finish(work, fault, result)
