--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -41,7 +41,11 @@
         return self.known.get(name, self.seeds)
 
     def change(self, *, name: str, edit, done, next_set=None) -> None:
-        """`done(problem, rev, payload, result)` is called once."""
+        """`done(problem, rev, payload, result)` is called once.
+
+        A further go may find what an earlier go of the same change has written, so an edit must know
+        its own work again.
+        """
         self._number += 1
         work = Round()
         work.number = self._number
--- /dev/null
+++ b/pw/ctl/register/test_register.py
@@ -0,0 +1,336 @@
+"""The register under loss, delay, restarts and emptied disks: histories are checked after the fact."""
+import pytest
+
+from pw.base import problems
+from pw.ctl.register import acceptor as acceptors
+from pw.ctl.register import ballots
+from pw.ctl.register import proposer as proposers
+from pw.ctl.register import store as stores
+from pw.sim import linear
+from pw.sim import world as worlds
+
+MEMBERS = ("a", "b", "c")
+
+
+class Node:
+    """One core node in the simulated world: acceptor, proposer, disk, refill."""
+
+    def __init__(self, *, world, name, nodes, is_first=True):
+        self.world = world
+        self.name = name
+        self.nodes = nodes
+        self.disk = worlds.Disk(chance=world.chance)
+        self.life = 0
+        self.chosen = {}
+        self.start(is_first=is_first)
+
+    def start(self, *, is_first=False):
+        self.life += 1
+        self.is_up = True
+        self.store = stores.Store(disk=self.disk, limit_bytes=4000)
+        incarnation, rows = self.store.load()
+        self.acceptor = acceptors.Acceptor(incarnation=incarnation, rows=rows)
+        if not incarnation and is_first:
+            self.acceptor.incarnation = f"{self.name}{self.life}"
+            self.store.write(rows=(), incarnation=self.acceptor.incarnation, table=())
+        self.proposer = proposers.Proposer(
+            own=f"{self.name}/{self.life}", seeds=MEMBERS, send=self.send,
+            later=self.later, now=self.world.now, chance=self.world.chance.random,
+            on_chosen=lambda name, ballot, rev, value, is_news: None, limit_s=3.0, patience_s=0.6,
+        )
+        self.refilled = {}
+        if not self.acceptor.votes:
+            self.refill()
+
+    def later(self, delay, act):
+        life = self.life
+        self.world.later(delay, lambda: act() if self.is_up and self.life == life else None)
+
+    def send(self, member, message):
+        target = self.nodes.get(member)
+        if target is None:
+            return
+        life = self.life
+
+        def arrive():
+            if target.is_up:
+                target.take(self, life, message)
+        self.world.send(self.name, member, arrive)
+
+    def answer(self, source, life, message):
+        def arrive():
+            if source.is_up and source.life == life:
+                source.take(self, self.life, message)
+        self.world.send(self.name, source.name, arrive)
+
+    def take(self, source, life, message):
+        kind = message[0]
+        if kind in ("prepare", "accept"):
+            answer, row = (self.acceptor.prepare if kind == "prepare" else self.acceptor.accept)(message)
+            if row is not None:
+                try:
+                    self.store.write(rows=(row,), incarnation=self.acceptor.incarnation, table=self.acceptor.rows())
+                except OSError:
+                    return
+            self.answer(source, life, answer)
+        elif kind == "peek":
+            self.answer(source, life, self.acceptor.peek(message))
+        elif kind == "promise":
+            self.proposer.take_promise(source.name, message)
+        elif kind == "peeked":
+            self.proposer.take_peeked(source.name, message)
+        elif kind == "accepted":
+            self.proposer.take_accepted(source.name, message)
+        elif kind == "refill":
+            if self.acceptor.votes:
+                self.answer(source, life, ("refilled", self.acceptor.rows()))
+        elif kind == "refilled" and not self.acceptor.votes:
+            self.refilled[source.name] = message[1]
+            if len(self.refilled) >= 2:
+                rows = self.acceptor.refill(incarnation=f"{self.name}{self.life}", states=tuple(self.refilled.values()))
+                self.store.write(rows=rows, incarnation=self.acceptor.incarnation, table=self.acceptor.rows())
+
+    def refill(self):
+        if self.acceptor.votes:
+            return
+        self.refilled = {}
+        for member in MEMBERS:
+            if member != self.name:
+                self.send(member, ("refill",))
+        self.later(0.4, self.refill)
+
+    def stop(self, *, is_wiped=False):
+        self.is_up = False
+        self.life += 1
+        if is_wiped:
+            self.disk.files.clear()
+
+
+def make(seed, *, members=MEMBERS):
+    world = worlds.World(seed=seed)
+    nodes = {}
+    for name in members:
+        nodes[name] = Node(world=world, name=name, nodes=nodes)
+    return world, nodes
+
+
+class Caller:
+    """Sends compare-and-sets and reads, and keeps the history."""
+
+    def __init__(self, *, world, nodes, history):
+        self.world, self.nodes, self.history = world, nodes, history
+
+    def go(self, member):
+        node = self.nodes[member]
+        if not node.is_up:
+            return
+        call = {"begun": self.world.now(), "ended": None, "kind": "change"}
+        if self.world.chance.random() < 0.4:
+            call["kind"] = "read"
+        self.history.append(call)
+
+        def done(fault, rev, payload, result):
+            if fault is None:
+                call["ended"] = self.world.now()
+                if call["kind"] == "read":
+                    call["saw"] = payload or 0
+                else:
+                    call["base"], call["made"] = result
+
+        def edit(payload):
+            base = payload or 0
+            return base + 1, (base, base + 1)
+
+        if call["kind"] == "read":
+            node.proposer.read(name="spec", done=done)
+        else:
+            node.proposer.change(name="spec", edit=edit, done=done)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_history_is_linearizable_under_loss_restart_and_wiping(seed):
+    world, nodes = make(seed)
+    world.loss = world.chance.choice((0.0, 0.02, 0.05))
+    history = []
+    caller = Caller(world=world, nodes=nodes, history=history)
+    for step in range(120):
+        world.later(step * 0.15 + world.chance.random() * 0.1, lambda: caller.go(world.chance.choice(MEMBERS)))
+
+    def trouble():
+        name = world.chance.choice(MEMBERS)
+        kind = world.chance.choice(("kill", "wipe", "cut", "refuse"))
+        if kind in ("kill", "wipe"):
+            nodes[name].stop(is_wiped=kind == "wipe")
+            world.later(0.8, nodes[name].start)
+        elif kind == "cut":
+            for other in MEMBERS:
+                world.cuts |= {(name, other), (other, name)}
+            world.later(0.9, world.cuts.clear)
+        else:
+            nodes[name].disk.is_refusing = True
+            world.later(0.7, lambda: setattr(nodes[name].disk, "is_refusing", False))
+
+    for step in range(5):
+        world.later(1.0 + step * 3.4, trouble)
+    world.run(until=40.0)
+    assert linear.faults(history=history) == []
+    assert sum(1 for call in history if call["ended"] is not None) > 20
+
+
+def test_the_checker_finds_planted_faults():
+    two_on_one = [
+        {"kind": "change", "begun": 0, "ended": 1, "base": 0, "made": 1},
+        {"kind": "change", "begun": 0, "ended": 1, "base": 0, "made": 2},
+    ]
+    assert linear.faults(history=two_on_one)
+    stale = [
+        {"kind": "change", "begun": 0, "ended": 1, "base": 0, "made": 1},
+        {"kind": "read", "begun": 2, "ended": 3, "saw": 0},
+    ]
+    assert linear.faults(history=stale)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_two_racers_on_one_base_one_wins(seed):
+    world, nodes = make(seed)
+    results = []
+
+    def edit_of(name):
+        # As the real edits do: what this very call has already made is known again after a further go.
+        def edit(payload):
+            if payload == name:
+                return payload, "known"
+            if payload is not None:
+                raise problems.StaleBase(current=1)
+            return name, "won"
+        return edit
+
+    for name in ("a", "c"):
+        nodes[name].proposer.change(name="spec", edit=edit_of(name), done=lambda *row: results.append(row))
+    world.run(until=20.0)
+    assert len(results) == 2
+    assert sorted(row[0] is None for row in results) == [False, True]
+    assert isinstance(next(row[0] for row in results if row[0] is not None), problems.StaleBase)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_all_nodes_restarting_and_reading_at_once_come_to_an_end(seed):
+    """Three nodes that read four registers after a restart used to duel without end."""
+    world, nodes = make(seed)
+    names = ("spec", "evac", "duty", "cores")
+    for name in names:
+        nodes["a"].proposer.change(name=name, edit=lambda payload: (1, None), done=lambda *row: None)
+    world.run(until=5.0)
+    for node in nodes.values():
+        node.stop()
+        node.start()
+    done = []
+    for node in nodes.values():
+        for name in names:
+            node.proposer.read(name=name, done=lambda *row: done.append(row))
+            node.proposer.change(name=name, edit=lambda payload: (payload + 1, None), done=lambda *row: done.append(row))
+    world.run(until=14.0)
+    assert len(done) == 24
+    assert sum(1 for row in done if row[0] is None) >= 20
+
+
+def test_emptied_node_does_not_vote_until_both_others_answer():
+    world, nodes = make(3)
+    nodes["a"].proposer.change(name="spec", edit=lambda payload: (1, None), done=lambda *row: None)
+    world.run(until=3.0)
+    nodes["c"].stop(is_wiped=True)
+    nodes["b"].stop()
+    nodes["c"].start()
+    world.run(until=8.0)
+    assert not nodes["c"].acceptor.votes
+    results = []
+    nodes["a"].proposer.change(name="spec", edit=lambda payload: (2, None), done=lambda *row: results.append(row))
+    world.run(until=14.0)
+    assert isinstance(results[0][0], problems.Unreachable)
+    nodes["b"].start()
+    world.run(until=20.0)
+    assert nodes["c"].acceptor.votes
+    assert ballots.unpack(nodes["c"].acceptor.get("spec")[3])[1] >= 1
+
+
+def test_forgotten_promise_can_not_be_used():
+    """A promise given before the disk was lost names an incarnation that is gone."""
+    acceptor = acceptors.Acceptor(incarnation="old")
+    answer, _row = acceptor.prepare(("prepare", 1, "spec", 7, "x"))
+    assert answer[3] and answer[4] == "old"
+    emptied = acceptors.Acceptor()
+    emptied.refill(incarnation="new", states=((), ()))
+    answer, row = emptied.accept(("accept", 1, "spec", 7, "x", "old", 1, b"v"))
+    assert not answer[3] and row is None
+    assert emptied.get("spec")[3] == b""
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_core_set_moves_one_machine_at_a_time(seed):
+    world, nodes = make(seed, members=("a", "b", "c", "d"))
+    ends = []
+
+    def end(*row):
+        ends.append(row)
+
+    nodes["a"].proposer.change(name="spec", edit=lambda payload: (1, None), done=end)
+    world.run(until=4.0)
+    nodes["a"].proposer.change(name="spec", edit=lambda payload: (payload, None), done=end, next_set=("a", "b", "c", "d"))
+    world.run(until=8.0)
+    nodes["c"].stop()
+    nodes["b"].proposer.change(name="spec", edit=lambda payload: (payload, None), done=end, next_set=("a", "b", "d"))
+    world.run(until=12.0)
+    nodes["d"].proposer.change(name="spec", edit=lambda payload: (payload + 1, None), done=end)
+    world.run(until=16.0)
+    nodes["c"].start()
+    stale = []
+    nodes["c"].proposer.read(name="spec", done=lambda *row: stale.append(row))
+    world.run(until=22.0)
+    assert [row[0] for row in ends] == [None] * 4
+    assert stale[0][0] is None and stale[0][2] == 2
+
+
+def _filled(count):
+    disk = worlds.Disk(chance=None)
+    store = stores.Store(disk=disk, limit_bytes=10 ** 6)
+    store.write(rows=(), incarnation="i1", table=())
+    for number in range(1, count + 1):
+        store.write(rows=(("spec", number, "a", number, "a", number, b"v%d" % number),), incarnation="i1", table=())
+    return disk
+
+
+@pytest.mark.parametrize("cut", range(1, 12))
+def test_torn_tail_is_cut_at_the_last_good_record(cut):
+    disk = _filled(4)
+    disk.tear(name=stores.FILE_NAME, keep=len(disk.files[stores.FILE_NAME]) - cut)
+    incarnation, rows = stores.Store(disk=disk, limit_bytes=10 ** 6).load()
+    assert incarnation == "i1" and rows["spec"][6] == b"v3"
+
+
+def test_damage_before_the_tail_is_told():
+    disk = _filled(4)
+    data = bytearray(disk.files[stores.FILE_NAME])
+    data[30] ^= 0xFF
+    disk.files[stores.FILE_NAME] = bytes(data)
+    with pytest.raises(problems.StoreProblem):
+        stores.Store(disk=disk, limit_bytes=10 ** 6).load()
+
+
+def test_long_file_is_rewritten_and_keeps_the_state():
+    disk = worlds.Disk(chance=None)
+    store = stores.Store(disk=disk, limit_bytes=500)
+    row = ("spec", 1, "a", 1, "a", 1, b"x" * 90)
+    store.write(rows=(), incarnation="i1", table=())
+    for _ in range(30):
+        store.write(rows=(row,), incarnation="i1", table=(row,))
+    assert len(disk.files[stores.FILE_NAME]) < 1200
+    assert stores.Store(disk=disk, limit_bytes=500).load() == ("i1", {"spec": row})
+
+
+def test_refusing_disk_answers_nothing():
+    world, nodes = make(1)
+    nodes["b"].disk.is_refusing = nodes["c"].disk.is_refusing = True
+    results = []
+    nodes["a"].proposer.change(name="spec", edit=lambda payload: (1, None), done=lambda *row: results.append(row))
+    world.run(until=8.0)
+    assert isinstance(results[0][0], problems.Unreachable)
--- /dev/null
+++ b/pw/sim/world.py
@@ -0,0 +1,60 @@
+"""A simulated world for tests: time, network and disk with seeds. Nothing sleeps."""
+import heapq
+import random
+
+
+class World:
+    def __init__(self, *, seed: int):
+        self.chance = random.Random(seed)
+        self.time = 0.0
+        self._order = 0
+        self._events = []
+        self.down = set()
+        self.cuts = set()  # (from, to)
+        self.loss = 0.0
+        self.delay = (0.001, 0.05)
+
+    def now(self) -> float:
+        return self.time
+
+    def later(self, delay: float, act) -> None:
+        self._order += 1
+        heapq.heappush(self._events, (self.time + delay, self._order, act))
+
+    def send(self, source: str, target: str, act) -> None:
+        if (source, target) in self.cuts or self.chance.random() < self.loss:
+            return
+        self.later(self.chance.uniform(*self.delay), act)
+
+    def run(self, *, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.time, _order, act = heapq.heappop(self._events)
+            act()
+        self.time = until
+
+
+class Disk:
+    """Files with what the last sync covered, and the writes after it that a loss of power tears."""
+
+    def __init__(self, *, chance):
+        self.chance = chance
+        self.files = {}  # name: bytes
+        self.is_refusing = False
+        self.pending = None  # (name, data before, data after) while a write is not yet synced
+
+    def read(self, *, name: str):
+        return self.files.get(name)
+
+    def append(self, *, name: str, data: bytes, size_before: int) -> None:
+        if self.is_refusing:
+            raise OSError(5, "refused")
+        self.files[name] = self.files.get(name, b"")[:size_before] + data
+
+    def replace(self, *, name: str, new_name: str, data: bytes) -> None:
+        if self.is_refusing:
+            raise OSError(5, "refused")
+        self.files[name] = data
+
+    def tear(self, *, name: str, keep: int) -> None:
+        """Power was lost in an append: only some of its bytes are there."""
+        self.files[name] = self.files[name][:keep]
