--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -234,6 +234,7 @@
     def _publish(self, name: str, rev: int, value: bytes) -> None:
         if not value or not self.desk.publish(topic=name, epoch=0, number=rev, data=value):
             return
+        ring.note("chosen", register=name, rev=rev)
         members, payload = ballots.unpack(value)
         self.proposer.known[name] = members
         self._apply(name, payload, members)
@@ -505,6 +506,7 @@
             data = json.dumps({"replicas": rows}, separators=(",", ":")).encode()
             number = held[1] + 1 if held and held[0] == epoch else 1
             self.desk.publish(topic="list", epoch=epoch, number=number, data=data)
+            ring.note("list", epoch=epoch, number=number)
 
     def _on_image(self, topic: str, epoch: int, number: int, data: bytes) -> None:
         """News from another core node."""
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -65,6 +65,8 @@
         now = self._now()
         best = None
         for replica in rows:
+            if not self._table.has_room(replica=replica):
+                continue
             is_cold = replica.cold_until > now
             may = self._quota.may_send(replica=replica, service=spec, is_hard=is_cold)
             if is_cold and not may:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -200,7 +200,7 @@
         if self.arrivals and not self.proxy.quota.try_extra(self.service):
             self.fail()
             return
-        outlet = self.proxy.table.outlet(replica=replica, is_repeatable=self.is_repeatable, share=self.proxy.quota.share())
+        outlet = self.proxy.table.outlet(replica=replica)
         if outlet is None:
             self.avoid.add(replica.id)
             self.wait_or_reject()
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -61,8 +61,12 @@
         elif kind == "image":
             if self.follower.take_image(link, message):
                 topic = message[1]
+                if not self.is_serving:
+                    ring.note("has", topic=topic)
                 self._tell_core(("have", ((topic, *self.follower.serials[topic]),)))
         elif kind == "floor":
+            if host not in self.floors:
+                ring.note("floor", host=host)
             self.floors[host] = dict(message[1])
             self._check_serving()
         elif kind == "entry":
@@ -301,8 +305,8 @@
         self.duties = {}
         self.routes = route_tables.Routes()
         self._set_limits({})
-        self.table = replicas.Table(loop=self.loop, settings=settings)
         self.quota = quotas.Quota(now=self.loop.now, settings=settings)
+        self.table = replicas.Table(loop=self.loop, settings=settings, share=self.quota.share)
 
     def run(self) -> int:
         self.start_relay()
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -42,8 +42,11 @@
 
 
 class Table:
-    def __init__(self, *, loop, settings):
+    def __init__(self, *, loop, settings, share):
         self._loop = loop
+        self.share = share
+        # Before the first entry: as if there were a few dozen proxies.
+        self.last_share = 0.04
         self._settings = settings
         self.replicas = {}
         self.by_service = {}
@@ -93,7 +96,16 @@
                 replica.close_idle()
         self.out_zones = zones
 
-    def outlet(self, *, replica, is_repeatable: bool, share: float):
+    def _most_outlets(self, replica) -> int:
+        """This proxy's share of maxConns. Without an entry the last share goes on: too many connections
+        are reset, which breaks no bound, while too few would refuse what there is room for."""
+        self.last_share = self.share() or self.last_share
+        return max(4, int(self.services.get(replica.service, {}).get("max_conns", 64) * self.last_share * 0.9))
+
+    def has_room(self, *, replica) -> bool:
+        return bool(replica.idle) or len(replica.outlets) < self._most_outlets(replica)
+
+    def outlet(self, *, replica):
         """An idle connection, or a new one inside this proxy's share of maxConns, or None."""
         now = self._loop.now()
         for outlet in list(replica.idle):
@@ -102,8 +114,7 @@
         if replica.idle:
             outlet = replica.idle.pop()
             return outlet
-        most = max(4, int(self.services.get(replica.service, {}).get("max_conns", 64) * share * 0.9))
-        if len(replica.outlets) >= most:
+        if len(replica.outlets) >= self._most_outlets(replica):
             return None
         contact_s = self._settings.bound_s(name="contactMs")
         outlet = outlets.Outlet(
