--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -415,7 +415,8 @@
             self._tend_core_set(members, now)
             self._tell_members()
             return
-        self.watch.stop()
+        if "list" in self.desk.topics:
+            self.watch.stop()
         if not self.acceptor.votes or self.own not in members or not has_most:
             return
         if holder != self.own and live[0] != self.own:
@@ -425,14 +426,17 @@
             or (not self.is_core_live(holder) and now - self.core_lost.get(holder, now) >= self.silence_s / 4)
         )
         if is_lost and not self._is_taking:
-            self._take_duty(name="watch", holder=self.own, life=self.life, seen=epoch)
+            self._take_duties({"watch": (epoch, self.own, self.life)})
 
-    def _take_duty(self, *, name: str, holder: str, life: str, seen: int) -> None:
+    def _take_duties(self, rows: dict) -> None:
+        """rows: duty -> (epoch seen, holder, life). One change for all that are open."""
         def edit(payload):
             payload = payload or {}
-            if payload.get(name, [0])[0] != seen:
-                return payload, None
-            return {**payload, name: [seen + 1, holder, life]}, None
+            new = {
+                name: [seen + 1, holder, life] for name, (seen, holder, life) in rows.items()
+                if payload.get(name, [0])[0] == seen
+            }
+            return ({**payload, **new} if new else payload), None
 
         def done(_fault, _rev, _payload, _result):
             self._is_taking = False
@@ -446,12 +450,13 @@
         by_region = {}
         for peer in self.proxies():
             by_region.setdefault(peer.region, []).append((peer.address, peer.life))
-        for region in sorted(by_region):
+        rows = {}
+        for region, live in by_region.items():
             epoch, *held = self.duty(f"relay/{region}")
-            if tuple(held) not in by_region[region]:
-                address, life = min(by_region[region])
-                self._take_duty(name=f"relay/{region}", holder=address, life=life, seen=epoch)
-                return
+            if tuple(held) not in live:
+                rows[f"relay/{region}"] = (epoch, *min(live))
+        if rows:
+            self._take_duties(rows)
 
     def _tend_core_set(self, members: tuple, now: float) -> None:
         """One machine at a time: a newcomer is added; a member long gone leaves once one can spare it."""
@@ -500,6 +505,10 @@
     def _on_list(self, rows: list, at: float) -> None:
         epoch, holder, life = self.duty("watch")
         if holder != self.own or life != self.life:
+            # A core node that has just started reads once by itself. Epoch 0 is below every holder's:
+            # it serves only those that have no list at all.
+            self.desk.publish(topic="list", epoch=0, number=1, data=json.dumps({"replicas": rows}, separators=(",", ":")).encode())
+            self.watch.stop()
             return
         held = self.desk.get("list")
         if self.roll.differs(rows=rows, at=at) or held is None or held[0] != epoch:
@@ -512,7 +521,7 @@
         """News from another core node."""
         if topic in REGISTERS:
             self._publish(topic, number, data)
-        elif epoch >= self.duty("watch")[0]:
+        elif epoch >= self.duty("watch")[0] or not epoch:
             self.desk.publish(topic=topic, epoch=epoch, number=number, data=data)
 
 
@@ -727,6 +736,7 @@
     def _apply(self, name: str, payload, members: tuple) -> None:
         if name == "duty":
             self.duties = payload or {}
+            self.loop.command(act=self._watch_over)
         elif name == "spec":
             self.spec = payload["body"] if payload else None
         elif name == "cores":
@@ -738,7 +748,7 @@
         self.start_voting()
         self._dial_cores()
         self.start_dispatch()
-        self.loop.after(delay=self.silence_s / 4, act=self._read_all)
+        self.watch.start()
         self.loop.every(gap=self.silence_s / 3, act=self._beat)
         signal.signal(signal.SIGTERM, lambda *_: self.loop.command(act=self._leave))
         signal.signal(signal.SIGHUP, lambda *_: self.loop.command(act=self._reread))
