--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -32,7 +32,7 @@
     def busyness(self, replica) -> tuple:
         """(running, tokens to read, is suspect), of all proxies."""
         region = self._regions.get(replica.region)
-        others = region.busyness.get(replica.id) if region is not None else None
+        others = region.busyness.get(replica.id) if region is not None and region.is_fresh else None
         running, tokens, is_bad = others if others is not None else (0, 0, False)
         return running + replica.running, tokens + sum(replica.to_read.values()), is_bad
 
@@ -47,7 +47,7 @@
             if model and replica.models and model not in replica.models:
                 continue
             rows.append(replica)
-        fit = [replica for replica in rows if replica.suspect_until <= now]
+        fit = [replica for replica in rows if replica.away_until <= now and not replica.is_suspect]
         return fit or rows
 
     def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid) -> tuple:
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -60,6 +60,11 @@
     def is_trusted(self) -> bool:
         return self.broken_at is None or self._now() - self.broken_at <= self._trust_s
 
+    @property
+    def is_fresh(self) -> bool:
+        """Busyness ages much faster than what is kept."""
+        return self.broken_at is None or self._now() - self.broken_at <= self._trust_s / 10
+
     def take(self, message: tuple) -> None:
         kind = message[0]
         if kind == "catalogue":
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -17,7 +17,7 @@
 class Outlet:
     """One connection. The go that uses it is told: on_head, on_data, on_end, on_fail(reason, was sent)."""
 
-    def __init__(self, *, loop, replica, connect_s: float, silence_s: float, on_free):
+    def __init__(self, *, loop, replica, connect_s: float, silence_s: float, on_free, on_way):
         self.loop = loop
         self.replica = replica
         self.is_open = True
@@ -27,6 +27,8 @@
         self.idle_until = 0.0
         self.idle_at = 0.0
         self._on_free = on_free
+        self._on_way = on_way
+        self._begun_at = loop.now()
         self._out = bytearray()
         self._sent_any = False
         self._skips = 0
@@ -83,7 +85,9 @@
                 self.is_up = True
                 self.loop.cancel(timer=self._timer)
                 self.replica.heard_at = self.loop.now()
+                self._on_way(self.replica, self.replica.heard_at - self._begun_at)
                 if self.go is None:
+                    self.idle_until = self.replica.heard_at + 4.0
                     self._on_free(self)
             self._flush()
         if mask & selectors.EVENT_READ and self.is_open:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -321,8 +321,7 @@
             return
         go.is_read = True
         go.replica.to_read.pop(go.number, None)
-        go.replica.suspicion = 0
-        go.replica.suspect_until = 0.0
+        go.replica.is_suspect = False
         self.proxy.tell_send(replica=go.replica, kind=relay_host.READ, tokens=0, number=go.number)
         if self.parts:
             self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts)
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -257,22 +257,20 @@
         ask.reply(status=200 if is_ready else 503)
 
     def suspect(self, replica) -> None:
-        replica.suspicion = min(replica.suspicion + 1, 4)
-        replica.suspect_until = self.loop.now() + self.contact_s / 8 * 2 ** (replica.suspicion - 1)
-        replica.close_idle()
+        self.table.suspect(replica)
 
     def note_fault(self, *, replica, reason: str, was_up: bool) -> None:
         ring.note("go failed", replica=replica.id, reason=reason)
         if not was_up:
-            self.suspect(replica)
+            self.table.suspect(replica)
 
     def wrong_replica(self, replica) -> None:
         """421: another life has the address. The list will say; until then it is left alone."""
-        self.suspect(replica)
-        replica.suspect_until = self.loop.now() + self.contact_s / 2
+        replica.close_idle()
+        replica.away_until = self.loop.now() + self.contact_s / 2
 
     def full(self, replica) -> None:
-        replica.suspect_until = max(replica.suspect_until, self.loop.now() + self.contact_s / 60)
+        replica.away_until = max(replica.away_until, self.loop.now() + self.contact_s / 60)
 
     def leave(self) -> None:
         """SIGTERM: out of the lists at once, on with the work while old lookups live, out inside graceS."""
@@ -330,6 +328,7 @@
             link.send(("beat", 0))
         self.follower.tick()
         self.table.sweep()
+        self.table.try_suspects()
         self._check_serving()
 
     def _reread(self) -> None:
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -19,8 +19,9 @@
         self.idle = []
         self.outlets = set()
         self.heard_at = now
-        self.suspect_until = 0.0
-        self.suspicion = 0
+        self.away_until = 0.0  # not to be chosen before then
+        self.is_suspect = False  # not to be chosen before a connection of ours came up
+        self.way_s = None
         self.running = 0
         self.to_read = {}  # go number: tokens still to be read
         self.sends = collections.deque()
@@ -47,6 +48,7 @@
         self.share = share
         # Before the first entry: as if there were a few dozen proxies.
         self.last_share = 0.04
+        self.ways = {}  # zone: seconds
         self._settings = settings
         self.replicas = {}
         self.by_service = {}
@@ -117,11 +119,40 @@
         if len(replica.outlets) >= self._most_outlets(replica):
             return None
         contact_s = self._settings.bound_s(name="contactMs")
+        known = self.way(replica)
         outlet = outlets.Outlet(
-            loop=self._loop, replica=replica, connect_s=contact_s / 14, silence_s=contact_s * 2, on_free=self._free)
+            loop=self._loop, replica=replica, connect_s=contact_s / 50 + 3 * known if known is not None else contact_s / 14,
+            silence_s=contact_s * 2, on_free=self._free, on_way=self._note_way)
         replica.outlets.add(outlet)
         return outlet
 
+    def way(self, replica):
+        """Seconds there and back, as connections took to come up: to it, or to others of its zone."""
+        return replica.way_s if replica.way_s is not None else self.ways.get(replica.zone)
+
+    def _note_way(self, replica, took_s: float) -> None:
+        replica.is_suspect = False
+        replica.way_s = took_s if replica.way_s is None else min(took_s, replica.way_s * 1.1)
+        self.ways[replica.zone] = min(took_s, self.ways.get(replica.zone, took_s) * 1.1)
+
+    def suspect(self, replica) -> None:
+        """It did not come up, or went silent. Where a second one of a zone does so, the zone is looked at whole."""
+        now = self._loop.now()
+        replica.is_suspect = True
+        replica.close_idle()
+        mates = [other for other in self.replicas.values() if other.zone == replica.zone and other is not replica]
+        if any(other.is_suspect for other in mates):
+            for other in mates:
+                if not other.is_suspect and now - other.heard_at > self._settings.bound_s(name="contactMs") / 10:
+                    other.is_suspect = True
+                    other.close_idle()
+
+    def try_suspects(self) -> None:
+        """One connection to each suspect, in the background: no ask is spent on finding out."""
+        for replica in self.replicas.values():
+            if replica.is_suspect and not replica.is_clearing and replica.zone not in self.out_zones and not replica.outlets:
+                self.outlet(replica=replica)
+
     def _free(self, outlet) -> None:
         replica = outlet.replica
         if not replica.is_listed or replica.is_clearing or replica.zone in self.out_zones:
