--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -368,8 +368,8 @@
         message = ("beat", 0)
         for link, peer in list(self.peers.items()):
             if peer.role == "proxy":
-                share, life = self._grant(peer)
-                link.send(("entry", share, life, 0))
+                # A leaving proxy spends what it holds until that runs out.
+                link.send(("beat", 0) if peer.is_leaving else ("entry", *self._grant(peer), 0))
                 if not peer.is_ready:
                     self._tell_floor(link)
             else:
@@ -384,7 +384,7 @@
 
     def _grant(self, peer) -> tuple:
         members = self.members()
-        if self.own not in members or peer.is_leaving:
+        if self.own not in members:
             return 0.0, self.lease_s
         live = len(self.proxies(is_listed=False))
         return self.grants.renew(node=peer.address, part=1.0 / len(members), live=live)
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -4,6 +4,7 @@
 import h11
 
 from pw.base import residency
+from pw.base import ring
 from pw.dat import outlet as outlets
 from pw.dat.relay import ckf
 from pw.dat.relay import host as relay_host
@@ -126,6 +127,7 @@
         self.watch_timer = None
         self.limit_timer = None
         self.wait_until = 0.0
+        self.trail = []  # (seconds from the ask, step, replica): written to the ring where the ask was slow
         ask.on_gone = self.gone
 
     # Filters. Each may answer; each edits the head in place.
@@ -177,6 +179,9 @@
     def is_repeatable(self) -> bool:
         return self.route.is_repeatable
 
+    def mark(self, step: str, *about) -> None:
+        self.trail.append((round(self.loop.now() - self.ask.at, 3), step, *about))
+
     # Goes.
     def try_go(self) -> None:
         if self.is_over:
@@ -214,6 +219,7 @@
         replica.running += 1
         replica.to_read[go.number] = to_read
         replica.sends.append(now)
+        self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.busyness(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.chain)
         self.proxy.tell_send(replica=replica, kind=relay_host.SENT, tokens=to_read, number=go.number)
         outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
@@ -245,18 +251,23 @@
         if self.is_over or go is None or go.is_over:
             return
         gap_s = self.route.gap_s or self.aim_s
-        patience = max(0.3, gap_s * 0.6) if go.is_read else max(0.3, self.aim_s * 0.7)
-        if not go.outlet.is_up:
-            patience = max(patience, 0.3)
-        quiet = self.loop.now() - max(go.heard_at, go.replica.heard_at)
-        if quiet >= patience and self.may_go_on():
-            self.proxy.suspect(go.replica)
-            outlet = go.outlet
-            self.end_go(go, kind=relay_host.BROKEN)
-            outlet.drop_go()
-            self.after_loss(go)
-            return
-        self.watch_timer = self.loop.after(delay=max(0.02, patience - quiet), act=self.watch_silence)
+        patience = max(0.2, gap_s * 0.45) if go.is_read else max(0.2, self.aim_s * 0.5)
+        now = self.loop.now()
+        quiet = now - max(go.heard_at, go.replica.heard_at)
+        pause = patience - quiet
+        if quiet >= patience and go.outlet.is_up:
+            # Long reads make a busy replica silent too. A connection to it tells which it is.
+            if go.replica.is_suspect and self.may_go_on() and self.proxy.quota.has_extra(self.service):
+                self.mark("silent")
+                outlet = go.outlet
+                self.end_go(go, kind=relay_host.BROKEN)
+                outlet.drop_go()
+                self.after_loss(go)
+                return
+            if not go.replica.is_suspect:
+                self.proxy.table.prove(replica=go.replica)
+            pause = patience * 0.1
+        self.watch_timer = self.loop.after(delay=max(0.02, pause), act=self.watch_silence)
 
     def may_go_on(self) -> bool:
         return self.arrivals_next() <= self.route.tries and self.loop.now() < self.deadline - 0.05
@@ -320,6 +331,7 @@
         if go.is_read:
             return
         go.is_read = True
+        self.mark("read")
         go.replica.to_read.pop(go.number, None)
         go.replica.is_suspect = False
         self.proxy.tell_send(replica=go.replica, kind=relay_host.READ, tokens=0, number=go.number)
@@ -397,6 +409,7 @@
             self.ask.start(status=go.status, headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")])
 
     def take_fail(self, go, *, reason: str, was_sent: bool, was_up: bool) -> None:
+        self.mark("failed", reason)
         self.proxy.note_fault(replica=go.replica, reason=reason, was_up=was_up)
         self.end_go(go, kind=relay_host.BROKEN if not was_up else relay_host.DONE)
         if not was_sent:
@@ -494,10 +507,16 @@
 
     def finish(self) -> None:
         self.is_over = True
+        if self.trail and self.route is not None and self.is_slow():
+            ring.note("slow ask", route=self.route.name, trail=self.trail)
         for timer in (self.retry_timer, self.watch_timer, self.limit_timer):
             self.loop.cancel(timer=timer)
         self.proxy.passages.discard(self)
 
+    def is_slow(self) -> bool:
+        reads = [row[0] for row in self.trail if row[1] == "read"]
+        return len(self.trail) > 2 or (reads[0] if reads else self.loop.now() - self.ask.at) > self.aim_s
+
     def gone(self) -> None:
         """The user agent left."""
         if self.is_over:
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -33,13 +33,17 @@
     def note_ask(self, service: str) -> None:
         self._recent(self._asks, service).append(self._now())
 
-    def try_extra(self, service: str) -> bool:
-        """Whether one more arrival beyond the first of its ask may be sent; it is charged at once."""
+    def has_extra(self, service: str) -> bool:
+        """Whether one more arrival beyond the first of its ask may be sent."""
         extras = self._recent(self._extras, service)
         allowed = 0.9 * self._ratio * len(self._recent(self._asks, service)) + 0.9 * self._slack * self.share()
-        if len(extras) + 1 > allowed:
+        return len(extras) + 1 <= allowed
+
+    def try_extra(self, service: str) -> bool:
+        """The same, charged at once."""
+        if not self.has_extra(service):
             return False
-        extras.append(self._now())
+        self._recent(self._extras, service).append(self._now())
         return True
 
     def may_send(self, *, replica, service: dict, is_hard: bool) -> bool:
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -22,13 +22,18 @@
         self.away_until = 0.0  # not to be chosen before then
         self.is_suspect = False  # not to be chosen before a connection of ours came up
         self.way_s = None
+        self.proof = None
         self.running = 0
         self.to_read = {}  # go number: tokens still to be read
         self.sends = collections.deque()
-        self.step_s = 0.0
+        self.on_unproved = None
 
     def forget(self, outlet) -> None:
         self.outlets.discard(outlet)
+        if outlet is self.proof:
+            self.proof = None
+            if not outlet.is_up and self.on_unproved is not None:
+                self.on_unproved(self)
         if outlet in self.idle:
             self.idle.remove(outlet)
 
@@ -69,6 +74,7 @@
                 host, _colon, port = row["address"].rpartition(":")
                 replica = Replica(row=row, endpoint=(host, int(port)), region=self.region_of(row["zone"]), now=now)
                 self.replicas[replica.id] = replica
+                replica.on_unproved = self.suspect
                 if self._has_list:
                     # A life that began during traffic: unknown counts as cold.
                     replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
@@ -118,6 +124,9 @@
             return outlet
         if len(replica.outlets) >= self._most_outlets(replica):
             return None
+        return self._open(replica)
+
+    def _open(self, replica):
         contact_s = self._settings.bound_s(name="contactMs")
         known = self.way(replica)
         outlet = outlets.Outlet(
@@ -126,6 +135,12 @@
         replica.outlets.add(outlet)
         return outlet
 
+    def prove(self, *, replica) -> None:
+        """A new connection tells whether a silent replica is there; if it does not come up, it is suspect."""
+        if replica.proof is not None and replica.proof.is_open and not replica.proof.is_up:
+            return
+        replica.proof = self._open(replica)
+
     def way(self, replica):
         """Seconds there and back, as connections took to come up: to it, or to others of its zone."""
         return replica.way_s if replica.way_s is not None else self.ways.get(replica.zone)
