--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -1,4 +1,8 @@
 """The choice of a replica: tokens to read by the mirror, busyness, way (design 6)."""
+import hashlib
+
+FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
+LEAST_READ = 500  # fewer tokens say more of the way than of the reading
 
 
 class Chooser:
@@ -10,6 +14,8 @@
         self._regions = regions  # region: mirror.Region
         self._quota = quota
         self._now = now
+        self._aside_s = settings.bound_s(name="contactMs") / 50
+        self.rates = {}  # service: tokens read in a millisecond
         self.recent = {}  # (replica id, hash): until; our own sends that the mirror can't know yet
 
     def note_send(self, *, replica, chain) -> None:
@@ -63,6 +69,9 @@
                 if there:
                     kept.update(region.kept(service=service, model=model, chain=chain, replicas=there))
         now = self._now()
+        shared = chain[:-1]
+        if shared:
+            self._name_owner(rows, shared, kept)
         best = None
         for replica in rows:
             if not self._table.has_room(replica=replica):
@@ -80,18 +89,37 @@
             return None, 0, True
         return best[1], best[2], True
 
+    def _name_owner(self, rows: list, shared, kept: dict) -> None:
+        """Shared parts that no replica keeps yet: all proxies agree on who is to read them first."""
+        tokens = sum(count for _hash, count in shared)
+        if any(kept.get(replica.id, 0) >= tokens or self._own_kept(replica, shared) >= tokens for replica in rows):
+            return
+        last = shared[-1][0]
+        owner = max(rows, key=lambda replica: hashlib.blake2b(last + replica.id.encode(), digest_size=8).digest())
+        kept[owner.id] = max(kept.get(owner.id, 0), tokens)
+
+    def note_read(self, *, service: str, tokens: int, took_s: float) -> None:
+        """The reading rate of a service, as its quicker answers show it: a maximum that fades."""
+        if took_s > 0 and tokens >= LEAST_READ:
+            seen = tokens / (took_s * 1000.0)
+            self.rates[service] = max(seen, self.rates.get(service, FIRST_RATE) * 0.99)
+
     def _score(self, replica, spec, to_read, is_cold, may) -> float:
+        """Milliseconds to the first event, as far as this node can tell, and what the choice costs others."""
         running, pending, is_bad = self.busyness(replica)
         berths = max(1, replica.berths)
+        way_s = self._table.way(replica)
+        if way_s is None:
+            way_s = 0.0 if replica.region == self._settings.region else self._aside_s
+        score = way_s * 1000.0
         if spec.get("cache_tokens"):
-            read_rate = 45.0
-            score = (to_read + pending) / read_rate + running / berths * 120.0
+            score += (to_read + pending) / self.rates.get(replica.service, FIRST_RATE) + running / berths * 120.0
         else:
-            score = running / berths * 90.0
+            score += running / berths * 90.0
         if running >= berths:
             score += 400.0 * (running - berths + 1) / berths + 200.0
-        if replica.zone != self._settings.zone:
-            score += 4.0 if replica.region == self._settings.region else 100.0
+        if replica.region != self._settings.region:
+            score += self._aside_s * 200.0  # what crosses is priced
         if is_bad:
             score += 1500.0
         if is_cold:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -334,6 +334,8 @@
         self.mark("read")
         go.replica.to_read.pop(go.number, None)
         go.replica.is_suspect = False
+        way_s = self.proxy.table.way(go.replica) or 0.0
+        self.proxy.chooser.note_read(service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s)
         self.proxy.tell_send(replica=go.replica, kind=relay_host.READ, tokens=0, number=go.number)
         if self.parts:
             self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts)
