--- a/pw/base/residency.py
+++ b/pw/base/residency.py
@@ -1,13 +1,13 @@
 """The one place that computes where a request may be served, cached and sent (design 10)."""
 
 
-def permitted(*, homes, older_homes=None):
-    """The permitted regions, or None for all. While an older configuration may be in force, both bind."""
-    if not homes and not older_homes:
+def permitted(*, homes, older=()):
+    """The permitted regions, or None for all. `older`: the homes of each configuration that may still be in
+    force, or under which the ask arrived; all that name homes bind. An empty set permits no region."""
+    bound = [frozenset(regions) for regions in (homes, *older) if regions]
+    if not bound:
         return None
-    if homes and older_homes:
-        return frozenset(homes) & frozenset(older_homes)
-    return frozenset(homes or older_homes)
+    return frozenset.intersection(*bound)
 
 
 def lookup_regions(*, spec, host: str, region: str, serving) -> frozenset:
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -41,6 +41,10 @@
     # leases and grants
     "state": (30, (FLAG, FLAG)),  # is ready, is leaving
     "entry": (31, (REAL, REAL, NUMBER)),  # share of the bounds, for how many seconds, serial
+    # custody
+    "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
+    "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
+    "kept": (62, (NUMBER, rows(TEXT, TEXT))),  # replica, zone
     # relay: proxies to the relay of the replica's region
     "sends": (40, (rows(TEXT, NUMBER, NUMBER, NUMBER),)),  # replica, kind, tokens, ask key
     "reads": (41, (rows(TEXT, TEXT, TEXT, rows(BLOB, NUMBER)),)),  # replica, service, model, parts
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -19,6 +19,7 @@
 from pw.base import settings as settings_files
 from pw.ctl import grants
 from pw.ctl import platform
+from pw.ctl.custody import ledger as ledgers
 from pw.ctl.news import desk as desks
 from pw.ctl.register import acceptor as acceptors
 from pw.ctl.register import ballots
@@ -26,6 +27,7 @@
 from pw.ctl.register import store as stores
 from pw.ctl.spec import models
 
+CUSTODY_CONTACTS = 720  # trails are kept for so many contactMs: an hour, at 5 s
 REGISTERS = ("spec", "evac", "duty", "cores")
 
 _URLS = werkzeug.routing.Map([
@@ -33,6 +35,8 @@
     werkzeug.routing.Rule("/ploverward/evacuation/<zone>", endpoint="evac", methods=["POST", "DELETE"]),
     werkzeug.routing.Rule("/ploverward/evacuation", endpoint="evacs", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/lookup", endpoint="lookup", methods=["GET"]),
+    werkzeug.routing.Rule("/ploverward/custody/<ask_id>", endpoint="trail", methods=["GET"]),
+    werkzeug.routing.Rule("/ploverward/custody", endpoint="trails", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/nodes", endpoint="nodes", methods=["GET"]),
 ])
 
@@ -317,6 +321,7 @@
             if role in ("core", "proxy"):
                 self.desk.join(link)
                 if role == "proxy":
+                    self._hail(link)
                     self._tell_floor(link)
             return
         if kind == "offer":
@@ -328,6 +333,13 @@
         elif kind == "have":
             self.desk.take_have(link, message)
             self._check_waits()
+        elif kind == "trails":
+            _kind, node, life, number, is_last, rows = message
+            self.ledger.take(node=node, life=life, number=number, is_last=is_last, rows=rows)
+        elif kind == "kept":
+            done = self._kept_asked.pop(message[1], None)
+            if done is not None:
+                done([{"replica": replica, "zone": zone} for replica, zone in message[2]])
         elif kind == "state":
             peer = self.peers.get(link)
             if peer is not None:
@@ -698,12 +710,57 @@
         })
 
 
+class CustodyMixin:
+    """Custody trails, for operators (design 10, docs/residency.md)."""
+
+    def start_custody(self) -> None:
+        self.ledger = ledgers.Ledger(
+            now=self.loop.now, keep_s=self.contact_s * CUSTODY_CONTACTS, most=int(self.settings.memory_mb * 60))
+        self._kept_asked = {}
+        self._kept_number = 0
+
+    def _get_trail(self, ask, _request, ask_id: str) -> None:
+        trails = self.ledger.find(ask_id)
+        if not trails:
+            self._json(ask, 404, {"error": f"no trail of '{ask_id}' here", "node": self.settings.node})
+            return
+        waiting = [trail for trail in trails if trail["parts"]]
+        if not waiting or not self.proxies():
+            self._json(ask, 200, {"node": self.settings.node, "trails": trails, "kept_known": not waiting})
+            return
+        trail = waiting[-1]
+
+        def done(rows):
+            self.loop.cancel(timer=timer)
+            if rows is not None:
+                trail["kept"] = rows
+            self._json(ask, 200, {"node": self.settings.node, "trails": trails, "kept_known": rows is not None})
+
+        self._kept_number += 1
+        number = self._kept_number
+        self._kept_asked[number] = done
+        timer = self.loop.after(
+            delay=self.receipt_s / 12, act=lambda: done(None) if self._kept_asked.pop(number, None) else None)
+        self.proxies()[0].link.send(
+            ("keeps", number, trail["service"], trail["model"], tuple((bytes.fromhex(part),) for part in trail["parts"])))
+
+    def _get_trails(self, ask, request) -> None:
+        after = request.args.get("after", "0")
+        rows, following = self.ledger.page(after=int(after) if after.isdigit() else 0, most=500)
+        live_lives = {peer.life for peer in self.proxies(is_listed=False)}
+        live = {key for key in self.ledger.lives if key[1] in live_lives}
+        self._json(ask, 200, {
+            "node": self.settings.node, "trails": rows, "next": following, "coverage": self.ledger.coverage(live=live),
+            "zones": self.settings.zones, "keep_s": self.contact_s * CUSTODY_CONTACTS,
+        })
+
+
 def _split_target(target: bytes) -> tuple:
     path, _mark, query = target.partition(b"?")
     return path.decode("latin-1"), query
 
 
-class Core(VotingMixin, MembersMixin, DispatchMixin, DirectoryMixin):
+class Core(VotingMixin, MembersMixin, DispatchMixin, DirectoryMixin, CustodyMixin):
     def __init__(self, *, settings):
         self.settings = settings
         self.own = settings.ip
@@ -745,6 +802,7 @@
     def run(self) -> int:
         os.makedirs(self.settings.data_dir or "/tmp", exist_ok=True)
         self.start_members()
+        self.start_custody()
         self.start_voting()
         self._dial_cores()
         self.start_dispatch()
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -104,6 +104,13 @@
         if self.broken_at is None:
             self.broken_at = self._now()
 
+    def owners(self, *, service: str, model: str, full_hash: bytes) -> set:
+        for mirror in self.mirrors.values():
+            if mirror.service == service and mirror.model == model and mirror.buckets is not None:
+                bits = ckf.find(buckets=mirror.buckets, full_hash=full_hash)
+                return {replica for replica, lane in mirror.lanes.items() if bits >> lane & 1}
+        return set()
+
     def kept(self, *, service: str, model: str, chain, replicas) -> dict:
         """Tokens of the prompt that each replica keeps already, by the mirror: a run from the front."""
         if not self.is_trusted:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -3,8 +3,8 @@
 
 import h11
 
-from pw.base import residency
 from pw.base import ring
+from pw.dat import custody
 from pw.dat import outlet as outlets
 from pw.dat.relay import ckf
 from pw.dat.relay import host as relay_host
@@ -74,7 +74,7 @@
         self.is_read = False
         self.sent_at = 0.0
         self.heard_at = 0.0
-        self.is_first = True
+        self.row = None
 
     def on_head(self, **fields) -> None:
         if not self.is_over:
@@ -127,6 +127,8 @@
         self.watch_timer = None
         self.limit_timer = None
         self.wait_until = 0.0
+        self.custody = []  # one row a go (design 10)
+        self.edition = proxy.routes.edition
         self.trail = []  # (seconds from the ask, step, replica): written to the ring where the ask was slow
         ask.on_gone = self.gone
 
@@ -151,7 +153,7 @@
             self.answer(status=404)
             return
         self.route = route
-        self.first_homes = route.homes
+        self.first_homes = tuple(sorted(self.proxy.permitted(route=route, first_homes=()) or ()))
         self.service = route.pick(random.random())
 
     def filter_time(self) -> None:
@@ -195,7 +197,7 @@
             if not any(name == self.service for name, _share in route.portions):
                 self.service = route.pick(random.random())
             self.route = route
-        self.permitted = residency.permitted(homes=self.route.homes, older_homes=self.first_homes)
+        self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
         replica, to_read, is_any = self.proxy.chooser.choose(
             service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
             chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid)
@@ -222,6 +224,8 @@
         self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.busyness(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.chain)
         self.proxy.tell_send(replica=replica, kind=relay_host.SENT, tokens=to_read, number=go.number)
+        go.row = custody.go_row(go=go, passage=self, proxy=self.proxy)
+        self.custody.append(go.row)
         outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
         if go is self.go and self.is_repeatable:
             self.watch_silence()
@@ -280,6 +284,8 @@
         if go.is_over:
             return
         go.is_over = True
+        go.row["to_ms"] = round((self.loop.now() - self.ask.begun_at) * 1000)
+        go.row["end"] = "not sent" if go.outlet.is_unsent else ("%d" % go.status if go.status else "no answer")
         go.replica.running -= 1
         go.replica.to_read.pop(go.number, None)
         if not go.outlet.is_unsent:
@@ -380,7 +386,7 @@
             self.open_stream_after(go)
             if rest:
                 self.ask.data(rest)
-            self.finish()
+            self.finish(status=status)
             self.ask.end()
             return
         self.end_go(go, kind=relay_host.DONE)
@@ -397,10 +403,10 @@
                 status = 502  # without X-Not-Run it is no promise of the replica, and may be none of ours
                 headers = []
                 body = b""
-            self.finish()
+            self.finish(status=status)
             self.ask.reply(status=status, headers=headers, body=body)
             return
-        self.finish()
+        self.finish(status=status)
         if self.buffer:
             self.ask.data(bytes(self.buffer))
         self.ask.end()
@@ -500,20 +506,22 @@
         self.answer(status=503, headers=[(b"Retry-After", b"%.2f" % after_s)])
 
     def answer(self, *, status: int, headers=()) -> None:
-        self.finish()
+        self.finish(status=status)
         self.ask.reply(status=status, headers=headers)
 
     def break_off(self) -> None:
         self.finish()
         self.ask.abort()
 
-    def finish(self) -> None:
+    def finish(self, *, status: int = 0) -> None:
         self.is_over = True
         if self.trail and self.route is not None and self.is_slow():
             ring.note("slow ask", route=self.route.name, trail=self.trail)
         for timer in (self.retry_timer, self.watch_timer, self.limit_timer):
             self.loop.cancel(timer=timer)
         self.proxy.passages.discard(self)
+        if self.route is not None:
+            self.proxy.batches.add(custody.trail_of(passage=self, proxy=self.proxy, status=status))
 
     def is_slow(self) -> bool:
         reads = [row[0] for row in self.trail if row[1] == "read"]
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -7,11 +7,13 @@
 from pw.base import link as links
 from pw.base import loop as loops
 from pw.base import problems
+from pw.base import residency
 from pw.base import ring
 from pw.base import settings as settings_files
 from pw.ctl.news import desk as desks
 from pw.ctl.register import ballots
 from pw.dat import choice
+from pw.dat import custody
 from pw.dat import mirror
 from pw.dat import passage as passages
 from pw.dat import quota as quotas
@@ -25,6 +27,7 @@
 
     def start_following(self) -> None:
         self.core_dialers = {}
+        self.near_cores = set()
         self.floors = {}  # core host: floor of the spec
         self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
         self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
@@ -56,7 +59,10 @@
 
     def _take_news(self, host: str, link, message: tuple) -> None:
         kind = message[0]
-        if kind == "offer":
+        if kind == "hello":
+            if message[4] == self.settings.region:
+                self.near_cores.add(host)
+        elif kind == "offer":
             self.follower.take_offer(link, message)
         elif kind == "image":
             if self.follower.take_image(link, message):
@@ -69,9 +75,33 @@
                 ring.note("floor", host=host)
             self.floors[host] = dict(message[1])
             self._check_serving()
+        elif kind == "keeps":
+            link.send(("kept", message[1], self._keepers(message[2], message[3], message[4])))
         elif kind == "entry":
             self.quota.take_entry(link, message)
 
+    def _keepers(self, service: str, model: str, hashes) -> tuple:
+        """Replicas that, by the mirrors, still keep any of these parts."""
+        found = set()
+        for region in self.regions.values():
+            for (full_hash,) in hashes:
+                found |= region.owners(service=service, model=model, full_hash=full_hash)
+        return tuple(
+            (name, self.table.replicas[name].zone) for name in sorted(found) if name in self.table.replicas)
+
+    def tell_trails(self, *, is_last: bool = False) -> None:
+        """To the core node of this region, or to the first other one in reach."""
+        link = None
+        for host, dialer in sorted(self.core_dialers.items()):
+            if dialer.link is not None and dialer.link.is_up:
+                if link is None or host in self.near_cores:
+                    link = dialer.link
+        if link is None:
+            return
+        self.batches.cut(is_last=is_last)
+        for number, is_end, rows in self.batches.drain():
+            link.send(("trails", self.settings.node, self.life, number, is_end, rows))
+
     def _check_serving(self) -> None:
         """Serves nothing before it has what a majority of the core may have acknowledged (design 5)."""
         if self.is_serving:
@@ -92,6 +122,7 @@
         if topic in ("spec", "evac", "duty", "cores"):
             members, payload = ballots.unpack(data)
             if topic == "spec" and payload:
+                self._keep_older_homes()
                 self.routes = route_tables.Routes(body=payload["body"])
                 self.table.services = route_tables.services(body=payload["body"])
                 self._set_limits(payload["body"].get("limits") or {})
@@ -109,6 +140,18 @@
         if topic in ("spec", "list") and self.relay is not None:
             self._sync_relay()
 
+    def _keep_older_homes(self) -> None:
+        """Until the older configuration is gone everywhere, the stricter of the two binds (design 10)."""
+        now = self.loop.now()
+        self.older_homes = [row for row in self.older_homes if row[0] > now]
+        if self.routes.edition:
+            self.older_homes.append((now + self.settings.bound_s(name="applyMs"), self.routes.homes()))
+
+    def permitted(self, *, route, first_homes):
+        now = self.loop.now()
+        older = [homes.get(route.name, ()) for until, homes in self.older_homes if until > now]
+        return residency.permitted(homes=route.homes, older=(*older, first_homes))
+
     def _set_limits(self, body: dict) -> None:
         self.limits = inlet.Limits(
             head_bytes=int(body.get("labelBytes", 16384)), body_bytes=int(body.get("parcelBytes", 4194304)),
@@ -281,16 +324,25 @@
         self.hall.leave()
         grace_s = self.settings.bound(name="graceS")
         self.loop.after(delay=grace_s * 0.6, act=self._last_calls)
-        self.loop.after(delay=grace_s * 0.92, act=self.loop.stop)
+        self.loop.after(delay=grace_s * 0.92, act=self._end)
+
+    def _end(self) -> None:
+        self.tell_trails(is_last=True)
+        self.loop.after(delay=grace_end_s(self.settings), act=self.loop.stop)
 
     def _last_calls(self) -> None:
         self.hall.close_idle()
         if not self.hall.doors and not self.passages:
-            self.loop.stop()
+            self._end()
             return
         self.loop.after(delay=0.05, act=self._last_calls)
 
 
+def grace_end_s(settings) -> float:
+    """Time for the last batch to leave."""
+    return settings.bound(name="graceS") / 80
+
+
 class Proxy(FollowMixin, RelayMixin, ServeMixin):
     def __init__(self, *, settings):
         self.settings = settings
@@ -302,11 +354,14 @@
         self.is_leaving = False
         self.duties = {}
         self.routes = route_tables.Routes()
+        self.older_homes = []  # (until, homes by route name)
+        self.batches = custody.Batches(most=200)
         self._set_limits({})
         self.quota = quotas.Quota(now=self.loop.now, settings=settings)
         self.table = replicas.Table(loop=self.loop, settings=settings, share=self.quota.share)
 
     def run(self) -> int:
+        self.beats = 0
         self.start_relay()
         self.chooser = choice.Chooser(
             table=self.table, settings=self.settings, regions=self.regions, quota=self.quota, now=self.loop.now)
@@ -329,6 +384,9 @@
         self.follower.tick()
         self.table.sweep()
         self.table.try_suspects()
+        self.beats += 1
+        if self.beats % 4 == 0:
+            self.tell_trails()
         self._check_serving()
 
     def _reread(self) -> None:
--- a/pw/dat/routes.py
+++ b/pw/dat/routes.py
@@ -36,6 +36,10 @@
         for row in (body or {}).get("routes", ()):
             self._hosts.setdefault(row["host"].lower(), {})[row["pathLead"]] = Route(body=row)
 
+    def homes(self) -> dict:
+        """Route name: its home regions."""
+        return {route.name: route.homes for table in self._hosts.values() for route in table.values()}
+
     def find(self, *, host: str, target: bytes):
         prefixes = self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0])
         if not prefixes:
