--- a/ploverward.py
+++ b/ploverward.py
@@ -1,5 +1,7 @@
 """ploverward: serves a language model across regions. One command line for nodes and operators."""
+import signal
 import sys
+import time
 
 from absl import app
 from absl import flags
@@ -9,13 +11,27 @@
 from pw.base import settings as settings_files
 
 FLAGS = flags.FLAGS
-flags.DEFINE_bool("chatty", False, "write every note at once, not only when something goes wrong")
-USAGE = """usage: python3 ploverward.py NODE_ROLE
+flags.DEFINE_bool("chatty", False, "nodes: write every note at once, not only when something goes wrong")
+flags.DEFINE_list("core", [], "operator tools: dispatch addresses of core nodes, ADDRESS:PORT, by commas")
+flags.DEFINE_bool("json", False, "operator tools: machine-readable output")
+flags.DEFINE_bool("audit", False, "custody: check all trails that are kept")
+flags.DEFINE_float("watch_s", 10.0, "drill: how long the zone stays out after evacuateMs")
+USAGE = """usage: python3 ploverward.py VERB [flags]
 
-Node roles, started with a settings file named by PLOVERWARD_NODE_FILE:
-  core      register, leases, duties, dispatch and directory
-  proxy     carries the traffic; hosts its region's relay by duty
-  check     reads the settings file and says whether it is whole
+Nodes, started with a settings file named by PLOVERWARD_NODE_FILE:
+  core               register, leases, duties, dispatch and directory
+  proxy              carries the traffic; hosts its region's relay by duty
+  check              reads the settings file and says whether it is whole
+
+Operators (--core ADDRESS:PORT[,...], or the seeds of PLOVERWARD_NODE_FILE):
+  custody ID         which nodes held the text and cache of the request with this X-Attempt-Id
+  custody --audit    checks all trails kept against the permitted regions
+  drill ZONE         takes a zone out, watches the promises, takes it back
+  evacuate ZONE      takes a zone out; restore ZONE takes it back
+  nodes              the nodes in touch with each core node
+
+Exit codes: 0 well; 1 a promise or rule broken, or nothing found; 2 usage or settings;
+3 well as far as seen, with parts missing; 4 a zone could not be taken back; 5 interrupted.
 """
 
 
@@ -29,14 +45,79 @@
     return proxy.Proxy(settings=settings).run()
 
 
+def _caller():
+    from pw.ops import caller
+    addresses = FLAGS.core
+    if not addresses:
+        addresses = ["%s:%d" % seed for seed in settings_files.load().seeds]
+    for address in addresses:
+        settings_files.parse_address(text=address, field="--core")
+    return caller.Caller(addresses=addresses)
+
+
+def _drill(zone: str) -> int:
+    from pw.ops import custody
+    from pw.ops import drill
+    caller = _caller()
+    status, nodes = caller.any(method="GET", path="/ploverward/nodes")
+    if status != 200:
+        raise problems.Problem(f"the core answers {status}", step="drill")
+    bounds = nodes["bounds"]
+
+    def interrupt(*_about):
+        raise drill.Interrupted("interrupted", step="drill")
+
+    signal.signal(signal.SIGINT, interrupt)
+    signal.signal(signal.SIGTERM, interrupt)
+    lines = []
+    marks = {}
+    custody.collect(caller=caller, marks=marks)  # what went before the drill is none of its matter
+    work = drill.Drill(
+        zone=zone, trails=lambda: custody.collect(caller=caller, marks=marks)[0], call=lambda method, path: caller.any(method=method, path=path), clock=time.time, pause=time.sleep,
+        watch_s=FLAGS.watch_s, receipt_s=bounds["receiptMs"] / 1000.0, evacuate_s=bounds["evacuateMs"] / 1000.0,
+        slack_s=1.0, out=lines.append if FLAGS.json else print,
+    )
+    code = work.run()
+    if FLAGS.json:
+        print(drill.as_json(work))
+    return code
+
+
+def _evacuate(zone: str, method: str) -> int:
+    status, body = _caller().any(method=method, path=f"/ploverward/evacuation/{zone}")
+    if 200 <= status < 300:
+        print(f"{zone}: {'out' if method == 'POST' else 'back'}")
+        return 0
+    print(f"{zone}: {(body or {}).get('error', status)}", file=sys.stderr)
+    return 1
+
+
+def _nodes() -> int:
+    import json
+    told, missed = _caller().all(path="/ploverward/nodes")
+    print(json.dumps({"told": {address: body for address, (_status, body) in told.items()}, "unreachable": missed}, indent=2))
+    return 3 if missed else 0
+
+
 def main(argv) -> int:
-    verb = argv[1] if len(argv) > 1 else ""
-    if verb in ("core", "proxy") and len(argv) == 2:
+    verb, rest = (argv[1], argv[2:]) if len(argv) > 1 else ("", [])
+    if verb in ("core", "proxy") and not rest:
         return _node(verb)
-    if verb == "check" and len(argv) == 2:
+    if verb == "check" and not rest:
         settings = settings_files.load()
         print(f"{settings.node}: settings are whole")
         return 0
+    if verb == "custody" and len(rest) == (0 if FLAGS.audit else 1):
+        from pw.ops import custody
+        if FLAGS.audit:
+            return custody.audit(caller=_caller(), as_json=FLAGS.json, out=print)
+        return custody.show(caller=_caller(), ask_id=rest[0], as_json=FLAGS.json, out=print)
+    if verb == "drill" and len(rest) == 1:
+        return _drill(rest[0])
+    if verb in ("evacuate", "restore") and len(rest) == 1:
+        return _evacuate(rest[0], "POST" if verb == "evacuate" else "DELETE")
+    if verb == "nodes" and not rest:
+        return _nodes()
     print(USAGE, file=sys.stderr)
     return 2
 
@@ -50,4 +131,4 @@
 
 
 if __name__ == "__main__":
-    app.run(run)
+    app.run(run, flags_parser=lambda argv: FLAGS(argv))
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -37,6 +37,7 @@
     werkzeug.routing.Rule("/ploverward/lookup", endpoint="lookup", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/custody/<ask_id>", endpoint="trail", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/custody", endpoint="trails", methods=["GET"]),
+    werkzeug.routing.Rule("/ploverward/replicas", endpoint="replicas", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/nodes", endpoint="nodes", methods=["GET"]),
 ])
 
@@ -697,11 +698,19 @@
         addresses = sorted(peer.public for peer in chosen)[:64]
         self._json(ask, 200, {"addressList": addresses, "ttlS": self.ttl_s})
 
+    def _get_replicas(self, ask, _request) -> None:
+        held = self.desk.get("list")
+        if held is None:
+            self._json(ask, 503, {"error": "no list of replicas yet"}, headers=[(b"Retry-After", b"1")])
+            return
+        self._json(ask, 200, {"epoch": held[0], "number": held[1], **json.loads(held[2])})
+
     def _get_nodes(self, ask, _request) -> None:
         """For operator tools: the nodes in touch with this one."""
         self._json(ask, 200, {
             "node": self.settings.node, "votes": self.acceptor.votes, "members": list(self.members()),
             "zones": self.settings.zones, "duties": self.duties,
+            "bounds": self.settings.bounds,
             "proxies": [
                 {"address": peer.address, "counter": peer.public, "zone": peer.zone, "region": peer.region,
                  "ready": peer.is_ready, "leaving": peer.is_leaving}
@@ -746,11 +755,11 @@
 
     def _get_trails(self, ask, request) -> None:
         after = request.args.get("after", "0")
-        rows, following = self.ledger.page(after=int(after) if after.isdigit() else 0, most=500)
+        rows, last, has_more = self.ledger.page(after=int(after) if after.isdigit() else 0, most=500)
         live_lives = {peer.life for peer in self.proxies(is_listed=False)}
         live = {key for key in self.ledger.lives if key[1] in live_lives}
         self._json(ask, 200, {
-            "node": self.settings.node, "trails": rows, "next": following, "coverage": self.ledger.coverage(live=live),
+            "node": self.settings.node, "trails": rows, "last": last, "has_more": has_more, "coverage": self.ledger.coverage(live=live),
             "zones": self.settings.zones, "keep_s": self.contact_s * CUSTODY_CONTACTS,
         })
 
--- a/pw/ctl/custody/audit.py
+++ b/pw/ctl/custody/audit.py
@@ -5,6 +5,8 @@
     """What in one trail stands outside the permitted regions. `zones`: zone -> region, told by the core."""
     found = []
     for go in trail["goes"]:
+        if go["end"] == "not sent":
+            continue  # no byte left the proxy
         homes = go["homes"]
         region = zones.get(go["zone"])
         if region is None:
--- a/pw/ctl/custody/ledger.py
+++ b/pw/ctl/custody/ledger.py
@@ -49,18 +49,18 @@
         return [json.loads(self._rows[key][1]) for key in self._by_id.get(ask_id, ())]
 
     def page(self, *, after: int, most: int) -> tuple:
-        """(trails, the place to go on from, or None at the end)."""
+        """(trails, the place to go on from, whether there are more)."""
         self._trim()
         rows = []
-        last = None
+        last = after
         for key, (_at, data) in self._rows.items():
             if key[1] <= after:
                 continue
             if len(rows) == most:
-                return rows, last
+                return rows, last, True
             rows.append(json.loads(data))
             last = key[1]
-        return rows, None
+        return rows, last, False
 
     def coverage(self, *, live) -> list:
         """One row a proxy life: how much came, how many batches did not, and whether it ended openly."""
--- /dev/null
+++ b/pw/ops/test_drill.py
@@ -0,0 +1,129 @@
+"""The drill against stand-ins: a system that keeps its promises, and one for each way of breaking them."""
+import pytest
+
+from pw.base import problems
+from pw.ops import drill as drills
+
+ZONES = {"za": "north", "zb": "south", "zc": "west"}
+
+
+class StandIn:
+    """A system with simulated time. `fault` names the promise that it breaks."""
+
+    def __init__(self, *, fault="", out=(), homes=("north", "south"), ask_gap_s=0.2):
+        self.time = 1000.0
+        self.fault = fault
+        self.out = set(out)
+        self.homes = list(homes)
+        self.out_since = None
+        self.told = 0.0
+        self.gap = ask_gap_s
+        self.number = 0
+        self.orders = []
+        self.interrupt_at = None
+
+    def clock(self):
+        return self.time
+
+    def pause(self, seconds):
+        self.time += seconds
+        if self.interrupt_at is not None and self.time >= self.interrupt_at:
+            self.interrupt_at = None
+            raise drills.Interrupted("interrupted")
+
+    def call(self, method, path):
+        self.time += 0.01
+        if path == "/ploverward/nodes":
+            return 200, {"zones": ZONES}
+        if path == "/ploverward/evacuation":
+            return 200, {"zones": sorted(self.out)}
+        if path == "/ploverward/configuration":
+            return 200, {"routes": [{"name": "chat", "destination": "llm", "homeRegions": self.homes}, {"name": "open", "destination": "llm"}]}
+        if path == "/ploverward/replicas":
+            return 200, {"replicas": [{"id": f"i-{zone}", "service": "llm", "zone": zone, "is_clearing": False} for zone in ZONES]}
+        zone = path.rpartition("/")[2]
+        self.orders.append((method, zone))
+        if method == "POST":
+            if self.fault == "no ack":
+                return 503, None
+            self.out.add(zone)
+            self.out_since = self.time
+            return 200, {}
+        if self.fault == "no way back":
+            raise problems.Unreachable("silent")
+        if self.fault != "stays out":
+            self.out.discard(zone)
+        return 200, {}
+
+    def trails(self):
+        rows = []
+        while self.told + self.gap <= self.time - 1000.0:
+            self.told += self.gap
+            self.number += 1
+            at = 1000.0 + self.told
+            zone = sorted(set(ZONES) - self.out - {"zc"})[0]
+            if self.fault == "sends on" and self.number % 7 == 0:
+                zone = "za"
+            if self.fault == "leaves home" and self.number % 9 == 0:
+                zone = "zc"
+            status = 503 if self.fault == "refuses all" else 200
+            rows.append({"id": f"r{self.number}", "arrived": at, "status": status, "goes": [
+                {"replica": f"i-{zone}", "zone": zone, "homes": self.homes, "from_ms": 1, "end": "200"}]})
+        return rows
+
+
+def run(stand_in, zone="za"):
+    lines = []
+    work = drills.Drill(
+        zone=zone, call=stand_in.call, trails=stand_in.trails, clock=stand_in.clock, pause=stand_in.pause,
+        watch_s=8.0, receipt_s=5.0, evacuate_s=4.0, slack_s=1.0, out=lines.append)
+    return work.run(), work, lines
+
+
+def test_a_sound_system_keeps_all(snapshot):
+    stand_in = StandIn()
+    code, work, lines = run(stand_in)
+    assert code == 0
+    assert set(work.promises.values()) == {drills.KEPT}
+    assert stand_in.out == set()
+    assert lines == snapshot
+
+
+@pytest.mark.parametrize("fault, promise, code", [
+    ("no ack", "evacuation acknowledged in time", 1),
+    ("sends on", "nothing new is sent to the zone", 1),
+    ("refuses all", "serving goes on", 1),
+    ("leaves home", "homed requests stay home", 1),
+    ("stays out", "zone taken back in time", 4),
+    ("no way back", "zone taken back in time", 4),
+])
+def test_each_broken_promise_is_told(fault, promise, code):
+    got, work, _lines = run(StandIn(fault=fault))
+    assert work.promises[promise] == drills.BROKEN
+    assert got == code
+
+
+def test_without_traffic_promises_are_not_seen():
+    code, work, _lines = run(StandIn(ask_gap_s=10 ** 6))
+    assert work.promises["nothing new is sent to the zone"] == drills.NOT_SEEN
+    assert work.promises["serving goes on"] == drills.NOT_SEEN
+    assert code == 0
+
+
+@pytest.mark.parametrize("at", [1000.3, 1003.0, 1009.0])
+def test_interrupted_anywhere_the_zone_is_back(at):
+    stand_in = StandIn()
+    stand_in.interrupt_at = at
+    code, _work, _lines = run(stand_in)
+    assert code == 5
+    assert stand_in.out == set()
+    assert stand_in.orders[-1] == ("DELETE", "za")
+
+
+@pytest.mark.parametrize("stand_in, zone", [
+    (StandIn(), "nowhere"), (StandIn(out=("za",)), "za"), (StandIn(homes=("north",)), "za"),
+])
+def test_refused_before_anything_is_done(stand_in, zone):
+    with pytest.raises(drills.Refused):
+        run(stand_in, zone=zone)
+    assert stand_in.orders == []
