--- /dev/null
+++ b/pw/ctl/spec/test_models.py
@@ -0,0 +1,97 @@
+"""What a configuration must be, and what a resent or raced call gets."""
+import copy
+import json
+
+import pytest
+
+from pw.base import problems
+from pw.ctl.spec import models
+
+GOOD = {
+    "edition": 7,
+    "routes": [
+        {"name": "r1", "host": "h", "pathLead": "/a/", "kind": "streaming", "expiryMs": 4000, "tries": 1,
+         "apportion": [{"destination": "d1", "share": 90}, {"destination": "d2", "share": 10}], "unknown": {"kept": 1}},
+        {"name": "r2", "host": "h", "pathLead": "/a/b/", "kind": "retry_safe", "expiryMs": 3000, "destination": "d2"},
+    ],
+    "destinations": [{"name": "d1", "maxConns": 10}, {"name": "d2", "maxConns": 10}],
+    "limits": {"labelBytes": 16384},
+}
+
+
+def changed(path, value):
+    body = copy.deepcopy(GOOD)
+    place = body
+    for key in path[:-1]:
+        place = place[key]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return body
+
+
+@pytest.mark.parametrize("body, place", [
+    (changed(("routes", 1, "destination"), "nowhere"), "routes.1.destination"),
+    (changed(("routes", 1, "pathLead"), "/a/"), "routes.1.pathLead"),
+    (changed(("routes", 1, "pathLead"), "/a"), "routes.1.pathLead"),
+    (changed(("routes", 0, "apportion"), [{"destination": "d1", "share": 0}]), "routes.0.apportion"),
+    (changed(("routes", 0, "expiryMs"), 0), "routes.0.expiryMs"),
+    (changed(("routes", 0, "kind"), "odd"), "routes.0.kind"),
+    (changed(("routes",), None), "routes"),
+    (changed(("edition",), None), "edition"),
+    (changed(("destinations", 1, "name"), "d1"), "destinations.1.name"),
+])
+def test_invalid_ones_name_the_place(body, place):
+    with pytest.raises(problems.SpecProblem) as told:
+        models.check(body=body)
+    assert told.value.place == place
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", json.dumps(GOOD).encode()[:-30], b"\xff\xfe"])
+def test_unreadable_ones(data):
+    with pytest.raises(problems.SpecProblem):
+        models.read_json(data=data)
+
+
+def take(payload, *, base, body, method="PUT"):
+    data = json.dumps(body).encode()
+    return models.edit_for(method=method, base=base, data=data, body=body)(payload)
+
+
+def test_taken_then_resent_unchanged_is_known_also_after_newer_ones():
+    first, told = take(None, base=0, body=GOOD)
+    assert told == "taken" and first["body"] == GOOD
+    newer, told = take(first, base=7, body=changed(("edition",), 9))
+    assert told == "taken" and newer["edition"] == 9
+    assert take(newer, base=0, body=GOOD) == (newer, "known")
+
+
+def test_wrong_base_and_an_edition_not_above():
+    first, _told = take(None, base=0, body=GOOD)
+    with pytest.raises(problems.StaleBase):
+        take(first, base=3, body=changed(("edition",), 9))
+    with pytest.raises(problems.SpecProblem) as told:
+        take(first, base=7, body=changed(("edition",), 6))
+    assert told.value.place == "edition"
+
+
+def test_patch_adds_replaces_and_withdraws():
+    first, _told = take(None, base=0, body=GOOD)
+    patch = {"edition": 8, "upsert": {"routes": [{**GOOD["routes"][1], "expiryMs": 1}, {**GOOD["routes"][1], "name": "r3", "pathLead": "/c/"}]},
+             "withdraw": {"routes": ["r1"]}}
+    new, told = take(first, base=7, body=patch, method="PATCH")
+    assert told == "taken"
+    assert [(row["name"], row["expiryMs"]) for row in new["body"]["routes"]] == [("r2", 1), ("r3", 3000)]
+    assert new["body"]["limits"] == GOOD["limits"]
+    with pytest.raises(problems.SpecProblem):
+        take(first, base=7, body={"edition": 8, "withdraw": {"destinations": ["d2"]}}, method="PATCH")
+    with pytest.raises(problems.SpecProblem):
+        take(first, base=7, body={"edition": 8, "withdraw": {"routes": ["nobody"]}}, method="PATCH")
+
+
+def test_260_routes_are_checked_quickly_enough_to_be_acknowledged():
+    body = changed(("routes",), [
+        {"name": f"r{number}", "host": "h", "pathLead": f"/p{number}/", "kind": "retry_safe", "expiryMs": 10, "destination": "d1"}
+        for number in range(400)])
+    assert len(models.check(body=body).routes) == 400
--- /dev/null
+++ b/pw/ctl/test_shared.py
@@ -0,0 +1,150 @@
+"""News, grant entries, frames and settings."""
+import random
+
+import pytest
+
+from pw.base import problems
+from pw.base import settings as settings_files
+from pw.base import wire
+from pw.ctl import grants
+from pw.ctl import platform
+from pw.ctl.news import desk as desks
+from pw.sim import entry
+
+
+class Wire:
+    def __init__(self):
+        self.told = []
+        self.is_open = True
+
+    def send(self, message):
+        self.told.append(message)
+
+
+def test_a_desk_offers_and_tells_only_who_wants():
+    desk = desks.Desk()
+    link = Wire()
+    desk.join(link)
+    assert desk.publish(topic="spec", epoch=0, number=3, data=b"v3")
+    assert link.told == [("offer", (("spec", 0, 3),))]
+    desk.take_want(link, ("want", "spec"))
+    assert link.told[-1] == ("image", "spec", 0, 3, b"v3")
+    assert desk.lagging(topic="spec", serial=(0, 3), links=[link]) == [link]
+    desk.take_have(link, ("have", (("spec", 0, 3),)))
+    assert desk.lagging(topic="spec", serial=(0, 3), links=[link]) == []
+    assert not desk.publish(topic="spec", epoch=0, number=2, data=b"v2")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_follower_never_goes_back_whatever_order_it_hears(seed):
+    chance = random.Random(seed)
+    clock = [0.0]
+    seen = []
+    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda topic, epoch, number, data: seen.append((epoch, number)))
+    links = [Wire() for _ in range(3)]
+    for _ in range(200):
+        clock[0] += chance.random() * 0.2
+        serial = (chance.randint(1, 3), chance.randint(1, 20))
+        if chance.random() < 0.5:
+            follower.take_offer(chance.choice(links), ("offer", (("list", *serial),)))
+        else:
+            follower.take_image(chance.choice(links), ("image", "list", *serial, b""))
+        follower.tick()
+    assert seen and seen == sorted(set(seen))
+
+
+def test_a_follower_asks_another_teller_where_one_is_silent():
+    clock = [0.0]
+    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None)
+    one, two = Wire(), Wire()
+    for link in (one, two):
+        follower.take_offer(link, ("offer", (("spec", 0, 5),)))
+    assert [len(link.told) for link in (one, two)] == [1, 0]
+    for _ in range(4):
+        clock[0] += 0.31
+        follower.tick()
+    assert two.told and two.told[0] == ("want", "spec")
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_the_sum_of_entries_out_never_passes_the_part(seed):
+    """History: every entry given, by whom and until when it counts; the sum is taken at each moment of giving."""
+    chance = random.Random(seed)
+    clock = [0.0]
+    life, window = 2.0, 10.0
+    book = grants.Book(now=lambda: clock[0], life_s=life, window_s=window, quiet_until=3.0)
+    history = []
+    nodes = [f"n{number}" for number in range(12)]
+    for _ in range(600):
+        clock[0] += chance.random() * 0.3
+        node = chance.choice(nodes[: chance.randint(1, 12)])
+        share, _life = book.renew(node=node, part=1 / 3, live=chance.randint(1, 12))
+        assert not share or clock[0] >= 3.0
+        if share:
+            history.append((node, share, clock[0] + life + window))
+        most = {}
+        for holder, held, until in history:
+            if until > clock[0]:
+                most[holder] = max(most.get(holder, 0.0), held)
+        assert sum(most.values()) <= 1 / 3 + 1e-9
+    assert len(history) > 100
+
+
+def test_frames_come_back_as_they_went_and_in_pieces():
+    messages = [("offer", (("spec", 0, 3), ("list", 2, 9))), ("beat", 0), ("image", "list", 2, 9, b"x" * 3000),
+                ("entry", 0.25, 2.5, 0), ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v")]
+    data = b"".join(wire.pack(message) for message in messages)
+    buffer = bytearray()
+    got = []
+    for start in range(0, len(data), 7):
+        buffer += data[start:start + 7]
+        got += wire.unpack_from(buffer)
+    assert got == messages and not buffer
+
+
+@pytest.mark.parametrize("data", [
+    b"\xff\xff\xff\xff\x01", b"\x00\x00\x00\x01\xee\x00", wire.pack(("want", "spec"))[:5] + b"\x7fabcd",
+    b"\x00\x00\x00\x06\x16\x04spec\x00",
+])
+def test_malformed_frames_are_problems(data):
+    with pytest.raises(problems.FrameProblem):
+        wire.unpack_from(bytearray(data))
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_bytes_make_a_frame_fail_otherwise(seed):
+    chance = random.Random(seed)
+    data = bytearray(wire.pack(("offer", (("spec", 0, 3),))))
+    data[chance.randrange(4, len(data))] ^= 1 << chance.randrange(8)
+    try:
+        messages = wire.unpack_from(data)
+    except problems.FrameProblem:
+        return
+    assert all(message[0] in wire.KINDS for message in messages)
+
+
+def test_settings_skip_unknown_fields_and_name_what_is_missing():
+    found = settings_files.check(text=entry.SETTINGS + "later.field=1\n")
+    assert found.zones == {"za": "north", "zb": "south"} and found.bound_s(name="contactMs") == 4.0
+    for name in ("node", "seedNodes", "bounds.contactMs", "innerPortRange"):
+        text = "\n".join(line for line in entry.SETTINGS.splitlines() if not line.startswith(name + "="))
+        with pytest.raises(problems.SettingsProblem) as told:
+            settings_files.check(text=text)
+        assert name in str(told.value)
+
+
+@pytest.mark.parametrize("line", ["no equals sign", "seedNodes=10.0.0.1", "bounds.contactMs=soon", "firstStart=perhaps", "innerPortRange=9,1"])
+def test_malformed_settings_are_one_clear_line(line):
+    with pytest.raises(problems.SettingsProblem) as told:
+        settings_files.check(text=entry.SETTINGS + line + "\n")
+    assert "\n" not in str(told.value)
+
+
+def test_the_roll_tells_what_matters_and_not_the_passing_of_a_cold_time():
+    entry_of = {"id": "i", "destination": "d", "address": "1.1.1.1:1", "zone": "z", "condition": "accepting", "warmupLeftMs": 3000}
+    roll = platform.Roll()
+    assert roll.differs(rows=[platform.read_row(entry=entry_of)], at=10.0)
+    assert not roll.differs(rows=[platform.read_row(entry={**entry_of, "warmupLeftMs": 2000})], at=11.0)
+    assert roll.differs(rows=[platform.read_row(entry={**entry_of, "warmupLeftMs": 3000})], at=12.0)
+    assert roll.differs(rows=[platform.read_row(entry={**entry_of, "condition": "clearing", "warmupLeftMs": 2000})], at=13.0)
+    assert roll.differs(rows=[], at=14.0)
--- /dev/null
+++ b/pw/dat/test_quota.py
@@ -0,0 +1,138 @@
+"""This proxy's part of the shared bounds, and the choice under them."""
+import random
+
+import pytest
+
+from pw.base import loop as loops
+from pw.dat import choice
+from pw.dat import quota as quotas
+from pw.dat import replicas
+from pw.dat.relay import ckf
+from pw.sim import entry
+
+SPEC = {"llm": {"warmup_s": 3.0, "warmup_per_s": 10.0, "cache_tokens": 1000, "max_conns": 100, "models": ("m",)}}
+
+
+def make(*, share=0.5):
+    clock = [100.0]
+    quota = quotas.Quota(now=lambda: clock[0], settings=entry.settings())
+    if share:
+        quota.take_entry("core", ("entry", share, 1000.0, 0))
+    return quota, clock
+
+
+def test_without_an_entry_nothing_of_the_slack_is_spent():
+    quota, _clock = make(share=0)
+    assert not quota.try_extra("llm")
+    for _ in range(100):
+        quota.note_ask("llm")
+    assert sum(quota.try_extra("llm") for _ in range(100)) == 18
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_extras_in_every_window_stay_inside_the_part(seed):
+    chance = random.Random(seed)
+    quota, clock = make(share=0.25)
+    asks, extras = [], []
+    for _ in range(3000):
+        clock[0] += chance.random() * 0.05
+        if chance.random() < 0.5:
+            quota.note_ask("llm")
+            asks.append(clock[0])
+        elif quota.try_extra("llm"):
+            extras.append(clock[0])
+    for end in extras:
+        mine = sum(1 for when in extras if end - 10 < when <= end)
+        assert mine <= 0.2 * sum(1 for when in asks if end - 10 <= when <= end) + 50 * 0.25
+    assert extras
+
+
+@pytest.mark.parametrize("share", [0.05, 0.14, 1.0])
+def test_a_cold_replica_gets_its_rate_in_every_second(share):
+    quota, clock = make(share=share)
+    replica = replicas.Replica(
+        row={"id": "i", "service": "llm", "zone": "za", "berths": 8, "models": [], "is_clearing": False},
+        endpoint=("127.0.0.1", 1), region="north", now=0.0)
+    sends = []
+    for _ in range(2000):
+        clock[0] += 0.01
+        if quota.may_send(replica=replica, service=SPEC["llm"], is_hard=True):
+            replica.sends.append(clock[0])
+            sends.append(clock[0])
+    assert sends
+    for end in sends:
+        assert sum(1 for when in sends if end - 1.0 < when <= end) <= max(1, (10 * 1.5 + 5) * share)
+
+
+def make_chooser(rows):
+    loop = loops.Loop()
+    quota = quotas.Quota(now=loop.now, settings=entry.settings())
+    quota.take_entry("core", ("entry", 1.0, 1000.0, 0))
+    table = replicas.Table(loop=loop, settings=entry.settings(), share=quota.share)
+    table.services = SPEC
+    table.install_list(rows)
+    return choice.Chooser(table=table, settings=entry.settings(), regions={}, quota=quota, now=loop.now), table
+
+
+def row(name, zone="za", **more):
+    return {"id": name, "service": "llm", "address": "127.0.0.1:9", "zone": zone, "berths": 8, "is_clearing": False,
+            "cold_ms": 0, "left_ms": None, "models": ["m"], **more}
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_whatever_fails_no_choice_leaves_the_permitted_regions(seed):
+    """Random lists, evacuations, suspects and loads; an independent look at each choice."""
+    chance = random.Random(seed)
+    zones = {"za": "north", "zb": "south"}
+    rows = [row(f"i{number}", zone=chance.choice(("za", "zb"))) for number in range(8)]
+    chooser, table = make_chooser(rows)
+    chosen = []
+    for step in range(200):
+        act = chance.random()
+        if act < 0.1:
+            table.install_evacuations(chance.sample(("za", "zb"), chance.randint(0, 2)))
+        elif act < 0.2:
+            rows = [{**one, "is_clearing": chance.random() < 0.3} for one in rows]
+            table.install_list(rows)
+        elif act < 0.3 and table.replicas:
+            table.suspect(chance.choice(list(table.replicas.values())))
+        permitted = chance.choice((None, frozenset(("north",)), frozenset(("south",)), frozenset()))
+        replica, _tokens, _is_any = chooser.choose(
+            service="llm", permitted=permitted, model="m", chain=ckf.chain(model="m", parts=(("a", 10), (f"b{step}", 10))),
+            prompt_tokens=20, avoid=set())
+        if replica is not None:
+            chosen.append(replica)
+            replica.running += 1
+            assert permitted is None or zones[replica.zone] in permitted
+            assert replica.zone not in table.out_zones and not replica.is_clearing
+    assert len(chosen) > 20
+
+
+def test_a_new_life_during_traffic_counts_as_cold_and_so_does_a_zone_taken_back():
+    chooser, table = make_chooser([row("i1")])
+    assert table.replicas["i1"].cold_until == 0.0
+    table.install_list([row("i1"), row("i2", zone="zb")])
+    assert table.replicas["i2"].cold_until > table._loop.now() + 2.5
+    table.install_evacuations(("za",))
+    table.install_evacuations(())
+    assert table.replicas["i1"].cold_until > table._loop.now() + 2.5
+
+
+def test_all_proxies_name_the_same_first_reader_of_unknown_shared_parts():
+    rows = [row(f"i{number}", zone=zone) for number, zone in enumerate(("za", "za", "za", "zb"))]
+    named = set()
+    for order in (rows, rows[::-1]):
+        chooser, _table = make_chooser(order)
+        kept = {}
+        chooser._name_owner(list(_table.replicas.values()), ckf.chain(model="m", parts=(("doc", 500),)), kept)
+        named |= set(kept)
+    assert len(named) == 1
+
+
+def test_tokens_that_are_kept_decide():
+    chooser, table = make_chooser([row("i1"), row("i2")])
+    chain = ckf.chain(model="m", parts=(("doc", 5000), ("own", 10)))
+    chooser.note_send(replica=table.replicas["i2"], chain=chain)
+    replica, tokens, _is_any = chooser.choose(
+        service="llm", permitted=None, model="m", chain=chain, prompt_tokens=5010, avoid=set())
+    assert replica.id == "i2" and tokens == 0
--- /dev/null
+++ b/pw/dat/test_way.py
@@ -0,0 +1,284 @@
+"""The traps of the wire, with scripted peers on real sockets: nothing runs twice, nothing is mixed, nothing looks complete that is not."""
+import re
+
+import pytest
+
+from pw.sim import entry
+from pw.sim import loopback
+
+
+def ask_id(heard: bytes, nth: int = -1) -> bytes:
+    return re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)[nth]
+
+
+def is_whole(heard: bytes) -> bool:
+    return heard.count(b"\r\n\r\nbody") == len(re.findall(rb"X-Attempt-Id", heard, re.I))
+
+
+def answer(which: bytes, body: bytes = b"ok", *, status=b"200 OK", more=b"X-Postmark: p\r\n") -> bytes:
+    return b"HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (status, which, more, len(body), body)
+
+
+def head(which: bytes, *, more=b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n" % (which, more)
+
+
+def event(number: int) -> bytes:
+    text = b"id: %d\ndata: t%d\n\n" % (number, number)
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+END = b"0\r\n\r\n"
+
+
+class Scene:
+    def __init__(self, *scripts, zones=None):
+        self.loop = loopback.new_loop()
+        self.peers = [loopback.Peer(loop=self.loop, script=script) for script in scripts]
+        zones = zones or ["za"] * len(scripts)
+        self.entry = entry.Entry(loop=self.loop, peers=list(zip(self.peers, zones)))
+        self.client = loopback.Client(loop=self.loop, address=self.entry.address)
+        self.number = 0
+
+    def ask(self, lead: str, *, left_ms=3000, more=b""):
+        self.number += 1
+        self.client.send(
+            b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
+            b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody"
+            % (lead.encode(), self.number, self.number, left_ms, more))
+
+    def until(self, what: bytes) -> bool:
+        return loopback.until(self.loop, lambda: what in self.client.got)
+
+    def arrivals(self) -> int:
+        return sum(len(re.findall(rb"X-Attempt-Id", heard, re.I)) for peer in self.peers for heard in peer.heard)
+
+
+def replying(number, heard):
+    return [answer(ask_id(heard))] if is_whole(heard) else None
+
+
+def test_a_whole_answer_comes_back_with_its_stamp_and_the_replica_is_named():
+    scene = Scene(replying)
+    scene.ask("safe")
+    assert scene.until(b"\r\n\r\nok")
+    assert b"200 OK" in scene.client.got and re.search(rb"x-postmark: p", scene.client.got, re.I)
+    heard = scene.peers[0].heard[0]
+    assert b"X-Addressed-Replica: i0" in heard and int(re.search(rb"X-Time-Left-Ms: (\d+)", heard, re.I)[1]) <= 3000
+
+
+@pytest.mark.parametrize("lead", ["once", "unsafe"])
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_a_reused_connection_that_dies_after_the_request_is_not_sent_again(lead, end):
+    def script(number, heard):
+        if not is_whole(heard):
+            return None
+        return [answer(ask_id(heard))] if heard.count(b"\r\n\r\nbody") == 1 else [end]
+    scene = Scene(script)
+    scene.ask("safe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.ask(lead)
+    assert scene.until(b"HTTP/1.1 50")
+    assert re.search(rb"HTTP/1.1 (502|504)", scene.client.got)
+    assert b"503" not in scene.client.got and b"429" not in scene.client.got
+    assert scene.arrivals() == 2
+
+
+def test_a_repeatable_one_goes_to_another_replica():
+    scene = Scene(lambda number, heard: ["close"], replying)
+    for _ in range(4):
+        scene.client.got = b""
+        scene.ask("safe")
+        assert scene.until(b"\r\n\r\nok")
+
+
+def test_an_answer_too_many_at_the_head_of_the_next_is_read_past():
+    def script(number, heard):
+        if not is_whole(heard):
+            return None
+        if heard.count(b"\r\n\r\nbody") == 1:
+            return [answer(ask_id(heard))]
+        return [answer(ask_id(heard, 0), b"stale"), answer(ask_id(heard), b"mine")]
+    scene = Scene(script)
+    scene.ask("unsafe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.ask("unsafe")
+    assert scene.until(b"mine")
+    assert b"stale" not in scene.client.got
+    assert scene.arrivals() == 2
+
+
+def test_bytes_after_an_answer_belong_to_no_request():
+    def script(number, heard):
+        return [answer(ask_id(heard)) + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"] if is_whole(heard) else None
+    scene = Scene(script)
+    for _ in range(3):
+        scene.client.got = b""
+        scene.ask("safe")
+        assert scene.until(b"\r\n\r\nok")
+        assert b"bad" not in scene.client.got
+    assert len(scene.peers[0].heard) == 3  # never used again
+
+
+@pytest.mark.parametrize("spoiled", [
+    b"not an answer at all\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nok",  # no stamp
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Postmark: p\r\nContent-Length: 2\r\n\r\nok",
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Length: 20\r\n\r\nok",  # cut short
+])
+def test_a_spoiled_answer_is_never_a_success(spoiled):
+    def script(number, heard):
+        if not is_whole(heard):
+            return None
+        return [spoiled.replace(b"%s", ask_id(heard)), "close"]
+    scene = Scene(script)
+    scene.ask("unsafe")
+    assert scene.until(b"HTTP/1.1 502")
+    assert b"200 OK" not in scene.client.got
+    assert scene.arrivals() == 1
+
+
+def test_not_run_may_go_on_inside_tries_and_ends_in_a_promise():
+    def full(number, heard):
+        return [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"X-Not-Run: 1\r\n")] if is_whole(heard) else None
+    scene = Scene(full, replying)
+    scene.ask("unsafe")
+    assert scene.until(b"\r\n\r\nok")
+    scene = Scene(full)
+    scene.ask("once")
+    assert scene.until(b"HTTP/1.1 503")
+    assert re.search(rb"retry-after: [\d.]+", scene.client.got, re.I)
+    assert scene.arrivals() == 1
+
+
+def test_a_failure_without_x_not_run_is_no_promise():
+    def script(number, heard):
+        return [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"")] if is_whole(heard) else None
+    scene = Scene(script)
+    scene.ask("unsafe")
+    assert scene.until(b"HTTP/1.1 502")
+    assert b"503" not in scene.client.got
+
+
+def test_a_stream_goes_on_at_another_replica_inside_one_answer():
+    def cutting(number, heard):
+        return [head(ask_id(heard)) + event(1) + event(2), "close"] if is_whole(heard) else None
+
+    def going_on(number, heard):
+        if not is_whole(heard):
+            return None
+        last = re.search(rb"Last-Event-Id: (\d+)", heard, re.I)
+        first = int(last[1]) + 1 if last else 1
+        return [head(ask_id(heard)) + b"".join(event(nth) for nth in range(first, 5)) + END]
+
+    for scripts in ((cutting, going_on), (going_on, cutting)):
+        scene = Scene(*scripts)
+        scene.ask("resume")
+        assert scene.until(b"0\r\n\r\n")
+        assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2", b"3", b"4"]
+        assert scene.client.got.count(b"HTTP/1.1 200") == 1
+
+
+def test_events_told_twice_are_passed_on_once():
+    def cutting(number, heard):
+        if not is_whole(heard):
+            return None
+        if b"Last-Event-Id" not in heard:
+            return [head(ask_id(heard)) + event(1) + event(2) + event(3)[:9], "close"]
+        return [head(ask_id(heard)) + event(2) + event(3) + END]
+    scene = Scene(cutting, cutting)
+    scene.ask("resume")
+    assert scene.until(b"0\r\n\r\n")
+    assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2", b"3"]
+
+
+def test_a_stream_that_may_not_be_resumed_is_broken_visibly():
+    def cutting(number, heard):
+        return [head(ask_id(heard)) + event(1), "close"] if is_whole(heard) else None
+    scene = Scene(cutting)
+    scene.ask("once")
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert b"data: t1" in scene.client.got and scene.arrivals() == 1
+    assert not scene.client.got.endswith(b"0\r\n\r\n")
+
+
+def test_homed_requests_wait_or_are_refused_never_moved():
+    scene = Scene(replying, zones=["za"])  # north; the route's home is south
+    scene.ask("home")
+    assert scene.until(b"HTTP/1.1 503")
+    assert re.search(rb"retry-after", scene.client.got, re.I)
+    assert scene.arrivals() == 0
+    trail = scene.entry.trails()[0]
+    assert trail["goes"] == [] and trail["homes"] == ["south"] and trail["status"] == 503
+
+
+def test_custody_names_each_go():
+    def cutting(number, heard):
+        if not is_whole(heard):
+            return None
+        if b"Last-Event-Id" not in heard:
+            return [head(ask_id(heard)) + event(1), "close"]
+        return [head(ask_id(heard)) + event(2) + END]
+    scene = Scene(cutting, cutting, zones=["zb", "zb"])
+    scene.ask("home")
+    assert scene.until(b"0\r\n\r\n")
+    trail = scene.entry.trails()[0]
+    assert trail["id"] == "a1" and trail["status"] == 200
+    assert [go["zone"] for go in trail["goes"]] == ["zb", "zb"]
+    assert [go["is_resumption"] for go in trail["goes"]] == [False, True]
+    assert "body" not in str(trail) and all(len(part) == 16 for part in trail["parts"])
+
+
+def test_another_life_at_the_address_runs_nothing():
+    def other(number, heard):
+        return [b"HTTP/1.1 421 Misdirected Request\r\nX-Replica-Id: i-x\r\nContent-Length: 0\r\n\r\n"] if is_whole(heard) else None
+    scene = Scene(other)
+    scene.ask("once")
+    assert scene.until(b"HTTP/1.1 503")
+    assert scene.arrivals() == 1
+
+
+def test_no_route_is_404_and_the_connection_goes_on():
+    scene = Scene(replying)
+    scene.ask("nothing")
+    assert scene.until(b"HTTP/1.1 404")
+    scene.ask("safe")
+    assert scene.until(b"\r\n\r\nok")
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+    (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
+    (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 9000 + b"\r\n\r\n", b"431"),
+    (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\n", b"413"),
+    (b"\x00\x01garbage\r\n\r\n", b"400"),
+])
+def test_bad_framing_is_refused_and_the_connection_closed(data, status):
+    scene = Scene(replying)
+    scene.client.send(data)
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert scene.client.got.startswith(b"HTTP/1.1 " + status)
+    assert scene.arrivals() == 0
+
+
+def test_a_client_that_leaves_ends_the_go():
+    heard_end = []
+
+    def script(number, heard):
+        return [head(ask_id(heard)) + event(1)] if is_whole(heard) else None
+    scene = Scene(script)
+    scene.ask("once")
+    assert scene.until(b"data: t1")
+    scene.client.sock.close()
+    scene.loop.unwatch(sock=scene.client.sock)
+    assert loopback.until(scene.loop, lambda: not scene.entry.passages)
+    replica = next(iter(scene.entry.table.replicas.values()))
+    assert replica.running == 0 and not replica.outlets and heard_end == []
+
+
+def test_out_of_time_is_504_when_it_was_sent():
+    scene = Scene(lambda number, heard: None)
+    scene.ask("once", left_ms=200)
+    assert scene.until(b"HTTP/1.1 504")
+    assert scene.arrivals() == 1
--- /dev/null
+++ b/pw/sim/entry.py
@@ -0,0 +1,124 @@
+"""A proxy's way of a request on the loopback, with its control side stood in for."""
+import dataclasses
+
+from pw.base import inlet
+from pw.base import residency
+from pw.base import settings as settings_files
+from pw.dat import choice
+from pw.dat import custody
+from pw.dat import passage as passages
+from pw.dat import quota as quotas
+from pw.dat import replicas
+from pw.dat import routes as route_tables
+from pw.sim import loopback
+
+SETTINGS = """
+node=p1
+ip=127.0.0.1
+zone=za
+region=north
+zones.za=north
+zones.zb=south
+innerPortRange=7720,7735
+seedNodes=127.0.0.1:1
+cloudApi.address=127.0.0.1:2
+bounds.contactMs=4000
+bounds.receiptMs=5000
+bounds.drainMs=4000
+bounds.graceS=8
+bounds.applyMs=2500
+bounds.evacuateMs=5000
+bounds.retryRatio=0.2
+bounds.retryWindowS=10
+bounds.retrySlack=50
+bounds.warmupExcess=1.5
+bounds.warmupSlack=5
+"""
+
+
+def settings(**changed):
+    return dataclasses.replace(settings_files.check(text=SETTINGS), **changed)
+
+
+def route(name, lead, **more):
+    return {"name": name, "host": "h", "pathLead": lead, "kind": "streaming", "expiryMs": 5000, "targetMs": 400,
+            "destination": "llm", "tries": 1, "sticky": True, "gapTargetMs": 300, **more}
+
+
+SPEC = {
+    "edition": 3,
+    "routes": [
+        route("once", "/once/"),
+        route("resume", "/resume/", resume=True, tries=2),
+        route("home", "/home/", resume=True, tries=3, homeRegions=["south"]),
+        route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3),
+        route("unsafe", "/unsafe/", kind="retry_unsafe", sticky=False, tries=3),
+    ],
+    "destinations": [{"name": "llm", "maxConns": 300, "engine": {"cacheTokens": 1000, "models": [{"name": "m"}]}}],
+}
+
+
+class Entry:
+    """What a passage needs of the proxy."""
+
+    def __init__(self, *, loop, peers, share=1.0):
+        self.loop = loop
+        self.settings = settings()
+        self.life = "l1"
+        self.is_serving = True
+        self.is_leaving = False
+        self.routes = route_tables.Routes(body=SPEC)
+        self.quota = quotas.Quota(now=loop.now, settings=self.settings)
+        self.quota.take_entry("core", ("entry", share, 1000.0, 0))
+        self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.share)
+        self.table.services = route_tables.services(body=SPEC)
+        self.chooser = choice.Chooser(table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now)
+        self.passages = set()
+        self.batches = custody.Batches(most=1000)
+        self.number = 0
+        self.faults = []
+        self.table.install_list([
+            {"id": f"i{number}", "service": "llm", "address": "%s:%d" % peer.address, "zone": zone, "berths": 8,
+             "is_clearing": False, "cold_ms": 0, "left_ms": None, "models": ["m"]}
+            for number, (peer, zone) in enumerate(peers)
+        ])
+        self.hall = inlet.Hall(
+            loop=loop, address=("127.0.0.1", 0), on_ask=self.take, limits=lambda: loopback.limits(), silence_s=5.0)
+        self.address = self.hall._sock.getsockname()
+
+    def take(self, ask):
+        passage = passages.Passage(proxy=self, ask=ask)
+        self.passages.add(passage)
+        passage.begin()
+
+    def permitted(self, *, route, first_homes):
+        return residency.permitted(homes=route.homes, older=(first_homes,))
+
+    def next_number(self):
+        self.number += 1
+        return self.number
+
+    def tell_send(self, **about):
+        pass
+
+    def tell_read(self, **about):
+        pass
+
+    def suspect(self, replica):
+        self.table.suspect(replica)
+
+    def note_fault(self, *, replica, reason, was_up):
+        self.faults.append(reason)
+        if not was_up:
+            self.table.suspect(replica)
+
+    def wrong_replica(self, replica):
+        replica.away_until = self.loop.now() + 2.0
+
+    def full(self, replica):
+        replica.away_until = self.loop.now() + 0.05
+
+    def trails(self):
+        import json
+        self.batches.cut()
+        return [json.loads(data) for _number, _last, rows in self.batches.drain() for _id, data in rows]
