--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -686,6 +686,9 @@
         host = request.args.get("name", "")
         region = request.args.get("region", "")
         zone = request.args.get("zone", "")
+        if self._is_aside():
+            self._json(ask, 503, {"error": "cut off from the core; ask another node"}, headers=[(b"Retry-After", b"1")])
+            return
         listed = self.proxies()
         regions = {peer.region for peer in listed}
         allowed = residency.lookup_regions(spec=self.spec, host=host, region=region, serving=regions)
@@ -698,6 +701,17 @@
         addresses = sorted(peer.public for peer in chosen)[:64]
         self._json(ask, 200, {"addressList": addresses, "ttlS": self.ttl_s})
 
+    def _is_aside(self) -> bool:
+        """Cut off from most of the core while others may see more: they tell user agents where to go. When that
+        lasts, the others are taken for lost, and this node answers with what it sees."""
+        members = self.members()
+        if ballots.has_majority(of=members, among={host for host in members if self.is_core_live(host)}):
+            self._aside_since = None
+            return False
+        if self._aside_since is None:
+            self._aside_since = self.loop.now()
+        return self.loop.now() - self._aside_since < self.contact_s * 2
+
     def _get_replicas(self, ask, _request) -> None:
         held = self.desk.get("list")
         if held is None:
@@ -792,6 +806,7 @@
         self._behind = {}
         self._is_taking = False
         self._is_moving = False
+        self._aside_since = None
         self._members_changed = True
         self.watch = platform.Watch(
             loop=self.loop, address=settings.cloud_address,
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -53,8 +53,9 @@
             if model and replica.models and model not in replica.models:
                 continue
             rows.append(replica)
-        fit = [replica for replica in rows if replica.away_until <= now and not replica.is_suspect]
-        return fit or rows
+        # Suspects are tried by connections of their own; an ask is better refused at once than spent on them.
+        rows = [replica for replica in rows if not replica.is_suspect]
+        return [replica for replica in rows if replica.away_until <= now] or rows
 
     def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -127,6 +127,8 @@
         self.watch_timer = None
         self.limit_timer = None
         self.wait_until = 0.0
+        self.aim_s = 0.0
+        self.come_back_s = 0.0
         self.custody = []  # one row a go (design 10)
         self.edition = proxy.routes.edition
         self.trail = []  # (seconds from the ask, step, replica): written to the ring where the ask was slow
@@ -202,8 +204,11 @@
             service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
             chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid)
         if replica is None:
+            # Nobody in reach comes back less soon than somebody full.
+            self.come_back_s = self.aim_s * 0.3 if is_any else max(self.aim_s * 0.3, self.proxy.reach_s)
             self.wait_or_reject()
             return
+        self.come_back_s = self.aim_s * 0.3
         if self.arrivals and not self.proxy.quota.try_extra(self.service):
             self.fail()
             return
@@ -469,7 +474,7 @@
         elif self.is_unclear or (self.arrivals and self.is_repeatable and self.arrivals > 0 and self.had_loss()):
             self.fail()
         else:
-            self.reject(after_s=max(0.05, self.aim_s * 0.3))
+            self.reject(after_s=max(0.05, self.come_back_s))
 
     def had_loss(self) -> bool:
         return self.is_unclear
@@ -481,7 +486,7 @@
         if self.arrivals and (self.is_unclear or self.is_repeatable):
             self.answer(status=502)
         else:
-            self.reject(after_s=max(0.05, self.aim_s * 0.3))
+            self.reject(after_s=max(0.05, self.come_back_s))
 
     def out_of_time(self) -> None:
         if self.is_over:
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -161,6 +161,7 @@
                 if not other.is_suspect and now - other.heard_at > self._settings.bound_s(name="contactMs") / 10:
                     other.is_suspect = True
                     other.close_idle()
+        self._loop.command(act=self.try_suspects)
 
     def try_suspects(self) -> None:
         """One connection to each suspect, in the background: no ask is spent on finding out."""
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -65,6 +65,7 @@
         self.loop = loop
         self.settings = settings()
         self.life = "l1"
+        self.reach_s = 1.0
         self.is_serving = True
         self.is_leaving = False
         self.routes = route_tables.Routes(body=SPEC)
