--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -225,8 +225,15 @@
         for name in REGISTERS:
             self._repair(name)
 
+    def _read_unknown(self) -> None:
+        """What is on the disk but not yet known as chosen."""
+        for name in REGISTERS:
+            if not self.desk.serial(name)[1] and name not in self._reading:
+                self._repair(name)
+
     def _repair(self, name: str) -> None:
-        self.proposer.read(name=name, done=lambda fault, rev, payload, result: None)
+        self._reading.add(name)
+        self.proposer.read(name=name, done=lambda fault, rev, payload, result: self._reading.discard(name))
 
     def _on_chosen(self, name: str, ballot: tuple, rev: int, value: bytes, is_news: bool) -> None:
         self._publish(name, rev, value)
@@ -315,8 +322,8 @@
             link.hello = (role, address)
             if role == "core" and address not in self.dialers:
                 self._dial_cores()
-            if role == "core" and self.acceptor.votes and not self.desk.topics:
-                self._read_all()
+            if role == "core" and self.acceptor.votes:
+                self._read_unknown()
             if role == "proxy":
                 self._members_changed = True
             if role in ("core", "proxy"):
@@ -804,6 +811,7 @@
         self.duties = {}
         self.spec = None
         self._behind = {}
+        self._reading = set()
         self._is_taking = False
         self._is_moving = False
         self._aside_since = None
