--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -40,7 +40,7 @@
     "have": (24, (rows(TEXT, NUMBER, NUMBER),)),
     # leases and grants
     "state": (30, (FLAG, FLAG)),  # is ready, is leaving
-    "entry": (31, (REAL, REAL, NUMBER)),  # share of the bounds, for how many seconds, serial
+    "entry": (31, (REAL, REAL, REAL)),  # share of slacks, share of rates, for how many seconds
     # custody
     "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
     "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -28,6 +28,7 @@
 from pw.ctl.spec import models
 
 CUSTODY_CONTACTS = 720  # trails are kept for so many contactMs: an hour, at 5 s
+RATE_WINDOW_S = 1.5  # the cold bound is stated for one second
 REGISTERS = ("spec", "evac", "duty", "cores")
 
 _URLS = werkzeug.routing.Map([
@@ -389,7 +390,7 @@
         for link, peer in list(self.peers.items()):
             if peer.role == "proxy":
                 # A leaving proxy spends what it holds until that runs out.
-                link.send(("beat", 0) if peer.is_leaving else ("entry", *self._grant(peer), 0))
+                link.send(("beat", 0) if peer.is_leaving else ("entry", *self._grant(peer)))
                 if not peer.is_ready:
                     self._tell_floor(link)
             else:
@@ -405,9 +406,13 @@
     def _grant(self, peer) -> tuple:
         members = self.members()
         if self.own not in members:
-            return 0.0, self.lease_s
+            return 0.0, 0.0, self.lease_s
         live = len(self.proxies(is_listed=False))
-        return self.grants.renew(node=peer.address, part=1.0 / len(members), live=live)
+        part = 1.0 / len(members)
+        return (
+            self.slacks.renew(node=peer.address, part=part, live=live),
+            self.rates.renew(node=peer.address, part=part, live=live), self.lease_s,
+        )
 
     def duty(self, name: str) -> tuple:
         """(epoch, holder, the holder's life): a new life of the same node needs a new epoch."""
@@ -804,7 +809,11 @@
         self.ttl_s = max(1, int(settings.bound(name="ttl_max_s", default=5) * 0.4))
         start = self.loop.now()
         quiet_s = self.silence_s * 2 if settings.first_start else self.lease_s + window_s
-        self.grants = grants.Book(now=self.loop.now, life_s=self.lease_s, window_s=window_s, quiet_until=start + quiet_s)
+        # Two kinds of bound: what is spent counts for retryWindowS, a rate only for its second (and a little).
+        self.slacks = grants.Book(now=self.loop.now, life_s=self.lease_s, window_s=window_s, quiet_until=start + quiet_s)
+        rate_quiet_s = min(quiet_s, self.lease_s + RATE_WINDOW_S)
+        self.rates = grants.Book(
+            now=self.loop.now, life_s=self.lease_s, window_s=RATE_WINDOW_S, quiet_until=start + rate_quiet_s)
         self.desk = desks.Desk()
         self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
         self.roll = platform.Roll()
--- a/pw/ctl/grants.py
+++ b/pw/ctl/grants.py
@@ -26,10 +26,10 @@
     def total_out(self) -> float:
         return sum(self._held(node) for node in list(self._out))
 
-    def renew(self, *, node: str, part: float, live: int) -> tuple:
-        """(share, life) for a node that renews its lease; the share may be 0."""
+    def renew(self, *, node: str, part: float, live: int) -> float:
+        """The share for a node that renews its lease; it may be 0."""
         if self._now() < self._quiet_until or live <= 0:
-            return 0.0, self._life_s
+            return 0.0
         own = self._held(node)
         free = part - self.total_out() + own
         share = max(0.0, min(part / live, free))
@@ -37,4 +37,4 @@
             until = self._now() + self._life_s + self._window_s
             rows = [row for row in self._out.get(node, ()) if row[0] > share]
             self._out[node] = rows + [(share, until)]
-        return share, self._life_s
+        return share
--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -78,7 +78,7 @@
     for _ in range(600):
         clock[0] += chance.random() * 0.3
         node = chance.choice(nodes[: chance.randint(1, 12)])
-        share, _life = book.renew(node=node, part=1 / 3, live=chance.randint(1, 12))
+        share = book.renew(node=node, part=1 / 3, live=chance.randint(1, 12))
         assert not share or clock[0] >= 3.0
         if share:
             history.append((node, share, clock[0] + life + window))
@@ -92,7 +92,7 @@
 
 def test_frames_come_back_as_they_went_and_in_pieces():
     messages = [("offer", (("spec", 0, 3), ("list", 2, 9))), ("beat", 0), ("image", "list", 2, 9, b"x" * 3000),
-                ("entry", 0.25, 2.5, 0), ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v")]
+                ("entry", 0.25, 0.5, 2.5), ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v")]
     data = b"".join(wire.pack(message) for message in messages)
     buffer = bytearray()
     got = []
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -359,7 +359,7 @@
         self.batches = custody.Batches(most=200)
         self._set_limits({})
         self.quota = quotas.Quota(now=self.loop.now, settings=settings)
-        self.table = replicas.Table(loop=self.loop, settings=settings, share=self.quota.share)
+        self.table = replicas.Table(loop=self.loop, settings=settings, share=self.quota.rate_share)
 
     def run(self) -> int:
         self.beats = 0
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -15,13 +15,21 @@
         self._extras = {}
 
     def take_entry(self, link, message: tuple) -> None:
-        self._entries[link] = (message[1], self._now() + message[2])
+        self._entries[link] = (message[1], message[2], self._now() + message[3])
 
-    def share(self) -> float:
+    def _shares(self, kind: int) -> float:
         now = self._now()
-        for link in [link for link, (_share, until) in self._entries.items() if until <= now]:
+        for link in [link for link, entry in self._entries.items() if entry[2] <= now]:
             del self._entries[link]
-        return sum(share for share, _until in self._entries.values())
+        return sum(entry[kind] for entry in self._entries.values())
+
+    def share(self) -> float:
+        """Of bounds that are spent: the retry slack."""
+        return self._shares(0)
+
+    def rate_share(self) -> float:
+        """Of bounds that hold from one second to the next: cold replicas, connections."""
+        return self._shares(1)
 
     def _recent(self, table: dict, service: str) -> collections.deque:
         times = table.setdefault(service, collections.deque())
@@ -51,10 +59,10 @@
         per_s = service.get("warmup_per_s", 0.0)
         if per_s <= 0:
             return True
-        allowed = (per_s * self._excess + self._cold_slack) * 0.85 * self.share()
+        allowed = (per_s * self._excess + self._cold_slack) * 0.9 * self.rate_share()
         if allowed <= 0:
             return not is_hard
         now = self._now()
         if allowed < 1:
             return replica.sent_within(span=1.0 / allowed, now=now) == 0
-        return replica.sent_within(span=1.15, now=now) < int(allowed)
+        return replica.sent_within(span=1.05, now=now) < int(allowed)
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -70,8 +70,8 @@
         self.is_leaving = False
         self.routes = route_tables.Routes(body=SPEC)
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
-        self.quota.take_entry("core", ("entry", share, 1000.0, 0))
-        self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.share)
+        self.quota.take_entry("core", ("entry", share, share, 1000.0))
+        self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
         self.table.services = route_tables.services(body=SPEC)
         self.chooser = choice.Chooser(table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now)
         self.passages = set()
