--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -2,6 +2,7 @@
 import hashlib
 
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
+WAY_PART = 0.25  # of the way, where a prompt is to be read
 LEAST_READ = 500  # fewer tokens say more of the way than of the reading
 
 
@@ -57,7 +58,7 @@
         rows = [replica for replica in rows if not replica.is_suspect]
         return [replica for replica in rows if replica.away_until <= now] or rows
 
-    def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid) -> tuple:
+    def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
         spec = self._table.services.get(service, {})
         rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid)
@@ -83,7 +84,7 @@
                 continue
             known = max(kept.get(replica.id, 0), self._own_kept(replica, chain) if chain else 0)
             to_read = max(0, prompt_tokens - known)
-            score = self._score(replica, spec, to_read, is_cold, may)
+            score = self._score(replica, spec, to_read, is_cold, may, aim_s)
             if best is None or score < best[0]:
                 best = (score, replica, to_read)
         if best is None:
@@ -105,22 +106,26 @@
             seen = tokens / (took_s * 1000.0)
             self.rates[service] = max(seen, self.rates.get(service, FIRST_RATE) * 0.99)
 
-    def _score(self, replica, spec, to_read, is_cold, may) -> float:
+    def _score(self, replica, spec, to_read, is_cold, may, aim_s) -> float:
         """Milliseconds to the first event, as far as this node can tell, and what the choice costs others."""
         running, pending, is_bad = self.busyness(replica)
         berths = max(1, replica.berths)
         way_s = self._table.way(replica)
         if way_s is None:
             way_s = 0.0 if replica.region == self._settings.region else self._aside_s
-        score = way_s * 1000.0
+        wait = way_s * 1000.0 * (1 if replica.idle else 2)
         if spec.get("cache_tokens"):
-            score += (to_read + pending) / self.rates.get(replica.service, FIRST_RATE) + running / berths * 120.0
+            reading = (to_read + pending) / self.rates.get(replica.service, FIRST_RATE)
+            # Inside the aim a longer way harms little, while what is read again is paid for twice.
+            score = reading + wait * WAY_PART + running / berths * 120.0 + max(0.0, wait + reading - aim_s * 400.0) * 2.0
         else:
-            score += running / berths * 90.0
+            score = wait + running / berths * 90.0
         if running >= berths:
             score += 400.0 * (running - berths + 1) / berths + 200.0
         if replica.region != self._settings.region:
             score += self._aside_s * 200.0  # what crosses is priced
+        if not replica.idle:
+            score += self._aside_s * 100.0  # a new connection is priced
         if is_bad:
             score += 1500.0
         if is_cold:
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -8,6 +8,7 @@
 from pw.base import link as links
 
 MOST_SKIPS = 2
+KEEP_PART = 0.85  # of the idle time that a replica states; the rest is for the way
 HOP_NAMES = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"proxy-authenticate", b"proxy-authorization",
@@ -195,7 +196,7 @@
         if is_reusable:
             self._h11.start_next_cycle()
             self.idle_at = self.loop.now()
-            self.idle_until = self.idle_at + (self._keep_s * 0.6 if self._keep_s is not None else 4.0)
+            self.idle_until = self.idle_at + (self._keep_s * KEEP_PART if self._keep_s is not None else 4.0)
             self._on_free(self)
         else:
             self.close()
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -202,7 +202,7 @@
         self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
         replica, to_read, is_any = self.proxy.chooser.choose(
             service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
-            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid)
+            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid, aim_s=self.aim_s)
         if replica is None:
             # Nobody in reach comes back less soon than somebody full.
             self.come_back_s = self.aim_s * 0.3 if is_any else max(self.aim_s * 0.3, self.proxy.reach_s)
