--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -803,10 +803,10 @@
         self.loop = loops.Loop(on_fault=lambda fault: ring.spill("a step failed", fault=fault))
         self.contact_s = settings.bound_s(name="contactMs")
         self.receipt_s = settings.bound_s(name="receiptMs")
-        self.silence_s = self.contact_s / 3
+        self.silence_s = self.contact_s / 5
         self.lease_s = self.silence_s * 1.5
         window_s = settings.bound(name="retryWindowS", default=10)
-        self.ttl_s = max(1, int(settings.bound(name="ttl_max_s", default=5) * 0.4))
+        self.ttl_s = max(1, int(settings.bound(name="ttl_max_s", default=5) * 0.2))
         start = self.loop.now()
         quiet_s = self.silence_s * 2 if settings.first_start else self.lease_s + window_s
         # Two kinds of bound: what is spent counts for retryWindowS, a rate only for its second (and a little).
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -349,7 +349,7 @@
         self.life = uuid.uuid4().hex[:12]
         self.loop = loops.Loop(on_fault=lambda fault: ring.spill("a step failed", fault=fault))
         self.contact_s = settings.bound_s(name="contactMs")
-        self.silence_s = self.contact_s / 3
+        self.silence_s = self.contact_s / 5
         self.reach_s = self.contact_s / 16  # in about this time somebody else is found, or it comes back
         self.is_serving = False
         self.is_leaving = False
