Configurations cross regions once and compressed; far busyness less often

Now values are compressed in the register, a near teller is waited for for half a patience, and busyness crosses regions each fourth tick.

--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -49,7 +49,7 @@
     "sends": (40, (rows(TEXT, NUMBER, NUMBER, NUMBER),)),  # replica, kind, tokens, ask key
     "reads": (41, (rows(TEXT, TEXT, TEXT, rows(BLOB, NUMBER)),)),  # replica, service, model, parts
     # relay to its subscribers
-    "subscribe": (50, (NUMBER,)),
+    "subscribe": (50, (NUMBER, TEXT)),  # epoch, the subscriber's region
     "catalogue": (51, (NUMBER, rows(TEXT, TEXT, TEXT, NUMBER, rows(TEXT, NUMBER)))),
     "cut": (52, (TEXT, NUMBER, NUMBER, rows(NUMBER, NUMBER, BLOB))),
     "delta": (53, (TEXT, NUMBER, NUMBER, rows(NUMBER, NUMBER, BLOB))),
--- a/pw/ctl/news/desk.py
+++ b/pw/ctl/news/desk.py
@@ -55,9 +55,10 @@
 class Follower:
     """The other end: asks one teller at a time for what it lacks, never goes back."""
 
-    def __init__(self, *, now, patience_s: float, on_image):
+    def __init__(self, *, now, patience_s: float, on_image, is_near=None):
         self._now = now
         self._patience_s = patience_s
+        self._is_near = is_near  # whether a link's images come cheaply
         self._on_image = on_image  # (topic, epoch, number, data)
         self.serials = {}
         self._offered = {}  # topic: {link: serial}
@@ -69,7 +70,11 @@
                 link.send(("have", ((topic, *self.serials[topic]),)))
                 continue
             self._offered.setdefault(topic, {})[link] = (epoch, number)
-            self._ask(topic, link)
+            if self._is_near is None or self._is_near(link):
+                self._ask(topic, link)
+            else:
+                # A nearer teller offers it in a moment; else the next tick asks here.
+                self._asked.setdefault(topic, (self._now() - self._patience_s * 0.5, (0, 0)))
 
     def _ask(self, topic: str, link) -> None:
         asked = self._asked.get(topic)
@@ -87,6 +92,9 @@
             if newer:
                 asked = self._asked.get(topic)
                 if asked is None or self._now() - asked[0] >= self._patience_s:
+                    near = [link for link in newer if self._is_near is not None and self._is_near(link)]
+                    if near and (asked is None or asked[1] < serial):
+                        newer = near
                     link = newer[int(self._now() / self._patience_s) % len(newer)]
                     self._asked[topic] = (self._now(), offers[link])
                     link.send(("want", topic))
--- a/pw/ctl/register/ballots.py
+++ b/pw/ctl/register/ballots.py
@@ -1,5 +1,6 @@
 """Ballots and the sets of core nodes that a value stands under (design 4)."""
 import json
+import zlib
 
 NONE = (0, "")
 
@@ -13,9 +14,9 @@
 
 
 def pack(*, members, payload) -> bytes:
-    return json.dumps([list(members), payload], separators=(",", ":")).encode()
+    return zlib.compress(json.dumps([list(members), payload], separators=(",", ":")).encode(), 1)
 
 
 def unpack(value: bytes) -> tuple:
-    members, payload = json.loads(value)
+    members, payload = json.loads(zlib.decompress(value))
     return tuple(members), payload
--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -148,3 +148,18 @@
     assert roll.differs(rows=[platform.read_row(entry={**entry_of, "warmupLeftMs": 3000})], at=12.0)
     assert roll.differs(rows=[platform.read_row(entry={**entry_of, "condition": "clearing", "warmupLeftMs": 2000})], at=13.0)
     assert roll.differs(rows=[], at=14.0)
+
+
+def test_a_near_teller_is_asked_first_and_a_far_one_where_it_is_silent():
+    clock = [0.0]
+    near, far = Wire(), Wire()
+    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near)
+    follower.take_offer(far, ("offer", (("spec", 0, 5),)))
+    assert far.told == []
+    follower.take_offer(near, ("offer", (("spec", 0, 5),)))
+    assert near.told == [("want", "spec")]
+    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near)
+    follower.take_offer(far, ("offer", (("spec", 0, 5),)))
+    clock[0] = 0.16
+    follower.tick()
+    assert far.told == [("want", "spec")]
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -28,8 +28,10 @@
     def start_following(self) -> None:
         self.core_dialers = {}
         self.near_cores = set()
+        self.near_links = set()
         self.floors = {}  # core host: floor of the spec
-        self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
+        self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image,
+                                        is_near=lambda link: link in self.near_links)
         self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
         self._dial_cores()
 
@@ -50,6 +52,7 @@
         link.send(("state", self.is_serving and not self.is_leaving, self.is_leaving))
 
     def _core_gone(self, link, _reason) -> None:
+        self.near_links.discard(link)
         self.follower.drop(link)
 
     def _tell_core(self, message: tuple) -> None:
@@ -62,6 +65,7 @@
         if kind == "hello":
             if message[4] == self.settings.region:
                 self.near_cores.add(host)
+                self.near_links.add(link)
         elif kind == "offer":
             self.follower.take_offer(link, message)
         elif kind == "image":
@@ -168,7 +172,7 @@
         self.relay_dialers = {}  # region: (holder, dialer)
         self._sends = {}
         self._reads = {}
-        self._waiting = set()  # subscribers that came before this node knew of its duty
+        self._waiting = {}  # subscribers that came before this node knew of its duty
         self.port = links.Port(
             loop=self.loop, address=(self.settings.ip, self.settings.proxy_port), on_link=lambda link: None,
             on_message=self._take_relayed, on_end=self._subscriber_gone, silence_s=self.silence_s,
@@ -204,9 +208,9 @@
             self.relay = relay_hosts.Host(
                 region=self.settings.region, epoch=epoch, now=self.loop.now, suspect_s=self.contact_s / 4)
             self._sync_relay()
-            for link in self._waiting:
+            for link, region in self._waiting.items():
                 if link.is_open:
-                    self.relay.subscribe(link)
+                    self.relay.subscribe(link, region=region)
             self._waiting.clear()
 
     def _sync_relay(self) -> None:
@@ -218,15 +222,15 @@
         self.relay.sync(services=services, replicas=rows)
 
     def _subscribe(self, link, epoch: int) -> None:
-        link.send(("subscribe", epoch))
+        link.send(("subscribe", epoch, self.settings.region))
 
     def _take_relayed(self, link, message: tuple) -> None:
         kind = message[0]
         if kind == "subscribe":
             if self.relay is None or self.relay.epoch < message[1]:
-                self._waiting.add(link)
+                self._waiting[link] = message[2]
             else:
-                self.relay.subscribe(link)
+                self.relay.subscribe(link, region=message[2])
         elif self.relay is not None:
             if kind == "sends":
                 self.relay.take_sends(link, message)
@@ -234,7 +238,7 @@
                 self.relay.take_reads(message)
 
     def _subscriber_gone(self, link, _reason) -> None:
-        self._waiting.discard(link)
+        self._waiting.pop(link, None)
         if self.relay is not None:
             self.relay.end(link)
 
@@ -266,6 +270,7 @@
                 del table[region]
         if self.relay is not None:
             self.relay.tick()
+        self.follower.tick()
         self.loop.after(delay=self.contact_s / 80, act=self._relay_tick)
 
 
@@ -382,7 +387,6 @@
                 dialer.link.send(("beat", 0))
         for link in list(self.relay._links) if self.relay is not None else ():
             link.send(("beat", 0))
-        self.follower.tick()
         self.table.sweep()
         self.table.try_suspects()
         self.beats += 1
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -3,6 +3,7 @@
 from pw.dat.relay import pool_registry
 from pw.dat.relay import resolution
 
+FAR_TICKS = 4  # busyness crosses regions so much less often
 SENT, READ, DONE, BROKEN = 0, 1, 2, 3
 
 
@@ -17,6 +18,7 @@
         self.registry = pool_registry.Registry(
             on_withdraw=self._withdrawn, on_catalogue=self._catalogue, first_generation=epoch * 1000000)
         self._links = {}  # subscriber link: last busyness told
+        self._far = {}  # subscribers of other regions: ticks until they are told again
         self._sent = set()
         self._running = {}  # link: {(replica, key): tokens still to read}
         self._trouble = {}  # replica: {link: until}
@@ -49,14 +51,17 @@
         for link in list(self._links):
             link.send(message)
 
-    def subscribe(self, link) -> None:
+    def subscribe(self, link, *, region: str) -> None:
         self._links[link] = None
+        if region != self.region:
+            self._far[link] = 0
         link.send(("catalogue", self.epoch, self.registry.rows()))
         self.registry.subscribe(link=link)
         self._is_dirty = True
 
     def end(self, link) -> None:
         self._links.pop(link, None)
+        self._far.pop(link, None)
         for pool in self.registry.pools.values():
             if pool.hub is not None:
                 pool.hub.leave(link)
@@ -92,9 +97,11 @@
 
     def tick(self) -> None:
         self.registry.flush()
+        for link, ticks in self._far.items():
+            self._far[link] = max(0, ticks - 1)
         if not self._is_dirty and not self._trouble:
             return
-        self._is_dirty = False
+        self._is_dirty = any(self._far.values())
         now = self._now()
         for replica in list(self._trouble):
             marks = {link: until for link, until in self._trouble[replica].items() if until > now}
@@ -108,6 +115,8 @@
                 count, pending = totals.get(replica, (0, 0))
                 totals[replica] = (count + 1, pending + tokens)
         for link, told in list(self._links.items()):
+            if self._far.get(link):
+                continue
             rows = dict(totals)
             for (replica, _key), tokens in self._running.get(link, {}).items():
                 count, pending = rows[replica]
@@ -119,4 +128,6 @@
             ))
             if message != told:
                 self._links[link] = message
+                if link in self._far:
+                    self._far[link] = FAR_TICKS
                 link.send(("busyness", self.epoch, message))
--- a/pw/dat/relay/test_relay.py
+++ b/pw/dat/relay/test_relay.py
@@ -161,11 +161,11 @@
     pool = next(iter(host.registry.pools.values()))
     assert pool.hub is None
     read(host, "r1", "a", "b")
-    host.subscribe(one)
+    host.subscribe(one, region="north")
     assert one.kinds()[:2] == ["catalogue", "cut"]
     read(host, "r2", "a")
     host.tick()
-    host.subscribe(two)
+    host.subscribe(two, region="north")
     views = []
     for wire in (one, two):
         region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
@@ -178,7 +178,7 @@
     host, _clock = make_host()
     wire = Wire()
     host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
-    host.subscribe(wire)
+    host.subscribe(wire, region="north")
     region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
     feed(region, wire)
     read(host, "r1", "a")
@@ -252,7 +252,7 @@
     wire = Wire()
     host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
     read(host, "r1", "a")
-    host.subscribe(wire)
+    host.subscribe(wire, region="north")
     region = mirrors.Region(now=lambda: clock[0], trust_s=5.0)
     feed(region, wire)
     region.fail()
@@ -267,7 +267,7 @@
     wire = Wire()
     host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
     read(host, "r1", "a")
-    host.subscribe(wire)
+    host.subscribe(wire, region="north")
     host.sync(services=SERVICES, replicas=[replica("r2"), replica("r9")])
     host.take_sends(wire, ("sends", (("r2", hosts.SENT, 20, 2),)))
     region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
@@ -280,8 +280,8 @@
 def test_busyness_leaves_out_the_subscribers_own_and_ends_with_its_link():
     host, _clock = make_host()
     one, two = Wire(), Wire()
-    host.subscribe(one)
-    host.subscribe(two)
+    host.subscribe(one, region="north")
+    host.subscribe(two, region="north")
     host.take_sends(one, ("sends", (("r1", hosts.SENT, 20, 1), ("r1", hosts.SENT, 30, 2))))
     host.take_sends(one, ("sends", (("r1", hosts.READ, 0, 1),)))
     host.tick()
