--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -184,6 +184,9 @@
                 self._arm(delay=self._limits.idle_s)
             elif kind is h11.Data:
                 self._size += len(event.data)
+                if not self.hall.hold(door=self, size=self._size):
+                    self._refuse(status=503)
+                    return
                 if self._size > self._limits.body_bytes:
                     self._refuse(status=413)
                     return
@@ -224,6 +227,7 @@
         if not self.is_open:
             return
         self.send(h11.EndOfMessage())
+        self.hall.let_go(door=self)
         self._ask = None
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._limits = self.hall.limits()
@@ -284,6 +288,7 @@
         self.loop.cancel(timer=self._timer)
         self.loop.unwatch(sock=self.sock)
         self.hall.doors.discard(self)
+        self.hall.let_go(door=self)
         if not is_hard:
             # Unread bytes would turn the close into a reset that can eat the answer.
             try:
@@ -297,13 +302,16 @@
 class Hall:
     """A listener and its connections. `on_ask(ask)` takes each whole ask."""
 
-    def __init__(self, *, loop, address, on_ask, limits, silence_s, most_doors=3000):
+    def __init__(self, *, loop, address, on_ask, limits, silence_s, most_doors=3000, most_bytes=64 * 1024 * 1024):
         self.loop = loop
         self.limits = limits
         self.silence_s = silence_s
         self.is_leaving = False
         self.doors = set()
         self._most_doors = most_doors
+        self._most_bytes = most_bytes
+        self._held = {}
+        self._held_bytes = 0
         self._on_ask = on_ask
         self._sock = links.listen(address=address)
         self._is_listening = True
@@ -327,6 +335,15 @@
     def take(self, ask) -> None:
         self._on_ask(ask)
 
+    def hold(self, *, door, size: int) -> bool:
+        """Whether the bodies held of all connections stay inside the bound."""
+        self._held_bytes += size - self._held.get(door, 0)
+        self._held[door] = size
+        return self._held_bytes <= self._most_bytes
+
+    def let_go(self, *, door) -> None:
+        self._held_bytes -= self._held.pop(door, 0)
+
     def leave(self) -> None:
         """Answers end their connections from now on; idle ones are closed after their lookups are old."""
         self.is_leaving = True
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -23,6 +23,7 @@
         self.replica = replica
         self.is_open = True
         self.is_up = False
+        self.is_paused = False
         self.go = None
         self.served = 0
         self.idle_until = 0.0
@@ -76,6 +77,28 @@
     def is_unsent(self) -> bool:
         return not self._sent_any
 
+    def pause(self) -> None:
+        """The user agent does not read: its replica is not read either."""
+        self.is_paused = True
+        self._set_mask()
+
+    def resume(self) -> None:
+        if self.is_paused:
+            self.is_paused = False
+            self._set_mask()
+
+    def _set_mask(self) -> None:
+        mask = (0 if self.is_paused else selectors.EVENT_READ) | (selectors.EVENT_WRITE if self._out or not self.is_up else 0)
+        if not self.is_open or mask == self._mask:
+            return
+        if not mask:
+            self.loop.unwatch(sock=self.sock)
+        elif not self._mask:
+            self.loop.watch(sock=self.sock, mask=mask, act=self._ready)
+        else:
+            self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
+        self._mask = mask
+
     def _ready(self, mask) -> None:
         if mask & selectors.EVENT_WRITE:
             if not self.is_up:
@@ -188,6 +211,8 @@
     def _ended(self) -> None:
         go, self.go = self.go, None
         self.served += 1
+        self.is_paused = False
+        self._set_mask()
         has_more = bool(self._h11.trailing_data[0])
         is_reusable = (
             not has_more and not self._is_tainted and not self._must_close and not self._out
@@ -214,10 +239,7 @@
         except OSError as fault:
             self._broken(str(fault))
             return
-        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out or not self.is_up else 0)
-        if mask != self._mask and self.is_open:
-            self._mask = mask
-            self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
+        self._set_mask()
 
     def _broken(self, reason: str) -> None:
         if not self.is_open:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -3,6 +3,7 @@
 
 import h11
 
+from pw.base import inlet
 from pw.base import ring
 from pw.dat import custody
 from pw.dat import outlet as outlets
@@ -264,7 +265,7 @@
         now = self.loop.now()
         quiet = now - max(go.heard_at, go.replica.heard_at)
         pause = patience - quiet
-        if quiet >= patience and go.outlet.is_up:
+        if quiet >= patience and go.outlet.is_up and not go.outlet.is_paused:
             # Long reads make a busy replica silent too. A connection to it tells which it is.
             if go.replica.is_suspect and self.may_go_on() and self.proxy.quota.has_extra(self.service):
                 self.mark("silent")
@@ -378,6 +379,15 @@
             self.last_id = number
         self.open_stream()
         self.ask.data(event)
+        if self.ask.door.queued() > inlet.OUT_HIGH and self.go is not None:
+            self.go.outlet.pause()
+            self.ask.on_drain = self.drained
+
+    def drained(self) -> None:
+        self.ask.on_drain = None
+        if self.go is not None:
+            self.go.heard_at = self.loop.now()
+            self.go.outlet.resume()
 
     def take_end(self, go) -> None:
         status = go.status
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -283,6 +283,7 @@
         self.hall = inlet.Hall(
             loop=self.loop, address=self.settings.bindings["counter"], on_ask=self._on_ask,
             limits=lambda: self.limits, silence_s=self.contact_s * 2, most_doors=int(self.settings.handles * 0.6),
+            most_bytes=int(self.settings.memory_mb * 1024 * 1024 * 0.3),
         )
         if "readiness" in self.settings.bindings:
             self.ready_hall = inlet.Hall(
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -3,7 +3,7 @@
 from pw.dat.relay import pool_registry
 from pw.dat.relay import resolution
 
-FAR_TICKS = 4  # busyness crosses regions so much less often
+FAR_TICKS = 2  # busyness crosses regions so much less often
 SENT, READ, DONE, BROKEN = 0, 1, 2, 3
 
 
--- a/pw/dat/test_way.py
+++ b/pw/dat/test_way.py
@@ -263,8 +263,6 @@
 
 
 def test_a_client_that_leaves_ends_the_go():
-    heard_end = []
-
     def script(number, heard):
         return [head(ask_id(heard)) + event(1)] if is_whole(heard) else None
     scene = Scene(script)
@@ -274,7 +272,7 @@
     scene.loop.unwatch(sock=scene.client.sock)
     assert loopback.until(scene.loop, lambda: not scene.entry.passages)
     replica = next(iter(scene.entry.table.replicas.values()))
-    assert replica.running == 0 and not replica.outlets and heard_end == []
+    assert replica.running == 0 and not replica.outlets
 
 
 def test_out_of_time_is_504_when_it_was_sent():
@@ -282,3 +280,35 @@
     scene.ask("once", left_ms=200)
     assert scene.until(b"HTTP/1.1 504")
     assert scene.arrivals() == 1
+
+
+def test_a_client_that_does_not_read_stops_its_replica():
+    big = b"x" * 30000
+
+    def script(number, heard):
+        if not is_whole(heard):
+            return None
+        return [head(ask_id(heard)) + b"".join(
+            b"%x\r\n%s\r\n" % (len(text), text) for text in (b"id: %d\ndata: %s\n\n" % (nth, big) for nth in range(1, 3)))]
+    scene = Scene(script)
+    scene.client.sock.setsockopt(loopback.socket.SOL_SOCKET, loopback.socket.SO_RCVBUF, 4096)
+    scene.loop.unwatch(sock=scene.client.sock)
+    scene.ask("once", left_ms=5000)
+    assert loopback.until(scene.loop, lambda: any(passage.has_head for passage in scene.entry.passages))
+    passage = next(iter(scene.entry.passages))
+    number = 3
+    while not passage.go.outlet.is_paused and number < 1000:
+        number += 1
+        passage.pass_event(b"id: %d\ndata: %s\n\n" % (number, big))
+    assert passage.go.outlet.is_paused and number < 400
+    assert scene.entry.hall._held_bytes == 4
+    scene.loop.watch(sock=scene.client.sock, mask=1, act=scene.client._read)
+    assert loopback.until(scene.loop, lambda: passage.go is None or not passage.go.outlet.is_paused)
+
+
+def test_bodies_held_are_bounded():
+    scene = Scene(replying)
+    scene.entry.hall._most_bytes = 3
+    scene.ask("safe")
+    assert scene.until(b"HTTP/1.1 503")
+    assert scene.arrivals() == 0
