--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -5,7 +5,6 @@
 import h11
 
 from pw.base import link as links
-from pw.base import ring
 
 REASONS = {
     200: b"OK", 307: b"Temporary Redirect", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
@@ -318,19 +317,13 @@
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
 
     def _ready(self, _mask) -> None:
-        while True:
-            try:
-                sock, _address = self._sock.accept()
-            except (BlockingIOError, ConnectionError):
-                return
-            except OSError as fault:
-                ring.note("accept", fault=str(fault))
-                return
-            sock.setblocking(False)
-            if len(self.doors) >= self._most_doors:
-                sock.close()
-                continue
-            self.doors.add(Door(hall=self, sock=sock))
+        links.accept_all(sock=self._sock, act=self._take_door)
+
+    def _take_door(self, sock, _address) -> None:
+        if len(self.doors) >= self._most_doors:
+            sock.close()
+            return
+        self.doors.add(Door(hall=self, sock=sock))
 
     def take(self, ask) -> None:
         self._on_ask(ask)
--- a/pw/base/link.py
+++ b/pw/base/link.py
@@ -28,6 +28,20 @@
     return sock
 
 
+def accept_all(*, sock, act) -> None:
+    """Takes all connections that wait; `act(sock, address)`."""
+    while True:
+        try:
+            taken, address = sock.accept()
+        except (BlockingIOError, ConnectionError):
+            return
+        except OSError as fault:
+            ring.note("accept", fault=str(fault))
+            return
+        taken.setblocking(False)
+        act(taken, address)
+
+
 class Link:
     """One connection. `on_message(link, message)` and `on_end(link, reason)` are called on the loop."""
 
@@ -209,17 +223,10 @@
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
 
     def _ready(self, _mask) -> None:
-        while True:
-            try:
-                sock, address = self._sock.accept()
-            except (BlockingIOError, ConnectionError):
-                return
-            except OSError as fault:
-                ring.note("accept", fault=str(fault))
-                return
-            sock.setblocking(False)
-            link = Link(
-                loop=self.loop, sock=sock, on_message=self._on_message, on_end=self._on_end,
-                silence_s=self._silence_s, peer="%s:%d" % address[:2],
-            )
-            self._on_link(link)
+        accept_all(sock=self._sock, act=self._take)
+
+    def _take(self, sock, address) -> None:
+        self._on_link(Link(
+            loop=self.loop, sock=sock, on_message=self._on_message, on_end=self._on_end,
+            silence_s=self._silence_s, peer="%s:%d" % address[:2],
+        ))
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -118,7 +118,7 @@
         self.arrivals = 0
         self.avoid = set()
         self.is_over = False
-        self.is_unclear = False  # a non-repeatable ask whose bytes are of unclear fate
+        self.is_lost = False  # bytes of unclear fate left for a replica
         self.has_head = False
         self.is_streaming = False
         self.buffer = None
@@ -195,7 +195,7 @@
             # A further go stands under the configuration now in force, and the stricter homes of both.
             route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
             if route is None:
-                self.fail()
+                self.give_up()
                 return
             if not any(name == self.service for name, _share in route.portions):
                 self.service = route.pick(random.random())
@@ -211,7 +211,7 @@
             return
         self.come_back_s = self.aim_s * 0.3
         if self.arrivals and not self.proxy.quota.try_extra(self.service):
-            self.fail()
+            self.give_up()
             return
         outlet = self.proxy.table.outlet(replica=replica)
         if outlet is None:
@@ -441,7 +441,7 @@
             if self.goes < 6 and self.loop.now() < self.deadline:
                 self.try_go()
             else:
-                self.reject_or_break()
+                self.give_up()
             return
         self.after_loss(go)
 
@@ -455,45 +455,33 @@
         if self.may_go_on():
             self.try_go()
             return
-        self.reject_or_break()
+        self.give_up()
 
     def after_loss(self, go) -> None:
         """Bytes of unclear fate."""
         self.avoid.add(go.replica.id)
+        self.is_lost = True
         if self.is_repeatable and self.may_go_on() and (not self.has_head or self.is_streaming):
             if self.is_streaming:
                 self.events = Events()
             self.buffer = None
             self.try_go()
             return
-        self.is_unclear = True
-        self.fail()
+        self.give_up()
 
     def wait_or_reject(self) -> None:
         """No replica can be named now: a short wait within the aim, then an open refusal."""
         now = self.loop.now()
         if not self.has_head and now >= self.wait_until or now >= self.deadline or (self.has_head and now > self.ask.at + self.aim_s * 3):
-            self.reject_or_break()
+            self.give_up()
             return
         self.avoid = set() if not self.arrivals else self.avoid
         self.retry_timer = self.loop.after(delay=max(0.02, self.aim_s * 0.05), act=self.try_go)
 
-    def reject_or_break(self) -> None:
+    def give_up(self) -> None:
         if self.has_head:
             self.break_off()
-        elif self.is_unclear or (self.arrivals and self.is_repeatable and self.arrivals > 0 and self.had_loss()):
-            self.fail()
-        else:
-            self.reject(after_s=max(0.05, self.come_back_s))
-
-    def had_loss(self) -> bool:
-        return self.is_unclear
-
-    def fail(self) -> None:
-        if self.has_head:
-            self.break_off()
-            return
-        if self.arrivals and (self.is_unclear or self.is_repeatable):
+        elif self.is_lost:
             self.answer(status=502)
         else:
             self.reject(after_s=max(0.05, self.come_back_s))
@@ -507,10 +495,10 @@
             outlet = go.outlet
             self.end_go(go, kind=relay_host.DONE)
             outlet.drop_go()
-            self.is_unclear = self.is_unclear or not is_unsent
+            self.is_lost = self.is_lost or not is_unsent
         if self.has_head:
             self.break_off()
-        elif self.arrivals:
+        elif self.is_lost:
             self.answer(status=504)
         else:
             self.reject(after_s=0.1)
--- /dev/null
+++ b/pw/dat/test_residency_history.py
@@ -0,0 +1,107 @@
+"""Histories on real sockets: regions are lost, cut and overrun, homes change, zones go out; what the replicas heard is
+then compared, by a look of its own, with the permitted regions and with the custody trails."""
+import copy
+import random
+import re
+
+import pytest
+
+from pw.ctl.custody import audit as audits
+from pw.sim import entry
+from pw.sim import loopback
+
+ZONES = {"za": "north", "zb": "south", "zc": "west"}
+
+
+def ids(heard):
+    return re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_text_is_heard_outside_and_the_trails_name_all_who_heard(seed):
+    chance = random.Random(seed)
+    loop = loopback.new_loop()
+    state = {zone: "well" for zone in ZONES}
+
+    def script_of(zone):
+        def script(number, heard):
+            if heard.count(b"\r\n\r\nbody") < len(ids(heard)):
+                return None
+            if state[zone] == "lost":
+                return ["reset"]
+            if state[zone] == "dark":
+                return None
+            which = ids(heard)[-1]
+            if state[zone] == "full" and chance.random() < 0.6:
+                return [b"HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" % which]
+            first = int((re.findall(rb"Last-Event-Id: (\d+)", heard.rpartition(b"POST")[2], re.I) or [b"0"])[0]) + 1
+            out = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\n" % which
+            for nth in range(first, 4):
+                text = b"id: %d\ndata: t%d\n\n" % (nth, nth)
+                out += b"%x\r\n%s\r\n" % (len(text), text)
+                if chance.random() < 0.15:
+                    return [out, "close"]
+            return [out + b"0\r\n\r\n"]
+        return script
+
+    zones = ["za", "za", "zb", "zb", "zc"]
+    peers = [loopback.Peer(loop=loop, script=script_of(zone)) for zone in zones]
+    scene = entry.Entry(loop=loop, peers=list(zip(peers, zones)))
+    spec = copy.deepcopy(entry.SPEC)
+    home = next(route for route in spec["routes"] if route["name"] == "home")
+    bound = {}  # ask id: the regions that every configuration around it permits
+    homes = ("south",)
+    number = 0
+    for step in range(18):
+        act = chance.random() if step else 1.0  # the first asks find all well
+        if act < 0.25:
+            state[chance.choice(list(ZONES))] = chance.choice(("well", "well", "lost", "dark", "full"))
+        elif act < 0.4:
+            # Homes change in mid-flight: both the older and the newer ones bind from here on.
+            homes = chance.choice((("south",), ("north", "south"), ("north",), ("south", "west")))
+            home["homeRegions"] = list(homes)
+            spec["edition"] += 1
+            scene.configure(copy.deepcopy(spec))
+        elif act < 0.5:
+            scene.table.install_evacuations(chance.sample(("za", "zb"), chance.randint(0, 1)))
+        elif act < 0.6:
+            scene.table.install_list(scene.list_rows(clearing=chance.sample(["i0", "i2", "i4"], 1)))
+        clients = []
+        for _ in range(chance.choice((1, 1, 4))):
+            number += 1
+            lead = chance.choice(("home", "home", "resume")) if step else "home"
+            client = loopback.Client(loop=loop, address=scene.address)
+            clients.append(client)
+            client.send(
+                b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
+                b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: 300\r\nContent-Length: 4\r\n\r\nbody" % (lead.encode(), number, number))
+            if lead == "home":
+                bound[b"a%d" % number] = set(homes)
+        assert loopback.until(loop, lambda: not scene.passages and all(
+            client.is_closed or client.got.endswith(b"0\r\n\r\n") or b"HTTP/1.1 50" in client.got for client in clients))
+        for client in clients:
+            if not client.is_closed:
+                loop.unwatch(sock=client.sock)
+            client.sock.close()
+
+    heard = {}
+    for index, (peer, zone) in enumerate(zip(peers, zones)):
+        for data in peer.heard:
+            for which in ids(data):
+                heard.setdefault(which, set()).add((f"i{index}", zone))
+    assert len(heard) > 5
+    for which, places in heard.items():
+        for _replica, zone in places:
+            assert which not in bound or ZONES[zone] in bound[which], (which, zone, bound[which])
+
+    trails = scene.trails()
+    assert audits.summary(trails=trails, coverage=[], zones=ZONES)["outside"] == []
+    told = {trail["id"].encode(): {(go["replica"], go["zone"]) for go in trail["goes"] if go["end"] != "not sent"} for trail in trails}
+    for which, places in heard.items():
+        assert places <= told[which]
+
+    homed = next(trail for trail in trails if trail["homes"] and any(go["end"] != "not sent" for go in trail["goes"]))
+    planted = copy.deepcopy(homed)
+    next(go for go in planted["goes"] if go["end"] != "not sent")["zone"] = next(
+        zone for zone, region in ZONES.items() if region not in planted["homes"])
+    assert audits.summary(trails=[planted], coverage=[], zones=ZONES)["outside"]
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -2,11 +2,11 @@
 import dataclasses
 
 from pw.base import inlet
-from pw.base import residency
 from pw.base import settings as settings_files
 from pw.dat import choice
 from pw.dat import custody
 from pw.dat import passage as passages
+from pw.dat import proxy
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import routes as route_tables
@@ -78,11 +78,13 @@
         self.batches = custody.Batches(most=1000)
         self.number = 0
         self.faults = []
-        self.table.install_list([
+        self.older_homes = []
+        self.rows = [
             {"id": f"i{number}", "service": "llm", "address": "%s:%d" % peer.address, "zone": zone, "berths": 8,
              "is_clearing": False, "cold_ms": 0, "left_ms": None, "models": ["m"]}
             for number, (peer, zone) in enumerate(peers)
-        ])
+        ]
+        self.table.install_list(self.rows)
         self.hall = inlet.Hall(
             loop=loop, address=("127.0.0.1", 0), on_ask=self.take, limits=lambda: loopback.limits(), silence_s=5.0)
         self.address = self.hall._sock.getsockname()
@@ -92,8 +94,16 @@
         self.passages.add(passage)
         passage.begin()
 
-    def permitted(self, *, route, first_homes):
-        return residency.permitted(homes=route.homes, older=(first_homes,))
+    # The real rule, and the real keeping of older homes.
+    permitted = proxy.FollowMixin.permitted
+    _keep_older_homes = proxy.FollowMixin._keep_older_homes
+
+    def configure(self, spec):
+        self._keep_older_homes()
+        self.routes = route_tables.Routes(body=spec)
+
+    def list_rows(self, *, clearing=()):
+        return [{**row, "is_clearing": row["id"] in clearing} for row in self.rows]
 
     def next_number(self):
         self.number += 1
