--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -115,6 +115,7 @@
         self.deadline = 0.0
         self.go = None
         self.goes = 0
+        self.turns = 0
         self.arrivals = 0
         self.avoid = set()
         self.is_over = False
@@ -191,8 +192,8 @@
     def try_go(self) -> None:
         if self.is_over:
             return
-        if self.goes:
-            # A further go stands under the configuration now in force, and the stricter homes of both.
+        if self.turns:
+            # A later turn stands under the configuration now in force, and the stricter homes of both.
             route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
             if route is None:
                 self.give_up()
@@ -200,6 +201,7 @@
             if not any(name == self.service for name, _share in route.portions):
                 self.service = route.pick(random.random())
             self.route = route
+        self.turns += 1
         self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
         replica, to_read, is_any = self.proxy.chooser.choose(
             service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
