--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -27,7 +27,6 @@
         self.go = None
         self.served = 0
         self.idle_until = 0.0
-        self.idle_at = 0.0
         self._on_free = on_free
         self._on_way = on_way
         self._begun_at = loop.now()
@@ -220,8 +219,7 @@
         )
         if is_reusable:
             self._h11.start_next_cycle()
-            self.idle_at = self.loop.now()
-            self.idle_until = self.idle_at + (self._keep_s * KEEP_PART if self._keep_s is not None else 4.0)
+            self.idle_until = self.loop.now() + (self._keep_s * KEEP_PART if self._keep_s is not None else 4.0)
             self._on_free(self)
         else:
             self.close()
