--- a/ploverward.py
+++ b/ploverward.py
@@ -29,6 +29,7 @@
   drill ZONE         takes a zone out, watches the promises, takes it back
   evacuate ZONE      takes a zone out; restore ZONE takes it back
   nodes              the nodes in touch with each core node
+  keep FOLDER        keeps the configuration in force in a Git repository; keep FOLDER EDITION prints a kept one
 
 Exit codes: 0 well; 1 a promise or rule broken, or nothing found; 2 usage or settings;
 3 well as far as seen, with parts missing; 4 a zone could not be taken back; 5 interrupted.
@@ -99,6 +100,21 @@
     return 3 if missed else 0
 
 
+def _keep(folder: str, edition: str) -> int:
+    import json
+    from pw.ops import keep
+    keeper = keep.Keeper(folder=folder)
+    if edition:
+        print(json.dumps(keeper.show(edition=int(edition)), indent=2, sort_keys=True))
+        return 0
+    status, body = _caller().any(method="GET", path="/ploverward/configuration")
+    if status != 200:
+        raise problems.Problem(f"the core answers {status}", step="keep")
+    made = keeper.keep(body=body)
+    print(f"edition {body['edition']}: {made or 'kept already'}")
+    return 0
+
+
 def main(argv) -> int:
     verb, rest = (argv[1], argv[2:]) if len(argv) > 1 else ("", [])
     if verb in ("core", "proxy") and not rest:
@@ -116,6 +132,8 @@
         return _drill(rest[0])
     if verb in ("evacuate", "restore") and len(rest) == 1:
         return _evacuate(rest[0], "POST" if verb == "evacuate" else "DELETE")
+    if verb == "keep" and (len(rest) == 1 or len(rest) == 2 and rest[1].isdigit()):
+        return _keep(*rest, *[""] * (2 - len(rest)))
     if verb == "nodes" and not rest:
         return _nodes()
     print(USAGE, file=sys.stderr)
--- /dev/null
+++ b/pw/ops/keep.py
@@ -0,0 +1,63 @@
+"""ploverward.py keep: the configuration in force, kept in a Git object store by dulwich (docs/operations.md)."""
+import json
+import os
+
+from dulwich import porcelain
+from dulwich import repo as repos
+
+from pw.base import problems
+
+FILE_NAME = "configuration.json"
+AUTHOR = b"ploverward <ploverward@localhost>"
+
+
+class Keeper:
+    def __init__(self, *, folder: str):
+        self.folder = folder
+        if os.path.isdir(os.path.join(folder, ".git")):
+            self._repo = repos.Repo(folder)
+        else:
+            os.makedirs(folder, exist_ok=True)
+            self._repo = repos.Repo.init(folder)
+
+    def close(self) -> None:
+        self._repo.close()
+
+    def _commits(self) -> list:
+        try:
+            return [entry.commit for entry in self._repo.get_walker()]
+        except KeyError:
+            return []
+
+    def _body_at(self, commit) -> dict:
+        _mode, sha = self._repo[commit.tree][FILE_NAME.encode()]
+        return json.loads(self._repo[sha].data)
+
+    def log(self) -> list:
+        """(edition, commit id), newest first."""
+        return [(self._body_at(commit)["edition"], commit.id.decode()) for commit in self._commits()]
+
+    def keep(self, *, body: dict):
+        """The new commit's id, or None where the newest one holds the same."""
+        commits = self._commits()
+        if commits:
+            newest = self._body_at(commits[0])
+            if newest == body:
+                return None
+            if newest["edition"] >= body["edition"]:
+                raise problems.Problem(
+                    f"edition {body['edition']} is not above {newest['edition']}, the newest one kept", step="keep", peer=self.folder)
+        path = os.path.join(self.folder, FILE_NAME)
+        with open(path, "w", encoding="utf-8") as handle:
+            json.dump(body, handle, indent=2, sort_keys=True)
+            handle.write("\n")
+        porcelain.add(self._repo, paths=[path])
+        made = porcelain.commit(self._repo, message=b"edition %d" % body["edition"], author=AUTHOR, committer=AUTHOR)
+        return made.decode()
+
+    def show(self, *, edition: int) -> dict:
+        for commit in self._commits():
+            body = self._body_at(commit)
+            if body["edition"] == edition:
+                return body
+        raise problems.Problem(f"edition {edition} is not kept here", step="show", peer=self.folder)
--- /dev/null
+++ b/pw/ops/test_keep.py
@@ -0,0 +1,33 @@
+import pytest
+
+from pw.base import problems
+from pw.ops import keep as keeps
+
+
+def body(edition, **more):
+    return {"edition": edition, "routes": [], "destinations": [{"name": "d"}], **more}
+
+
+def test_each_edition_is_kept_once_and_comes_back_as_it_was(tmp_path):
+    keeper = keeps.Keeper(folder=str(tmp_path / "specs"))
+    assert keeper.log() == []
+    first = keeper.keep(body=body(3))
+    assert keeper.keep(body=body(3)) is None
+    second = keeper.keep(body=body(7, limits={"idleMs": 5}))
+    assert first != second and [edition for edition, _commit in keeper.log()] == [7, 3]
+    keeper.close()
+    again = keeps.Keeper(folder=str(tmp_path / "specs"))
+    assert again.show(edition=3) == body(3) and again.show(edition=7) == body(7, limits={"idleMs": 5})
+    with pytest.raises(problems.Problem):
+        again.show(edition=5)
+    again.close()
+
+
+def test_an_older_edition_is_not_kept_over_a_newer_one(tmp_path):
+    keeper = keeps.Keeper(folder=str(tmp_path))
+    keeper.keep(body=body(7))
+    for older in (body(6), body(7, limits={})):
+        with pytest.raises(problems.Problem):
+            keeper.keep(body=older)
+    assert [edition for edition, _commit in keeper.log()] == [7]
+    keeper.close()
