--- /dev/null
+++ b/pw/dat/test_follow.py
@@ -0,0 +1,75 @@
+"""A proxy serves nothing before it has what a majority of the core may have acknowledged; cut off, it serves on."""
+import types
+
+from pw.base import loop as loops
+from pw.dat import proxy
+from pw.sim import entry
+
+
+def make():
+    told = []
+    node = types.SimpleNamespace(
+        is_serving=False, is_leaving=False, core_members=("a", "b", "c"), floors={}, routes=types.SimpleNamespace(edition=1),
+        follower=types.SimpleNamespace(serials={}), _tell_core=told.append)
+    return node, told
+
+
+def test_no_serving_before_a_majority_told_and_its_most_is_here():
+    node, told = make()
+    node.follower.serials = {"spec": (0, 4), "evac": (0, 1), "list": (1, 1)}
+    node.floors = {"a": {"spec": 4, "evac": 1}}
+    proxy.FollowMixin._check_serving(node)
+    assert not node.is_serving
+    node.floors["b"] = {"spec": 5, "evac": 1}  # one of them may have acknowledged a newer one
+    proxy.FollowMixin._check_serving(node)
+    assert not node.is_serving
+    node.follower.serials["spec"] = (0, 5)
+    proxy.FollowMixin._check_serving(node)
+    assert node.is_serving and told == [("state", True, False)]
+
+
+def test_no_serving_without_a_list_or_a_configuration():
+    for serials in ({"spec": (0, 1)}, {"list": (1, 1)}):
+        node, _told = make()
+        node.follower.serials = serials
+        node.floors = {"a": {}, "b": {}, "c": {}}
+        proxy.FollowMixin._check_serving(node)
+        assert not node.is_serving
+
+
+def test_cut_off_it_serves_on_with_what_it_has():
+    node, _told = make()
+    node.follower.serials = {"spec": (0, 1), "list": (1, 1)}
+    node.floors = {"a": {"spec": 1}, "b": {"spec": 1}}
+    proxy.FollowMixin._check_serving(node)
+    node.floors = {}
+    node.core_members = ("x", "y", "z")
+    proxy.FollowMixin._check_serving(node)
+    assert node.is_serving
+
+
+def test_older_homes_bind_until_their_time_is_over():
+    clock = [0.0]
+    loop = types.SimpleNamespace(now=lambda: clock[0])
+    node = types.SimpleNamespace(
+        loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)})])
+    route = types.SimpleNamespace(name="chat", homes=("north", "south"))
+    assert proxy.FollowMixin.permitted(node, route=route, first_homes=()) == {"north"}
+    clock[0] = 2.6
+    assert proxy.FollowMixin.permitted(node, route=route, first_homes=()) == {"north", "south"}
+    assert proxy.FollowMixin.permitted(node, route=route, first_homes=("south",)) == {"south"}
+
+
+def test_a_relay_ends_when_its_duty_goes_to_another_life():
+    node = types.SimpleNamespace(
+        relay=None, settings=entry.settings(), life="l1", loop=loops.Loop(), contact_s=4.0, _waiting={}, _sync_relay=lambda: None)
+    keep = proxy.RelayMixin._keep_relay
+    keep(node, 1, "127.0.0.1", "l1")
+    first = node.relay
+    assert first.epoch == 1
+    keep(node, 1, "127.0.0.1", "l1")
+    assert node.relay is first
+    keep(node, 2, "127.0.0.1", "l1")
+    assert node.relay is not first and node.relay.epoch == 2
+    keep(node, 3, "127.0.0.1", "an older life of this address")
+    assert node.relay is None
