--- a/ploverward.py
+++ b/ploverward.py
@@ -148,5 +148,15 @@
         return 2
 
 
+def parse(argv):
+    try:
+        return FLAGS(argv)
+    except flags.Error as fault:
+        print(f"ploverward: {fault}", file=sys.stderr)
+        sys.exit(2)
+
+
+__doc__ = f"{__doc__}\n\n{USAGE}"  # what --help prints
+
 if __name__ == "__main__":
-    app.run(run, flags_parser=lambda argv: FLAGS(argv))
+    app.run(run, flags_parser=parse)
--- /dev/null
+++ b/pw/ops/test_command.py
@@ -0,0 +1,46 @@
+"""The command line as a new user meets it: clear lines and exit codes, no tracebacks."""
+import os
+import subprocess
+import sys
+
+import pytest
+
+from pw.sim import entry
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+
+def run(*words, settings=""):
+    env = {**os.environ, "PLOVERWARD_NODE_FILE": settings}
+    env["PYTHONPATH"] = os.pathsep.join(sys.path)
+    return subprocess.run([sys.executable, "ploverward.py", *words], cwd=ROOT, env=env, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize("words", [(), ("nothing",), ("drill",), ("custody",), ("keep",), ("core", "more"), ("--nonsense",)])
+def test_misuse_is_told_and_exits_2(words):
+    done = run(*words)
+    assert done.returncode == 2
+    assert done.stderr and "Traceback" not in done.stderr
+
+
+@pytest.mark.parametrize("role", ["core", "proxy", "check"])
+def test_missing_or_malformed_settings_stop_with_one_line(role, tmp_path):
+    for text in (None, "node=x\n", entry.SETTINGS.replace("bounds.contactMs=4000", "bounds.contactMs=soon")):
+        path = tmp_path / "boot.conf"
+        if text is not None:
+            path.write_text(text)
+        done = run(role, settings=str(path))
+        assert done.returncode == 2 and done.stderr.startswith("ploverward: ") and done.stderr.count("\n") == 1
+
+
+def test_whole_settings_are_said_to_be_whole(tmp_path):
+    path = tmp_path / "boot.conf"
+    path.write_text(entry.SETTINGS)
+    done = run("check", settings=str(path))
+    assert done.returncode == 0 and "whole" in done.stdout
+
+
+def test_an_unreachable_core_is_named():
+    for words in (("custody", "a1"), ("drill", "za"), ("nodes",)):
+        done = run(*words, "--core", "127.0.0.1:9")
+        assert done.returncode != 0 and "127.0.0.1:9" in done.stdout + done.stderr and "Traceback" not in done.stderr
