--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -2,6 +2,7 @@
 import hashlib
 
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
+BESIDE_PART = 4.0  # of a read, for a replica whose places are all taken
 WAY_PART = 0.25  # of the way, where a prompt is to be read
 LEAST_READ = 500  # fewer tokens say more of the way than of the reading
 
@@ -115,9 +116,12 @@
             way_s = 0.0 if replica.region == self._settings.region else self._aside_s
         wait = way_s * 1000.0 * (1 if replica.idle else 2)
         if spec.get("cache_tokens"):
-            reading = (to_read + pending) / self.rates.get(replica.service, FIRST_RATE)
+            rate = self.rates.get(replica.service, FIRST_RATE)
+            reading = (to_read + pending) / rate
+            # A long read slows all that run beside it.
+            aside = to_read / rate * running / berths * BESIDE_PART
             # Inside the aim a longer way harms little, while what is read again is paid for twice.
-            score = reading + wait * WAY_PART + running / berths * 120.0 + max(0.0, wait + reading - aim_s * 400.0) * 2.0
+            score = reading + aside + wait * WAY_PART + running / berths * 120.0 + max(0.0, wait + reading - aim_s * 400.0) * 2.0
         else:
             score = wait + running / berths * 90.0
         if running >= berths:
