--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -1,4 +1,5 @@
 """News, grant entries, frames and settings."""
+import json
 import random
 
 import pytest
@@ -175,3 +176,41 @@
     assert watch.is_changed() and not watch.is_changed()
     path.unlink()
     assert not watch.is_changed()
+
+
+def test_the_list_is_read_page_by_page_and_told_whole_or_not_at_all():
+    def row(name):
+        return {"id": name, "destination": "d", "address": "1.1.1.1:1", "zone": "z", "condition": "accepting"}
+
+    pages = {"": (["a", "b"], "p-2"), "p-2": (["c"], "p-3"), "p-3": (["d"], None)}
+    told, later, asked = [], [], []
+
+    class Loop:
+        def now(self):
+            return 5.0
+
+        def after(self, *, delay, act):
+            later.append((delay, act))
+
+    class Caller:
+        failing = None
+
+        def get(self, *, url, limit_s, done):
+            token = url.partition("?page=")[2]
+            asked.append(token)
+            names, following = pages[token]
+            status = 429 if token == self.failing else 200
+            done(None, status, json.dumps({"replicas": [row(name) for name in names], "nextPage": following}).encode())
+
+    watch = platform.Watch(loop=Loop(), address="x:1", gap_s=0.5, limit_s=1.0, on_list=lambda rows, at: told.append([one["id"] for one in rows]))
+    watch._caller = Caller()
+    watch.start()
+    assert told == [["a", "b", "c", "d"]] and asked == ["", "p-2", "p-3"]
+    watch._caller.failing = "p-2"
+    later.pop()[1]()
+    assert len(told) == 1  # a list with a page missing is not told
+    assert later[-1][0] > 0.5  # and the next reading waits longer
+    watch.stop()
+    count = len(asked)
+    later.pop()[1]()
+    assert len(asked) == count
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -7,6 +7,8 @@
 import pytest
 
 from pw.ctl.custody import audit as audits
+from pw.dat import mirror
+from pw.dat.relay import host as hosts
 from pw.sim import entry
 from pw.sim import loopback
 
@@ -17,6 +19,56 @@
     return re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)
 
 
+class Wire:
+    def __init__(self):
+        self.told = []
+
+    def send(self, message):
+        self.told.append(message)
+
+    def queued(self):
+        return 0
+
+
+class Relay:
+    """The relay of the south as both proxies mirror it, with its failover: a new epoch, new generations."""
+
+    def __init__(self, *, scenes):
+        self.scenes = scenes
+        self.epoch = 0
+        self.views = []
+        for scene in scenes:
+            region = mirror.Region(now=scene.loop.now, trust_s=4.0)
+            scene.chooser._regions = {"south": region}
+            scene.tell_read = self.read
+            self.views.append((Wire(), region))
+        self.fail_over()
+
+    def fail_over(self):
+        self.epoch += 1
+        for wire, region in self.views:
+            region.fail()
+            wire.told.clear()
+        self.host = hosts.Host(region="south", epoch=self.epoch, now=self.scenes[0].loop.now, suspect_s=1.0)
+        self.host.sync(
+            services={"llm": {"models": ("m",), "cache_tokens": 1000}},
+            replicas=[{"id": row["id"], "service": "llm", "region": ZONES[row["zone"]], "models": ["m"]} for row in self.scenes[0].rows])
+        self.host.take_sends("proxy", ("sends", (("i2", hosts.SENT, 10, 1), ("i2", hosts.DONE, 0, 1))))
+        for wire, _region in self.views:
+            self.host.subscribe(wire, region="south")
+
+    def read(self, *, replica, service, model, parts):
+        self.host.take_reads(("reads", (
+            (replica.id, service, model, tuple((part.encode(), tokens) for part, tokens in parts)),)))
+
+    def tell(self):
+        self.host.tick()
+        for wire, region in self.views:
+            for message in wire.told:
+                region.take(message)
+            wire.told.clear()
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_no_text_is_heard_outside_and_the_trails_name_all_who_heard(seed):
     chance = random.Random(seed)
@@ -46,7 +98,8 @@
 
     zones = ["za", "za", "zb", "zb", "zc"]
     peers = [loopback.Peer(loop=loop, script=script_of(zone)) for zone in zones]
-    scene = entry.Entry(loop=loop, peers=list(zip(peers, zones)))
+    scenes = [entry.Entry(loop=loop, peers=list(zip(peers, zones))) for _ in range(2)]  # two entry proxies
+    relay = Relay(scenes=scenes)
     spec = copy.deepcopy(entry.SPEC)
     home = next(route for route in spec["routes"] if route["name"] == "home")
     bound = {}  # ask id: the regions that every configuration around it permits
@@ -61,29 +114,40 @@
             homes = chance.choice((("south",), ("north", "south"), ("north",), ("south", "west")))
             home["homeRegions"] = list(homes)
             spec["edition"] += 1
-            scene.configure(copy.deepcopy(spec))
+            for scene in scenes:
+                scene.configure(copy.deepcopy(spec))
         elif act < 0.5:
-            scene.table.install_evacuations(chance.sample(("za", "zb"), chance.randint(0, 1)))
+            out = chance.sample(("za", "zb"), chance.randint(0, 1))
+            for scene in scenes:
+                scene.table.install_evacuations(out)
         elif act < 0.6:
-            scene.table.install_list(scene.list_rows(clearing=chance.sample(["i0", "i2", "i4"], 1)))
+            clearing = chance.sample(["i0", "i2", "i4"], 1)
+            for scene in scenes:
+                scene.table.install_list(scene.list_rows(clearing=clearing))
+        elif act < 0.7:
+            relay.fail_over()
+        relay.tell()
         clients = []
         for _ in range(chance.choice((1, 1, 4))):
             number += 1
             lead = chance.choice(("home", "home", "resume")) if step else "home"
-            client = loopback.Client(loop=loop, address=scene.address)
+            # Clients move: any ask may come in at either proxy.
+            client = loopback.Client(loop=loop, address=chance.choice(scenes).address)
             clients.append(client)
             client.send(
                 b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
                 b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: 300\r\nContent-Length: 4\r\n\r\nbody" % (lead.encode(), number, number))
             if lead == "home":
                 bound[b"a%d" % number] = set(homes)
-        assert loopback.until(loop, lambda: not scene.passages and all(
+        assert loopback.until(loop, lambda: not any(scene.passages for scene in scenes) and all(
             client.is_closed or client.got.endswith(b"0\r\n\r\n") or b"HTTP/1.1 50" in client.got for client in clients))
         for client in clients:
             if not client.is_closed:
                 loop.unwatch(sock=client.sock)
             client.sock.close()
 
+    assert all(region.mirrors and region.epoch == relay.epoch for _wire, region in relay.views)
+
     heard = {}
     for index, (peer, zone) in enumerate(zip(peers, zones)):
         for data in peer.heard:
@@ -94,7 +158,7 @@
         for _replica, zone in places:
             assert which not in bound or ZONES[zone] in bound[which], (which, zone, bound[which])
 
-    trails = scene.trails()
+    trails = [trail for scene in scenes for trail in scene.trails()]
     assert audits.summary(trails=trails, coverage=[], zones=ZONES)["outside"] == []
     told = {trail["id"].encode(): {(go["replica"], go["zone"]) for go in trail["goes"] if go["end"] != "not sent"} for trail in trails}
     for which, places in heard.items():
