--- a/pw/base/link.py
+++ b/pw/base/link.py
@@ -59,7 +59,7 @@
         self._on_end = on_end
         self._in = bytearray()
         self._out = bytearray()
-        self.is_stalled = False
+        self.frame = b""  # the bytes of the message that is being handed over
         tune(sock=sock, silence_s=silence_s)
         self._mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if is_connecting else 0)
         loop.watch(sock=sock, mask=self._mask, act=self._ready)
@@ -89,8 +89,6 @@
         self._out += data
         if was_empty and self.is_up:
             self._flush()
-        elif self.is_up is False:
-            pass
 
     def _flush(self) -> None:
         try:
@@ -134,16 +132,16 @@
             self.heard_at = self.loop.now()
             self._in += data
             try:
-                messages = wire.unpack_from(self._in)
+                for frame in wire.split(self._in):
+                    message = wire.unpack(frame)
+                    if message[0] == "beat":
+                        continue
+                    self.frame = frame
+                    self._on_message(self, message)
+                    if not self.is_open:
+                        return
             except problems.FrameProblem as fault:
                 self.close(reason=str(fault))
-                return
-            for message in messages:
-                if not self.is_open:
-                    return
-                if message[0] == "beat":
-                    continue
-                self._on_message(self, message)
 
     def close(self, *, reason: str = "") -> None:
         if not self.is_open:
--- /dev/null
+++ b/pw/base/records.py
@@ -0,0 +1,68 @@
+"""Rows of fixed shape inside a frame's blob (docs/digest.md 6): load, reads, lanes, bucket images.
+
+construct describes the frames; a row by construct costs some 16 microseconds each way, a row by struct under one.
+"""
+import functools
+import hashlib
+import struct
+
+from pw.base import problems
+
+REPORTED = struct.Struct(">8sBHIHHH")  # replica key, region, running, tokens to read, marks, ended and failed since the last
+LOAD = struct.Struct(">8sHIHB")  # replica key, running, tokens to read, marks, is failing
+LANE = struct.Struct(">8sH")
+_READ = struct.Struct(">8sB8sB")  # replica key, region, domain, how many parts
+_PART = struct.Struct(">8sI")  # token hash, tokens
+MOST_SHORT = 0xFFFF
+MOST_LONG = 0xFFFFFFFF
+
+
+@functools.lru_cache(maxsize=16384)
+def key_of(replica: str) -> bytes:
+    """Eight bytes that stand for a replica id."""
+    return hashlib.blake2b(replica.encode(), digest_size=8).digest()
+
+
+def rows(*, shape, data: bytes) -> list:
+    if len(data) % shape.size:
+        raise problems.FrameProblem(f"{len(data)} bytes are no rows of {shape.size}", step="frame")
+    return list(shape.iter_unpack(data))
+
+
+def short(number: int) -> int:
+    return max(0, min(int(number), MOST_SHORT))
+
+
+def long(number: int) -> int:
+    return max(0, min(int(number), MOST_LONG))
+
+
+def pack_read(*, replica: bytes, region: int, domain: bytes, parts) -> bytes:
+    """`parts`: (token hash, tokens) from the front; at most 255 count."""
+    parts = parts[:255]
+    return _READ.pack(replica, region, domain, len(parts)) + b"".join(
+        _PART.pack(token_hash, long(tokens)) for token_hash, tokens in parts)
+
+
+def split_reads(*, data: bytes) -> list:
+    """[(region, the read's own bytes)]"""
+    found = []
+    place = 0
+    while place < len(data):
+        if place + _READ.size > len(data):
+            raise problems.FrameProblem("a read is cut short", step="frame")
+        _replica, region, _domain, count = _READ.unpack_from(data, place)
+        end = place + _READ.size + count * _PART.size
+        if end > len(data):
+            raise problems.FrameProblem("a read is cut short", step="frame")
+        found.append((region, data[place:end]))
+        place = end
+    return found
+
+
+def unpack_read(*, data: bytes) -> tuple:
+    """(replica key, domain, ((token hash, tokens), ...))"""
+    replica, _region, domain, count = _READ.unpack_from(data, 0)
+    if len(data) != _READ.size + count * _PART.size:
+        raise problems.FrameProblem("a read of another length", step="frame")
+    return replica, domain, tuple(_PART.iter_unpack(data[_READ.size:]))
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -1,4 +1,6 @@
 """Frames between our own processes (design 2, 4, 5): a length, a kind, fields by construct; messages are tuples."""
+import struct
+
 import construct
 
 from pw.base import problems
@@ -15,8 +17,8 @@
     return construct.PrefixedArray(construct.VarInt, construct.Sequence(*fields))
 
 
-_HEAD = construct.Struct("size" / construct.Int32ub, "kind" / construct.Int8ub)
-HEAD_SIZE = 5
+_HEAD = struct.Struct(">IB")  # size, kind
+HEAD_SIZE = _HEAD.size
 _BALLOT = (NUMBER, TEXT)
 KINDS = {
     # both ways
@@ -45,25 +47,32 @@
     "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
     "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
     "kept": (62, (NUMBER, rows(TEXT, TEXT))),  # replica, zone
-    # relay: proxies to the relay of the replica's region
-    "sends": (40, (rows(TEXT, NUMBER, NUMBER, NUMBER),)),  # replica, kind, tokens, ask key
-    "reads": (41, (rows(TEXT, TEXT, TEXT, rows(BLOB, NUMBER)),)),  # replica, service, model, parts
-    # relay to its subscribers
-    "subscribe": (50, (NUMBER, TEXT)),  # epoch, the subscriber's region
-    "catalogue": (51, (NUMBER, rows(TEXT, TEXT, TEXT, NUMBER, rows(TEXT, NUMBER)))),
-    "cut": (52, (TEXT, NUMBER, NUMBER, rows(NUMBER, NUMBER, BLOB))),
-    "delta": (53, (TEXT, NUMBER, NUMBER, rows(NUMBER, NUMBER, BLOB))),
+    # digest: proxies to the digest of their zone, and back (docs/digest.md); blobs hold rows of pw/base/records.py
+    "enroll": (40, (NUMBER, TEXT)),  # epoch, address
+    "enrolled": (41, (NUMBER,)),
+    "report": (42, (NUMBER, BLOB, BLOB)),  # number, loads, reads
+    "credited": (43, (TEXT, NUMBER)),  # region, number of the report that its sums hold
+    "relayed": (44, (TEXT, BLOB)),  # region, a frame of its relay, unchanged
+    "broke": (45, (TEXT,)),  # region whose stream broke at the digest
+    # digests to the relay of a region
+    "subscribe": (50, (NUMBER, TEXT, TEXT, NUMBER)),  # epoch, region, zone, epoch of the zone's digest
+    "sums": (56, (NUMBER, BLOB, BLOB)),  # number, loads, reads
+    # the relay to its subscribers
+    "catalogue": (51, (NUMBER, rows(TEXT, TEXT, TEXT, NUMBER, BLOB))),
+    "cut": (52, (TEXT, NUMBER, NUMBER, NUMBER, BLOB)),
+    "delta": (53, (TEXT, NUMBER, BLOB)),
     "withdrawn": (54, (TEXT, NUMBER)),
-    "busyness": (55, (NUMBER, rows(TEXT, NUMBER, NUMBER, FLAG))),
+    "load": (55, (NUMBER, FLAG, BLOB)),  # epoch, is whole, rows
+    "counted": (57, (NUMBER,)),  # number of the subscriber's last sums that the load holds
 }
 _BY_NAME = {name: (number, construct.Sequence(*fields)) for name, (number, fields) in KINDS.items()}
-_BY_NUMBER = {number: (name, construct.Sequence(*fields)) for name, (number, fields) in KINDS.items()}
+_BY_NUMBER = {number: (name, construct.Sequence(*fields, construct.Terminated)) for name, (number, fields) in KINDS.items()}
 
 
 def pack(message: tuple) -> bytes:
     number, shape = _BY_NAME[message[0]]
     body = shape.build(message[1:])
-    return _HEAD.build({"size": len(body), "kind": number}) + body
+    return _HEAD.pack(len(body), number) + body
 
 
 def _plain(value):
@@ -72,21 +81,32 @@
     return value
 
 
-def unpack_from(buffer: bytearray) -> list:
-    """Takes all whole frames off the front of the buffer."""
-    messages = []
+def split(buffer: bytearray) -> list:
+    """Takes all whole frames off the front of the buffer, as bytes."""
+    frames = []
     while len(buffer) >= HEAD_SIZE:
-        head = _HEAD.parse(bytes(buffer[:HEAD_SIZE]))
-        if head.size > SIZE_LIMIT or head.kind not in _BY_NUMBER:
-            raise problems.FrameProblem(f"kind {head.kind}, size {head.size}", step="frame")
-        if len(buffer) < HEAD_SIZE + head.size:
+        size, kind = _HEAD.unpack_from(buffer, 0)
+        if size > SIZE_LIMIT or kind not in _BY_NUMBER:
+            raise problems.FrameProblem(f"kind {kind}, size {size}", step="frame")
+        if len(buffer) < HEAD_SIZE + size:
             break
-        body = bytes(buffer[HEAD_SIZE:HEAD_SIZE + head.size])
-        del buffer[:HEAD_SIZE + head.size]
-        name, shape = _BY_NUMBER[head.kind]
-        try:
-            fields = construct.Sequence(shape, construct.Terminated).parse(body)[0]
-        except (construct.ConstructError, UnicodeDecodeError) as fault:
-            raise problems.FrameProblem(f"{name}: {fault}", step="frame") from None
-        messages.append((name, *_plain(list(fields))))
-    return messages
+        frames.append(bytes(buffer[:HEAD_SIZE + size]))
+        del buffer[:HEAD_SIZE + size]
+    return frames
+
+
+def unpack(frame: bytes) -> tuple:
+    """One whole frame."""
+    if len(frame) < HEAD_SIZE or frame[4] not in _BY_NUMBER or _HEAD.unpack_from(frame, 0)[0] != len(frame) - HEAD_SIZE:
+        raise problems.FrameProblem("no whole frame", step="frame")
+    name, shape = _BY_NUMBER[frame[4]]
+    try:
+        fields = shape.parse(frame[HEAD_SIZE:])
+    except (construct.ConstructError, UnicodeDecodeError) as fault:
+        raise problems.FrameProblem(f"{name}: {fault}", step="frame") from None
+    return (name, *_plain(list(fields[:-1])))
+
+
+def unpack_from(buffer: bytearray) -> list:
+    """Takes all whole frames off the front of the buffer."""
+    return [unpack(frame) for frame in split(buffer)]
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -17,6 +17,7 @@
 from pw.base import residency
 from pw.base import ring
 from pw.base import settings as settings_files
+from pw.ctl import duties
 from pw.ctl import grants
 from pw.ctl import platform
 from pw.ctl.custody import ledger as ledgers
@@ -439,7 +440,7 @@
                 self.watch.stop()
                 return
             self.watch.start()
-            self._name_relays()
+            self._name_holders()
             self._tend_core_set(members, now)
             self._tell_members()
             return
@@ -472,17 +473,11 @@
         self._is_taking = True
         self.proposer.change(name="duty", edit=edit, done=done)
 
-    def _name_relays(self) -> None:
+    def _name_holders(self) -> None:
         if self._is_taking:
             return
-        by_region = {}
-        for peer in self.proxies():
-            by_region.setdefault(peer.region, []).append((peer.address, peer.life))
-        rows = {}
-        for region, live in by_region.items():
-            epoch, *held = self.duty(f"relay/{region}")
-            if tuple(held) not in live:
-                rows[f"relay/{region}"] = (epoch, *min(live))
+        rows = duties.named(
+            proxies=[(peer.address, peer.life, peer.zone, peer.region) for peer in self.proxies()], duty=self.duty)
         if rows:
             self._take_duties(rows)
 
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -1,4 +1,4 @@
-"""The choice of a replica: tokens to read by the mirror, busyness, way (design 6)."""
+"""The choice of a replica: tokens to read by the mirror, load, way (design 6)."""
 import hashlib
 
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
@@ -10,11 +10,12 @@
 class Chooser:
     """Scores are in milliseconds. The measured reading rate of each service is learnt from first events."""
 
-    def __init__(self, *, table, settings, regions, quota, now):
+    def __init__(self, *, table, settings, regions, quota, now, counted=lambda replica: (0, 0, 0)):
         self._table = table
         self._settings = settings
         self._regions = regions  # region: mirror.Region
         self._quota = quota
+        self._counted = counted  # replica: our part of the sums that are shown
         self._now = now
         self._aside_s = settings.bound_s(name="contactMs") / 50
         self.rates = {}  # service: tokens read in a millisecond
@@ -37,12 +38,16 @@
             total += tokens
         return total
 
-    def busyness(self, replica) -> tuple:
-        """(running, tokens to read, is suspect), of all proxies."""
+    def load(self, replica) -> tuple:
+        """(running, tokens to read, is suspect, is failing), of all proxies: the sums, less what they hold of ours, and ours."""
         region = self._regions.get(replica.region)
-        others = region.busyness.get(replica.id) if region is not None and region.is_fresh else None
-        running, tokens, is_bad = others if others is not None else (0, 0, False)
-        return running + replica.running, tokens + sum(replica.to_read.values()), is_bad
+        total = region.load.get(replica.key) if region is not None and region.is_fresh else None
+        running, tokens = replica.running, sum(replica.to_read.values())
+        if total is None:
+            return running, tokens, False, False
+        own = self._counted(replica)
+        return (
+            running + max(0, total[0] - own[0]), tokens + max(0, total[1] - own[1]), total[2] > own[2], bool(total[3]))
 
     def candidates(self, *, service: str, permitted, model: str, avoid) -> list:
         now = self._now()
@@ -109,7 +114,7 @@
 
     def _score(self, replica, spec, to_read, is_cold, may, aim_s) -> float:
         """Milliseconds to the first event, as far as this node can tell, and what the choice costs others."""
-        running, pending, is_bad = self.busyness(replica)
+        running, pending, is_bad, is_failing = self.load(replica)
         berths = max(1, replica.berths)
         way_s = self._table.way(replica)
         if way_s is None:
@@ -132,6 +137,9 @@
             score += self._aside_s * 100.0  # a new connection is priced
         if is_bad:
             score += 1500.0
+        if is_failing:
+            score += 1500.0
+        score += replica.failed_lately(now=self._now()) * self._aside_s * 2000.0
         if is_cold:
             score += 40.0
         if not may:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -7,8 +7,8 @@
 from pw.base import ring
 from pw.dat import custody
 from pw.dat import outlet as outlets
+from pw.dat.digest import source as sources
 from pw.dat.relay import ckf
-from pw.dat.relay import host as relay_host
 
 BUFFER_LIMIT = 512 * 1024
 LIMITED_STATUSES = (408, 421, 429, 503)
@@ -229,9 +229,9 @@
         replica.running += 1
         replica.to_read[go.number] = to_read
         self.proxy.quota.note_send(replica=replica, service=self.proxy.table.services.get(self.service, {}))
-        self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.busyness(replica))
+        self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.load(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.chain)
-        self.proxy.tell_send(replica=replica, kind=relay_host.SENT, tokens=to_read, number=go.number)
+        self.proxy.tell_send(replica=replica, kind=sources.SENT)
         go.row = custody.go_row(go=go, passage=self, proxy=self.proxy)
         self.custody.append(go.row)
         outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
@@ -272,7 +272,7 @@
             if go.replica.is_suspect and self.may_go_on() and self.proxy.quota.has_extra(self.service):
                 self.mark("silent")
                 outlet = go.outlet
-                self.end_go(go, kind=relay_host.BROKEN)
+                self.end_go(go, kind=sources.BROKEN)
                 outlet.drop_go()
                 self.after_loss(go)
                 return
@@ -288,7 +288,7 @@
         return self.arrivals + 1 + (1 if self.go is not None and not self.go.outlet.is_unsent else 0)
 
     def end_go(self, go, *, kind: int) -> None:
-        """The go is over; what it did to the replica's busyness ends with it."""
+        """The go is over; what it did to the replica's load ends with it."""
         if go.is_over:
             return
         go.is_over = True
@@ -298,7 +298,9 @@
         go.replica.to_read.pop(go.number, None)
         if not go.outlet.is_unsent:
             self.arrivals += 1
-        self.proxy.tell_send(replica=go.replica, kind=kind, tokens=0, number=go.number)
+        if kind in (sources.FAILED, sources.BROKEN):
+            go.replica.note_failure(now=self.loop.now(), span=self.proxy.settings.bound_s(name="contactMs"))
+        self.proxy.tell_send(replica=go.replica, kind=kind)
         self.loop.cancel(timer=self.watch_timer)
         if self.go is go:
             self.go = None
@@ -330,7 +332,7 @@
 
     def spoil(self, go) -> None:
         outlet = go.outlet
-        self.end_go(go, kind=relay_host.BROKEN)
+        self.end_go(go, kind=sources.BROKEN)
         outlet.drop_go()
         self.after_loss(go)
 
@@ -350,7 +352,7 @@
         go.replica.is_suspect = False
         way_s = self.proxy.table.way(go.replica) or 0.0
         self.proxy.chooser.note_read(service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s)
-        self.proxy.tell_send(replica=go.replica, kind=relay_host.READ, tokens=0, number=go.number)
+        self.proxy.tell_send(replica=go.replica, kind=sources.READ)
         if self.parts:
             self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts)
 
@@ -394,19 +396,19 @@
     def take_end(self, go) -> None:
         status = go.status
         if status == 421 or (status >= 400 and self.buffer is None):
-            self.end_go(go, kind=relay_host.DONE)
+            self.end_go(go, kind=sources.DONE)
             self.after_not_run(go)
             return
         if self.is_streaming and 200 <= status < 300:
             rest = self.events.rest()
-            self.end_go(go, kind=relay_host.DONE)
+            self.end_go(go, kind=sources.DONE)
             self.open_stream_after(go)
             if rest:
                 self.ask.data(rest)
             self.finish(status=status)
             self.ask.end()
             return
-        self.end_go(go, kind=relay_host.DONE)
+        self.end_go(go, kind=sources.FAILED if status >= 500 else sources.DONE)
         if status >= 500 and self.is_repeatable and not self.has_head and self.may_go_on():
             self.after_loss(go)
             return
@@ -436,7 +438,9 @@
     def take_fail(self, go, *, reason: str, was_sent: bool, was_up: bool) -> None:
         self.mark("failed", reason)
         self.proxy.note_fault(replica=go.replica, reason=reason, was_up=was_up)
-        self.end_go(go, kind=relay_host.BROKEN if not was_up else relay_host.DONE)
+        # A connection that idled and is reset at once was forgotten by its replica: that says nothing of the replica.
+        is_stale = go.outlet.served > 0 and not go.status and self.loop.now() - go.sent_at < 0.05 + 2 * (go.replica.way_s or 0.0)
+        self.end_go(go, kind=sources.BROKEN if not was_up else sources.FAILED if was_sent and not is_stale else sources.DONE)
         if not was_sent:
             # No byte left this node: it has not run and is not an arrival.
             self.avoid.add(go.replica.id)
@@ -495,7 +499,7 @@
         if go is not None:
             is_unsent = go.outlet.is_unsent
             outlet = go.outlet
-            self.end_go(go, kind=relay_host.DONE)
+            self.end_go(go, kind=self.silent_kind(go))
             outlet.drop_go()
             self.is_lost = self.is_lost or not is_unsent
         if self.has_head:
@@ -532,6 +536,11 @@
         reads = [row[0] for row in self.trail if row[1] == "read"]
         return len(self.trail) > 2 or (reads[0] if reads else self.loop.now() - self.ask.at) > self.aim_s
 
+    def silent_kind(self, go) -> int:
+        """An attempt that was given up: the replica failed where it said nothing for longer than the aim."""
+        quiet = self.loop.now() - max(go.sent_at, go.heard_at)
+        return sources.FAILED if not go.outlet.is_unsent and quiet > self.aim_s * 1.5 else sources.DONE
+
     def gone(self) -> None:
         """The user agent left."""
         if self.is_over:
@@ -539,7 +548,7 @@
         go = self.go
         if go is not None:
             outlet = go.outlet
-            self.end_go(go, kind=relay_host.DONE)
+            self.end_go(go, kind=self.silent_kind(go))
             outlet.drop_go()
         self.finish()
 
--- a/pw/dat/relay/actor.py
+++ b/pw/dat/relay/actor.py
@@ -4,13 +4,16 @@
 
 from pw.dat.relay import ckf
 
-BUCKET_COUNT = 1024
+BUCKET_COUNT = 1024  # to begin with
+MOST_BUCKETS = 1 << 17
+SPARE_LANES = 1.5  # of the replicas listed: a roll-out has old and new lives side by side
 
 
 class Actor:
-    def __init__(self, *, cache_tokens: int, bucket_count: int = BUCKET_COUNT):
+    def __init__(self, *, cache_tokens: int, bucket_count: int = BUCKET_COUNT, words: int = 1):
         self.cache_tokens = cache_tokens
-        self.filter = ckf.Filter(bucket_count=bucket_count)
+        self.filter = ckf.Filter(bucket_count=bucket_count, words=words)
+        self.is_short = False  # the filter had no room for a hash
         self.lanes = {}  # replica id: lane
         self._kept = {}  # replica id: OrderedDict hash -> tokens, oldest first
         self._sizes = {}
@@ -21,14 +24,40 @@
     def admit(self, replica: str) -> bool:
         if replica in self.lanes:
             return True
-        free = set(range(ckf.MOST_LANES)) - set(self.lanes.values())
-        if not free:
+        lane = self._next_lane()
+        if lane >= self.filter.words * ckf.WORD_LANES:
             return False
-        self.lanes[replica] = min(free)
+        self.lanes[replica] = lane
         self._kept[replica] = collections.OrderedDict()
         self._sizes[replica] = 0
         return True
 
+    def _next_lane(self) -> int:
+        held = set(self.lanes.values())
+        return next(lane for lane in range(len(held) + 1) if lane not in held)
+
+    def has_lanes_for(self, *, replicas) -> bool:
+        return len(set(self.lanes) | set(replicas)) <= self.filter.words * ckf.WORD_LANES
+
+    def resize(self, *, lanes: int) -> None:
+        """A larger filter, made from the exact ownership. Goes with a new generation."""
+        words = max(self.filter.words, ckf.words_for(lanes=lanes))
+        bucket_count = self.filter.bucket_count
+        if self.is_short and bucket_count < MOST_BUCKETS:
+            bucket_count *= 2
+        while True:
+            self.filter = ckf.Filter(bucket_count=bucket_count, words=words)
+            self._groups = {}
+            for full_hash in self._owners:
+                self._groups.setdefault(self._group(full_hash), set()).add(full_hash)
+            missed = sum(
+                not self.filter.put(full_hash=next(iter(held)), bits=self._bits(group))
+                for group, held in self._groups.items())
+            if not missed or bucket_count >= MOST_BUCKETS:
+                break
+            bucket_count *= 2
+        self.is_short = False
+
     def owners(self, full_hash: bytes) -> frozenset:
         return frozenset(self._owners.get(full_hash, ()))
 
@@ -93,6 +122,7 @@
         self._groups.setdefault(group, set()).add(full_hash)
         if not self.filter.put(full_hash=full_hash, bits=self._bits(group)):
             self.omitted += 1  # an observable omission; ownership stays exact
+            self.is_short = self.filter.bucket_count < MOST_BUCKETS
 
     def _disown(self, replica: str, full_hash: bytes) -> None:
         owners = self._owners[full_hash]
--- a/pw/dat/relay/ckf.py
+++ b/pw/dat/relay/ckf.py
@@ -3,14 +3,26 @@
 The source's filter says that some replica of the pool holds a prefix. Choosing one needs to know
 which, so each slot carries a lane bit for every owner. Bucket images are absolute.
 """
+import functools
 import hashlib
 import struct
 
 SLOTS = 4
-MOST_LANES = 32
+WORD_LANES = 32  # lane masks grow by such words, as many as the replicas that are listed need
 MOST_KICKS = 64
-_IMAGE = struct.Struct(">" + "HI" * SLOTS)
-EMPTY_IMAGE = _IMAGE.pack(*([0] * (2 * SLOTS)))
+
+
+@functools.lru_cache(maxsize=64)
+def _shape(words: int):
+    return struct.Struct(">" + f"H{4 * words}s" * SLOTS)
+
+
+def words_for(*, lanes: int) -> int:
+    return max(1, -(-lanes // WORD_LANES))
+
+
+def empty_image(*, words: int) -> bytes:
+    return bytes(_shape(words).size)
 
 
 def place_of(*, full_hash: bytes, bucket_count: int) -> tuple:
@@ -35,17 +47,29 @@
 
 def chain(*, model: str, parts) -> tuple:
     """Canonical sequence hashes of a prompt: ((hash, tokens), ...)."""
+    return extend(parts=tuple((token_hash(model=model, part=part, tokens=tokens), tokens) for part, tokens in parts))
+
+
+def extend(*, parts) -> tuple:
+    """Canonical sequence hashes from (token hash, tokens) in order."""
     rows = []
     parent = b""
-    for part, tokens in parts:
-        parent = sequence_hash(parent=parent, token_hash=token_hash(model=model, part=part, tokens=tokens))
+    for held, tokens in parts:
+        parent = sequence_hash(parent=parent, token_hash=held)
         rows.append((parent, tokens))
     return tuple(rows)
 
 
-def read_image(image: bytes) -> tuple:
-    flat = _IMAGE.unpack(image)
-    return tuple(zip(flat[::2], flat[1::2]))
+def find_in_images(*, images, words: int, full_hash: bytes) -> int:
+    """Lane bits of the owners by a list of bucket images; 0 where unknown."""
+    fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=len(images))
+    lanes = 0
+    for index in (first, second):
+        flat = _shape(words).unpack(images[index])
+        for place in range(0, 2 * SLOTS, 2):
+            if flat[place] == fingerprint:
+                lanes |= int.from_bytes(flat[place + 1], "big")
+    return lanes
 
 
 def find(*, buckets, full_hash: bytes) -> int:
@@ -60,10 +84,11 @@
 
 
 class Filter:
-    def __init__(self, *, bucket_count: int):
+    def __init__(self, *, bucket_count: int, words: int = 1):
         if bucket_count & (bucket_count - 1):
             raise ValueError("bucket_count must be a power of two")
         self.bucket_count = bucket_count
+        self.words = words
         self.buckets = [[(0, 0)] * SLOTS for _ in range(bucket_count)]
         self.dirty = set()
 
@@ -122,5 +147,5 @@
     def image(self, index: int) -> bytes:
         flat = []
         for held, bits in self.buckets[index]:
-            flat += (held, bits)
-        return _IMAGE.pack(*flat)
+            flat += (held, bits.to_bytes(4 * self.words, "big"))
+        return _shape(self.words).pack(*flat)
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -1,10 +1,32 @@
-"""The relay of a region, while its proxy holds the duty (docs/relay.md 1, 5): ingest, publication, busyness beside the pools."""
+"""The relay of a region, while its proxy holds the duty (docs/relay.md 1, 5): ingest, publication, load beside the pools.
+
+What it takes are the sums of digests, one row for each replica that changed (docs/digest.md 2); what it publishes goes
+to digests, which pass it on unchanged.
+"""
+from pw.base import problems
+from pw.base import records
+from pw.base import ring
+from pw.base import wire
 from pw.dat.relay import ckf
+from pw.dat.relay import hub as hubs
+from pw.dat.relay import outcomes
 from pw.dat.relay import pool_registry
 from pw.dat.relay import resolution
 
-FAR_TICKS = 2  # busyness crosses regions so much less often
-SENT, READ, DONE, BROKEN = 0, 1, 2, 3
+FAR_TICKS = 2  # load crosses regions so much less often
+NOTHING = (0, 0, 0)
+
+
+class Subscriber:
+    """One digest: what it told, and what it is still to be told."""
+
+    def __init__(self, *, is_far: bool, zone: str, zone_epoch: int):
+        self.is_far = is_far
+        self.zone = zone
+        self.zone_epoch = zone_epoch
+        self.parts = {}  # replica key: (running, tokens, marks)
+        self.counted = 0
+        self.told_counted = 0
 
 
 class Host:
@@ -13,121 +35,150 @@
     def __init__(self, *, region: str, epoch: int, now, suspect_s: float):
         self.region = region
         self.epoch = epoch
-        self._now = now
-        self._suspect_s = suspect_s
         self.registry = pool_registry.Registry(
             on_withdraw=self._withdrawn, on_catalogue=self._catalogue, first_generation=epoch * 1000000)
-        self._links = {}  # subscriber link: last busyness told
-        self._far = {}  # subscribers of other regions: ticks until they are told again
+        self.subscribers = {}  # link: Subscriber
+        self.totals = {}  # replica key: [running, tokens, marks]
+        self._judge = outcomes.Judge(now=now, suspect_s=suspect_s)
+        self._zone_epochs = {}  # zone: the newest epoch of its digest
+        self._changed = {False: set(), True: set()}  # by whether it goes far: replica keys
+        self._ticks = 0
         self._sent = set()
-        self._running = {}  # link: {(replica, key): tokens still to read}
-        self._trouble = {}  # replica: {link: until}
+        self._ids = {}  # replica key: id
         self._replicas = []
         self._services = {}
-        self._is_dirty = False
 
     def sync(self, *, services: dict, replicas: list) -> None:
         self._services = services
         self._replicas = replicas
-        live = {row["id"] for row in replicas}
-        self._sent &= live
+        self._ids = {records.key_of(row["id"]): row["id"] for row in replicas}
+        self._sent &= set(self._ids.values())
+        self._judge.keep(keys=self._ids)
         self._resolve()
 
     def _resolve(self) -> None:
         pools, conflicts = resolution.resolve(
             region=self.region, services=self._services, replicas=self._replicas, sent=self._sent)
-        known = set(self.registry.pools)
         self.registry.sync(resolved=pools, conflicts=conflicts)
-        for identity in set(self.registry.pools) - known:
-            for link in list(self._links):
-                self.registry.join(pool=self.registry.pools[identity], link=link)
+        self._join_new()
+
+    def _join_new(self) -> None:
+        for pool in self.registry.pools.values():
+            if pool.hub is None:
+                for link in list(self.subscribers):
+                    self.registry.join(pool=pool, link=link)
+
+    def _tell(self, message: tuple, *, links=None) -> None:
+        """One frame, packed once. A subscriber that does not read loses its own stream alone."""
+        frame = wire.pack(message)
+        for link in list(self.subscribers if links is None else links):
+            if link.queued() > hubs.QUEUE_LIMIT_BYTES:
+                link.close(reason="relay queue overflow")
+                continue
+            link.send_bytes(frame)
 
     def _withdrawn(self, pool) -> None:
-        for link in list(self._links):
-            link.send(("withdrawn", pool.name, pool.generation))
+        self._tell(("withdrawn", pool.name, pool.generation))
 
     def _catalogue(self) -> None:
-        message = ("catalogue", self.epoch, self.registry.rows())
-        for link in list(self._links):
-            link.send(message)
-
-    def subscribe(self, link, *, region: str) -> None:
-        self._links[link] = None
-        if region != self.region:
-            self._far[link] = 0
-        link.send(("catalogue", self.epoch, self.registry.rows()))
+        self._tell(("catalogue", self.epoch, self.registry.rows()))
+
+    def subscribe(self, link, *, region: str, zone: str = "", zone_epoch: int = 0) -> None:
+        """A digest's stream. One of an older epoch of the same zone is over; one that comes under it is closed."""
+        if zone_epoch:
+            if zone_epoch < self._zone_epochs.get(zone, 0):
+                link.close(reason=f"digest of {zone} under epoch {zone_epoch}")
+                return
+            self._zone_epochs[zone] = zone_epoch
+            for other, known in list(self.subscribers.items()):
+                if known.zone == zone and 0 < known.zone_epoch < zone_epoch and other is not link:
+                    other.close(reason="a newer digest of the zone")
+        self.subscribers[link] = Subscriber(is_far=region != self.region, zone=zone, zone_epoch=zone_epoch)
+        self._tell(("catalogue", self.epoch, self.registry.rows()), links=[link])
         self.registry.subscribe(link=link)
-        self._is_dirty = True
+        self._tell(("load", self.epoch, True, self._load_rows(self.totals.keys() | self._judge.failing)), links=[link])
 
     def end(self, link) -> None:
-        self._links.pop(link, None)
-        self._far.pop(link, None)
+        """The digest is gone: its sums are withdrawn whole."""
+        known = self.subscribers.pop(link, None)
         for pool in self.registry.pools.values():
             if pool.hub is not None:
                 pool.hub.leave(link)
-        if self._running.pop(link, None):
-            self._is_dirty = True
-        for marks in self._trouble.values():
-            marks.pop(link, None)
-
-    def take_sends(self, link, message: tuple) -> None:
-        table = self._running.setdefault(link, {})
-        for replica, kind, tokens, key in message[1]:
-            if kind == SENT:
-                table[(replica, key)] = tokens
-                if replica not in self._sent:
-                    self._sent.add(replica)
-                    self._resolve()
-            elif kind == READ:
-                if (replica, key) in table:
-                    table[(replica, key)] = 0
-            else:
-                table.pop((replica, key), None)
-                if kind == BROKEN:
-                    self._trouble.setdefault(replica, {})[link] = self._now() + self._suspect_s
-        self._is_dirty = True
-
-    def take_reads(self, message: tuple) -> None:
-        for replica, service, model, parts in message[1]:
-            pool = self.registry.find(service=service, model=model)
-            if pool is None or replica not in pool.actor.lanes:
-                continue
-            rows = ckf.chain(model=model, parts=tuple((part.decode("latin-1"), tokens) for part, tokens in parts))
-            pool.actor.read(replica=replica, rows=rows)
+        if known is not None:
+            for key, load in known.parts.items():
+                self._add(key, NOTHING, load)
+
+    def _add(self, key: bytes, load: tuple, before: tuple) -> None:
+        total = self.totals.setdefault(key, [0, 0, 0])
+        for place in range(3):
+            total[place] += load[place] - before[place]
+        if not any(total):
+            del self.totals[key]
+        self._changed[False].add(key)
+        self._changed[True].add(key)
+
+    def take_sums(self, link, message: tuple) -> None:
+        """One cut of a digest; a malformed one raises before anything changes."""
+        known = self.subscribers.get(link)
+        if known is None:
+            return
+        _kind, number, data, read_data = message
+        loads = records.rows(shape=records.REPORTED, data=data)
+        reads = [records.unpack_read(data=read) for _region, read in records.split_reads(data=read_data)]
+        if number <= known.counted:
+            raise problems.FrameProblem(f"cut {number} after {known.counted}", step="sums")
+        is_new = False
+        for key, _region, running, tokens, marks, ended, failed in loads:
+            load = (running, tokens, marks)
+            before = known.parts.get(key, NOTHING)
+            if load != before:
+                self._add(key, load, before)
+                if load == NOTHING:
+                    del known.parts[key]
+                else:
+                    known.parts[key] = load
+            if ended and key in self._ids:
+                self._judge.take(key=key, ended=ended, failed=failed)
+            name = self._ids.get(key)
+            if name is not None and name not in self._sent:
+                self._sent.add(name)
+                is_new = True
+        known.counted = number
+        if is_new:
+            self._resolve()
+        for key, domain, parts in reads:
+            self._take_read(key, domain.hex(), parts)
+
+    def _take_read(self, key: bytes, domain: str, parts) -> None:
+        pool = self.registry.find_domain(domain=domain)
+        name = self._ids.get(key)
+        if pool is not None and name in pool.actor.lanes:
+            pool.actor.read(replica=name, rows=ckf.extend(parts=parts))
+
+    def _load_rows(self, keys) -> bytes:
+        return b"".join(
+            records.LOAD.pack(
+                key, *(records.short(total[0]), records.long(total[1]), records.short(total[2])), int(key in self._judge.failing))
+            for key in sorted(keys) for total in (self.totals.get(key, NOTHING),))
 
     def tick(self) -> None:
+        self.registry.grow()
+        self._join_new()
         self.registry.flush()
-        for link, ticks in self._far.items():
-            self._far[link] = max(0, ticks - 1)
-        if not self._is_dirty and not self._trouble:
-            return
-        self._is_dirty = any(self._far.values())
-        now = self._now()
-        for replica in list(self._trouble):
-            marks = {link: until for link, until in self._trouble[replica].items() if until > now}
-            if marks:
-                self._trouble[replica] = marks
-            else:
-                del self._trouble[replica]
-        totals = {}
-        for table in self._running.values():
-            for (replica, _key), tokens in table.items():
-                count, pending = totals.get(replica, (0, 0))
-                totals[replica] = (count + 1, pending + tokens)
-        for link, told in list(self._links.items()):
-            if self._far.get(link):
+        self._ticks += 1
+        for key in self._judge.look():
+            ring.note("outcomes", replica=self._ids.get(key, ""), is_failing=key in self._judge.failing)
+            self._changed[False].add(key)
+            self._changed[True].add(key)
+        for is_far in (False, True):
+            if is_far and self._ticks % FAR_TICKS:
                 continue
-            rows = dict(totals)
-            for (replica, _key), tokens in self._running.get(link, {}).items():
-                count, pending = rows[replica]
-                rows[replica] = (count - 1, pending - tokens)
-            message = tuple(sorted(
-                (replica, rows.get(replica, (0, 0))[0], max(0, rows.get(replica, (0, 0))[1]),
-                 any(other is not link for other in self._trouble.get(replica, ())))
-                for replica in set(rows) | set(self._trouble)
-            ))
-            if message != told:
-                self._links[link] = message
-                if link in self._far:
-                    self._far[link] = FAR_TICKS
-                link.send(("busyness", self.epoch, message))
+            links = [link for link, known in self.subscribers.items() if known.is_far == is_far]
+            for link in links:
+                known = self.subscribers[link]
+                if known.counted != known.told_counted:
+                    known.told_counted = known.counted
+                    link.send(("counted", known.counted))
+            changed, self._changed[is_far] = self._changed[is_far], set()
+            if changed and links:
+                self._tell(("load", self.epoch, False, self._load_rows(changed)), links=links)
--- a/pw/dat/relay/hub.py
+++ b/pw/dat/relay/hub.py
@@ -1,7 +1,11 @@
 """The hub of one producer generation (docs/relay.md 4): lazy, one mirror, a cut and a bounded queue for each subscriber."""
+import struct
+
 from pw.base import problems
+from pw.base import wire
 
 QUEUE_LIMIT_BYTES = 512 * 1024
+ROW = struct.Struct(">II")  # bucket, its sequence; the image follows
 
 
 class Fenced(problems.Problem):
@@ -23,12 +27,12 @@
         """The subscriber's own cut: what isn't empty, with its sequence; deltas follow on the same link."""
         self.flush()
         blank = bytes(len(self._images[0]))
-        rows = tuple(
-            (index, serial, image) for index, (serial, image) in enumerate(zip(self._serials, self._images))
+        rows = b"".join(
+            ROW.pack(index, serial) + image for index, (serial, image) in enumerate(zip(self._serials, self._images))
             if serial or image != blank
         )
         self._subscribers[link] = True
-        link.send(("cut", self.identity, self.generation, len(self._images), rows))
+        link.send(("cut", self.identity, self.generation, len(self._images), self._actor.filter.words, rows))
 
     def leave(self, link) -> None:
         """Cancelling one stream closes only it."""
@@ -48,17 +52,17 @@
                 continue
             self._images[index] = image
             self._serials[index] += 1
-            rows.append((index, self._serials[index], image))
+            rows.append(ROW.pack(index, self._serials[index]) + image)
         dirty.clear()
         if not rows:
             return
-        message = ("delta", self.identity, self.generation, len(rows), tuple(rows))
+        frame = wire.pack(("delta", self.identity, self.generation, b"".join(rows)))
         for link in list(self._subscribers):
             if link.queued() > QUEUE_LIMIT_BYTES:
                 self.leave(link)
                 link.close(reason="relay queue overflow")
                 continue
-            link.send(message)
+            link.send_bytes(frame)
 
     def check(self, *, generation: int) -> None:
         if generation != self.generation or self.is_fenced:
--- a/pw/dat/relay/pool_registry.py
+++ b/pw/dat/relay/pool_registry.py
@@ -1,7 +1,9 @@
 """The catalogue of live pool generations (docs/relay.md 4). Withdrawal always comes before teardown."""
 from pw.base import problems
+from pw.base import records
 from pw.base import ring
 from pw.dat.relay import actor as actors
+from pw.dat.relay import ckf
 from pw.dat.relay import hub as hubs
 
 
@@ -20,6 +22,10 @@
         return "%d/%s/%s" % self.identity
 
 
+def _lanes_for(replicas) -> int:
+    return int(len(replicas) * actors.SPARE_LANES) + 1
+
+
 class Registry:
     """Owns all pools of one relay. `on_withdraw(pool)` is called before a pool is torn down."""
 
@@ -41,12 +47,15 @@
                 self._generation += 1
                 pool = Pool(
                     identity=identity, service=service, model=model, generation=self._generation,
-                    actor=actors.Actor(cache_tokens=cache_tokens),
+                    actor=actors.Actor(cache_tokens=cache_tokens, words=ckf.words_for(lanes=_lanes_for(replicas))),
                 )
                 self.pools[identity] = pool
                 is_changed = True
             for gone in set(pool.actor.lanes) - replicas:
                 pool.actor.drop(replica=gone)
+            if not pool.actor.has_lanes_for(replicas=replicas):
+                pool = self._renew(pool, lanes=_lanes_for(replicas))
+                is_changed = True
             for replica in sorted(replicas):
                 pool.actor.admit(replica)
             if pool.actor.lanes != pool.catalogued:
@@ -59,9 +68,29 @@
                     pool.hub.flush()
             self._on_catalogue()
 
+    def _renew(self, pool, *, lanes: int):
+        """The filter is too small: the generation is withdrawn, the next one starts from the same exact ownership."""
+        actor = pool.actor
+        self.withdraw(identity=pool.identity)
+        self._generation += 1
+        actor.resize(lanes=lanes)
+        fresh = Pool(identity=pool.identity, service=pool.service, model=pool.model, generation=self._generation, actor=actor)
+        fresh.catalogued = dict(actor.lanes)
+        self.pools[pool.identity] = fresh
+        return fresh
+
+    def grow(self) -> None:
+        """Pools whose filter had no room get a larger one."""
+        short = [pool for pool in self.pools.values() if pool.actor.is_short]
+        for pool in short:
+            self._renew(pool, lanes=len(pool.actor.lanes))
+        if short:
+            self._on_catalogue()
+
     def rows(self) -> tuple:
         return tuple(
-            (pool.name, pool.service, pool.model, pool.generation, tuple(sorted(pool.catalogued.items())))
+            (pool.name, pool.service, pool.model, pool.generation, b"".join(
+                records.LANE.pack(records.key_of(replica), lane) for replica, lane in sorted(pool.catalogued.items())))
             for pool in self.pools.values()
         )
 
@@ -73,9 +102,9 @@
         pool.hub = None
         pool.actor = None
 
-    def find(self, *, service: str, model: str):
-        for pool in self.pools.values():
-            if pool.service == service and pool.model == model:
+    def find_domain(self, *, domain: str):
+        for identity, pool in self.pools.items():
+            if identity[1] == domain:
                 return pool
         return None
 
--- a/pw/dat/relay/test_relay.py
+++ b/pw/dat/relay/test_relay.py
@@ -4,6 +4,7 @@
 import pytest
 
 from pw.base import problems
+from pw.base import records
 from pw.dat import mirror as mirrors
 from pw.dat.relay import actor as actors
 from pw.dat.relay import ckf
@@ -11,31 +12,11 @@
 from pw.dat.relay import hub as hubs
 from pw.dat.relay import pool_registry
 from pw.dat.relay import resolution
+from pw.sim import wires
 
 SERVICES = {"llm": {"models": ("m",), "cache_tokens": 1000}}
 
 
-class Wire:
-    """A link that keeps what it is told."""
-
-    def __init__(self):
-        self.told = []
-        self.is_open = True
-        self.queue = 0
-
-    def send(self, message):
-        self.told.append(message)
-
-    def queued(self):
-        return self.queue
-
-    def close(self, *, reason=""):
-        self.is_open = False
-
-    def kinds(self):
-        return [message[0] for message in self.told]
-
-
 def rows(*names, tokens=10):
     return ckf.chain(model="m", parts=[(name, tokens) for name in names])
 
@@ -144,8 +125,22 @@
     return host, clock
 
 
-def read(host, name, *parts):
-    host.take_reads(("reads", ((name, "llm", "m", tuple((part.encode(), 10) for part in parts)),)))
+def tell(host, wire, *loads, reads=()):
+    """The next cut of the digest at the other end of `wire`."""
+    if wire not in host.subscribers:
+        host.subscribe(wire, region="north")
+    host.take_sums(wire, wires.sums(host.subscribers[wire].counted + 1, loads=loads, reads=reads))
+
+
+def send(host, name="r1"):
+    """One attempt at a replica has begun, told by a digest that only reports."""
+    source = wires.Wire()
+    tell(host, source, wires.load_row(name, running=1, tokens=20))
+    return source
+
+
+def read(host, source, name, *parts):
+    tell(host, source, reads=[wires.read_row(name, *((part, 10) for part in parts))])
 
 
 def feed(region, wire):
@@ -156,14 +151,16 @@
 
 def test_hub_is_lazy_and_each_subscriber_gets_a_cut_then_deltas():
     host, _clock = make_host()
-    source, one, two = Wire(), Wire(), Wire()
-    host.take_sends(source, ("sends", (("r1", hosts.SENT, 20, 1),)))
-    pool = next(iter(host.registry.pools.values()))
-    assert pool.hub is None
-    read(host, "r1", "a", "b")
+    one, two = wires.Wire(), wires.Wire()
+    registry = host.registry
+    registry.sync(resolved={(1, "d", "north"): ("llm", "m", 100, frozenset({"r1"}))})
+    assert registry.pools[(1, "d", "north")].hub is None  # nobody subscribed yet
+    registry.sync(resolved={})
+    source = send(host)
+    read(host, source, "r1", "a", "b")
     host.subscribe(one, region="north")
     assert one.kinds()[:2] == ["catalogue", "cut"]
-    read(host, "r2", "a")
+    read(host, source, "r2", "a")
     host.tick()
     host.subscribe(two, region="north")
     views = []
@@ -176,21 +173,25 @@
 
 def test_a_wrong_sequence_installs_nothing():
     host, _clock = make_host()
-    wire = Wire()
-    host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
+    wire = wires.Wire()
+    source = send(host)
     host.subscribe(wire, region="north")
     region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
     feed(region, wire)
-    read(host, "r1", "a")
-    read(host, "r1", "b")
+    read(host, source, "r1", "a")
+    read(host, source, "r1", "b")
     host.tick()
-    kind, name, generation, count, changed = next(message for message in wire.told if message[0] == "delta")
-    broken = changed[:-1] + ((changed[-1][0], changed[-1][1] + 1, changed[-1][2]),)
+    kind, name, generation, changed = next(message for message in wire.told if message[0] == "delta")
+    last = len(changed) - hubs.ROW.size - len(ckf.empty_image(words=1))
+    assert last > 0  # more than one bucket: the fault is in the last
+    index, serial = hubs.ROW.unpack_from(changed, last)
+    broken = changed[:last] + hubs.ROW.pack(index, serial + 1) + changed[last + hubs.ROW.size:]
     before = list(region.mirrors[name].buckets)
-    with pytest.raises(problems.FrameProblem):
-        region.take((kind, name, generation, count, broken))
-    assert region.mirrors[name].buckets == before
-    region.take((kind, name, generation, count, changed))
+    for bad in (broken, changed[:-1], changed + b"x"):
+        with pytest.raises(problems.FrameProblem):
+            region.take((kind, name, generation, bad))
+        assert region.mirrors[name].buckets == before
+    region.take((kind, name, generation, changed))
     assert region.mirrors[name].buckets != before
 
 
@@ -213,7 +214,7 @@
     identity = (1, "d", "north")
     registry.sync(resolved={identity: ("llm", "m", 100, frozenset({"r1"}))})
     pool = registry.pools[identity]
-    registry.join(pool=pool, link=Wire())
+    registry.join(pool=pool, link=wires.Wire())
     pool.generation += 1
     registry.flush()
     assert [gone.name for gone in seen] == ["1/d/north"] and identity not in registry.pools
@@ -222,7 +223,7 @@
 def test_an_overflowing_subscriber_is_closed_alone():
     actor = actors.Actor(cache_tokens=1000)
     hub = hubs.Hub(identity="p", generation=1, actor=actor)
-    slow, quick = Wire(), Wire()
+    slow, quick = wires.Wire(), wires.Wire()
     hub.join(slow)
     hub.join(quick)
     slow.queue = hubs.QUEUE_LIMIT_BYTES + 1
@@ -243,15 +244,15 @@
     old, _clock = make_host(epoch=1)
     new, _clock = make_host(epoch=2)
     for host in (old, new):
-        host.take_sends(Wire(), ("sends", (("r1", hosts.SENT, 20, 1),)))
+        send(host)
     assert next(iter(new.registry.pools.values())).generation > next(iter(old.registry.pools.values())).generation
 
 
 def test_a_broken_mirror_decides_for_a_time_then_counts_as_unknown():
     host, clock = make_host()
-    wire = Wire()
-    host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
-    read(host, "r1", "a")
+    wire = wires.Wire()
+    source = send(host)
+    read(host, source, "r1", "a")
     host.subscribe(wire, region="north")
     region = mirrors.Region(now=lambda: clock[0], trust_s=5.0)
     feed(region, wire)
@@ -264,12 +265,12 @@
 
 def test_a_gone_replica_owns_nothing_and_its_lane_is_cleared_before_it_is_told_again():
     host, _clock = make_host()
-    wire = Wire()
-    host.take_sends(wire, ("sends", (("r1", hosts.SENT, 20, 1),)))
-    read(host, "r1", "a")
+    wire = wires.Wire()
+    source = send(host)
+    read(host, source, "r1", "a")
     host.subscribe(wire, region="north")
     host.sync(services=SERVICES, replicas=[replica("r2"), replica("r9")])
-    host.take_sends(wire, ("sends", (("r2", hosts.SENT, 20, 2),)))
+    tell(host, source, wires.load_row("r2", running=1, tokens=20))
     region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
     feed(region, wire)
     host.tick()
@@ -277,16 +278,148 @@
     assert region.kept(service="llm", model="m", chain=rows("a"), replicas=("r1", "r2", "r9")) == {"r2": 0, "r9": 0}
 
 
-def test_busyness_leaves_out_the_subscribers_own_and_ends_with_its_link():
+def last_load(wire):
+    """What a subscriber holds after all load frames that it was told."""
+    region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
+    feed(region, wire)
+    return region.load
+
+
+def test_sums_of_digests_add_up_and_end_with_their_link():
     host, _clock = make_host()
-    one, two = Wire(), Wire()
-    host.subscribe(one, region="north")
-    host.subscribe(two, region="north")
-    host.take_sends(one, ("sends", (("r1", hosts.SENT, 20, 1), ("r1", hosts.SENT, 30, 2))))
-    host.take_sends(one, ("sends", (("r1", hosts.READ, 0, 1),)))
+    one, two, reader = wires.Wire(), wires.Wire(), wires.Wire()
+    host.subscribe(reader, region="north")
+    tell(host, one, wires.load_row("r1", running=2, tokens=50))
+    tell(host, two, wires.load_row("r1", running=1, tokens=10, marks=1), wires.load_row("r2", running=4))
     host.tick()
-    assert [message[2] for message in two.told if message[0] == "busyness"][-1] == (("r1", 2, 30, False),)
-    assert [message[2] for message in one.told if message[0] == "busyness"][-1] == (("r1", 0, 0, False),)
+    tell(host, one, wires.load_row("r1", running=2, tokens=30))
+    host.tick()
+    told = [message for message in reader.told if message[0] == "load"]
+    assert [len(wires.loads_of(message)) for message in told] == [0, 2, 1]  # only what changed
+    key = records.key_of
+    assert last_load(reader) == {key("r1"): (3, 40, 1, 0), key("r2"): (4, 0, 0, 0)}
+    assert one.told[-2] == ("counted", 2)
+    host.end(two)
+    host.tick()
+    last = [message for message in reader.told if message[0] == "load"][-1]
+    assert wires.loads_of(last) == {key("r1"): (2, 30, 0, 0), key("r2"): (0, 0, 0, 0)}
     host.end(one)
+    assert host.totals == {}
+
+
+def test_a_pool_of_several_hundred_replicas_with_old_and_new_lives_keeps_all_in_choice():
+    clock = [0.0]
+    host = hosts.Host(region="north", epoch=1, now=lambda: clock[0], suspect_s=1.0)
+    old = [replica(f"old{number}") for number in range(300)]
+    host.sync(services=SERVICES, replicas=old)
+    source = send(host, "old0")
+    reader = wires.Wire()
+    host.subscribe(reader, region="north")
+    region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
+    for row in old:
+        read(host, source, row["id"], "shared")
+    first = next(iter(host.registry.pools.values())).generation
+    new = [replica(f"new{number}") for number in range(300)]
+    host.sync(services=SERVICES, replicas=old + new)  # a roll-out: both lives stand side by side
+    tell(host, source, wires.load_row("new0", running=1))
+    for row in new:
+        read(host, source, row["id"], "shared")
+    host.tick()
+    feed(region, reader)
+    names = [row["id"] for row in old + new]
+    assert region.kept(service="llm", model="m", chain=rows("shared"), replicas=names) == dict.fromkeys(names, 10)
+    pool = next(iter(host.registry.pools.values()))
+    assert pool.generation > first and len(pool.actor.lanes) == 600 and pool.actor.omitted == 0
+    host.sync(services=SERVICES, replicas=new)
+    host.tick()
+    feed(region, reader)
+    assert region.kept(service="llm", model="m", chain=rows("shared"), replicas=names) == dict.fromkeys(names[300:], 10)
+
+
+def test_a_filter_without_room_grows_under_a_new_generation_and_withdraws_the_old_one_first():
+    services = {"llm": {"models": ("m",), "cache_tokens": 10 ** 7}}
+    host = hosts.Host(region="north", epoch=1, now=lambda: 0.0, suspect_s=1.0)
+    host.sync(services=services, replicas=[replica("r1")])
+    source = send(host)
+    reader = wires.Wire()
+    host.subscribe(reader, region="north")
+    region = mirrors.Region(now=lambda: 0.0, trust_s=5.0)
+    feed(region, reader)
+    names = [f"p{number}" for number in range(6000)]
+    for start in range(0, len(names), 100):
+        tell(host, source, reads=[wires.read_row("r1", (name, 10)) for name in names[start:start + 100]])
+        host.tick()
+    kinds = [message[0] for message in reader.told if message[0] in ("withdrawn", "catalogue", "cut")]
+    assert kinds[:3] == ["withdrawn", "catalogue", "cut"]
+    feed(region, reader)
+    kept = [name for name in names
+            if region.kept(service="llm", model="m", chain=rows(name), replicas=("r1",)) == {"r1": 10}]
+    assert len(kept) == len(names)
+
+
+def test_a_digest_of_an_older_epoch_is_closed_and_its_part_is_withdrawn():
+    host, _clock = make_host()
+    old, new, late = wires.Wire(), wires.Wire(), wires.Wire()
+    host.subscribe(old, region="north", zone="za", zone_epoch=3)
+    tell(host, old, wires.load_row("r1", running=2))
+    host.subscribe(new, region="north", zone="za", zone_epoch=4)
+    assert not old.is_open and new.is_open
+    host.end(old)
+    tell(host, new, wires.load_row("r1", running=5))
+    host.subscribe(late, region="north", zone="za", zone_epoch=3)
+    assert not late.is_open and late not in host.subscribers
+    assert host.totals[records.key_of("r1")] == [5, 0, 0]
+
+
+@pytest.mark.parametrize("data", [b"x", b"x" * 22, wires.load_row("r1", running=1)[:-1]])
+def test_malformed_sums_change_nothing(data):
+    host, _clock = make_host()
+    wire = wires.Wire()
+    tell(host, wire, wires.load_row("r1", running=2, tokens=7))
+    before = {key: list(total) for key, total in host.totals.items()}
+    for loads, reads in ((data, b""), (wires.load_row("r1", running=9), data), (wires.load_row("r1", running=9), wires.read_row("r1", ("a", 1))[:-1])):
+        with pytest.raises(problems.FrameProblem):
+            host.take_sums(wire, ("sums", 2, loads, reads))
+        assert host.totals == before and host.subscribers[wire].counted == 1
+    with pytest.raises(problems.FrameProblem):
+        host.take_sums(wire, wires.sums(1, loads=[wires.load_row("r1", running=9)]))  # told twice
+    assert host.totals == before
+
+
+def test_outcomes_over_all_callers_mark_a_replica_for_a_time_that_grows():
+    host, clock = make_host()
+    reader, one, two = wires.Wire(), wires.Wire(), wires.Wire()
+    host.subscribe(reader, region="north")
+    away = []
+    for _round in range(3):
+        for _step in range(3):  # each caller alone sees too little
+            tell(host, one, wires.load_row("r1", ended=2, failed=1), wires.load_row("r2", ended=9))
+            tell(host, two, wires.load_row("r1", ended=2, failed=1))
+        host.tick()
+        load = last_load(reader)
+        assert load[records.key_of("r1")][3] == 1 and records.key_of("r2") not in load
+        began = clock[0]
+        while True:
+            clock[0] += 0.1
+            host.tick()
+            last = [message for message in reader.told if message[0] == "load"]
+            if last and wires.loads_of(last[-1]).get(records.key_of("r1")) == (0, 0, 0, 0):
+                break
+            assert clock[0] - began < 60
+        away.append(clock[0] - began)
+        reader.told.clear()
+        host.end(reader)
+        host.subscribe(reader, region="north")
+    assert away[0] < away[1] < away[2]
+
+
+def test_a_few_failures_or_a_small_share_of_them_mark_nobody():
+    host, clock = make_host()
+    one = wires.Wire()
+    tell(host, one, wires.load_row("r1", ended=3, failed=3), wires.load_row("r2", ended=60, failed=6))
+    host.tick()
+    assert not host._judge.failing
+    clock[0] += 10.0  # what is past the window says nothing
+    tell(host, one, wires.load_row("r1", ended=2, failed=2))
     host.tick()
-    assert [message[2] for message in two.told if message[0] == "busyness"][-1] == ()
+    assert not host._judge.failing
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -1,12 +1,14 @@
 """The replicas as this proxy sees them: one owner of the table (design 5, 7, 8)."""
 import collections
 
+from pw.base import records
 from pw.dat import outlet as outlets
 
 
 class Replica:
     def __init__(self, *, row: dict, endpoint: tuple, region: str, now: float):
         self.id = row["id"]
+        self.key = records.key_of(row["id"])
         self.service = row["service"]
         self.endpoint = endpoint
         self.zone = row["zone"]
@@ -27,6 +29,7 @@
         self.to_read = {}  # go number: tokens still to be read
         self.sends = collections.deque()
         self.on_unproved = None
+        self._failures = collections.deque()  # when attempts of ours at it failed although it was up
 
     def forget(self, outlet) -> None:
         self.outlets.discard(outlet)
@@ -41,6 +44,17 @@
         for outlet in list(self.idle):
             outlet.close()
 
+    def note_failure(self, *, now: float, span: float) -> None:
+        """A fault may be seen by some callers only: what this one saw stays with it."""
+        self._failures.append(now + span)
+        if len(self._failures) > 8:
+            self._failures.popleft()
+
+    def failed_lately(self, *, now: float) -> int:
+        while self._failures and self._failures[0] <= now:
+            self._failures.popleft()
+        return len(self._failures)
+
     def sent_within(self, *, span: float, now: float) -> int:
         while self.sends and now - self.sends[0] > span:
             self.sends.popleft()
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -11,6 +11,7 @@
 from pw.dat.relay import host as hosts
 from pw.sim import entry
 from pw.sim import loopback
+from pw.sim import wires
 
 ZONES = {"za": "north", "zb": "south", "zc": "west"}
 
@@ -19,17 +20,6 @@
     return re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)
 
 
-class Wire:
-    def __init__(self):
-        self.told = []
-
-    def send(self, message):
-        self.told.append(message)
-
-    def queued(self):
-        return 0
-
-
 class Relay:
     """The relay of the south as both proxies mirror it, with its failover: a new epoch, new generations."""
 
@@ -41,7 +31,7 @@
             region = mirror.Region(now=scene.loop.now, trust_s=4.0)
             scene.chooser._regions = {"south": region}
             scene.tell_read = self.read
-            self.views.append((Wire(), region))
+            self.views.append((wires.Wire(), region))
         self.fail_over()
 
     def fail_over(self):
@@ -53,13 +43,17 @@
         self.host.sync(
             services={"llm": {"models": ("m",), "cache_tokens": 1000}},
             replicas=[{"id": row["id"], "service": "llm", "region": ZONES[row["zone"]], "models": ["m"]} for row in self.scenes[0].rows])
-        self.host.take_sends("proxy", ("sends", (("i2", hosts.SENT, 10, 1), ("i2", hosts.DONE, 0, 1))))
+        self.digest = wires.Wire()
+        self.number = 1
+        self.host.subscribe(self.digest, region="south")
+        self.host.take_sums(self.digest, wires.sums(1, loads=[wires.load_row("i2", ended=1)]))
         for wire, _region in self.views:
             self.host.subscribe(wire, region="south")
 
     def read(self, *, replica, service, model, parts):
-        self.host.take_reads(("reads", (
-            (replica.id, service, model, tuple((part.encode(), tokens) for part, tokens in parts)),)))
+        self.number += 1
+        self.host.take_sums(
+            self.digest, wires.sums(self.number, reads=[wires.read_row(replica.id, *parts, service=service, model=model)]))
 
     def tell(self):
         self.host.tick()
