--- /dev/null
+++ b/pw/dat/digest/test_digest.py
@@ -0,0 +1,372 @@
+"""Digests: histories of reports, sums and credits, with loss, delay, restarts, two holders; then an independent count."""
+import random
+
+import pytest
+
+from pw.base import problems
+from pw.base import records
+from pw.base import wire
+from pw.dat import mirror as mirrors
+from pw.dat.digest import source as sources
+from pw.dat.digest import sums as digests
+from pw.dat.relay import host as hosts
+from pw.sim import wires
+from pw.sim import world as worlds
+
+REGIONS = ("north", "south")
+
+
+class Replica:
+    def __init__(self, name, region):
+        self.id = name
+        self.key = records.key_of(name)
+        self.region = region
+        self.running = 0
+        self.to_read = {}
+
+
+class Lane:
+    """One way of a link: in order, delayed, gone when the link ends."""
+
+    def __init__(self, *, world, act):
+        self.world = world
+        self.act = act
+        self.is_open = True
+        self.last = 0.0
+
+    def send(self, *message):
+        self.last = max(self.last + 1e-6, self.world.time + self.world.chance.uniform(0.001, 0.2))
+        self.world.later(self.last - self.world.time, lambda: self.act(*message) if self.is_open else None)
+
+
+class RelayLink:
+    """A relay's end of a digest's link."""
+
+    def __init__(self, *, holder, region):
+        self.holder = holder
+        self.region = region
+        self.is_open = True
+        self.up = Lane(world=holder.scene.world, act=self._take)
+        self.down = Lane(world=holder.scene.world, act=lambda data: holder.heard(self, wire.unpack(data)))
+        self.host = holder.scene.hosts[region]
+        self.host.subscribe(self, region=holder.region, zone="z", zone_epoch=holder.epoch)
+
+    def _take(self, message):
+        self.host.take_sums(self, message)
+
+    def send(self, message):
+        self.send_bytes(wire.pack(message))
+
+    def send_bytes(self, data):
+        self.down.send(data)
+
+    def queued(self):
+        return 0
+
+    def close(self, *, reason=""):
+        if self.is_open:
+            self.is_open = self.up.is_open = self.down.is_open = False
+            self.host.end(self)
+            self.holder.lost(self)
+
+
+class Holder:
+    """A digest with its streams to both relays: of several members, or of one proxy alone."""
+
+    def __init__(self, *, scene, epoch):
+        self.scene = scene
+        self.epoch = epoch
+        self.region = "north"
+        self.sums = digests.Sums(regions=REGIONS)
+        self.links = {}
+        self.members = {}  # member: lane down
+        self.is_up = True
+        for region in REGIONS:
+            self.dial(region)
+
+    def dial(self, region):
+        if self.is_up:
+            link = RelayLink(holder=self, region=region)
+            if link.is_open:
+                self.links[region] = link
+                link.up.send(("sums", *self.sums.checkpoint(region=region)))
+
+    def lost(self, link):
+        if self.links.get(link.region) is link:
+            del self.links[link.region]
+            for member, down in self.members.items():
+                down.send("broke", link.region, None)
+            if self.is_up:
+                self.scene.world.later(0.3, lambda: self.dial(link.region))
+
+    def heard(self, link, message):
+        if message[0] == "counted":
+            for member, number in self.sums.counted(region=link.region, number=message[1]).items():
+                if member in self.members:
+                    self.members[member].send("credited", link.region, number)
+        elif message[0] in ("catalogue", "load"):
+            for down in self.members.values():
+                down.send("relayed", link.region, message)
+
+    def tick(self):
+        for region, link in list(self.links.items()):
+            cut = self.sums.cut(region=region)
+            if cut is not None:
+                link.up.send(("sums", *cut))
+
+    def stop(self):
+        self.is_up = False
+        for link in list(self.links.values()):
+            link.close()
+
+
+class Member:
+    """A proxy: attempts begin and end; it reports to one holder at a time and reads what comes back."""
+
+    def __init__(self, *, scene, name):
+        self.scene = scene
+        self.name = name
+        self.own = {name: Replica(name, region) for name, region in scene.places.items()}
+        self.source = sources.Source(now=scene.world.now, regions=REGIONS, suspect_s=0.5)
+        self.views = {region: mirrors.Region(now=scene.world.now, trust_s=5.0) for region in REGIONS}
+        self.holder = None
+        self.up = self.down = None
+
+    def join(self, holder):
+        if self.holder is not None:
+            self.up.is_open = self.down.is_open = False
+            self.holder.members.pop(self, None)
+            self.holder.sums.end(self)
+        self.holder = holder
+        for region in REGIONS:
+            self.views[region] = mirrors.Region(now=self.scene.world.now, trust_s=5.0)
+            self.source.lose(region=region)
+        self.up = Lane(world=self.scene.world, act=lambda report: holder.sums.take(self, *report))
+        self.down = Lane(world=self.scene.world, act=self.heard)
+        holder.members[self] = self.down
+        for region, link in holder.links.items():
+            host = link.host  # the relay's state as of now stands in for the holder's own mirror
+            self.down.send("relayed", region, ("catalogue", host.epoch, ()))
+            self.down.send("relayed", region, ("load", host.epoch, True, host._load_rows(host.totals)))
+        self.up.send(self.source.checkpoint(replicas=list(self.own.values())))
+
+    def heard(self, kind, region, about):
+        if kind == "broke":
+            self.source.lose(region=region)
+            self.views[region].fail()
+        elif kind == "credited":
+            self.source.credit(region=region, number=about)
+        else:
+            self.views[region].take(about)
+
+    def act(self, chance):
+        replica = chance.choice(list(self.own.values()))
+        if replica.running and chance.random() < 0.5:
+            replica.running -= 1
+            if replica.to_read:
+                replica.to_read.popitem()
+            kind = chance.choice((sources.DONE, sources.FAILED, sources.BROKEN))
+        else:
+            replica.running += 1
+            replica.to_read[chance.random()] = chance.randint(1, 5000)
+            kind = sources.SENT
+        self.source.note(replica=replica, kind=kind)
+
+    def tick(self):
+        report = self.source.cut()
+        if report is not None:
+            self.up.send(report)
+
+
+class Scene:
+    def __init__(self, *, seed, count=5):
+        self.world = worlds.World(seed=seed)
+        self.chance = self.world.chance
+        self.places = {f"i{number}": REGIONS[number % 2] for number in range(6)}
+        self.epochs = {region: 1 for region in REGIONS}
+        self.hosts = {}
+        for region in REGIONS:
+            self.start_host(region)
+        self.epoch = 1
+        self.holders = [Holder(scene=self, epoch=1)]
+        self.members = [Member(scene=self, name=f"p{number}") for number in range(count)]
+        for member in self.members:
+            member.join(self.holders[0])
+        self.is_acting = True
+        self.tick()
+
+    def start_host(self, region):
+        former = self.hosts.get(region)
+        self.hosts[region] = hosts.Host(region=region, epoch=self.epochs[region], now=self.world.now, suspect_s=1.0)
+        self.epochs[region] += 1
+        self.hosts[region].sync(services={}, replicas=[
+            {"id": name, "service": "llm", "region": place, "models": []} for name, place in self.places.items()])
+        if former is not None:
+            for link in list(former.subscribers):
+                link.close()
+
+    def tick(self):
+        for member in self.members:
+            if self.is_acting and self.chance.random() < 0.7:
+                member.act(self.chance)
+            member.tick()
+        for holder in self.holders:
+            holder.tick()
+        for host in self.hosts.values():
+            host.tick()
+        self.world.later(0.05, self.tick)
+
+    def trouble(self):
+        kind = self.chance.choice(("holder", "two", "relay", "stream", "member", "alone"))
+        if kind in ("holder", "two"):
+            former = [holder for holder in self.holders if holder.epoch]
+            if kind == "holder":
+                for holder in former:
+                    holder.stop()
+                    self.holders.remove(holder)
+            self.epoch += 1
+            fresh = Holder(scene=self, epoch=self.epoch)  # "two": the former one goes on until it is fenced
+            self.holders.append(fresh)
+            for member in self.members:
+                if kind == "holder" or self.chance.random() < 0.6:
+                    member.join(fresh)
+        elif kind == "relay":
+            self.start_host(self.chance.choice(REGIONS))
+        elif kind == "stream":
+            holder = self.chance.choice(self.holders)
+            for link in list(holder.links.values())[:1]:
+                link.close()
+        elif kind == "member":
+            number = self.chance.randrange(len(self.members))
+            gone = self.members[number]  # a new life: nothing of the old one runs on
+            gone.up.is_open = gone.down.is_open = False
+            gone.holder.members.pop(gone, None)
+            gone.holder.sums.end(gone)
+            self.members[number] = Member(scene=self, name=gone.name)
+            self.members[number].join(self.chance.choice([holder for holder in self.holders if holder.is_up]))
+        else:
+            own = Holder(scene=self, epoch=0)
+            self.holders.append(own)
+            self.chance.choice(self.members).join(own)
+
+    def settle(self):
+        """All members at the newest holder or alone; older holders are fenced; then nothing happens for a while."""
+        newest = max(holder.epoch for holder in self.holders)
+        for member in self.members:
+            if 0 < member.holder.epoch < newest or not member.holder.is_up:
+                member.join(next(holder for holder in self.holders if holder.epoch == newest))
+        for holder in list(self.holders):
+            if 0 < holder.epoch < newest:
+                holder.stop()
+                self.holders.remove(holder)
+        self.is_acting = False
+        self.world.run(until=self.world.time + 5.0)
+
+
+def count(scene):
+    """What runs, counted from the proxies' own attempts: {replica: (running, tokens)}."""
+    return {
+        name: (sum(member.own[name].running for member in scene.members),
+               sum(sum(member.own[name].to_read.values()) for member in scene.members))
+        for name in scene.places}
+
+
+def check_converged(scene):
+    """The sums at the relays, and what each proxy makes of them, are what runs."""
+    truth = count(scene)
+    for name, region in scene.places.items():
+        key = records.key_of(name)
+        assert tuple(scene.hosts[region].totals.get(key, (0, 0, 0))[:2]) == truth[name], name
+        for member in scene.members:
+            total = member.views[region].load.get(key, (0, 0, 0, 0))
+            held = member.source.counted(member.own[name])
+            own = (member.own[name].running, sum(member.own[name].to_read.values()))
+            assert held[:2] == own
+            assert (total[0] - held[0] + own[0], total[1] - held[1] + own[1]) == truth[name]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_sums_converge_to_what_runs_whatever_went_before(seed):
+    scene = Scene(seed=seed)
+    for _ in range(12):
+        scene.world.run(until=scene.world.time + scene.chance.uniform(0.2, 2.0))
+        scene.trouble()
+    scene.settle()
+    assert any(running for running, _tokens in count(scene).values())
+    check_converged(scene)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_the_shown_load_is_off_by_no_more_than_what_is_under_way(seed):
+    """Invariant (docs/digest.md 3): without trouble, what a proxy takes for others' load was their load a moment ago."""
+    scene = Scene(seed=seed)
+    history = []
+    for _ in range(100):
+        scene.world.run(until=scene.world.time + 0.05)
+        history.append([{name: member.own[name].running for name in scene.places} for member in scene.members])
+        if len(history) < 40:
+            continue
+        for index, member in enumerate(scene.members):
+            for name, region in scene.places.items():
+                total = member.views[region].load.get(records.key_of(name), (0, 0, 0, 0))
+                shown = total[0] - member.source.counted(member.own[name])[0]
+                lately = history[-20:]
+                least = sum(min(row[other][name] for row in lately) for other in range(5) if other != index)
+                most = sum(max(row[other][name] for row in lately) for other in range(5) if other != index)
+                # Our own part may be a report newer or older than the credit that names it.
+                slack = max(row[index][name] for row in lately) - min(row[index][name] for row in lately)
+                assert least - slack <= shown <= most + slack
+
+
+def test_the_checker_sees_a_report_that_counts_twice():
+    scene = Scene(seed=1)
+    scene.world.run(until=2.0)
+    scene.settle()
+    check_converged(scene)
+    holder = scene.holders[0]
+    holder.sums.take("stranger", 1, wires.load_row("i0", running=1), b"")
+    scene.world.run(until=scene.world.time + 2.0)
+    with pytest.raises(AssertionError):
+        check_converged(scene)
+
+
+def test_reports_that_are_malformed_or_come_twice_change_nothing():
+    held = digests.Sums(regions=REGIONS)
+    held.take("p1", 1, wires.load_row("i0", running=2, tokens=9), b"")
+    key = records.key_of("i0")
+    for number, loads, reads in ((2, b"xx", b""), (2, wires.load_row("i0", running=7), b"\x01"), (1, wires.load_row("i0", running=7), b"")):
+        with pytest.raises(problems.FrameProblem):
+            held.take("p1", number, loads, reads)
+        assert held.total(region="north", key=key) == (2, 9, 0)
+    held.take("p1", 2, wires.load_row("i0", running=3, region=99), b"")  # a region that nobody knows
+    held.take("p1", 3, wires.load_row("i0", running=1), b"")
+    assert held.total(region="north", key=key) == (1, 0, 0)
+
+
+def test_the_same_chain_read_at_the_same_replica_goes_on_once():
+    held = digests.Sums(regions=REGIONS)
+    read = wires.read_row("i0", ("doc", 100))
+    held.take("p1", 1, b"", read + wires.read_row("i0", ("doc", 100), ("own", 5)))
+    held.take("p2", 1, b"", read)
+    _number, loads, reads = held.cut(region="north")
+    assert loads == b"" and len(records.split_reads(data=reads)) == 2
+    assert held.cut(region="north") is None
+
+
+def test_a_digest_sends_a_row_for_each_changed_replica_and_not_for_each_request():
+    held = digests.Sums(regions=REGIONS)
+    for member in range(20):
+        held.take(member, 1, b"".join(wires.load_row(f"i{number}", running=member + 1) for number in range(3)), b"")
+    _number, loads, _reads = held.cut(region="north")
+    assert len(records.rows(shape=records.REPORTED, data=loads)) == 3
+    assert held.counted(region="north", number=10) == {member: 1 for member in range(20)}
+
+
+def test_without_a_relay_reads_and_outcomes_are_dropped_and_loads_stay():
+    held = digests.Sums(regions=REGIONS)
+    for number in range(1, 50):
+        held.take("p1", number, wires.load_row("i0", running=number, ended=1), wires.read_row("i0", (f"p{number}", 5)))
+        held.discard(region="north")
+    _number, loads, reads = held.checkpoint(region="north")
+    (row,) = records.rows(shape=records.REPORTED, data=loads)
+    assert row[2] == 49 and row[5:] == (0, 0) and reads == b""
