--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -388,6 +388,16 @@
         if self.relay is not None:
             self.relay.end(link)
 
+    def _beat_inner(self) -> None:
+        dialers = [dialer for _known, dialer in self.relay_dialers.values()]
+        if self.digest_dialer is not None:
+            dialers.append(self.digest_dialer[1])
+        for dialer in dialers:
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(("beat", 0))
+        for link in [*self._members, *(self.relay.subscribers if self.relay is not None else ())]:
+            link.send(("beat", 0))
+
     def _keep_relay(self, epoch: int, holder: str, life: str) -> None:
         is_mine = holder == self.settings.ip and life == self.life
         if self.relay is not None and (not is_mine or self.relay.epoch != epoch):
@@ -544,14 +554,7 @@
 
     def _beat(self) -> None:
         self._tell_core(("beat", 0))
-        dialers = [dialer for _known, dialer in self.relay_dialers.values()]
-        if self.digest_dialer is not None:
-            dialers.append(self.digest_dialer[1])
-        for dialer in dialers:
-            if dialer.link is not None and dialer.link.is_up:
-                dialer.link.send(("beat", 0))
-        for link in [*self._members, *(self.relay.subscribers if self.relay is not None else ())]:
-            link.send(("beat", 0))
+        self._beat_inner()
         self.table.sweep()
         self.table.try_suspects()
         self.beats += 1
--- /dev/null
+++ b/pw/dat/test_zone.py
@@ -0,0 +1,324 @@
+"""The zone's digest and the relay among several proxies on real sockets: duties change, holders end, freeze or are cut off;
+what each proxy takes for the load is compared with what runs."""
+import dataclasses
+import random
+import socket
+
+import pytest
+
+from pw.base import wire
+from pw.ctl import duties
+from pw.dat import choice
+from pw.dat import proxy
+from pw.dat import quota as quotas
+from pw.dat import replicas
+from pw.dat.digest import source as sources
+from pw.sim import entry
+from pw.sim import loopback
+
+ROWS = [
+    {"id": f"i{number}", "service": "llm", "address": "127.0.0.1:9", "zone": zone, "berths": 8, "is_clearing": False,
+     "cold_ms": 0, "left_ms": None, "models": ["m"]}
+    for number, zone in enumerate(("za", "za", "zb"))
+]
+
+
+class Follower:
+    def tick(self):
+        pass
+
+
+class Node(proxy.RelayMixin):
+    """A proxy without its traffic and without the core: duties are handed to it."""
+
+    def __init__(self, *, loop, ip, zone, ports, life):
+        region = {"za": "north", "zb": "south"}[zone]
+        self.settings = dataclasses.replace(entry.settings(), ip=ip, zone=zone, region=region, inner_ports=ports)
+        self.loop = Pausable(loop=loop)
+        self.contact_s = 1.0
+        self.silence_s = 0.25
+        self.life = life
+        self.duties = {}
+        self.passages = set()
+        self.follower = Follower()
+        self.quota = quotas.Quota(now=loop.now, settings=self.settings)
+        self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
+        self.table.services = {"llm": {"cache_tokens": 1000, "models": ("m",)}}
+        self.table.install_list(ROWS)
+        self.start_relay()
+        self.chooser = choice.Chooser(
+            table=self.table, settings=self.settings, regions=self.regions, quota=self.quota, now=loop.now,
+            counted=self.source.counted)
+        self._relay_tick()
+        self.loop.every(gap=self.silence_s / 3, act=self._beat_inner)
+
+    def begin(self, name):
+        replica = self.table.replicas[name]
+        replica.running += 1
+        self.passages.add(Passage(replica))
+        self.tell_send(replica=replica, kind=sources.SENT)
+
+    def end(self, name):
+        replica = self.table.replicas[name]
+        replica.running -= 1
+        self.passages.discard(next(one for one in self.passages if one.go.replica is replica))
+        self.tell_send(replica=replica, kind=sources.DONE)
+
+    def sees(self, name):
+        return self.chooser.load(self.table.replicas[name])[0]
+
+
+class Passage:
+    def __init__(self, replica):
+        self.go = self
+        self.replica = replica
+
+
+class Pausable:
+    """One node's view of the loop that all nodes of a test share: it can freeze, or end."""
+
+    def __init__(self, *, loop):
+        self._loop = loop
+        self.is_frozen = False
+        self._held = []
+
+    def _guard(self, act):
+        def run(*args):
+            if self.is_frozen:
+                self._held.append((act, args))
+            else:
+                act(*args)
+        return run
+
+    def thaw(self):
+        self.is_frozen = False
+        held, self._held = self._held, []
+        for act, args in held[-200:]:
+            act(*args)
+
+    def now(self):
+        return self._loop.now()
+
+    def after(self, *, delay, act):
+        return self._loop.after(delay=delay, act=self._guard(act))
+
+    def at(self, *, when, act):
+        return self._loop.at(when=when, act=self._guard(act))
+
+    def every(self, *, gap, act):
+        self._loop.every(gap=gap, act=lambda: None if self.is_frozen else act())
+
+    def cancel(self, *, timer):
+        self._loop.cancel(timer=timer)
+
+    def watch(self, *, sock, mask, act):
+        self._loop.watch(sock=sock, mask=mask, act=lambda ready: None if self.is_frozen else act(ready))
+
+    def rewatch(self, *, sock, mask, act):
+        self._loop.rewatch(sock=sock, mask=mask, act=lambda ready: None if self.is_frozen else act(ready))
+
+    def unwatch(self, *, sock):
+        self._loop.unwatch(sock=sock)
+
+    def command(self, *, act):
+        self._loop.command(act=act)
+
+
+class Zones:
+    """Five proxies of one zone, one of another; duties as the watch would name them."""
+
+    def __init__(self):
+        self.loop = loopback.new_loop()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        ports = (port, port + 2)
+        self.places = {f"127.0.4.{number}": "za" for number in range(1, 6)} | {"127.0.4.9": "zb"}
+        self.nodes = {
+            ip: Node(loop=self.loop, ip=ip, zone=zone, ports=ports, life=f"l{ip}") for ip, zone in self.places.items()}
+        self.duties = {}
+        self.live = set(self.nodes)
+        self.name_duties()
+
+    def name_duties(self):
+        listed = [(ip, node.life, node.settings.zone, node.settings.region) for ip, node in self.nodes.items() if ip in self.live]
+        rows = duties.named(proxies=listed, duty=lambda name: tuple(self.duties.get(name, (0, "", ""))))
+        for name, (seen, holder, life) in rows.items():
+            self.duties[name] = (seen + 1, holder, life)
+        for ip in self.live:
+            self.tell(ip)
+
+    def tell(self, ip):
+        self.nodes[ip].duties = dict(self.duties)
+        self.nodes[ip]._follow_duties()
+
+    def truth(self, name):
+        return sum(self.nodes[ip].table.replicas[name].running for ip in self.live)
+
+    def agree(self):
+        return all(self.nodes[ip].sees(row["id"]) == self.truth(row["id"]) for ip in self.live for row in ROWS)
+
+    def settle(self):
+        assert loopback.until(self.loop, self.agree), {
+            ip: [(self.nodes[ip].sees(row["id"]), self.truth(row["id"])) for row in ROWS] for ip in self.live}
+
+    def stop(self, ip):
+        node = self.nodes[ip]
+        self.live.discard(ip)
+        node._stop_relays()
+        if node.digest_dialer is not None:
+            node.digest_dialer[1].stop()
+        for link in [*node._members, *(node.relay.subscribers if node.relay is not None else ())]:
+            link.close()
+        node.loop.unwatch(sock=node.port._sock)
+        node.port._sock.close()
+        node.loop.is_frozen = True
+
+    def digest(self):
+        return self.duties["digest/za"][1]
+
+    def work(self, *, seed):
+        chance = random.Random(seed)
+        for ip in self.live:
+            for _ in range(4):
+                self.nodes[ip].begin(chance.choice(ROWS)["id"])
+
+
+def test_members_report_to_the_digest_and_all_see_what_runs():
+    zones = Zones()
+    zones.work(seed=1)
+    zones.settle()
+    holder = zones.nodes[zones.digest()]
+    assert loopback.until(zones.loop, lambda: len(holder._members) == 4)
+    for ip, node in zones.nodes.items():
+        if node.settings.zone == "za" and node is not holder:
+            assert node.is_enrolled and not node.relay_dialers
+    assert len(zones.nodes[zones.duties["relay/north"][1]].relay.subscribers) == 2  # one for each zone
+    zones.nodes["127.0.4.1"].end(next(name for name in ("i0", "i1", "i2") if zones.nodes["127.0.4.1"].table.replicas[name].running))
+    zones.settle()
+
+
+def test_a_digest_that_ends_leaves_its_members_on_their_own_and_the_next_one_takes_them():
+    zones = Zones()
+    zones.work(seed=2)
+    zones.settle()
+    former = zones.digest()
+    zones.stop(former)
+    zones.settle()  # before anybody named another one: each is its own digest
+    assert all(node.relay_dialers for ip, node in zones.nodes.items() if ip in zones.live)
+    zones.name_duties()
+    assert zones.digest() != former
+    zones.work(seed=3)
+    zones.settle()
+    assert loopback.until(zones.loop, lambda: len(zones.nodes[zones.digest()]._members) == 3)
+    zones.settle()
+
+
+def test_a_frozen_digest_stops_nobody_and_is_told_nothing_twice_when_it_thaws():
+    zones = Zones()
+    zones.work(seed=4)
+    zones.settle()
+    former = zones.nodes[zones.digest()]
+    former.loop.is_frozen = True
+    zones.live.discard(former.settings.ip)
+    zones.settle()
+    zones.name_duties()
+    zones.work(seed=5)
+    zones.settle()
+    former.loop.thaw()
+    relay = zones.nodes[zones.duties["relay/north"][1]].relay
+    epochs = []
+
+    def refused():
+        epochs.extend(known.zone_epoch for known in relay.subscribers.values() if known.zone == "za")
+        return any(link is None or not link.is_open for link in [dialer.link for _known, dialer in former.relay_dialers.values()])
+    assert loopback.until(zones.loop, refused)
+    zones.settle()  # it still takes itself for the holder; the relays refuse it under its old epoch
+    assert 1 not in epochs
+    zones.live.add(former.settings.ip)
+    zones.tell(former.settings.ip)
+    zones.settle()
+    assert former.digest_epoch == 0 and loopback.until(zones.loop, lambda: former.is_enrolled)
+    zones.settle()
+
+
+def test_relay_and_digest_lost_together():
+    zones = Zones()
+    zones.work(seed=6)
+    zones.settle()
+    for ip in {zones.digest(), zones.duties["relay/north"][1]}:
+        zones.stop(ip)
+    zones.name_duties()
+    zones.work(seed=7)
+    zones.settle()
+
+
+def test_a_whole_zone_is_lost_and_its_load_with_it():
+    zones = Zones()
+    zones.work(seed=8)
+    zones.settle()
+    for ip in [ip for ip in zones.live if zones.places[ip] == "za"]:
+        zones.stop(ip)
+    zones.name_duties()
+    zones.settle()
+    assert [ip for ip in zones.live] == ["127.0.4.9"]
+
+
+def test_a_member_that_sends_nonsense_is_closed_and_changes_nothing():
+    zones = Zones()
+    zones.work(seed=9)
+    zones.settle()
+    holder = zones.nodes[zones.digest()]
+    member = next(node for node in zones.nodes.values() if node.is_enrolled)
+    link = member.digest_dialer[1].link
+    link.send_bytes(wire.pack(("report", 10 ** 6, b"nonsense", b"")))
+    assert loopback.until(zones.loop, lambda: not link.is_open)
+    zones.settle()  # and it comes back with its whole state
+    assert loopback.until(zones.loop, lambda: len(holder._members) == 4)
+    zones.settle()
+
+
+def test_a_slow_member_loses_its_own_stream_only():
+    zones = Zones()
+    zones.work(seed=10)
+    zones.settle()
+    holder = zones.nodes[zones.digest()]
+    slow, *others = holder._members
+    slow.queued = lambda: 10 ** 9
+    zones.work(seed=11)
+    assert loopback.until(zones.loop, lambda: not slow.is_open)
+    assert all(link.is_open for link in others)
+    zones.settle()
+
+
+def test_a_region_read_anew_reaches_the_members_with_cut_and_sequence():
+    zones = Zones()
+    zones.work(seed=12)
+    zones.settle()
+    node = zones.nodes["127.0.4.9"]
+    chain = (("doc", 100), ("own", 10))
+    node.tell_read(replica=node.table.replicas["i0"], service="llm", model="m", parts=chain)
+
+    def kept(one):
+        from pw.dat.relay import ckf
+        return one.regions["north"].kept(
+            service="llm", model="m", chain=ckf.chain(model="m", parts=chain), replicas=("i0", "i1"))
+
+    assert loopback.until(zones.loop, lambda: all(kept(one) == {"i0": 110, "i1": 0} for one in zones.nodes.values()))
+    late = max(ip for ip in zones.live if zones.places[ip] == "za" and ip != zones.digest())
+    zones.nodes[late].digest_dialer[1].link.close(reason="test")  # it comes back and is given a cut of its own
+    assert loopback.until(zones.loop, lambda: zones.nodes[late].is_enrolled and kept(zones.nodes[late]) == {"i0": 110, "i1": 0})
+
+
+@pytest.mark.parametrize("count, is_there", [(1, False), (3, False), (4, True), (30, True)])
+def test_a_zone_of_few_proxies_has_no_digest(count, is_there):
+    listed = [(f"10.0.0.{number}", "l", "za", "north") for number in range(count)]
+    rows = duties.named(proxies=listed, duty=lambda name: (0, "", ""))
+    assert ("digest/za" in rows) == is_there and "relay/north" in rows
+    if is_there:
+        assert rows["digest/za"][1] != rows["relay/north"][1]
+        held = {name: (epoch + 1, holder, life) for name, (epoch, holder, life) in rows.items()}
+        assert duties.named(proxies=listed, duty=lambda name: held.get(name, (0, "", ""))) == {}
+        left = [row for row in listed if row[0] != rows["digest/za"][1]]
+        again = duties.named(proxies=left, duty=lambda name: held.get(name, (0, "", "")))
+        assert ("digest/za" in again) == (count - 1 > duties.FEW)
