--- a/ploverward.py
+++ b/ploverward.py
@@ -15,6 +15,12 @@
 flags.DEFINE_list("core", [], "operator tools: dispatch addresses of core nodes, ADDRESS:PORT, by commas")
 flags.DEFINE_bool("json", False, "operator tools: machine-readable output")
 flags.DEFINE_bool("audit", False, "custody: check all trails that are kept")
+flags.DEFINE_integer("capacity", 0, "pins: adapters that a replica can keep pinned; 0: as many as one is seen to hold")
+flags.DEFINE_string("previous", "", "pins: a file with an earlier output of pins --json, which the suggestion changes no more than it must")
+flags.DEFINE_string("service", "", "pins: only this service")
+flags.DEFINE_string("model", "", "pins: only this model")
+flags.DEFINE_string("zone", "", "pins: only replicas of this zone")
+flags.DEFINE_string("replica", "", "pins: only this replica")
 flags.DEFINE_float("watch_s", 10.0, "drill: how long the zone stays out after evacuateMs")
 USAGE = """usage: python3 ploverward.py VERB [flags]
 
@@ -29,6 +35,7 @@
   drill ZONE         takes a zone out, watches the promises, takes it back
   evacuate ZONE      takes a zone out; restore ZONE takes it back
   nodes              the nodes in touch with each core node
+  pins               which adapters keep arriving cold, and which each replica should keep pinned
   keep FOLDER        keeps the configuration in force in a Git repository; keep FOLDER EDITION prints a kept one
 
 Exit codes: 0 well; 1 a promise or rule broken, or nothing found; 2 usage or settings;
@@ -134,6 +141,11 @@
         return _evacuate(rest[0], "POST" if verb == "evacuate" else "DELETE")
     if verb == "keep" and (len(rest) == 1 or len(rest) == 2 and rest[1].isdigit()):
         return _keep(*rest, *[""] * (2 - len(rest)))
+    if verb == "pins" and not rest:
+        from pw.ops import pins
+        return pins.run(
+            caller=_caller(), as_json=FLAGS.json, out=print, capacity=FLAGS.capacity, previous=FLAGS.previous,
+            wanted=pins.Filter(service=FLAGS.service, model=FLAGS.model, zone=FLAGS.zone, replica=FLAGS.replica))
     if verb == "nodes" and not rest:
         return _nodes()
     print(USAGE, file=sys.stderr)
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -54,6 +54,8 @@
     "credited": (43, (TEXT, NUMBER)),  # region, number of the report that its sums hold
     "relayed": (44, (TEXT, BLOB)),  # region, a frame of its relay, unchanged
     "broke": (45, (TEXT,)),  # region whose stream broke at the digest
+    # adapters, by way of the digest to a core node (docs/pins.md): node, zone, region, life, window, number, counts
+    "adapters": (46, (rows(TEXT, TEXT, TEXT, TEXT, NUMBER, NUMBER, BLOB),)),
     # digests to the relay of a region
     "subscribe": (50, (NUMBER, TEXT, TEXT, NUMBER)),  # epoch, region, zone, epoch of the zone's digest
     "sums": (56, (NUMBER, BLOB, BLOB)),  # number, loads, reads
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -20,6 +20,7 @@
 from pw.ctl import duties
 from pw.ctl import grants
 from pw.ctl import platform
+from pw.ctl.adapters import ledger as adapter_ledgers
 from pw.ctl.custody import ledger as ledgers
 from pw.ctl.news import desk as desks
 from pw.ctl.register import acceptor as acceptors
@@ -40,6 +41,7 @@
     werkzeug.routing.Rule("/ploverward/custody/<ask_id>", endpoint="trail", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/custody", endpoint="trails", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/replicas", endpoint="replicas", methods=["GET"]),
+    werkzeug.routing.Rule("/ploverward/adapters", endpoint="adapters", methods=["GET"]),
     werkzeug.routing.Rule("/ploverward/nodes", endpoint="nodes", methods=["GET"]),
 ])
 
@@ -346,6 +348,9 @@
         elif kind == "trails":
             _kind, node, life, number, is_last, rows = message
             self.ledger.take(node=node, life=life, number=number, is_last=is_last, rows=rows)
+        elif kind == "adapters":
+            for node, zone, region, life, window, number, data in message[1]:
+                self.adapters.take(node=node, zone=zone, region=region, life=life, window=window, number=number, data=data)
         elif kind == "kept":
             done = self._kept_asked.pop(message[1], None)
             if done is not None:
@@ -743,6 +748,25 @@
         })
 
 
+class AdaptersMixin:
+    """What the proxies counted of adapters, for operators (docs/pins.md)."""
+
+    def start_adapters(self) -> None:
+        self.adapters = adapter_ledgers.Ledger(now=self.loop.now, window_s=self.contact_s * 6)
+
+    def _get_adapters(self, ask, _request) -> None:
+        held = self.desk.get("list")
+        listed = json.loads(held[2])["replicas"] if held is not None else []
+        self._json(ask, 200, {
+            "node": self.settings.node, "window_s": self.contact_s * 6, "windows": self.adapters.rows(),
+            "malformed": self.adapters.malformed, "malformed_replicas": [row["id"] for row in listed if row.get("is_malformed")],
+            "zones": self.settings.zones, "replicas": [
+                {"id": row["id"], "service": row["service"], "zone": row["zone"], "region": self.settings.zones.get(row["zone"], ""),
+                 "is_clearing": row["is_clearing"], "models": row["models"], "adapters": row.get("adapters", [])} for row in listed],
+            "proxies": [{"address": peer.address, "life": peer.life, "zone": peer.zone} for peer in self.proxies(is_listed=False)],
+        })
+
+
 class CustodyMixin:
     """Custody trails, for operators (design 10, docs/residency.md)."""
 
@@ -793,7 +817,7 @@
     return path.decode("latin-1"), query
 
 
-class Core(VotingMixin, MembersMixin, DispatchMixin, DirectoryMixin, CustodyMixin):
+class Core(VotingMixin, MembersMixin, DispatchMixin, DirectoryMixin, AdaptersMixin, CustodyMixin):
     def __init__(self, *, settings):
         self.settings = settings
         self.own = settings.ip
@@ -844,6 +868,7 @@
         os.makedirs(self.settings.data_dir or "/tmp", exist_ok=True)
         self.start_members()
         self.start_custody()
+        self.start_adapters()
         self.start_voting()
         self._dial_cores()
         self.start_dispatch()
--- a/pw/ctl/platform.py
+++ b/pw/ctl/platform.py
@@ -157,9 +157,21 @@
         "cold_ms": float(entry.get("warmupLeftMs") or 0),
         "left_ms": entry.get("timeLeftMs"),
         "models": [model["name"] for model in entry.get("models") or []],
+        **_adapters(entry=entry),
     }
 
 
+def _adapters(*, entry: dict) -> dict:
+    """The adapters that a replica holds, as pairs with their model. None: it can't be told (docs/pins.md 1)."""
+    pairs = []
+    for model in entry.get("models") or []:
+        named = model.get("adapters")
+        if named is None or not isinstance(named, list) or not all(isinstance(name, str) for name in named):
+            return {"adapters": None, "is_malformed": named is not None}
+        pairs += [[str(model["name"]), name] for name in named]
+    return {"adapters": pairs} if pairs else {}
+
+
 class Roll:
     """Whether a list differs from the one told last, in what matters."""
 
@@ -171,7 +183,8 @@
         for row in rows:
             cold_until = at + row["cold_ms"] / 1000.0 if row["cold_ms"] > 0 else 0.0
             seen[row["id"]] = (
-                (row["service"], row["address"], row["zone"], row["berths"], row["is_clearing"], row["left_ms"] is None),
+                (row["service"], row["address"], row["zone"], row["berths"], row["is_clearing"], row["left_ms"] is None,
+                 json.dumps(row.get("adapters", ()))),
                 cold_until,
             )
         is_new = seen.keys() != self._told.keys() or any(
--- /dev/null
+++ b/pw/dat/adapters/test_counts.py
@@ -0,0 +1,134 @@
+"""Counting of cold arrivals on a proxy: what is warm, cold, unknown; what is a load and what a wait."""
+import json
+
+import pytest
+
+from pw.ctl import platform
+from pw.ctl.adapters import ledger as ledgers
+from pw.dat import replicas
+from pw.dat.adapters import counts
+
+ADAPTERS = {"drafts": {"m"}, "reviews": {"m"}, "both": {"m", "n"}}
+
+
+@pytest.mark.parametrize("text, found", [
+    ("m", ("m", "", True)), ("", ("", "", True)), ("drafts", ("m", "drafts", True)),
+    ("both", ("both", "", False)), ("nobody", ("nobody", "", False)), ("m/drafts", ("m/drafts", "", False)),
+])
+def test_an_adapter_is_known_by_the_list_or_not_at_all(text, found):
+    assert counts.resolve(text=text, models=("m", "n"), adapters=ADAPTERS) == found
+
+
+def replica(name="i1", adapters=()):
+    row = {"id": name, "service": "llm", "zone": "za", "berths": 8, "models": ["m"], "is_clearing": False, "adapters": adapters}
+    return replicas.Replica(row=row, endpoint=("127.0.0.1", 1), region="north", now=0.0)
+
+
+class Scene:
+    def __init__(self):
+        self.clock = [0.0]
+        self.counter = counts.Counter(now=lambda: self.clock[0], window_s=30.0, trust_s=4.0)
+
+    def begin(self, one, adapter="drafts", target_s=0.6):
+        return self.counter.begin(replica=one, service="llm", model="m", adapter=adapter, route="r", target_s=target_s)
+
+    def rows(self):
+        found = {}
+        for _window, _number, data in self.counter.report():
+            for service, model, adapter, name, route, *numbers in json.loads(data)["rows"]:
+                found[(adapter, name)] = dict(zip(counts.FIELDS, numbers))
+        return found
+
+
+def test_two_arrivals_that_meet_one_load_are_one_load_and_two_waits():
+    scene = Scene()
+    cold = replica()
+    one, two = scene.begin(cold), scene.begin(cold)
+    scene.clock[0] = 0.9
+    scene.counter.ran(one)
+    scene.counter.ran(two)
+    scene.counter.ran(scene.begin(cold))  # loaded by now, by our own evidence
+    row = scene.rows()[("drafts", "i1")]
+    assert (row["cold"], row["waits"], row["loads"], row["warm"], row["late"]) == (2, 2, 1, 1, 2)
+    assert row["wait_ms"] == 1800 and row["most_wait_ms"] == 900
+
+
+def test_what_never_ran_is_no_load():
+    scene = Scene()
+    cold = replica()
+    scene.counter.not_run(scene.begin(cold))
+    assert scene.rows() == {}
+    arrival = scene.begin(cold)
+    scene.counter.ran(arrival)
+    scene.counter.not_run(arrival)  # its end, later: nothing more
+    assert scene.rows()[("drafts", "i1")]["loads"] == 1
+
+
+def test_warm_cold_and_unknown_are_three_counts():
+    scene = Scene()
+    scene.counter.ran(scene.begin(replica("warm", [["m", "drafts"]])))
+    scene.counter.ran(scene.begin(replica("cold", [["m", "reviews"]])))
+    scene.counter.ran(scene.begin(replica("dark", None)))
+    rows = scene.rows()
+    assert [rows[("drafts", name)][state] for name, state in (("warm", "warm"), ("cold", "cold"), ("dark", "unknown"))] == [1, 1, 1]
+    assert sum(row["loads"] for row in rows.values()) == 1
+
+
+def test_a_new_life_starts_with_nothing_and_our_own_evidence_ends():
+    scene = Scene()
+    first = replica("i1")
+    scene.counter.ran(scene.begin(first))
+    assert scene.counter.state(replica=first, model="m", adapter="drafts") == counts.WARM
+    assert scene.counter.state(replica=replica("i2"), model="m", adapter="drafts") == counts.COLD
+    scene.clock[0] = 4.1  # by now the list would say so
+    assert scene.counter.state(replica=first, model="m", adapter="drafts") == counts.COLD
+
+
+def test_counts_are_bounded_and_what_finds_no_row_is_still_counted(monkeypatch):
+    monkeypatch.setattr(counts, "MOST_ROWS", 3)
+    scene = Scene()
+    for number in range(5):
+        scene.counter.ran(scene.begin(replica(f"i{number}")))
+    (_window, _number, data), = scene.counter.report()
+    body = json.loads(data)
+    assert len(body["rows"]) == 3 and body["over"] == 2
+
+
+def test_windows_are_told_whole_and_a_finished_one_again():
+    scene = Scene()
+    ledger = ledgers.Ledger(now=lambda: scene.clock[0], window_s=30.0)
+
+    def tell():
+        for window, number, data in scene.counter.report():
+            ledger.take(node="p", zone="za", region="north", life="l", window=window, number=number, data=data)
+
+    total = 0
+    for step in range(40):
+        scene.clock[0] = step * 2.0
+        scene.counter.ran(scene.begin(replica(f"i{step % 3}")))
+        total += 1
+        if step % 2:
+            tell()
+            tell()  # a resend
+    tell()
+    scene.clock[0] += 30.0
+    tell()
+    assert sum(sum(row[5:8]) for window in ledger.rows() for row in window["rows"]) == total
+
+
+def test_the_list_gives_adapters_and_malformed_ones_are_skipped_and_counted():
+    entry = {"id": "i", "destination": "d", "address": "1.1.1.1:1", "zone": "z", "condition": "accepting"}
+
+    def row(*models):
+        return platform.read_row(entry={**entry, "models": list(models)})
+
+    assert row({"name": "m", "adapters": ["a", "b"]})["adapters"] == [["m", "a"], ["m", "b"]]
+    assert "adapters" not in row({"name": "m", "adapters": []})
+    missing = row({"name": "m"})
+    assert missing["adapters"] is None and not missing["is_malformed"]
+    for bad in ("a", 7, [1], [["a"]], {"a": 1}):
+        assert row({"name": "m", "adapters": bad})["is_malformed"] and row({"name": "m", "adapters": bad})["adapters"] is None
+    roll = platform.Roll()
+    assert roll.differs(rows=[row({"name": "m", "adapters": ["a"]})], at=1.0)
+    assert not roll.differs(rows=[row({"name": "m", "adapters": ["a"]})], at=2.0)
+    assert roll.differs(rows=[row({"name": "m", "adapters": ["b"]})], at=3.0)
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -64,7 +64,8 @@
         rows = [replica for replica in rows if not replica.is_suspect]
         return [replica for replica in rows if replica.away_until <= now] or rows
 
-    def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0) -> tuple:
+    def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0,
+               load_s=None) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
         spec = self._table.services.get(service, {})
         rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid)
@@ -91,6 +92,8 @@
             known = max(kept.get(replica.id, 0), self._own_kept(replica, chain) if chain else 0)
             to_read = max(0, prompt_tokens - known)
             score = self._score(replica, spec, to_read, is_cold, may, aim_s)
+            if load_s is not None:
+                score += load_s(replica) * 1000.0  # an adapter that it does not hold (docs/pins.md 5)
             if best is None or score < best[0]:
                 best = (score, replica, to_read)
         if best is None:
--- a/pw/dat/digest/source.py
+++ b/pw/dat/digest/source.py
@@ -40,12 +40,13 @@
             row[0] += 1
             row[1] += kind != DONE
 
-    def note_read(self, *, replica, service: str, model: str, parts) -> None:
+    def note_read(self, *, replica, service: str, model: str, parts, salt: str = "") -> None:
+        """`salt`: what X-Model said, where it names an adapter: parts of different adapters are never the same."""
         if len(self._reads) < MOST_READS and replica.region in self._regions:
             self._reads.append(records.pack_read(
                 replica=records.key_of(replica.id), region=self._regions[replica.region],
                 domain=bytes.fromhex(resolution.domain_id(service=service, model=model)),
-                parts=tuple((ckf.token_hash(model=model, part=part, tokens=tokens), tokens) for part, tokens in parts)))
+                parts=tuple((ckf.token_hash(model=salt or model, part=part, tokens=tokens), tokens) for part, tokens in parts)))
 
     def _row(self, key: bytes, replica) -> tuple:
         return (
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -76,6 +76,7 @@
         self.sent_at = 0.0
         self.heard_at = 0.0
         self.row = None
+        self.arrival = None  # of an adapter (docs/pins.md 2)
 
     def on_head(self, **fields) -> None:
         if not self.is_over:
@@ -108,7 +109,10 @@
         self.service = ""
         self.permitted = None
         self.first_homes = ()
-        self.model = ask.text(b"x-model")
+        self.model_text = ask.text(b"x-model")
+        self.model = self.model_text
+        self.adapter = ""
+        self.is_adapter_known = True
         self.parts = ()
         self.chain = ()
         self.prompt_tokens = 0
@@ -172,15 +176,19 @@
         self.aim_s = self.route.target_s or left_s * 0.25
 
     def filter_prompt(self) -> None:
+        self.resolve_model()
         counts = self.ask.text(b"x-token-count").split(",")
         if counts[0].strip().isdigit():
             self.prompt_tokens = int(counts[0])
         lead = self.ask.text(b"x-prompt-lead")
         if lead and self.route.is_sticky:
             self.parts = parse_parts(lead)
-            self.chain = ckf.chain(model=self.model, parts=self.parts)
+            self.chain = ckf.chain(model=self.model_text, parts=self.parts)
             self.prompt_tokens = max(self.prompt_tokens, sum(tokens for _part, tokens in self.parts))
 
+    def resolve_model(self) -> None:
+        self.model, self.adapter, self.is_adapter_known = self.proxy.table.resolve(service=self.service, text=self.model_text)
+
     @property
     def is_repeatable(self) -> bool:
         return self.route.is_repeatable
@@ -200,12 +208,14 @@
                 return
             if not any(name == self.service for name, _share in route.portions):
                 self.service = route.pick(random.random())
+                self.resolve_model()
             self.route = route
         self.turns += 1
         self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
         replica, to_read, is_any = self.proxy.chooser.choose(
             service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
-            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid, aim_s=self.aim_s)
+            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid, aim_s=self.aim_s,
+            load_s=self.adapter_cost if self.adapter else None)
         if replica is None:
             # Nobody in reach comes back less soon than somebody full.
             self.come_back_s = self.aim_s * 0.3 if is_any else max(self.aim_s * 0.3, self.proxy.reach_s)
@@ -232,12 +242,24 @@
         self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.load(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.chain)
         self.proxy.tell_send(replica=replica, kind=sources.SENT)
+        if self.needs_adapter:
+            go.arrival = self.proxy.adapters.begin(
+                replica=replica, service=self.service, model=self.model, adapter=self.adapter, route=self.route.name,
+                target_s=self.route.target_s)
         go.row = custody.go_row(go=go, passage=self, proxy=self.proxy)
         self.custody.append(go.row)
         outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
         if go is self.go and self.is_repeatable:
             self.watch_silence()
 
+    @property
+    def needs_adapter(self) -> bool:
+        """One that is not known counts too, as unknown: it is never guessed."""
+        return self.route.is_sticky and bool(self.adapter or not self.is_adapter_known)
+
+    def adapter_cost(self, replica) -> float:
+        return self.proxy.adapters.cost_s(replica=replica, model=self.model, adapter=self.adapter)
+
     def head_for(self, replica, now: float) -> h11.Request:
         headers = []
         left_ms = max(1, int((self.deadline - now) * 1000))
@@ -294,6 +316,8 @@
         go.is_over = True
         go.row["to_ms"] = round((self.loop.now() - self.ask.begun_at) * 1000)
         go.row["end"] = "not sent" if go.outlet.is_unsent else ("%d" % go.status if go.status else "no answer")
+        if go.arrival is not None:
+            self.proxy.adapters.not_run(go.arrival)  # nothing where it has run already
         go.replica.running -= 1
         go.replica.to_read.pop(go.number, None)
         if not go.outlet.is_unsent:
@@ -347,6 +371,8 @@
         if go.is_read:
             return
         go.is_read = True
+        if go.arrival is not None:
+            self.proxy.adapters.ran(go.arrival)
         self.mark("read")
         go.replica.to_read.pop(go.number, None)
         go.replica.is_suspect = False
@@ -354,7 +380,7 @@
         self.proxy.chooser.note_read(service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s)
         self.proxy.tell_send(replica=go.replica, kind=sources.READ)
         if self.parts:
-            self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts)
+            self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts, salt=self.model_text)
 
     def take_data(self, go, data: bytes) -> None:
         if go.status == 421 or (self.buffer is None and not self.is_streaming):
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -21,11 +21,13 @@
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import routes as route_tables
+from pw.dat.adapters import counts as adapter_counts
 from pw.dat.digest import source as sources
 from pw.dat.digest import sums
 from pw.dat.relay import host as relay_hosts
 from pw.dat.relay import hub as hubs
 
+MOST_ADAPTER_ROWS = 2000
 OWN = "own"  # this proxy, as a member of its own sums
 
 
@@ -100,13 +102,17 @@
         return tuple(sorted(
             (replica.id, replica.zone) for replica in self.table.replicas.values() if records.key_of(replica.id) in found))
 
-    def tell_trails(self, *, is_last: bool = False) -> None:
-        """To the core node of this region, or to the first other one in reach."""
+    def _near_core(self):
         link = None
         for host, dialer in sorted(self.core_dialers.items()):
             if dialer.link is not None and dialer.link.is_up:
                 if link is None or host in self.near_cores:
                     link = dialer.link
+        return link
+
+    def tell_trails(self, *, is_last: bool = False) -> None:
+        """To the core node of this region, or to the first other one in reach."""
+        link = self._near_core()
         if link is None:
             return
         self.batches.cut(is_last=is_last)
@@ -135,7 +141,7 @@
             if topic == "spec" and payload:
                 self._keep_older_homes()
                 self.routes = route_tables.Routes(body=payload["body"])
-                self.table.services = route_tables.services(body=payload["body"])
+                self.table.install_services(route_tables.services(body=payload["body"]))
                 self._set_limits(payload["body"].get("limits") or {})
             elif topic == "evac":
                 self.table.install_evacuations((payload or {}).get("zones", ()))
@@ -187,6 +193,8 @@
         self.digest_epoch = 0  # of the duty that this proxy holds; 0: it holds none
         self.digest_dialer = None  # ((epoch, holder), dialer) to the digest of the zone
         self.is_enrolled = False
+        self.adapters = adapter_counts.Counter(now=self.loop.now, window_s=self.contact_s * 6, trust_s=self.contact_s)
+        self._adapter_rows = {}  # (life, window): what members told, until the next telling
         self._members = {}  # link of a member: its address
         self._waiting = {}  # links that came before this node knew of its duty: the message
         self.port = links.Port(
@@ -355,6 +363,8 @@
         elif kind == "sums":
             if self.relay is not None:
                 self.relay.take_sums(link, message)
+        elif kind == "adapters" and link in self._members:
+            self._take_adapters(message[1])
         elif kind == "report" and link in self._members:
             self.sums.take(link, *message[1:])
 
@@ -420,8 +430,28 @@
     def tell_send(self, *, replica, kind: int) -> None:
         self.source.note(replica=replica, kind=kind)
 
-    def tell_read(self, *, replica, service: str, model: str, parts) -> None:
-        self.source.note_read(replica=replica, service=service, model=model, parts=parts)
+    def tell_read(self, *, replica, service: str, model: str, parts, salt: str = "") -> None:
+        self.source.note_read(replica=replica, service=service, model=model, parts=parts, salt=salt)
+
+    # What was counted of adapters goes to the core by way of the digest, in whole windows (docs/pins.md 3).
+    def tell_adapters(self) -> None:
+        rows = [
+            (self.settings.node, self.settings.zone, self.settings.region, self.life, window, number, data)
+            for window, number, data in self.adapters.report()]
+        rows += self._adapter_rows.values()
+        self._adapter_rows = {}
+        if not rows:
+            return
+        link = self.digest_dialer[1].link if self.is_enrolled else self._near_core()
+        if link is not None:
+            link.send(("adapters", tuple(rows)))
+
+    def _take_adapters(self, rows: tuple) -> None:
+        """Of a member: a newer telling of a window replaces an older one that still waits here."""
+        for row in rows:
+            key = row[3:5]
+            if key in self._adapter_rows or len(self._adapter_rows) < MOST_ADAPTER_ROWS:
+                self._adapter_rows[key] = row
 
     def _relay_tick(self) -> None:
         report = self.source.cut()
@@ -503,6 +533,7 @@
 
     def _end(self) -> None:
         self.tell_trails(is_last=True)
+        self.tell_adapters()
         self.loop.after(delay=grace_end_s(self.settings), act=self.loop.stop)
 
     def _last_calls(self) -> None:
@@ -560,6 +591,7 @@
         self.beats += 1
         if self.beats % 4 == 0:
             self.tell_trails()
+            self.tell_adapters()
             if self.file_watch.is_changed():
                 self._reread()
         self._check_serving()
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -3,6 +3,7 @@
 
 from pw.base import records
 from pw.dat import outlet as outlets
+from pw.dat.adapters import counts
 
 
 class Replica:
@@ -15,6 +16,8 @@
         self.region = region
         self.berths = row["berths"]
         self.models = row["models"]
+        self.adapters = None
+        self.take_adapters(row)
         self.is_clearing = row["is_clearing"]
         self.is_listed = True
         self.cold_until = 0.0
@@ -31,6 +34,11 @@
         self.on_unproved = None
         self._failures = collections.deque()  # when attempts of ours at it failed although it was up
 
+    def take_adapters(self, row: dict) -> None:
+        """Pairs of model and adapter that it holds, as the list says; None where the list can't tell."""
+        pairs = row.get("adapters", ())
+        self.adapters = None if pairs is None else frozenset((model, adapter) for model, adapter in pairs)
+
     def forget(self, outlet) -> None:
         self.outlets.discard(outlet)
         if outlet is self.proof:
@@ -73,8 +81,20 @@
         self.by_service = {}
         self.out_zones = frozenset()
         self.services = {}
+        self.adapters = {}  # service: {adapter: models}, as the list or the configuration ever named them
         self._has_list = False
 
+    def install_services(self, services: dict) -> None:
+        self.services = services
+        for name, row in services.items():
+            for model, adapter in row.get("adapters", ()):
+                self.adapters.setdefault(name, {}).setdefault(adapter, set()).add(model)
+
+    def resolve(self, *, service: str, text: str) -> tuple:
+        """(model, adapter, is it known) that X-Model names for this service."""
+        return counts.resolve(
+            text=text, models=self.services.get(service, {}).get("models", ()), adapters=self.adapters.get(service, {}))
+
     def region_of(self, zone: str) -> str:
         return self._settings.zones.get(zone, "")
 
@@ -93,6 +113,9 @@
                     # A life that began during traffic: unknown counts as cold.
                     replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
             replica.is_clearing = row["is_clearing"]
+            replica.take_adapters(row)
+            for model, adapter in replica.adapters or ():
+                self.adapters.setdefault(replica.service, {}).setdefault(adapter, set()).add(model)
             if row["cold_ms"] > 0:
                 replica.cold_until = max(replica.cold_until, now + row["cold_ms"] / 1000.0)
             if replica.is_clearing:
--- a/pw/dat/routes.py
+++ b/pw/dat/routes.py
@@ -59,6 +59,10 @@
         return None
 
 
+def _names(value) -> list:
+    return [name for name in value if isinstance(name, str)] if isinstance(value, list) else []
+
+
 def services(*, body: dict) -> dict:
     table = {}
     for row in body.get("destinations", ()):
@@ -71,5 +75,7 @@
             "cache_tokens": int(engine.get("cacheTokens") or 0),
             "berths": int(engine.get("berths") or 0),
             "models": tuple(model["name"] for model in engine.get("models") or ()),
+            "adapters": tuple(
+                (model["name"], name) for model in engine.get("models") or () for name in _names(model.get("adapters"))),
         }
     return table
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -50,7 +50,8 @@
         for wire, _region in self.views:
             self.host.subscribe(wire, region="south")
 
-    def read(self, *, replica, service, model, parts):
+    def read(self, *, replica, service, model, parts, salt):
+        assert salt == model
         self.number += 1
         self.host.take_sums(
             self.digest, wires.sums(self.number, reads=[wires.read_row(replica.id, *parts, service=service, model=model)]))
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -10,6 +10,7 @@
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import routes as route_tables
+from pw.dat.adapters import counts
 from pw.sim import loopback
 
 SETTINGS = """
@@ -72,10 +73,11 @@
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
         self.quota.take_entry("core", ("entry", share, share, 1000.0))
         self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
-        self.table.services = route_tables.services(body=SPEC)
+        self.table.install_services(route_tables.services(body=SPEC))
         self.chooser = choice.Chooser(table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now)
         self.passages = set()
         self.batches = custody.Batches(most=1000)
+        self.adapters = counts.Counter(now=loop.now, window_s=24.0, trust_s=4.0)
         self.number = 0
         self.faults = []
         self.older_homes = []
