--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -42,7 +42,8 @@
     "have": (24, (rows(TEXT, NUMBER, NUMBER),)),
     # leases and grants
     "state": (30, (FLAG, FLAG)),  # is ready, is leaving
-    "entry": (31, (REAL, REAL, REAL)),  # share of slacks, share of rates, for how many seconds
+    # share of slacks, share of rates, for how many seconds, the core node's own part, slot and slots (0: none)
+    "entry": (31, (REAL, REAL, REAL, REAL, NUMBER, NUMBER)),
     # custody
     "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
     "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
--- a/pw/ctl/adapters/suggest.py
+++ b/pw/ctl/adapters/suggest.py
@@ -4,7 +4,7 @@
 from pw.dat.adapters import counts
 
 LEAST_ARRIVALS = 3  # fewer of an adapter in a region are no evidence
-STAY = 1.2  # what is pinned by the suggestion before goes only for something worth so much more
+STAY = 3.0  # what the suggestion before pinned goes only for something worth so much more
 SAFETY = 4.0  # the first copy and one in another zone count for so much
 
 
@@ -46,11 +46,12 @@
 def suggest(*, windows, replicas, routes: dict, capacity: dict, previous=None) -> dict:
     """`replicas`: id, service, zone, region, adapters (pairs, or None). `capacity`: pins a replica of each service.
 
-    `previous`: {replica id: [(model, adapter)]} of the suggestion before.
+    `previous`: the suggestion before. What it pinned stays where it can: a pin that moves leaves a copy behind that is
+    pushed out later, and a list that lags sends somebody there.
     """
     wanted = demand(windows=windows, routes=routes)
     homes = homes_of(windows=windows, routes=routes)
-    before = {replica: {tuple(pair) for pair in pairs} for replica, pairs in (previous or {}).items()}
+    before = _before(replicas, previous)
     pins = {row["id"]: [] for row in replicas}
     missing, thin = [], []
     claims = []  # (service, pair, region, weight)
@@ -95,42 +96,100 @@
     }
 
 
+def _before(replicas, previous) -> dict:
+    """What each replica was to keep: by name, or as a new one of its zone as far as it holds that."""
+    if not previous:
+        return {}
+    found = {}
+    for row in replicas:
+        known = previous["replicas"].get(row["id"])
+        pairs = known["pins"] if known is not None else previous.get("new", {}).get(row["service"], {}).get(row["zone"], ())
+        found[row["id"]] = {tuple(pair) for pair in pairs if known is not None or tuple(pair) in (row["adapters"] or ())}
+    return found
+
+
+class _Board:
+    """The pins as they are being dealt out."""
+
+    def __init__(self, *, claims, replicas, capacity, pins):
+        self.replicas = replicas
+        self.pins = pins
+        self._capacity = capacity
+        self._weights = {(service, pair, region): weight for service, pair, region, weight, _allowed in claims}
+        self._allowed = {(service, pair): allowed for service, pair, _region, _weight, allowed in claims}
+        self.claims = list(self._weights)
+
+    def copies(self, service, pair, region=None) -> list:
+        return [row for row in self.replicas if row["service"] == service and pair in self.pins[row["id"]]
+                and region in (None, row["region"])]
+
+    def may_hold(self, row, pair) -> bool:
+        return row["region"] in self._allowed.get((row["service"], pair), ())
+
+    def has_room(self, row) -> bool:
+        return len(self.pins[row["id"]]) < self._capacity.get(row["service"], 0)
+
+    def is_safety(self, service, pair, region) -> bool:
+        """The first copy of a region, and a second one in another zone."""
+        here = self.copies(service, pair, region)
+        return not here or (len(here) == 1 and len({row["zone"] for row in self.copies(service, pair)}) < 2)
+
+    def worth(self, service, pair, region) -> float:
+        weight = self._weights.get((service, pair, region), 0.0)
+        return weight / (len(self.copies(service, pair, region)) + 1) * (SAFETY if self.is_safety(service, pair, region) else 1.0)
+
+    def loss(self, row, pair) -> float:
+        """What goes with this copy; without end for one that is needed for safety."""
+        here = self.copies(row["service"], pair, row["region"])
+        zones = {other["zone"] for other in self.copies(row["service"], pair) if other is not row}
+        if len(here) <= 1 or len(zones) < 2:
+            return self._weights.get((row["service"], pair, row["region"]), 0.0) * SAFETY
+        return self._weights.get((row["service"], pair, row["region"]), 0.0) / len(here)
+
+    def rows_for(self, service, pair, region) -> list:
+        """Where a copy may go: in the region; for a second one without another zone there, elsewhere too."""
+        rows = [row for row in self.replicas if row["service"] == service and row["region"] == region]
+        zones = {row["zone"] for row in self.copies(service, pair)}
+        if self.copies(service, pair, region) and self.is_safety(service, pair, region):
+            apart = [row for row in self.replicas if row["service"] == service and row["zone"] not in zones]
+            rows = [row for row in rows if row["zone"] not in zones] or apart or rows
+        return [row for row in rows if pair not in self.pins[row["id"]] and self.may_hold(row, pair)]
+
+
 def _place(claims, replicas, capacity, before, pins, missing) -> None:
-    """Copies one by one to the claim with the highest average; each to the zone that has fewest of it."""
-    copies = collections.Counter()  # (service, pair, region)
-    zones = collections.defaultdict(set)  # (service, pair): zones with a copy
-    open_claims = list(claims)
-    while open_claims:
-        def worth(claim):
-            service, pair, region, weight, _allowed = claim
-            count = copies[(service, pair, region)]
-            is_safety = count == 0 or (count == 1 and len(zones[(service, pair)]) < 2)
-            is_old = any(pair in before.get(row["id"], ()) for row in replicas if row["region"] == region)
-            return weight / (count + 1) * (SAFETY if is_safety else 1.0) * (STAY if is_old else 1.0)
-
-        claim = max(open_claims, key=lambda one: (worth(one), one[1], one[2]))
-        service, pair, region, _weight, allowed = claim
-        count = copies[(service, pair, region)]
-        free = [row for row in replicas if row["service"] == service and row["region"] == region
-                and len(pins[row["id"]]) < capacity.get(service, 0) and pair not in pins[row["id"]]]
-        if count == 1 and len(zones[(service, pair)]) < 2 and not [row for row in free if row["zone"] not in zones[(service, pair)]]:
-            # No other zone in this region: one elsewhere, where it may be, takes the second copy.
-            other = [row for row in replicas if row["service"] == service and row["region"] in allowed
-                     and row["zone"] not in zones[(service, pair)]
-                     and len(pins[row["id"]]) < capacity.get(service, 0) and pair not in pins[row["id"]]]
-            free = other or free
-        if not free:
-            if count == 0:
-                missing.append({"service": service, "model": pair[0], "adapter": pair[1], "region": region,
-                                "why": "no room: raise the capacity or add replicas"})
-            open_claims.remove(claim)
+    """What was pinned stays; then copy by copy to the claim with the highest average, each to the zone that has fewest."""
+    board = _Board(claims=claims, replicas=replicas, capacity=capacity, pins=pins)
+    for row in replicas:
+        known = [pair for pair in before.get(row["id"], ()) if board.may_hold(row, pair)]
+        known.sort(key=lambda pair: (-board._weights.get((row["service"], pair, row["region"]), 0.0), pair))
+        pins[row["id"]].extend(known[:capacity.get(row["service"], 0)])
+    waiting = set(board.claims)
+    settled = set()  # pins of this look: none of them is displaced again
+    while waiting:
+        claim = max(waiting, key=lambda one: (board.worth(*one), one[1], one[2]))
+        service, pair, region = claim
+        worth = board.worth(*claim)
+        rows = board.rows_for(*claim)
+        zones = {row["zone"] for row in board.copies(service, pair)}
+        free = [row for row in rows if board.has_room(row)]
+        if free:
+            best = min(free, key=lambda row: (
+                row["zone"] in zones, pair not in (row["adapters"] or ()), len(pins[row["id"]]), row["id"]))
+            pins[best["id"]].append(pair)
+            settled.add((best["id"], pair))
+            continue
+        taken = [(board.loss(row, other), row["id"], other) for row in rows for other in pins[row["id"]]
+                 if (row["id"], other) not in settled]
+        if taken and min(taken)[0] * STAY < worth:
+            _loss, name, other = min(taken)
+            pins[name].remove(other)
+            pins[name].append(pair)
+            settled.add((name, pair))
             continue
-        best = min(free, key=lambda row: (
-            row["zone"] in zones[(service, pair)], pair not in before.get(row["id"], ()),
-            pair not in (row["adapters"] or ()), len(pins[row["id"]]), row["id"]))
-        pins[best["id"]].append(pair)
-        zones[(service, pair)].add(best["zone"])
-        copies[(service, pair, region)] += 1
+        waiting.discard(claim)
+        if not board.copies(service, pair, region) and board.rows_for(*claim):
+            missing.append({"service": service, "model": pair[0], "adapter": pair[1], "region": region,
+                            "why": "no room: raise the capacity or add replicas"})
 
 
 def _for_new(replicas, pins, claims, capacity) -> dict:
--- /dev/null
+++ b/pw/ctl/adapters/test_suggest.py
@@ -0,0 +1,131 @@
+"""From counts to a suggestion: evidence, room, zones, homes, steadiness; and the ledger that the counts come from."""
+import json
+import random
+
+import pytest
+
+from pw.ctl.adapters import ledger as ledgers
+from pw.ctl.adapters import suggest
+from pw.dat.adapters import counts
+
+ROUTES = {"r": {"homes": [], "urgency": 0, "target_ms": 600}, "home": {"homes": ["south"], "urgency": 0, "target_ms": 600}}
+ZONES = {"n1": "north", "n2": "north", "s1": "south"}
+
+
+def replicas(count=2, adapters=()):
+    return [{"id": f"{zone}-{number}", "service": "llm", "zone": zone, "region": region, "adapters": list(adapters)}
+            for zone, region in ZONES.items() for number in range(count)]
+
+
+def window(*rows, region="north", life="l", window_number=0):
+    return {"life": life, "window": window_number, "number": 1, "region": region, "node": "p", "zone": "n1", "age_s": 1.0, "over": 0,
+            "rows": [list(row) for row in rows]}
+
+
+def row(adapter, *, cold=10, warm=0, unknown=0, route="r", service="llm"):
+    return (service, "m", adapter, "n1-0", route, warm, cold, unknown, cold, cold, cold * 900, 900, cold)
+
+
+def made(windows, *, capacity=2, previous=None, rows=None):
+    return suggest.suggest(windows=windows, replicas=rows or replicas(), routes=ROUTES, capacity={"llm": capacity}, previous=previous)
+
+
+def zones_of(told, adapter):
+    return {one["zone"] for one in told["replicas"].values() if ("m", adapter) in one["pins"]}
+
+
+def test_a_cold_adapter_is_pinned_where_its_work_lands_and_in_two_zones():
+    told = made([window(row("a"))])
+    assert zones_of(told, "a") >= {"n1", "n2"}
+    assert told["saving"] == {"cold_waits": 10, "wait_ms": 9000, "of_cold_waits": 10}
+    assert told["new"]["llm"]["n1"] == [["m", "a"]]
+
+
+def test_one_zone_in_a_region_puts_the_second_copy_elsewhere():
+    told = made([window(row("a"), region="south")], capacity=1)
+    assert "s1" in zones_of(told, "a") and len(zones_of(told, "a")) > 1
+
+
+def test_homes_bind_the_pins():
+    told = made([window(row("a", route="home"), region="north")])
+    assert zones_of(told, "a") == {"s1"}
+
+
+def test_too_little_evidence_pins_nothing_and_says_so():
+    told = made([window(row("a", cold=2))])
+    assert zones_of(told, "a") == set() and told["too_little_evidence"][0]["adapter"] == "a"
+
+
+def test_unknown_adapters_are_counted_and_never_pinned():
+    told = made([window(row("", cold=0, unknown=50))])
+    assert all(not one["pins"] for one in told["replicas"].values())
+
+
+def test_what_has_no_room_is_named():
+    told = made([window(*[row(f"a{number}", cold=5 + number) for number in range(30)])], capacity=1)
+    assert told["missing"] and all(len(one["pins"]) <= 1 for one in told["replicas"].values())
+    assert made([window(row("a"))], capacity=0)["missing"]
+
+
+def test_a_pinned_adapter_that_is_warm_now_stays_pinned():
+    rows = replicas(adapters=[("m", "a")])
+    told = made([window(row("a", cold=0, warm=200), row("b", cold=5))], capacity=1, rows=rows,
+                previous={"replicas": {"n1-0": {"pins": [("m", "a")]}, "n2-0": {"pins": [("m", "a")]}}})
+    assert ("m", "a") in told["replicas"]["n1-0"]["pins"] and ("m", "a") in told["replicas"]["n2-0"]["pins"]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_looking_again_at_nearly_the_same_evidence_changes_nothing(seed):
+    chance = random.Random(seed)
+    base = {f"a{number}": chance.randint(20, 200) for number in range(5)}
+    previous, last, changes = None, {}, []
+    for _look in range(6):
+        rows = [row(name, cold=count + chance.randint(-1, 1)) for name, count in base.items()]
+        told = made([window(*rows)], previous=previous)
+        pins = {name: sorted(one["pins"]) for name, one in told["replicas"].items()}
+        if previous is not None:
+            changes.append(sum(pins[name] != last[name] for name in pins))
+        previous, last = told, pins
+    assert sum(changes) <= 2
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_whatever_was_counted_room_and_homes_hold(seed):
+    chance = random.Random(seed)
+    rows = [row(f"a{chance.randrange(12)}", cold=chance.randint(0, 40), warm=chance.randint(0, 40), route=chance.choice(("r", "home")))
+            for _ in range(20)]
+    windows = [window(*rows[:10]), window(*rows[10:], region="south", life="k")]
+    told = made(windows, capacity=chance.randint(1, 3))
+    homes = suggest.homes_of(windows=windows, routes=ROUTES)
+    for one in told["replicas"].values():
+        assert len(one["pins"]) <= 3 and len(set(one["pins"])) == len(one["pins"])
+        for pair in one["pins"]:
+            permitted = homes[("llm", *pair)]
+            assert permitted is None or one["region"] in permitted
+
+
+def test_a_window_stands_once_whatever_order_and_however_often_it_is_told():
+    clock = [0.0]
+    ledger = ledgers.Ledger(now=lambda: clock[0], window_s=30.0)
+
+    def take(number, count):
+        ledger.take(node="p", zone="n1", region="north", life="l", window=0, number=number,
+                    data=json.dumps({"rows": [list(row("a", cold=count))], "over": 0}).encode())
+
+    for number, count in ((1, 3), (3, 9), (2, 6), (3, 9), (1, 3)):
+        take(number, count)
+    (held,) = ledger.rows()
+    assert held["number"] == 3 and held["rows"][0][6] == 9
+    other = [{**held, "number": 2, "rows": []}]
+    assert ledgers.merge(tables=[other, [held], other])[("l", 0)]["number"] == 3
+    clock[0] = 30.0 * ledgers.KEEP_WINDOWS + 1
+    assert ledger.rows() == []
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"rows":[["a"]],"over":0}', b'{"rows":[[1,"m","a","i","r",0,0,0,0,0,0,0,0]],"over":0}',
+                                  b'{"rows":[["s","m","a","i","r",0,-1,0,0,0,0,0,0]],"over":0}', b"\xff"])
+def test_malformed_counts_are_skipped_and_counted(data):
+    ledger = ledgers.Ledger(now=lambda: 0.0, window_s=30.0)
+    ledger.take(node="p", zone="n1", region="north", life="l", window=0, number=1, data=data)
+    assert ledger.rows() == [] and ledger.malformed == 1
+    assert len(counts.FIELDS) == 8
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -415,12 +415,13 @@
     def _grant(self, peer) -> tuple:
         members = self.members()
         if self.own not in members:
-            return 0.0, 0.0, self.lease_s
+            return 0.0, 0.0, self.lease_s, 0.0, 0, 0
         live = len(self.proxies(is_listed=False))
         part = 1.0 / len(members)
         return (
             self.slacks.renew(node=peer.address, part=part, live=live),
-            self.rates.renew(node=peer.address, part=part, live=live), self.lease_s,
+            self.rates.renew(node=peer.address, part=part, live=live), self.lease_s, part,
+            *(self.slots.renew(node=peer.address) if self.loop.now() >= self.rates_from else (0, 0)),
         )
 
     def duty(self, name: str) -> tuple:
@@ -836,6 +837,8 @@
         rate_quiet_s = min(quiet_s, self.lease_s + RATE_WINDOW_S)
         self.rates = grants.Book(
             now=self.loop.now, life_s=self.lease_s, window_s=RATE_WINDOW_S, quiet_until=start + rate_quiet_s)
+        self.slots = grants.Slots(now=self.loop.now, hold_s=self.lease_s + RATE_WINDOW_S)
+        self.rates_from = start + rate_quiet_s
         self.desk = desks.Desk()
         self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
         self.roll = platform.Roll()
--- a/pw/ctl/grants.py
+++ b/pw/ctl/grants.py
@@ -38,3 +38,37 @@
             rows = [row for row in self._out.get(node, ()) if row[0] > share]
             self._out[node] = rows + [(share, until)]
         return share
+
+
+class Slots:
+    """Numbers for rates of which a node's even part is less than one request a second (design 8).
+
+    Every node that may still act on its entry has a number of its own below `size`. Of any `size` numbers in a row, so
+    many as the part allows are picked for each cold replica, and only their holders send to it: one request a second each.
+    """
+
+    STEP = 8
+
+    def __init__(self, *, now, hold_s: float):
+        self._now = now
+        self._hold_s = hold_s
+        self._held = {}  # node: (slot, until)
+        self._size = self.STEP
+        self._quiet_until = 0.0
+
+    def renew(self, *, node: str) -> tuple:
+        """(slot, size); size 0: none yet. A size that changes is told once all older entries have run out."""
+        now = self._now()
+        for other in [other for other, (_slot, until) in self._held.items() if until <= now]:
+            del self._held[other]
+        if node in self._held:
+            slot = self._held[node][0]
+        else:
+            taken = {slot for slot, _until in self._held.values()}
+            slot = next(number for number in range(len(taken) + 1) if number not in taken)
+        self._held[node] = (slot, now + self._hold_s)
+        most = max(slot for slot, _until in self._held.values()) + 1
+        if most > self._size or most * 2 + self.STEP <= self._size:
+            self._size = -(-most // self.STEP) * self.STEP + self.STEP
+            self._quiet_until = now + self._hold_s
+        return (slot, self._size) if now >= self._quiet_until else (0, 0)
--- a/pw/dat/adapters/counts.py
+++ b/pw/dat/adapters/counts.py
@@ -4,6 +4,7 @@
 MOST_ROWS = 2000  # (service, model, adapter, replica, route) in one window; what is past them is counted in one number
 FIELDS = ("warm", "cold", "unknown", "loads", "waits", "wait_ms", "most_wait_ms", "late")
 WARM, COLD, UNKNOWN = "warm", "cold", "unknown"
+UNSTEADY_PART = 0.25  # of a load, for what is held but not for long
 FIRST_LOAD_S = 1.0  # before a load was seen; ours
 
 
@@ -40,6 +41,7 @@
         self._now = now
         self._window_s = window_s
         self._trust_s = trust_s
+        self._steady_s = trust_s * 4
         self._began = now()
         self._window = 0
         self._number = 0
@@ -63,7 +65,10 @@
         """What the choice has to expect of a load: nothing where it is held."""
         state = self.state(replica=replica, model=model, adapter=adapter)
         if state == WARM:
-            return 0.0
+            # What came lately may be pushed out again before the list says so; what stays is worth going to.
+            since = (replica.adapters or {}).get((model, adapter))
+            is_steady = since is not None and self._now() - since >= self._steady_s
+            return 0.0 if is_steady else self.load_s.get(replica.service, FIRST_LOAD_S) * UNSTEADY_PART
         return self.load_s.get(replica.service, FIRST_LOAD_S) * (0.5 if state == UNKNOWN else 1.0)
 
     def begin(self, *, replica, service: str, model: str, adapter: str, route: str, target_s: float) -> Arrival:
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -4,6 +4,7 @@
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
 BESIDE_PART = 4.0  # of a read, for a replica whose places are all taken
 WAY_PART = 0.25  # of the way, where a prompt is to be read
+AGAIN_PART = 1.0  # of the reading time, for tokens that another replica keeps
 LEAST_READ = 500  # fewer tokens say more of the way than of the reading
 
 
@@ -82,6 +83,7 @@
         if shared:
             self._name_owner(rows, shared, kept)
         best = None
+        most_kept = max(kept.values(), default=0)
         for replica in rows:
             if not self._table.has_room(replica=replica):
                 continue
@@ -92,6 +94,8 @@
             known = max(kept.get(replica.id, 0), self._own_kept(replica, chain) if chain else 0)
             to_read = max(0, prompt_tokens - known)
             score = self._score(replica, spec, to_read, is_cold, may, aim_s)
+            if most_kept > known:  # what another one keeps would be read again here, which is paid for besides the time
+                score += (most_kept - known) / self.rates.get(replica.service, FIRST_RATE) * AGAIN_PART
             if load_s is not None:
                 score += load_s(replica) * 1000.0  # an adapter that it does not hold (docs/pins.md 5)
             if best is None or score < best[0]:
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -193,7 +193,7 @@
         self.digest_epoch = 0  # of the duty that this proxy holds; 0: it holds none
         self.digest_dialer = None  # ((epoch, holder), dialer) to the digest of the zone
         self.is_enrolled = False
-        self.adapters = adapter_counts.Counter(now=self.loop.now, window_s=self.contact_s * 6, trust_s=self.contact_s)
+        self.adapters = adapter_counts.Counter(now=self.loop.now, window_s=self.contact_s * 6, trust_s=self.contact_s / 2)
         self._adapter_rows = {}  # (life, window): what members told, until the next telling
         self._members = {}  # link of a member: its address
         self._waiting = {}  # links that came before this node knew of its duty: the message
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -1,5 +1,6 @@
 """This proxy's part of the bounds that hold over all machines (design 8)."""
 import collections
+import zlib
 
 
 class Quota:
@@ -15,7 +16,7 @@
         self._extras = {}
 
     def take_entry(self, link, message: tuple) -> None:
-        self._entries[link] = (message[1], message[2], self._now() + message[3])
+        self._entries[link] = (message[1], message[2], self._now() + message[3], *message[4:])
 
     def _shares(self, kind: int) -> float:
         now = self._now()
@@ -58,6 +59,16 @@
         if service.get("warmup_per_s", 0.0) > 0:
             replica.sends.append(self._now())
 
+    def _slots_for(self, replica, bound: float) -> int:
+        """Requests a second that this node's slots at the core nodes allow for this replica."""
+        now = self._now()
+        found = 0
+        for link, (_slack, _rate, until, part, slot, size) in self._entries.items():
+            if until > now and size:
+                turn = zlib.crc32(f"{replica.id} {getattr(link, 'peer', link)}".encode())
+                found += (slot + turn) % size < int(bound * 0.9 * part)
+        return found
+
     def may_send(self, *, replica, service: dict, is_hard: bool) -> bool:
         """The rate that a cold replica bears, over all machines."""
         per_s = service.get("warmup_per_s", 0.0)
@@ -68,5 +79,7 @@
             return not is_hard
         now = self._now()
         if allowed < 1:
-            return replica.sent_within(span=1.0 / allowed, now=now) == 0
+            # An even part is less than one request a second: some nodes send to it, the others don't.
+            most = self._slots_for(replica, per_s * self._excess + self._cold_slack) if is_hard else 2
+            return replica.sent_within(span=1.05, now=now) < most
         return replica.sent_within(span=1.05, now=now) < int(allowed)
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -17,7 +17,7 @@
         self.berths = row["berths"]
         self.models = row["models"]
         self.adapters = None
-        self.take_adapters(row)
+        self.take_adapters(row, now=now)
         self.is_clearing = row["is_clearing"]
         self.is_listed = True
         self.cold_until = 0.0
@@ -34,10 +34,12 @@
         self.on_unproved = None
         self._failures = collections.deque()  # when attempts of ours at it failed although it was up
 
-    def take_adapters(self, row: dict) -> None:
-        """Pairs of model and adapter that it holds, as the list says; None where the list can't tell."""
+    def take_adapters(self, row: dict, *, now: float) -> None:
+        """Pairs of model and adapter that it holds, as the list says, and since when; None where the list can't tell."""
         pairs = row.get("adapters", ())
-        self.adapters = None if pairs is None else frozenset((model, adapter) for model, adapter in pairs)
+        before = self.adapters or {}
+        self.adapters = None if pairs is None else {
+            (model, adapter): before.get((model, adapter), now) for model, adapter in pairs}
 
     def forget(self, outlet) -> None:
         self.outlets.discard(outlet)
@@ -113,7 +115,7 @@
                     # A life that began during traffic: unknown counts as cold.
                     replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
             replica.is_clearing = row["is_clearing"]
-            replica.take_adapters(row)
+            replica.take_adapters(row, now=now)
             for model, adapter in replica.adapters or ():
                 self.adapters.setdefault(replica.service, {}).setdefault(adapter, set()).add(model)
             if row["cold_ms"] > 0:
--- a/pw/dat/test_quota.py
+++ b/pw/dat/test_quota.py
@@ -17,7 +17,7 @@
     clock = [100.0]
     quota = quotas.Quota(now=lambda: clock[0], settings=entry.settings())
     if share:
-        quota.take_entry("core", ("entry", share, share, 1000.0))
+        quota.take_entry("core", ("entry", share, share, 1000.0, share, 0, 8))
     return quota, clock
 
 
@@ -72,7 +72,7 @@
 def make_chooser(rows):
     loop = loops.Loop()
     quota = quotas.Quota(now=loop.now, settings=entry.settings())
-    quota.take_entry("core", ("entry", 1.0, 1.0, 1000.0))
+    quota.take_entry("core", ("entry", 1.0, 1.0, 1000.0, 1.0, 0, 8))
     table = replicas.Table(loop=loop, settings=entry.settings(), share=quota.rate_share)
     table.services = SPEC
     table.install_list(rows)
--- a/pw/ops/pins.py
+++ b/pw/ops/pins.py
@@ -60,7 +60,9 @@
     try:
         with open(path, encoding="utf-8") as handle:
             body = json.load(handle)
-        return {name: [tuple(pair) for pair in row["pins"]] for name, row in body["suggestion"]["replicas"].items()}
+        made = body["suggestion"]
+        return {"new": made["new"], "replicas": {
+            name: {"pins": [tuple(pair) for pair in row["pins"]]} for name, row in made["replicas"].items()}}
     except (OSError, ValueError, KeyError, TypeError, AttributeError) as fault:
         raise problems.Problem(f"{path} is no earlier output of pins --json: {fault}", step="pins") from None
 
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -71,7 +71,7 @@
         self.is_leaving = False
         self.routes = route_tables.Routes(body=SPEC)
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
-        self.quota.take_entry("core", ("entry", share, share, 1000.0))
+        self.quota.take_entry("core", ("entry", share, share, 1000.0, 1.0, 0, 8))
         self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
         self.table.install_services(route_tables.services(body=SPEC))
         self.chooser = choice.Chooser(table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now)
