--- a/pw/ctl/adapters/test_world.py
+++ b/pw/ctl/adapters/test_world.py
@@ -325,7 +325,7 @@
     scene = Scene(seed=1, is_following=True)
     scene.world.run(until=60.0)
     check(scene, since=STATED_S)
-    request, at, first_at, _waited, kind, region = next(row for row in scene.log[-400:] if row[4] == "minutes")
+    request, at, first_at, _waited, kind, region = next(row for row in scene.log if row[4] == "minutes" and 35.0 < row[1] < 50.0)
     if fault == "twice":
         scene.answers[request] += 1
     elif fault == "wait":
--- /dev/null
+++ b/pw/sim/capacity.py
@@ -0,0 +1,330 @@
+"""Slopes of each role's work, measured on hollow nodes in one process, and what they come to at a size: docs/CAPACITY.md.
+
+    python3 -m pw.sim.capacity            measures and prints tables
+    python3 -m pw.sim.capacity --json     the same for machines
+
+Hollow: the real code of sources, sums, relay, mirrors, choice, grants and frames, without sockets, HTTP and traffic.
+Processor time is this process's own; bytes are those of packed frames.
+"""
+import argparse
+import json
+import random
+import time
+import tracemalloc
+
+from pw.base import records
+from pw.base import wire
+from pw.ctl import grants
+from pw.ctl.news import desk as desks
+from pw.dat import choice
+from pw.dat import mirror as mirrors
+from pw.dat import quota as quotas
+from pw.dat import replicas as tables
+from pw.dat.digest import source as sources
+from pw.dat.digest import sums as digests
+from pw.dat.relay import ckf
+from pw.dat.relay import host as hosts
+from pw.sim import entry
+from pw.sim import wires
+
+TURNS = 3
+# The operators' target, from their page: sizes only, no constant of any code.
+TARGET = {"proxies": 330, "replicas": 920, "regions": 5, "zones": 12, "requests_s": 15000, "cores": 6, "changes_day": 4100,
+          "restarts_day": 172, "cpu_part": 0.017, "memory_mb": 128, "bytes_s": 8000}
+CURVED = 0.5  # a line that misses a point by more than this is none
+TICK_S = 0.075  # contactMs / 80 at a contactMs of 6,000
+
+
+class Frames(wires.Wire):
+    """A link that only counts bytes."""
+
+    def __init__(self):
+        super().__init__()
+        self.bytes = 0
+
+    def send_bytes(self, data):
+        self.bytes += len(data)
+
+
+def fit(points) -> tuple:
+    """(slope, intercept, largest part that a point is off) of a straight line through the points."""
+    count = len(points)
+    mean_x = sum(x for x, _y in points) / count
+    mean_y = sum(y for _x, y in points) / count
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum((x - mean_x) ** 2 for x, _y in points)
+    base = mean_y - slope * mean_x
+    off = max(abs(y - slope * x - base) / max(abs(y), 1e-12) for x, y in points)
+    return slope, base, off
+
+
+def fit_square(points) -> tuple:
+    """(of the square, slope, base): the curve through three points, for what grows with the square."""
+    (x1, y1), (x2, y2), (x3, y3) = points
+    square = ((y3 - y1) / (x3 - x1) - (y2 - y1) / (x2 - x1)) / (x3 - x2)
+    slope = (y2 - y1) / (x2 - x1) - square * (x1 + x2)
+    return square, slope, y1 - square * x1 * x1 - slope * x1
+
+
+def clocked(act, *, repeats: int) -> float:
+    """Seconds of processor time for one act: the least of some turns."""
+    best = None
+    for _turn in range(TURNS):
+        began = time.process_time()
+        for _ in range(repeats):
+            act()
+        took = (time.process_time() - began) / repeats
+        best = took if best is None else min(best, took)
+    return best
+
+
+def rows(count: int) -> list:
+    return [{"id": f"i-{number:08x}", "service": "llm", "address": f"10.9.{number // 250}.{number % 250}:8080", "zone": "za",
+             "berths": 16, "is_clearing": False, "cold_ms": 0.0, "left_ms": None, "models": ["m"]} for number in range(count)]
+
+
+class Loop:
+    now = staticmethod(time.monotonic)
+
+    def command(self, *, act):
+        act()
+
+
+def chain(chance, *, parts=3):
+    return tuple((f"{chance.getrandbits(32):x}", 500) for _ in range(parts))
+
+
+def choice_time(count: int) -> float:
+    """One choice among so many replicas."""
+    table = tables.Table(loop=Loop(), settings=entry.settings(), share=lambda: 1.0)
+    table.install_services({"llm": {"models": ("m",), "cache_tokens": 200000, "max_conns": 500}})
+    table.install_list(rows(count))
+    quota = quotas.Quota(now=time.monotonic, settings=entry.settings())
+    region = mirrors.Region(now=time.monotonic, trust_s=5.0)
+    host = relay(count)
+    link = wires.Wire()
+    host.subscribe(link, region="north")
+    for message in link.told:
+        if message[0] in ("catalogue", "cut", "load"):
+            region.take(message)
+    chooser = choice.Chooser(table=table, settings=entry.settings(), regions={"north": region}, quota=quota, now=time.monotonic)
+    prompt = ckf.chain(model="m", parts=chain(random.Random(1)))
+    return clocked(lambda: chooser.choose(service="llm", permitted=None, model="m", chain=prompt, prompt_tokens=1500, avoid=set()), repeats=20)
+
+
+def relay(count: int):
+    host = hosts.Host(region="north", epoch=1, now=time.monotonic, suspect_s=1.0)
+    host.sync(services={"llm": {"models": ("m",), "cache_tokens": 200000}}, replicas=[
+        {"id": row["id"], "service": "llm", "region": "north", "models": ["m"]} for row in rows(count)])
+    feeder = Frames()
+    host.subscribe(feeder, region="north")
+    host.take_sums(feeder, wires.sums(1, loads=[wires.load_row(row["id"], running=1) for row in rows(count)]))
+    host.feeder = feeder
+    return host
+
+
+def reads_time(count: int) -> tuple:
+    """(seconds, bytes to a subscriber) of one tick at the relay with so many new prompts read."""
+    host = relay(200)
+    chance = random.Random(2)
+    reader = Frames()
+    host.subscribe(reader, region="north")
+    names = [row["id"] for row in rows(200)]
+    number = [1]
+
+    def tick():
+        number[0] += 1
+        host.take_sums(host.feeder, wires.sums(number[0], reads=[
+            wires.read_row(chance.choice(names), ("all", 500), *chain(chance, parts=2)) for _ in range(count)]))
+        host.tick()
+    tick()
+    before = reader.bytes
+    took = clocked(tick, repeats=4)
+    return took, (reader.bytes - before) / (4 * TURNS)
+
+
+def sums_time(count: int) -> float:
+    """One cut with so many changed replicas, taken and published at the relay."""
+    host = relay(count)
+    number, running = [1], [1]
+
+    def tick():
+        number[0] += 1
+        running[0] = running[0] % 50 + 1
+        host.take_sums(host.feeder, wires.sums(number[0], loads=[wires.load_row(row["id"], running=running[0]) for row in listed]))
+        host.tick()
+    listed = rows(count)
+    return clocked(tick, repeats=5)
+
+
+def digest_time(members: int, changed: int = 4) -> float:
+    """One tick of a digest: so many members report a few changed replicas each, one cut."""
+    held = digests.Sums(regions=("north",))
+    chance = random.Random(3)
+    names = [row["id"] for row in rows(200)]
+    reports = [b"".join(wires.load_row(name, running=chance.randint(1, 9)) for name in chance.sample(names, changed)) for _ in range(members)]
+    number = [0]
+
+    def tick():
+        number[0] += 1
+        for member, report in enumerate(reports):
+            held.take(member, number[0], report, b"")
+        held.counted(region="north", number=held.cut(region="north")[0])
+    return clocked(tick, repeats=10)
+
+
+def install_time(count: int) -> float:
+    """A proxy takes a load frame of so many rows, passed on by its digest."""
+    region = mirrors.Region(now=time.monotonic, trust_s=5.0)
+    region.take(("catalogue", 1, ()))
+    data = b"".join(records.LOAD.pack(records.key_of(row["id"]), 3, 500, 0, 0) for row in rows(count))
+    frame = wire.pack(("relayed", "north", wire.pack(("load", 1, False, data))))
+    return clocked(lambda: region.take(wire.unpack(wire.unpack(frame)[2])), repeats=20)
+
+
+def report_time(count: int) -> float:
+    """A proxy's report of so many changed replicas."""
+    table = tables.Table(loop=Loop(), settings=entry.settings(), share=lambda: 1.0)
+    table.install_list(rows(count))
+    source = sources.Source(now=time.monotonic, regions=("north",), suspect_s=1.0)
+
+    def tick():
+        for replica in table.replicas.values():
+            replica.running += 1
+            source.note(replica=replica, kind=sources.SENT)
+        number, loads, reads = source.cut()
+        wire.pack(("report", number, loads, reads))
+        source.credit(region="north", number=number)
+    return clocked(tick, repeats=10)
+
+
+def lease_time(count: int) -> float:
+    """A core node's beat: an entry for each of so many proxies."""
+    book = grants.Book(now=time.monotonic, life_s=1.5, window_s=10.0, quiet_until=0.0)
+    slots = grants.Slots(now=time.monotonic, hold_s=3.0)
+    names = [f"10.1.0.{number}" for number in range(count)]
+
+    def beat():
+        for name in names:
+            wire.pack(("entry", book.renew(node=name, part=0.2, live=count), 0.0, 1.5, 0.2, *slots.renew(node=name)))
+    return clocked(beat, repeats=1)
+
+
+def list_bytes(count: int) -> float:
+    return len(wire.pack(("image", "list", 1, 1, json.dumps({"replicas": rows(count)}, separators=(",", ":")).encode())))
+
+
+def offer_time(count: int) -> float:
+    """A core node's work to offer one change to so many proxies and to take what they have."""
+    desk = desks.Desk()
+    links = [Frames() for _ in range(count)]
+    for link in links:
+        desk.join(link)
+    number = [0]
+
+    def change():
+        number[0] += 1
+        desk.publish(topic="spec", epoch=0, number=number[0], data=b"")
+        for link in links:
+            desk.take_have(link, wire.unpack(wire.pack(("have", (("spec", 0, number[0]),)))))
+    return clocked(change, repeats=3)
+
+
+def kept_memory(count: int) -> float:
+    """Bytes of a relay's exact ownership of so many parts."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    host = relay(20)
+    chance = random.Random(4)
+    names = [row["id"] for row in rows(20)]
+    for number in range(2, count // 100 + 2):
+        host.take_sums(host.feeder, wires.sums(number, reads=[
+            wires.read_row(chance.choice(names), (f"{chance.getrandbits(40):x}", 10)) for _ in range(100)]))
+        host.tick()
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return held
+
+
+PROBES = (
+    ("proxy: a choice", "replicas", "us", choice_time, (60, 240, 920), 1e6),
+    ("proxy: a report", "changed replicas", "us", report_time, (5, 20, 80), 1e6),
+    ("proxy: a load frame", "rows", "us", install_time, (10, 40, 160), 1e6),
+    ("digest: a tick", "members", "us", digest_time, (5, 15, 45), 1e6),
+    ("relay: a cut with loads", "changed replicas", "us", sums_time, (50, 100, 200), 1e6),
+    ("relay: reads in a tick", "prompts read", "us", lambda count: reads_time(count)[0], (5, 20, 80), 1e6),
+    ("relay: published for reads", "prompts read", "bytes", lambda count: reads_time(count)[1], (5, 20, 80), 1),
+    ("relay: exact ownership", "kept parts", "bytes", kept_memory, (2000, 6000, 18000), 1),
+    ("core: a beat of leases", "proxies", "us", lease_time, (60, 160, 330), 1e6),
+    ("core: a change offered and acknowledged", "proxies", "us", offer_time, (60, 160, 330), 1e6),
+    ("core: the list as one image", "replicas", "bytes", list_bytes, (60, 240, 920), 1),
+)
+
+
+def measure() -> dict:
+    found = {}
+    for name, of, unit, act, sizes, scale in PROBES:
+        points = [(size, act(size) * scale) for size in sizes]
+        slope, base, off = fit(points)
+        square = 0.0
+        if off > CURVED:
+            square, slope, base = fit_square(points)
+            off = 0.0
+        found[name] = {"of": of, "square": round(square, 5), "unit": unit, "points": [[size, round(value, 1)] for size, value in points],
+                       "slope": round(slope, 3), "base": round(base, 1), "off": round(off, 3)}
+    return found
+
+
+def extrapolate(found: dict) -> list:
+    """(role, what, figure, limit, verdict) at the target; straight lines carried on past what was measured."""
+    size = TARGET
+
+    def at(name, count):
+        return found[name]["square"] * count * count + found[name]["slope"] * count + found[name]["base"]
+    ticks = 1 / TICK_S
+    by_region = size["replicas"] / size["regions"]
+    per_proxy = size["requests_s"] / size["proxies"]
+    members = size["proxies"] / size["zones"]
+    changed = min(by_region, 3 * size["requests_s"] / size["regions"] * TICK_S)
+    load_bytes = changed * records.LOAD.size * ticks * size["regions"]
+    read_bytes = at("relay: published for reads", size["requests_s"] / size["regions"] * TICK_S) * ticks * size["regions"]
+    lists_s = size["restarts_day"] * 3 / 86400
+    lines = [
+        ("proxy", "choices, part of a core", per_proxy * at("proxy: a choice", size["replicas"]) / 1e6, size["cpu_part"]),
+        ("proxy", "reports, part of a core", ticks * at("proxy: a report", min(3 * per_proxy * TICK_S, by_region)) / 1e6, size["cpu_part"]),
+        ("proxy", "load frames, part of a core", ticks * size["regions"] * at("proxy: a load frame", changed) / 1e6, size["cpu_part"]),
+        ("proxy", "load frames, bytes a second", load_bytes, size["bytes_s"]),
+        ("proxy", "bucket images, bytes a second", read_bytes, size["bytes_s"]),
+        ("digest", "reports of the zone, part of a core", ticks * at("digest: a tick", members) / 1e6, size["cpu_part"]),
+        ("digest", "passed on to members, bytes a second", (load_bytes + read_bytes) * members, size["bytes_s"]),
+        ("relay", "sums of %d zones, part of a core" % size["zones"],
+         ticks * size["zones"] * at("relay: a cut with loads", changed) / 1e6, size["cpu_part"]),
+        ("relay", "reads, part of a core", ticks * at("relay: reads in a tick", size["requests_s"] / size["regions"] * TICK_S) / 1e6, size["cpu_part"]),
+        ("relay", "exact ownership, MB", at("relay: exact ownership", by_region * 200) / 1e6, size["memory_mb"]),
+        ("core", "leases, part of a core", at("core: a beat of leases", size["proxies"]) / 1e6 / 0.4, size["cpu_part"]),
+        ("core", "changes offered, part of a core", at("core: a change offered and acknowledged", size["proxies"]) / 1e6 * size["changes_day"] / 86400, size["cpu_part"]),
+        ("core", "the list told, bytes a second to each proxy", at("core: the list as one image", size["replicas"]) * lists_s, size["bytes_s"]),
+    ]
+    return [(role, what, value, limit, "fits" if value <= limit else "does not fit") for role, what, value, limit in lines]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    found = measure()
+    lines = extrapolate(found)
+    if args.json:
+        print(json.dumps({"slopes": found, "target": TARGET, "extrapolated": lines}, indent=2))
+        return
+    print("| measured | sizes and values | slope | base | off the line by |\n| --- | --- | --- | --- | --- |")
+    for name, row in found.items():
+        points = ", ".join(f"{size}: {value:,.0f}" for size, value in row["points"])
+        curve = f"{row['square']:,} a square and " if row["square"] else ""
+        print(f"| {name} ({row['unit']}) | {points} | {curve}{row['slope']:,} a {row['of']} | {row['base']:,} | {row['off']:.0%} |")
+    print("\n| role | what, extrapolated | at the target | limit | verdict |\n| --- | --- | --- | --- | --- |")
+    for role, what, value, limit, verdict in lines:
+        print(f"| {role} | {what} | {value:,.4g} | {limit:,} | {verdict} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/pw/sim/standin.py
+++ b/pw/sim/standin.py
@@ -35,17 +35,23 @@
          "urgency": 2, "destination": "tutor", "tries": 2, "sticky": False},
     ],
     "destinations": [{"name": "tutor", "health": "/health", "maxConns": 200, "warmupS": 0, "warmupPerS": 0,
-                      "engine": {"berths": 16, "cacheTokens": 20000, "models": [{"name": "m"}]}}],
+                      "engine": {"berths": 16, "cacheTokens": 20000, "models": [{"name": "m", "adapters": ["drafts", "hearings", "moves", "coach"]}]}}],
     "limits": {"labelBytes": 16384, "parcelBytes": 1000000, "labelMs": 3000, "idleMs": 15000},
 }
 
 
+LOAD_S = 0.9  # an adapter's load
+SLOTS = 2  # adapters that a replica holds
+ADAPTERS = ("drafts", "hearings", "moves", "coach")
+
+
 class Standin:
     def __init__(self, *, folder: str, base_port: int):
         self.loop = loops.Loop()
         self.folder = folder
         self.base = base_port
         self.rows = []
+        self.held = {}  # replica: {adapter: when it is loaded}, least lately used first
         self.nodes = []
         self.platform = f"127.0.100.1:{base_port + 50}"
         limits = lambda: loopback.limits(head_bytes=65536, body_bytes=10 ** 6)  # noqa: E731
@@ -58,10 +64,13 @@
                     "id": name, "destination": "tutor", "address": "%s:%d" % address, "zone": f"z{region}", "edition": "v1",
                     "berths": 16, "condition": "accepting", "warmupLeftMs": 0, "leg": "both",
                     "models": [{"name": "m", "edition": 1, "adapters": []}]})
+                self.held[name] = {}
                 inlet.Hall(loop=self.loop, address=address, limits=limits, silence_s=10.0,
                            on_ask=lambda ask, name=name: self._serve(ask, name))
 
     def _list(self, ask):
+        for row in self.rows:
+            row["models"][0]["adapters"] = [name for name, at in self.held[row["id"]].items() if at <= self.loop.now()]
         ask.reply(status=200, headers=[(b"Content-Type", b"application/json")],
                   body=json.dumps({"replicas": self.rows, "nextPage": None}).encode())
 
@@ -73,7 +82,19 @@
             ask.reply(status=200, headers=known, body=b"done")
         else:
             ask.start(status=200, headers=[*known, (b"Content-Type", b"text/event-stream"), (b"Transfer-Encoding", b"chunked")])
-            self._event(ask, int(ask.text(b"last-event-id", "0") or 0) + 1)
+            number = int(ask.text(b"last-event-id", "0") or 0) + 1
+            self.loop.after(delay=self._load(name, ask.text(b"x-model")), act=lambda: self._event(ask, number))
+
+    def _load(self, name, adapter):
+        """How long the first event waits for its adapter."""
+        held = self.held[name]
+        if adapter not in ADAPTERS:
+            return 0.0
+        at = held.pop(adapter, None)
+        if at is None and len(held) >= SLOTS:
+            del held[next(iter(held))]
+        held[adapter] = at if at is not None else self.loop.now() + LOAD_S
+        return max(0.0, held[adapter] - self.loop.now())
 
     def _event(self, ask, number):
         if not ask.door.is_open:
@@ -121,7 +142,7 @@
         lead = random.choice(("chat", "board"))
         request = urllib.request.Request(
             f"http://127.0.{random.randint(1, 3)}.2:{self.base + 2}/{lead}/x", method="POST", data=b"hello",
-            headers={"Host": "club.example", "X-Attempt-Id": ask_id, "X-Model": "m", "X-Token-Count": "120,40",
+            headers={"Host": "club.example", "X-Attempt-Id": ask_id, "X-Model": random.choice(ADAPTERS) if lead == "chat" else "m", "X-Token-Count": "120,40",
                      "X-Prompt-Lead": f"aa{random.randint(1, 5)}:80,{ask_id[:8]}:40", "X-Time-Left-Ms": "3000"})
         try:
             with urllib.request.urlopen(request, timeout=4) as reply:
