--- /dev/null
+++ b/pw/dat/test_later.py
@@ -0,0 +1,150 @@
+"""The troubles that came with growth: ill replicas with a good word for themselves, false health, flapping, ways that carry one
+direction, jumps of traffic, idle connections forgotten without a word."""
+import collections
+import random
+import re
+import selectors
+import socket
+
+import pytest
+
+from pw.base import link as links
+from pw.dat import test_way
+from pw.dat.digest import source as sources
+from pw.dat.relay import outcomes
+from pw.sim import loopback
+
+KEY = b"replica1"
+
+
+def told_kinds(scene):
+    """What the proxy would report of each attempt: {replica: [kinds]}."""
+    kinds = collections.defaultdict(list)
+    scene.entry.tell_send = lambda *, replica, kind: kinds[replica.id].append(kind)
+    return kinds
+
+
+def refusing(number, heard):
+    return [test_way.answer(test_way.ask_id(heard), b"no", status=b"500 Broken")] if test_way.is_whole(heard) else None
+
+
+@pytest.mark.parametrize("status", [b"500 Broken", b"502 Broken", b"200 OK"])
+def test_a_replica_that_fails_requests_is_told_by_its_outcomes_and_left_by_who_saw_it(status):
+    def script(number, heard):
+        more = b"" if status.startswith(b"200") else b"X-Postmark: p\r\n"  # a success without its stamp is none
+        return [test_way.answer(test_way.ask_id(heard), b"no", status=status, more=more)] if test_way.is_whole(heard) else None
+
+    scene = test_way.Scene(script, test_way.replying)
+    kinds = told_kinds(scene)
+    for _ in range(12):
+        scene.client.got = b""
+        scene.ask("safe")
+        assert scene.until(b"\r\n\r\nok")  # always answered, by the other one
+    failed = [kind for kind in kinds["i0"] if kind in (sources.FAILED, sources.BROKEN)]
+    assert 0 < len(failed) < 6  # soon left alone
+    assert sources.FAILED not in kinds["i1"] and sources.BROKEN not in kinds["i1"]
+
+
+def test_health_is_never_asked_so_a_false_answer_moves_nothing():
+    scene = test_way.Scene(test_way.replying, test_way.replying)
+    for _ in range(8):
+        scene.client.got = b""
+        scene.ask("safe")
+        assert scene.until(b"\r\n\r\nok")
+    scene.entry.table.try_suspects()
+    scene.entry.table.sweep()
+    heard = b"".join(heard for peer in scene.peers for heard in peer.heard)
+    assert b"GET " not in heard and b"/health" not in heard
+
+
+def test_a_replica_that_flaps_is_out_for_longer_each_time_and_comes_back():
+    clock = [0.0]
+    judge = outcomes.Judge(now=lambda: clock[0], suspect_s=1.0)
+    changes = []
+    while clock[0] < 60.0:
+        clock[0] += 0.1
+        is_down = clock[0] % 2.0 < 1.0
+        if KEY not in judge.failing:
+            judge.take(key=KEY, ended=2, failed=2 if is_down else 0)
+        for _key in judge.look():
+            changes.append((clock[0], KEY in judge.failing))
+    outs = [back - out for (out, is_out), (back, _is) in zip(changes, changes[1:]) if is_out]
+    assert len(outs) >= 3 and outs[0] < outs[1] < outs[2] and max(outs) < 17.0
+    assert outcomes.Judge(now=lambda: 0.0, suspect_s=1.0).failing == set()
+
+
+def test_marks_of_failing_ones_do_not_leave_nobody_to_choose():
+    scene = test_way.Scene(refusing, refusing)
+    for _ in range(6):
+        scene.client.got = b""
+        scene.ask("safe")
+        assert scene.until(b" 50")
+    replica, _tokens, is_any = scene.entry.chooser.choose(
+        service="llm", permitted=None, model="", chain=(), prompt_tokens=0, avoid=set())
+    assert replica is not None and is_any
+
+
+def test_a_way_that_carries_one_direction_is_no_link():
+    """We can send and are not heard, or hear nothing: a held connection needs an answer to its beats."""
+    loop = loopback.new_loop()
+    server = socket.socket()
+    server.bind(("127.0.0.1", 0))
+    server.listen(5)
+    server.setblocking(False)
+    heard = []
+
+    def accept(_mask):
+        sock, _address = server.accept()
+        heard.append(sock)  # it is open and takes all, and nothing ever comes back
+    loop.watch(sock=server, mask=selectors.EVENT_READ, act=accept)
+    ended = []
+    dialer = links.Dialer(loop=loop, address=server.getsockname(), on_up=lambda link: None, on_message=lambda link, message: None,
+                          on_end=lambda link, reason: ended.append(reason), silence_s=0.2)
+    beats = [0]
+
+    def beat():
+        if dialer.link is not None and dialer.link.is_up:
+            dialer.link.send(("beat", 0))
+            beats[0] += 1
+    loop.every(gap=0.05, act=beat)
+    assert loopback.until(loop, lambda: ended)
+    assert ended[0] == "silent" and beats[0] >= 2
+    dialer.stop()
+    for sock in [server, *heard]:
+        sock.close()
+
+
+def test_a_jump_of_traffic_is_spread_before_anybody_reports():
+    scene = test_way.Scene(*[test_way.replying] * 4)
+    chance = random.Random(3)
+    taken = collections.Counter()
+    for number in range(64):
+        replica, tokens, _is_any = scene.entry.chooser.choose(
+            service="llm", permitted=None, model="m", chain=(), prompt_tokens=chance.randint(100, 200), avoid=set())
+        replica.running += 1
+        replica.to_read[number] = tokens
+        taken[replica.id] += 1
+    assert min(taken.values()) >= 8 and len(taken) == 4
+
+
+@pytest.mark.parametrize("lead, is_answered", [("safe", True), ("once", False)])
+def test_an_idle_connection_that_was_forgotten_says_nothing_of_its_replica(lead, is_answered):
+    def script(number, heard):
+        if not test_way.is_whole(heard):
+            return None
+        return ["reset"] if len(re.findall(rb"x-attempt-id", heard, re.I)) > 1 else [test_way.answer(test_way.ask_id(heard))]
+
+    scene = test_way.Scene(script, test_way.replying)
+    kinds = told_kinds(scene)
+    replica = scene.entry.table.replicas["i0"]
+    scene.entry.table.replicas["i1"].is_clearing = True
+    scene.ask("safe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.entry.table.replicas["i1"].is_clearing = False
+    scene.entry.table.replicas["i1"].running = 50  # the idle connection is taken again
+    scene.client.got = b""
+    arrivals = scene.arrivals()
+    scene.ask(lead)
+    assert scene.until(b"\r\n\r\nok" if is_answered else b" 502 ")
+    assert scene.arrivals() - arrivals == (2 if is_answered else 1)  # what may have run once does not run again
+    assert sources.FAILED not in kinds["i0"] and replica.failed_lately(now=scene.loop.now()) == 0
