A link closed by an earlier event of the same step is left alone

Cause: one select can hand over events of several links, and acting on the first may close the next; its event then met a closed socket. The loop caught that and wrote the ring out, so nothing was lost, but two tests on sockets failed by it in a full run on a busy machine. Ruled out: the tests' own freezing (it happened without it, too). Small test added; the checks are unchanged.

--- a/pw/base/link.py
+++ b/pw/base/link.py
@@ -109,6 +109,8 @@
             self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
 
     def _ready(self, mask) -> None:
+        if not self.is_open:
+            return  # closed by an earlier event of the same step
         if mask & selectors.EVENT_WRITE:
             if not self.is_up:
                 code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/pw/dat/test_later.py
+++ b/pw/dat/test_later.py
@@ -148,3 +148,16 @@
     assert scene.until(b"\r\n\r\nok" if is_answered else b" 502 ")
     assert scene.arrivals() - arrivals == (2 if is_answered else 1)  # what may have run once does not run again
     assert sources.FAILED not in kinds["i0"] and replica.failed_lately(now=scene.loop.now()) == 0
+
+
+@pytest.mark.parametrize("mask", [selectors.EVENT_READ, selectors.EVENT_WRITE])
+def test_a_link_closed_by_an_earlier_event_of_the_same_step_is_left_alone(mask):
+    loop = loopback.new_loop()
+    near, far = socket.socketpair()
+    ended = []
+    link = links.Link(loop=loop, sock=near, on_message=lambda link, message: None,
+                      on_end=lambda link, reason: ended.append(reason), silence_s=5.0, is_connecting=True)
+    link.close(reason="another event")
+    link._ready(mask)
+    assert ended == ["another event"]
+    far.close()
