--- a/pw/dat/test_later.py
+++ b/pw/dat/test_later.py
@@ -153,11 +153,14 @@
 @pytest.mark.parametrize("mask", [selectors.EVENT_READ, selectors.EVENT_WRITE])
 def test_a_link_closed_by_an_earlier_event_of_the_same_step_is_left_alone(mask):
     loop = loopback.new_loop()
-    near, far = socket.socketpair()
+    server = socket.socket()
+    server.bind(("127.0.0.1", 0))
+    server.listen(1)
+    near = socket.create_connection(server.getsockname())
     ended = []
     link = links.Link(loop=loop, sock=near, on_message=lambda link, message: None,
                       on_end=lambda link, reason: ended.append(reason), silence_s=5.0, is_connecting=True)
     link.close(reason="another event")
     link._ready(mask)
     assert ended == ["another event"]
-    far.close()
+    server.close()
