--- a/ploverward.py
+++ b/ploverward.py
@@ -1,4 +1,5 @@
 """ploverward: serves a language model across regions. One command line for nodes and operators."""
+
 import signal
 import sys
 import time
@@ -16,7 +17,11 @@
 flags.DEFINE_bool("json", False, "operator tools: machine-readable output")
 flags.DEFINE_bool("audit", False, "custody: check all trails that are kept")
 flags.DEFINE_integer("capacity", 0, "pins: adapters that a replica can keep pinned; 0: as many as one is seen to hold")
-flags.DEFINE_string("previous", "", "pins: a file with an earlier output of pins --json, which the suggestion changes no more than it must")
+flags.DEFINE_string(
+    "previous",
+    "",
+    "pins: a file with an earlier output of pins --json, which the suggestion changes no more than it must",
+)
 flags.DEFINE_string("service", "", "pins: only this service")
 flags.DEFINE_string("model", "", "pins: only this model")
 flags.DEFINE_string("zone", "", "pins: only replicas of this zone")
@@ -48,13 +53,16 @@
     ring.start(node=settings.node, role=role, is_chatty=FLAGS.chatty)
     if role == "core":
         from pw.ctl import core
+
         return core.Core(settings=settings).run()
     from pw.dat import proxy
+
     return proxy.Proxy(settings=settings).run()
 
 
 def _caller():
     from pw.ops import caller
+
     addresses = FLAGS.core
     if not addresses:
         addresses = ["%s:%d" % seed for seed in settings_files.load().seeds]
@@ -66,6 +74,7 @@
 def _drill(zone: str) -> int:
     from pw.ops import custody
     from pw.ops import drill
+
     caller = _caller()
     status, nodes = caller.any(method="GET", path="/ploverward/nodes")
     if status != 200:
@@ -81,9 +90,16 @@
     marks = {}
     custody.collect(caller=caller, marks=marks)  # what went before the drill is none of its matter
     work = drill.Drill(
-        zone=zone, trails=lambda: custody.collect(caller=caller, marks=marks)[0], call=lambda method, path: caller.any(method=method, path=path), clock=time.time, pause=time.sleep,
-        watch_s=FLAGS.watch_s, receipt_s=bounds["receiptMs"] / 1000.0, evacuate_s=bounds["evacuateMs"] / 1000.0,
-        slack_s=1.0, out=lines.append if FLAGS.json else print,
+        zone=zone,
+        trails=lambda: custody.collect(caller=caller, marks=marks)[0],
+        call=lambda method, path: caller.any(method=method, path=path),
+        clock=time.time,
+        pause=time.sleep,
+        watch_s=FLAGS.watch_s,
+        receipt_s=bounds["receiptMs"] / 1000.0,
+        evacuate_s=bounds["evacuateMs"] / 1000.0,
+        slack_s=1.0,
+        out=lines.append if FLAGS.json else print,
     )
     code = work.run()
     if FLAGS.json:
@@ -102,14 +118,20 @@
 
 def _nodes() -> int:
     import json
+
     told, missed = _caller().all(path="/ploverward/nodes")
-    print(json.dumps({"told": {address: body for address, (_status, body) in told.items()}, "unreachable": missed}, indent=2))
+    print(
+        json.dumps(
+            {"told": {address: body for address, (_status, body) in told.items()}, "unreachable": missed}, indent=2
+        )
+    )
     return 3 if missed else 0
 
 
 def _keep(folder: str, edition: str) -> int:
     import json
     from pw.ops import keep
+
     keeper = keep.Keeper(folder=folder)
     if edition:
         print(json.dumps(keeper.show(edition=int(edition)), indent=2, sort_keys=True))
@@ -132,6 +154,7 @@
         return 0
     if verb == "custody" and len(rest) == (0 if FLAGS.audit else 1):
         from pw.ops import custody
+
         if FLAGS.audit:
             return custody.audit(caller=_caller(), as_json=FLAGS.json, out=print)
         return custody.show(caller=_caller(), ask_id=rest[0], as_json=FLAGS.json, out=print)
@@ -143,9 +166,15 @@
         return _keep(*rest, *[""] * (2 - len(rest)))
     if verb == "pins" and not rest:
         from pw.ops import pins
+
         return pins.run(
-            caller=_caller(), as_json=FLAGS.json, out=print, capacity=FLAGS.capacity, previous=FLAGS.previous,
-            wanted=pins.Filter(service=FLAGS.service, model=FLAGS.model, zone=FLAGS.zone, replica=FLAGS.replica))
+            caller=_caller(),
+            as_json=FLAGS.json,
+            out=print,
+            capacity=FLAGS.capacity,
+            previous=FLAGS.previous,
+            wanted=pins.Filter(service=FLAGS.service, model=FLAGS.model, zone=FLAGS.zone, replica=FLAGS.replica),
+        )
     if verb == "nodes" and not rest:
         return _nodes()
     print(USAGE, file=sys.stderr)
--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -1,4 +1,5 @@
 """The server side of HTTP/1.1, by h11 (design 3). Strictly one ask at a time on a connection."""
+
 import collections
 import selectors
 
@@ -7,11 +8,24 @@
 from pw.base import link as links
 
 REASONS = {
-    200: b"OK", 307: b"Temporary Redirect", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    408: b"Request Timeout", 409: b"Conflict", 412: b"Precondition Failed", 413: b"Content Too Large",
-    415: b"Unsupported Media Type", 421: b"Misdirected Request", 422: b"Unprocessable Content", 429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    200: b"OK",
+    307: b"Temporary Redirect",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    412: b"Precondition Failed",
+    413: b"Content Too Large",
+    415: b"Unsupported Media Type",
+    421: b"Misdirected Request",
+    422: b"Unprocessable Content",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
 }
 OUT_HIGH = 256 * 1024
 Limits = collections.namedtuple("Limits", "head_bytes body_bytes head_s idle_s")
@@ -20,7 +34,20 @@
 class Ask:
     """One request of a user agent, whole, and the way to answer it."""
 
-    __slots__ = ("door", "method", "target", "headers", "body", "at", "begun_at", "on_gone", "on_drain", "is_answered", "is_started", "note")
+    __slots__ = (
+        "door",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "at",
+        "begun_at",
+        "on_gone",
+        "on_drain",
+        "is_answered",
+        "is_started",
+        "note",
+    )
 
     def __init__(self, *, door, method, target, headers, begun_at):
         self.door = door
@@ -113,7 +140,10 @@
         """An answer to what never became a whole ask; the connection ends after it."""
         self._has_head = False
         self._is_broken = True
-        text = b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % (status, REASONS.get(status, b"Error"))
+        text = b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % (
+            status,
+            REASONS.get(status, b"Error"),
+        )
         self.is_ending = True
         self._write(text)
 
@@ -167,14 +197,20 @@
                 if (lengths and has_chunks) or len(lengths) > 1:
                     self._refuse(status=400)
                     return
-                if sum(len(name) + len(value) + 4 for name, value in headers) + len(event.target) > self._limits.head_bytes:
+                if (
+                    sum(len(name) + len(value) + 4 for name, value in headers) + len(event.target)
+                    > self._limits.head_bytes
+                ):
                     self._refuse(status=431)
                     return
                 if lengths and int(next(iter(lengths))) > self._limits.body_bytes:
                     self._refuse(status=413)
                     return
                 self._ask = Ask(
-                    door=self, method=event.method, target=event.target, headers=headers,
+                    door=self,
+                    method=event.method,
+                    target=event.target,
+                    headers=headers,
                     begun_at=self._head_begun or self.loop.now(),
                 )
                 self._has_head = True
--- a/pw/base/link.py
+++ b/pw/base/link.py
@@ -1,4 +1,5 @@
 """Held connections between our own processes (design 4): beats, TCP_USER_TIMEOUT, bounded buffers, backoff with jitter."""
+
 import errno
 import random
 import selectors
@@ -183,8 +184,13 @@
             self._again()
             return
         self.link = Link(
-            loop=self.loop, sock=sock, on_message=self._take, on_end=self._ended, silence_s=self._silence_s,
-            is_connecting=True, peer="%s:%d" % self.address,
+            loop=self.loop,
+            sock=sock,
+            on_message=self._take,
+            on_end=self._ended,
+            silence_s=self._silence_s,
+            is_connecting=True,
+            peer="%s:%d" % self.address,
         )
         self._on_up(self.link)
 
@@ -226,7 +232,13 @@
         accept_all(sock=self._sock, act=self._take)
 
     def _take(self, sock, address) -> None:
-        self._on_link(Link(
-            loop=self.loop, sock=sock, on_message=self._on_message, on_end=self._on_end,
-            silence_s=self._silence_s, peer="%s:%d" % address[:2],
-        ))
+        self._on_link(
+            Link(
+                loop=self.loop,
+                sock=sock,
+                on_message=self._on_message,
+                on_end=self._on_end,
+                silence_s=self._silence_s,
+                peer="%s:%d" % address[:2],
+            )
+        )
--- a/pw/base/loop.py
+++ b/pw/base/loop.py
@@ -1,4 +1,5 @@
 """One loop on one thread (design 2). It owns all tables; other threads only hand it commands."""
+
 import collections
 import concurrent.futures
 import os
@@ -69,6 +70,7 @@
         def tick():
             self.after(delay=gap, act=tick)
             act()
+
         self.after(delay=gap, act=tick)
 
     def cancel(self, *, timer) -> None:
--- a/pw/base/records.py
+++ b/pw/base/records.py
@@ -2,13 +2,16 @@
 
 construct describes the frames; a row by construct costs some 16 microseconds each way, a row by struct under one.
 """
+
 import functools
 import hashlib
 import struct
 
 from pw.base import problems
 
-REPORTED = struct.Struct(">8sBHIHHH")  # replica key, region, running, tokens to read, marks, ended and failed since the last
+REPORTED = struct.Struct(
+    ">8sBHIHHH"
+)  # replica key, region, running, tokens to read, marks, ended and failed since the last
 LOAD = struct.Struct(">8sHIHB")  # replica key, running, tokens to read, marks, is failing
 LANE = struct.Struct(">8sH")
 _READ = struct.Struct(">8sB8sB")  # replica key, region, domain, how many parts
@@ -41,7 +44,8 @@
     """`parts`: (token hash, tokens) from the front; at most 255 count."""
     parts = parts[:255]
     return _READ.pack(replica, region, domain, len(parts)) + b"".join(
-        _PART.pack(token_hash, long(tokens)) for token_hash, tokens in parts)
+        _PART.pack(token_hash, long(tokens)) for token_hash, tokens in parts
+    )
 
 
 def split_reads(*, data: bytes) -> list:
@@ -65,4 +69,4 @@
     replica, _region, domain, count = _READ.unpack_from(data, 0)
     if len(data) != _READ.size + count * _PART.size:
         raise problems.FrameProblem("a read of another length", step="frame")
-    return replica, domain, tuple(_PART.iter_unpack(data[_READ.size:]))
+    return replica, domain, tuple(_PART.iter_unpack(data[_READ.size :]))
--- a/pw/base/ring.py
+++ b/pw/base/ring.py
@@ -1,4 +1,5 @@
 """Logs: a ring in memory, written out when something goes wrong, and little else."""
+
 import collections
 import logging
 import sys
@@ -14,8 +15,11 @@
 def start(*, node: str, role: str, is_chatty: bool = False) -> None:
     _is_chatty[0] = is_chatty
     from pythonjsonlogger import json as json_log  # only programs that write need it
+
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(json_log.JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"node": node, "role": role}))
+    handler.setFormatter(
+        json_log.JsonFormatter("%(asctime)s %(levelname)s %(message)s", static_fields={"node": node, "role": role})
+    )
     _log.handlers[:] = [handler]
     _log.setLevel(logging.INFO)
     _log.propagate = False
--- a/pw/base/settings.py
+++ b/pw/base/settings.py
@@ -1,4 +1,5 @@
 """The settings file: lines of a.b=value, read whole or not at all (design 9)."""
+
 import dataclasses
 import os
 
@@ -97,18 +98,16 @@
     bindings = {}
     for name, value in fields.items():
         if name.startswith("bindings."):
-            bindings[name[len("bindings."):]] = parse_address(text=value, field=name)
+            bindings[name[len("bindings.") :]] = parse_address(text=value, field=name)
     bounds = {}
     for name in fields:
         if name.startswith("bounds."):
             value = fields[name]
-            bounds[name[len("bounds."):]] = (
-                float(value == "true") if value in ("true", "false") else number(name)
-            )
+            bounds[name[len("bounds.") :]] = float(value == "true") if value in ("true", "false") else number(name)
     for name in BOUND_NAMES:
         if bounds.get(name, 0.0) <= 0.0:
             raise problems.SettingsProblem(f"bounds.{name}: missing or not above 0", step="settings")
-    zones = {name[len("zones."):]: value for name, value in fields.items() if name.startswith("zones.")}
+    zones = {name[len("zones.") :]: value for name, value in fields.items() if name.startswith("zones.")}
     return Settings(
         node=need("node"),
         ip=need("ip"),
--- a/pw/base/test_residency.py
+++ b/pw/base/test_residency.py
@@ -15,10 +15,14 @@
     assert residency.permitted(homes=("a",), older=(("b",),)) == frozenset()
 
 
-SPEC = {"routes": [
-    {"host": "h", "homeRegions": ["a", "b"]}, {"host": "h", "homeRegions": ["b", "c"]}, {"host": "h", "homeRegions": []},
-    {"host": "open", "homeRegions": []},
-]}
+SPEC = {
+    "routes": [
+        {"host": "h", "homeRegions": ["a", "b"]},
+        {"host": "h", "homeRegions": ["b", "c"]},
+        {"host": "h", "homeRegions": []},
+        {"host": "open", "homeRegions": []},
+    ]
+}
 
 
 def test_lookup_names_the_own_region_first():
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -1,4 +1,5 @@
 """Frames between our own processes (design 2, 4, 5): a length, a kind, fields by construct; messages are tuples."""
+
 import struct
 
 import construct
@@ -69,7 +70,9 @@
     "counted": (57, (NUMBER,)),  # number of the subscriber's last sums that the load holds
 }
 _BY_NAME = {name: (number, construct.Sequence(*fields)) for name, (number, fields) in KINDS.items()}
-_BY_NUMBER = {number: (name, construct.Sequence(*fields, construct.Terminated)) for name, (number, fields) in KINDS.items()}
+_BY_NUMBER = {
+    number: (name, construct.Sequence(*fields, construct.Terminated)) for name, (number, fields) in KINDS.items()
+}
 
 
 def pack(message: tuple) -> bytes:
@@ -93,8 +96,8 @@
             raise problems.FrameProblem(f"kind {kind}, size {size}", step="frame")
         if len(buffer) < HEAD_SIZE + size:
             break
-        frames.append(bytes(buffer[:HEAD_SIZE + size]))
-        del buffer[:HEAD_SIZE + size]
+        frames.append(bytes(buffer[: HEAD_SIZE + size]))
+        del buffer[: HEAD_SIZE + size]
     return frames
 
 
--- a/pw/ctl/adapters/ledger.py
+++ b/pw/ctl/adapters/ledger.py
@@ -1,5 +1,6 @@
 """What proxies counted of adapters, as one core node keeps it (docs/pins.md 3). A window of one life stands once:
 a newer number replaces it, an older one or a repeat does nothing."""
+
 import collections
 import json
 
@@ -37,8 +38,17 @@
         self._trim()
         now = self._now()
         return [
-            {"life": life, "window": window, "number": number, "age_s": round(now - at, 1), "node": node, "zone": zone,
-             "region": region, "rows": body["rows"], "over": body["over"]}
+            {
+                "life": life,
+                "window": window,
+                "number": number,
+                "age_s": round(now - at, 1),
+                "node": node,
+                "zone": zone,
+                "region": region,
+                "rows": body["rows"],
+                "over": body["over"],
+            }
             for (life, window), (number, at, node, zone, region, body) in self._windows.items()
         ]
 
--- a/pw/ctl/adapters/suggest.py
+++ b/pw/ctl/adapters/suggest.py
@@ -1,4 +1,5 @@
 """Which adapters each replica should keep pinned (docs/pins.md 4): from counts to a suggestion, without side effects."""
+
 import collections
 
 from pw.dat.adapters import counts
@@ -14,13 +15,17 @@
     for window in windows:
         for service, model, adapter, _replica, route, *numbers in window["rows"]:
             row = table.setdefault((service, model, adapter), {}).setdefault(window["region"], collections.Counter())
-            fields = dict(zip(counts.FIELDS, numbers))
+            fields = dict(zip(counts.FIELDS, numbers, strict=False))
             most = max(row["most_wait_ms"], fields.pop("most_wait_ms"))
             row.update(fields)
             row["most_wait_ms"] = most
             about = routes.get(route, {})
             arrivals = fields["warm"] + fields["cold"] + fields["unknown"]
-            near = min(1.0, fields["wait_ms"] / fields["waits"] / about["target_ms"]) if fields["waits"] and about.get("target_ms") else 0.0
+            near = (
+                min(1.0, fields["wait_ms"] / fields["waits"] / about["target_ms"])
+                if fields["waits"] and about.get("target_ms")
+                else 0.0
+            )
             row["weight"] += arrivals * (10 - min(9, max(0, about.get("urgency", 5)))) / 10 * (1 + near)
     return table
 
@@ -66,10 +71,22 @@
         for region, row in regions.items():
             is_old = any(pair in before.get(one["id"], ()) for one in here)
             if sum(arrivals(other) for other in regions.values()) < LEAST_ARRIVALS and not is_old:
-                thin.append({"service": service, "model": model, "adapter": adapter, "region": region, "arrivals": arrivals(row)})
+                thin.append(
+                    {
+                        "service": service,
+                        "model": model,
+                        "adapter": adapter,
+                        "region": region,
+                        "arrivals": arrivals(row),
+                    }
+                )
                 continue
-            if not row["cold"] and not row["unknown"] and not is_old and not any(
-                    pair in (one["adapters"] or ()) for one in here):
+            if (
+                not row["cold"]
+                and not row["unknown"]
+                and not is_old
+                and not any(pair in (one["adapters"] or ()) for one in here)
+            ):
                 continue
             if region in allowed:
                 weights[region] += row["weight"]
@@ -77,7 +94,15 @@
                 for other in allowed:
                     weights[other] += row["weight"] / len(allowed)
         if weights and not allowed:
-            missing.append({"service": service, "model": model, "adapter": adapter, "region": "", "why": "no replica in a permitted region"})
+            missing.append(
+                {
+                    "service": service,
+                    "model": model,
+                    "adapter": adapter,
+                    "region": "",
+                    "why": "no replica in a permitted region",
+                }
+            )
         for region, weight in weights.items():
             claims.append((service, pair, region, weight, allowed))
     _place(claims, replicas, capacity, before, pins, missing)
@@ -85,14 +110,19 @@
     return {
         "replicas": {
             row["id"]: {
-                "service": row["service"], "zone": row["zone"], "region": row["region"],
-                "pins": sorted(pins[row["id"]]), "is_known": row["adapters"] is not None,
+                "service": row["service"],
+                "zone": row["zone"],
+                "region": row["region"],
+                "pins": sorted(pins[row["id"]]),
+                "is_known": row["adapters"] is not None,
                 "to_load": sorted(set(pins[row["id"]]) - held[row["id"]]),
-            } for row in replicas
+            }
+            for row in replicas
         },
         "new": _for_new(replicas, pins, claims, capacity),
         "saving": _saving(wanted, pins, replicas),
-        "missing": missing, "too_little_evidence": thin,
+        "missing": missing,
+        "too_little_evidence": thin,
     }
 
 
@@ -123,8 +153,11 @@
         self.claims = list(self._weights)
 
     def copies(self, service, pair, region=None) -> list:
-        return [row for row in self.replicas if row["service"] == service and pair in self.pins[row["id"]]
-                and region in (None, row["region"])]
+        return [
+            row
+            for row in self.replicas
+            if row["service"] == service and pair in self.pins[row["id"]] and region in (None, row["region"])
+        ]
 
     def may_hold(self, row, pair) -> bool:
         return row["region"] in self._allowed.get((row["service"], pair), ())
@@ -139,7 +172,11 @@
 
     def worth(self, service, pair, region) -> float:
         weight = self._weights.get((service, pair, region), 0.0)
-        return weight / (len(self.copies(service, pair, region)) + 1) * (SAFETY if self.is_safety(service, pair, region) else 1.0)
+        return (
+            weight
+            / (len(self.copies(service, pair, region)) + 1)
+            * (SAFETY if self.is_safety(service, pair, region) else 1.0)
+        )
 
     def loss(self, row, pair) -> float:
         """What goes with this copy; without end for one that is needed for safety."""
@@ -164,7 +201,7 @@
     board = _Board(claims=claims, replicas=replicas, capacity=capacity, pins=pins)
     for row in replicas:
         known = [pair for pair in before.get(row["id"], ()) if board.may_hold(row, pair)]
-        pins[row["id"]].extend(known[:capacity.get(row["service"], 0)])
+        pins[row["id"]].extend(known[: capacity.get(row["service"], 0)])
     waiting = set(board.claims)
     settled = set()  # pins of this look: none of them is displaced again
     while waiting:
@@ -175,14 +212,29 @@
         zones = {row["zone"] for row in board.copies(service, pair)}
         free = [row for row in rows if board.has_room(row)]
         if free:
-            best = min(free, key=lambda row: (
-                row["zone"] in zones, pair not in (row["adapters"] or ()), len(pins[row["id"]]), row["id"]))
+            best = min(
+                free,
+                key=lambda row: (
+                    row["zone"] in zones,
+                    pair not in (row["adapters"] or ()),
+                    len(pins[row["id"]]),
+                    row["id"],
+                ),
+            )
             pins[best["id"]].append(pair)
             settled.add((best["id"], pair))
             continue
         # A pin that moves costs waits of its own, so one gives way only for a copy that safety needs.
-        taken = [] if not board.is_safety(*claim) else [(board.loss(row, other), row["id"], other) for row in rows for other in pins[row["id"]]
-                 if (row["id"], other) not in settled]
+        taken = (
+            []
+            if not board.is_safety(*claim)
+            else [
+                (board.loss(row, other), row["id"], other)
+                for row in rows
+                for other in pins[row["id"]]
+                if (row["id"], other) not in settled
+            ]
+        )
         if taken and min(taken)[0] * STAY < worth:
             _loss, name, other = min(taken)
             pins[name].remove(other)
@@ -191,8 +243,15 @@
             continue
         waiting.discard(claim)
         if not board.copies(service, pair, region) and board.rows_for(*claim):
-            missing.append({"service": service, "model": pair[0], "adapter": pair[1], "region": region,
-                            "why": "no room: raise the capacity or add replicas"})
+            missing.append(
+                {
+                    "service": service,
+                    "model": pair[0],
+                    "adapter": pair[1],
+                    "region": region,
+                    "why": "no room: raise the capacity or add replicas",
+                }
+            )
 
 
 def _for_new(replicas, pins, claims, capacity) -> dict:
@@ -211,7 +270,11 @@
                 worth = board.worth(service, pair, region) * (SAFETY if len(here) <= 1 else 1.0)
                 worths[pair] = max(worths.get(pair, 0.0), worth if region == row["region"] else worth / 8)
         zones[row["zone"]] = [
-            list(pair) for pair, _worth in sorted(worths.items(), key=lambda one: (-one[1], one[0]))[:capacity.get(row["service"], 0)]]
+            list(pair)
+            for pair, _worth in sorted(worths.items(), key=lambda one: (-one[1], one[0]))[
+                : capacity.get(row["service"], 0)
+            ]
+        ]
     return {service: dict(sorted(zones.items())) for service, zones in sorted(found.items())}
 
 
@@ -221,7 +284,10 @@
     for (service, model, adapter), regions in wanted.items():
         for region, row in regions.items():
             all_waits += row["waits"]
-            if any(one["region"] == region and one["service"] == service and (model, adapter) in pins[one["id"]] for one in replicas):
+            if any(
+                one["region"] == region and one["service"] == service and (model, adapter) in pins[one["id"]]
+                for one in replicas
+            ):
                 spared += row["waits"]
                 spared_ms += row["wait_ms"]
     return {"cold_waits": spared, "wait_ms": spared_ms, "of_cold_waits": all_waits}
--- a/pw/ctl/adapters/test_suggest.py
+++ b/pw/ctl/adapters/test_suggest.py
@@ -1,4 +1,5 @@
 """From counts to a suggestion: evidence, room, zones, homes, steadiness; and the ledger that the counts come from."""
+
 import json
 import random
 
@@ -8,18 +9,33 @@
 from pw.ctl.adapters import suggest
 from pw.dat.adapters import counts
 
-ROUTES = {"r": {"homes": [], "urgency": 0, "target_ms": 600}, "home": {"homes": ["south"], "urgency": 0, "target_ms": 600}}
+ROUTES = {
+    "r": {"homes": [], "urgency": 0, "target_ms": 600},
+    "home": {"homes": ["south"], "urgency": 0, "target_ms": 600},
+}
 ZONES = {"n1": "north", "n2": "north", "s1": "south"}
 
 
 def replicas(count=2, adapters=()):
-    return [{"id": f"{zone}-{number}", "service": "llm", "zone": zone, "region": region, "adapters": list(adapters)}
-            for zone, region in ZONES.items() for number in range(count)]
+    return [
+        {"id": f"{zone}-{number}", "service": "llm", "zone": zone, "region": region, "adapters": list(adapters)}
+        for zone, region in ZONES.items()
+        for number in range(count)
+    ]
 
 
 def window(*rows, region="north", life="l", window_number=0):
-    return {"life": life, "window": window_number, "number": 1, "region": region, "node": "p", "zone": "n1", "age_s": 1.0, "over": 0,
-            "rows": [list(row) for row in rows]}
+    return {
+        "life": life,
+        "window": window_number,
+        "number": 1,
+        "region": region,
+        "node": "p",
+        "zone": "n1",
+        "age_s": 1.0,
+        "over": 0,
+        "rows": [list(row) for row in rows],
+    }
 
 
 def row(adapter, *, cold=10, warm=0, unknown=0, route="r", service="llm"):
@@ -27,7 +43,9 @@
 
 
 def made(windows, *, capacity=2, previous=None, rows=None):
-    return suggest.suggest(windows=windows, replicas=rows or replicas(), routes=ROUTES, capacity={"llm": capacity}, previous=previous)
+    return suggest.suggest(
+        windows=windows, replicas=rows or replicas(), routes=ROUTES, capacity={"llm": capacity}, previous=previous
+    )
 
 
 def zones_of(told, adapter):
@@ -69,8 +87,12 @@
 
 def test_a_pinned_adapter_that_is_warm_now_stays_pinned():
     rows = replicas(adapters=[("m", "a")])
-    told = made([window(row("a", cold=0, warm=200), row("b", cold=5))], capacity=1, rows=rows,
-                previous={"replicas": {"n1-0": {"pins": [("m", "a")]}, "n2-0": {"pins": [("m", "a")]}}})
+    told = made(
+        [window(row("a", cold=0, warm=200), row("b", cold=5))],
+        capacity=1,
+        rows=rows,
+        previous={"replicas": {"n1-0": {"pins": [("m", "a")]}, "n2-0": {"pins": [("m", "a")]}}},
+    )
     assert ("m", "a") in told["replicas"]["n1-0"]["pins"] and ("m", "a") in told["replicas"]["n2-0"]["pins"]
 
 
@@ -92,8 +114,15 @@
 @pytest.mark.parametrize("seed", range(30))
 def test_whatever_was_counted_room_and_homes_hold(seed):
     chance = random.Random(seed)
-    rows = [row(f"a{chance.randrange(12)}", cold=chance.randint(0, 40), warm=chance.randint(0, 40), route=chance.choice(("r", "home")))
-            for _ in range(20)]
+    rows = [
+        row(
+            f"a{chance.randrange(12)}",
+            cold=chance.randint(0, 40),
+            warm=chance.randint(0, 40),
+            route=chance.choice(("r", "home")),
+        )
+        for _ in range(20)
+    ]
     windows = [window(*rows[:10]), window(*rows[10:], region="south", life="k")]
     told = made(windows, capacity=chance.randint(1, 3))
     homes = suggest.homes_of(windows=windows, routes=ROUTES)
@@ -109,8 +138,15 @@
     ledger = ledgers.Ledger(now=lambda: clock[0], window_s=30.0)
 
     def take(number, count):
-        ledger.take(node="p", zone="n1", region="north", life="l", window=0, number=number,
-                    data=json.dumps({"rows": [list(row("a", cold=count))], "over": 0}).encode())
+        ledger.take(
+            node="p",
+            zone="n1",
+            region="north",
+            life="l",
+            window=0,
+            number=number,
+            data=json.dumps({"rows": [list(row("a", cold=count))], "over": 0}).encode(),
+        )
 
     for number, count in ((1, 3), (3, 9), (2, 6), (3, 9), (1, 3)):
         take(number, count)
@@ -122,8 +158,18 @@
     assert ledger.rows() == []
 
 
-@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"rows":[["a"]],"over":0}', b'{"rows":[[1,"m","a","i","r",0,0,0,0,0,0,0,0]],"over":0}',
-                                  b'{"rows":[["s","m","a","i","r",0,-1,0,0,0,0,0,0]],"over":0}', b"\xff"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b'{"rows":[["a"]],"over":0}',
+        b'{"rows":[[1,"m","a","i","r",0,0,0,0,0,0,0,0]],"over":0}',
+        b'{"rows":[["s","m","a","i","r",0,-1,0,0,0,0,0,0]],"over":0}',
+        b"\xff",
+    ],
+)
 def test_malformed_counts_are_skipped_and_counted(data):
     ledger = ledgers.Ledger(now=lambda: 0.0, window_s=30.0)
     ledger.take(node="p", zone="n1", region="north", life="l", window=0, number=1, data=data)
--- a/pw/ctl/adapters/test_world.py
+++ b/pw/ctl/adapters/test_world.py
@@ -4,6 +4,7 @@
 Real parts: the table of replicas, the choice, the counting, the ledgers of two core nodes, the suggestion. Simulated:
 time, ways, replicas, the platform's list, the operator who follows what is suggested.
 """
+
 import collections
 import random
 
@@ -22,18 +23,28 @@
 HOMES = {"hearing": ["north", "south"]}
 # The four kinds of the operators: adapter, urgency, aim, whether it may run again elsewhere.
 KINDS = {
-    "minutes": ("drafts", 1, 0.8, False), "hearing": ("hearings", 0, 0.6, True),
-    "review": ("moves", 1, 0.8, False), "coach": ("coach", 0, 0.6, True),
+    "minutes": ("drafts", 1, 0.8, False),
+    "hearing": ("hearings", 0, 0.6, True),
+    "review": ("moves", 1, 0.8, False),
+    "coach": ("coach", 0, 0.6, True),
 }
 
-REST = ("rest", [f"town{number}" for number in range(8)], 9, 5.0)  # other work, with adapters of its own: nothing is promised to it
+REST = (
+    "rest",
+    [f"town{number}" for number in range(8)],
+    9,
+    5.0,
+)  # other work, with adapters of its own: nothing is promised to it
 
 
 def aim_of(kind):
     return REST[3] if kind == "rest" else KINDS[kind][2]
 
 
-ROUTES = {name: {"homes": HOMES.get(name, []), "urgency": urgency, "target_ms": aim * 1000} for name, (_a, urgency, aim, _r) in KINDS.items()}
+ROUTES = {
+    name: {"homes": HOMES.get(name, []), "urgency": urgency, "target_ms": aim * 1000}
+    for name, (_a, urgency, aim, _r) in KINDS.items()
+}
 ROUTES["rest"] = {"homes": [], "urgency": REST[2], "target_ms": REST[3] * 1000}
 SLOTS = 3  # adapters that a replica holds at once
 PINS = 2
@@ -83,8 +94,16 @@
         self.quota = quotas.Quota(now=now, settings=settings)
         self.quota.take_entry("core", ("entry", 1.0, 1.0, 1e9, 1.0, 0, 8))
         self.table = tables.Table(loop=scene, settings=settings, share=self.quota.rate_share)
-        self.table.install_services({"llm": {"models": ("m",), "cache_tokens": 0, "max_conns": 1000,
-                                             "adapters": tuple(("m", name) for name in (*[kind[0] for kind in KINDS.values()], *REST[1]))}})
+        self.table.install_services(
+            {
+                "llm": {
+                    "models": ("m",),
+                    "cache_tokens": 0,
+                    "max_conns": 1000,
+                    "adapters": tuple(("m", name) for name in (*[kind[0] for kind in KINDS.values()], *REST[1])),
+                }
+            }
+        )
         for far, region in ZONES.items():
             self.table.ways[far] = 0.002 if region == ZONES[zone] else 0.08
         self.counter = counts.Counter(now=now, window_s=WINDOW_S, trust_s=TRUST_S)
@@ -130,6 +149,7 @@
         def tick():
             act()
             self.world.later(gap, tick)
+
         self.world.later(gap, tick)
 
     def start(self, zone):
@@ -144,10 +164,21 @@
     def rows(self):
         now = self.world.time
         return [
-            {"id": sim.name, "service": "llm", "address": "127.0.0.1:9", "zone": sim.zone, "berths": 64, "is_clearing": False,
-             "cold_ms": 0, "left_ms": None, "models": ["m"],
-             "adapters": [["m", adapter] for adapter, at in sim.held.items() if at <= now]}
-            for sim in self.sims.values() if sim.ready_at <= now]
+            {
+                "id": sim.name,
+                "service": "llm",
+                "address": "127.0.0.1:9",
+                "zone": sim.zone,
+                "berths": 64,
+                "is_clearing": False,
+                "cold_ms": 0,
+                "left_ms": None,
+                "models": ["m"],
+                "adapters": [["m", adapter] for adapter, at in sim.held.items() if at <= now],
+            }
+            for sim in self.sims.values()
+            if sim.ready_at <= now
+        ]
 
     def publish(self):
         rows = self.rows()
@@ -156,14 +187,34 @@
     def tell(self):
         for proxy in self.proxies:
             for window, number, data in proxy.counter.report():
-                for core in self.chance.sample(self.cores, self.chance.choice((1, 1, 2))):  # any way, and sometimes twice
-                    core.take(node=proxy.name, zone=proxy.zone, region=ZONES[proxy.zone], life=proxy.life, window=window, number=number, data=data)
+                for core in self.chance.sample(
+                    self.cores, self.chance.choice((1, 1, 2))
+                ):  # any way, and sometimes twice
+                    core.take(
+                        node=proxy.name,
+                        zone=proxy.zone,
+                        region=ZONES[proxy.zone],
+                        life=proxy.life,
+                        window=window,
+                        number=number,
+                        data=data,
+                    )
 
     def follow(self):
         windows = list(ledgers.merge(tables=[core.rows() for core in self.cores]).values())
-        listed = [{"id": row["id"], "service": "llm", "zone": row["zone"], "region": ZONES[row["zone"]],
-                   "adapters": [tuple(pair) for pair in row["adapters"]]} for row in self.rows()]
-        self.suggestion = suggest.suggest(windows=windows, replicas=listed, routes=ROUTES, capacity={"llm": PINS}, previous=self.suggestion)
+        listed = [
+            {
+                "id": row["id"],
+                "service": "llm",
+                "zone": row["zone"],
+                "region": ZONES[row["zone"]],
+                "adapters": [tuple(pair) for pair in row["adapters"]],
+            }
+            for row in self.rows()
+        ]
+        self.suggestion = suggest.suggest(
+            windows=windows, replicas=listed, routes=ROUTES, capacity={"llm": PINS}, previous=self.suggestion
+        )
         if self.is_following:
             for name, row in self.suggestion["replicas"].items():
                 if name in self.sims:
@@ -187,13 +238,22 @@
         assert is_known
         homes = frozenset(HOMES.get(kind, ())) or None
         replica, _tokens, _is_any = proxy.chooser.choose(
-            service="llm", permitted=homes, model=model, chain=(), prompt_tokens=0, avoid=avoid, aim_s=aim_of(kind),
-            load_s=lambda one: proxy.counter.cost_s(replica=one, model=model, adapter=adapter))
+            service="llm",
+            permitted=homes,
+            model=model,
+            chain=(),
+            prompt_tokens=0,
+            avoid=avoid,
+            aim_s=aim_of(kind),
+            load_s=lambda one: proxy.counter.cost_s(replica=one, model=model, adapter=adapter),
+        )
         if replica is None:
             self.answer(request, is_good=False)
             return
         assert homes is None or replica.region in homes
-        arrival = proxy.counter.begin(replica=replica, service="llm", model=model, adapter=adapter, route=kind, target_s=aim_of(kind))
+        arrival = proxy.counter.begin(
+            replica=replica, service="llm", model=model, adapter=adapter, route=kind, target_s=aim_of(kind)
+        )
         replica.running += 1
         way = proxy.table.ways[replica.zone] / 2
         sim = self.sims.get(replica.id)
@@ -219,6 +279,7 @@
                     self.world.later(way, lost)
                     return
                 self.world.later(way, lambda: seen(waited))
+
             self.world.later(waited + READ_S, first)
 
         def seen(waited):
@@ -229,6 +290,7 @@
         def done(at, waited):
             replica.running -= 1
             self.answer(request, is_good=True, first_at=at, waited=waited)
+
         self.world.later(way, arrive)
 
     def answer(self, request, *, is_good, first_at=0.0, waited=0.0):
@@ -254,7 +316,7 @@
         if kind != "rest" and not KINDS[kind][3]:
             assert len(ran) <= 1
     checked = collections.Counter()
-    for request, at, first_at, waited, kind, region in scene.log:
+    for _request, at, first_at, waited, kind, region in scene.log:
         if kind == "rest" or at < since or any(start <= at <= stop for start, stop in spared):
             continue
         assert waited == 0.0, (kind, region, at)
@@ -325,7 +387,9 @@
     scene = Scene(seed=1, is_following=True)
     scene.world.run(until=60.0)
     check(scene, since=STATED_S)
-    request, at, first_at, _waited, kind, region = next(row for row in scene.log if row[4] == "minutes" and 35.0 < row[1] < 50.0)
+    request, at, first_at, _waited, kind, region = next(
+        row for row in scene.log if row[4] == "minutes" and 35.0 < row[1] < 50.0
+    )
     if fault == "twice":
         scene.answers[request] += 1
     elif fault == "wait":
@@ -346,8 +410,8 @@
     scene.traffic = lambda: None
     scene.world.run(until=70.0 + 1e-6)
     windows = ledgers.merge(tables=[core.rows() for core in scene.cores]).values()
-    told = sum(suggest.arrivals(dict(zip(counts.FIELDS, row[5:]))) for window in windows for row in window["rows"])
+    told = sum(suggest.arrivals(dict(zip(counts.FIELDS, row[5:], strict=False))) for window in windows for row in window["rows"])
     seen = sum(1 for _request, _at, first_at, *_rest in scene.log if first_at <= 68.0)
     assert seen - 20 <= told <= len(scene.log) + 60
-    waits = sum(dict(zip(counts.FIELDS, row[5:]))["waits"] for window in windows for row in window["rows"])
+    waits = sum(dict(zip(counts.FIELDS, row[5:], strict=False))["waits"] for window in windows for row in window["rows"])
     assert 0 < waits
--- a/pw/ctl/custody/audit.py
+++ b/pw/ctl/custody/audit.py
@@ -12,14 +12,20 @@
         if region is None:
             found.append(f"{trail['id']}: {go['replica']} is in a zone that nobody knows, {go['zone']}")
         elif homes and region not in homes:
-            found.append(f"{trail['id']}: {go['replica']} in {region} held text and cache; permitted were {', '.join(homes)}")
+            found.append(
+                f"{trail['id']}: {go['replica']} in {region} held text and cache; permitted were {', '.join(homes)}"
+            )
         elif homes and trail["homes"] and region not in trail["homes"]:
-            found.append(f"{trail['id']}: {go['replica']} in {region}; at its arrival permitted were {', '.join(trail['homes'])}")
+            found.append(
+                f"{trail['id']}: {go['replica']} in {region}; at its arrival permitted were {', '.join(trail['homes'])}"
+            )
     homes = [set(go["homes"]) for go in trail["goes"] if go["homes"]]
     for kept in trail.get("kept", ()):
         region = zones.get(kept["zone"], kept["zone"])
         if any(region not in permitted for permitted in homes):
-            found.append(f"{trail['id']}: {kept['replica']} in {region} still keeps parts outside the permitted regions")
+            found.append(
+                f"{trail['id']}: {kept['replica']} in {region} still keeps parts outside the permitted regions"
+            )
     return found
 
 
@@ -34,8 +40,12 @@
         "outside": found,
         "lives": len(coverage),
         "lives_with_parts_missing": [
-            {"node": row["node"], "life": row["life"], "missing_batches": row["missing_batches"],
-             "ended_without_closing": not (row["is_closed"] or row["is_live"])}
+            {
+                "node": row["node"],
+                "life": row["life"],
+                "missing_batches": row["missing_batches"],
+                "ended_without_closing": not (row["is_closed"] or row["is_live"]),
+            }
             for row in gaps
         ],
     }
--- a/pw/ctl/custody/ledger.py
+++ b/pw/ctl/custody/ledger.py
@@ -3,6 +3,7 @@
 Bounded: the oldest trails give way, and none is kept longer than `keep_s`. A proxy numbers its batches
 within one life and closes the life with a last one, so what is missing can be told from what is clean.
 """
+
 import collections
 import json
 
@@ -66,8 +67,15 @@
         """One row a proxy life: how much came, how many batches did not, and whether it ended openly."""
         rows = []
         for (node, life), state in self.lives.items():
-            rows.append({
-                "node": node, "life": life, "trails": state["rows"], "batches": state["next"],
-                "missing_batches": state["missing"], "is_closed": state["is_closed"], "is_live": (node, life) in live,
-            })
+            rows.append(
+                {
+                    "node": node,
+                    "life": life,
+                    "trails": state["rows"],
+                    "batches": state["next"],
+                    "missing_batches": state["missing"],
+                    "is_closed": state["is_closed"],
+                    "is_live": (node, life) in live,
+                }
+            )
         return rows
--- a/pw/ctl/custody/test_custody.py
+++ b/pw/ctl/custody/test_custody.py
@@ -1,4 +1,5 @@
 """Custody trails: kept, bounded, covered, and audited by an independent check."""
+
 import json
 
 from pw.ctl.custody import audit as audits
@@ -8,8 +9,12 @@
 
 
 def trail(number, *, zone="za", homes=("north", "south"), end="200", **more):
-    return {"id": f"r{number}", "homes": list(homes), "goes": [
-        {"replica": f"i-{zone}", "zone": zone, "homes": list(homes), "end": end}], **more}
+    return {
+        "id": f"r{number}",
+        "homes": list(homes),
+        "goes": [{"replica": f"i-{zone}", "zone": zone, "homes": list(homes), "end": end}],
+        **more,
+    }
 
 
 def rows(*trails):
--- a/pw/ctl/platform.py
+++ b/pw/ctl/platform.py
@@ -1,4 +1,5 @@
 """The platform's list of replicas (design 5), by pycurl's multi interface driven by the loop (design 3)."""
+
 import io
 import json
 import selectors
@@ -50,7 +51,8 @@
 
         def act(ready):
             bits = (pycurl.CSELECT_IN if ready & selectors.EVENT_READ else 0) | (
-                pycurl.CSELECT_OUT if ready & selectors.EVENT_WRITE else 0)
+                pycurl.CSELECT_OUT if ready & selectors.EVENT_WRITE else 0
+            )
             self._act(sock, bits)
 
         if sock in self._masks:
@@ -116,7 +118,8 @@
     def _page(self, run: int, token, rows: list, begun_at: float) -> None:
         url = f"http://{self._address}/replicas" + (f"?page={token}" if token else "")
         self._caller.get(
-            url=url, limit_s=self._limit_s,
+            url=url,
+            limit_s=self._limit_s,
             done=lambda fault, status, body: self._take(run, rows, begun_at, fault, status, body),
         )
 
@@ -183,8 +186,15 @@
         for row in rows:
             cold_until = at + row["cold_ms"] / 1000.0 if row["cold_ms"] > 0 else 0.0
             seen[row["id"]] = (
-                (row["service"], row["address"], row["zone"], row["berths"], row["is_clearing"], row["left_ms"] is None,
-                 json.dumps(row.get("adapters", ()))),
+                (
+                    row["service"],
+                    row["address"],
+                    row["zone"],
+                    row["berths"],
+                    row["is_clearing"],
+                    row["left_ms"] is None,
+                    json.dumps(row.get("adapters", ())),
+                ),
                 cold_until,
             )
         is_new = seen.keys() != self._told.keys() or any(
--- a/pw/ctl/register/acceptor.py
+++ b/pw/ctl/register/acceptor.py
@@ -1,4 +1,5 @@
 """The acceptor of the register (design 4). Pure: messages in, messages out, rows to be made safe first."""
+
 from pw.ctl.register import ballots
 
 EMPTY = (ballots.NONE, ballots.NONE, 0, b"")
--- a/pw/ctl/register/ballots.py
+++ b/pw/ctl/register/ballots.py
@@ -1,4 +1,5 @@
 """Ballots and the sets of core nodes that a value stands under (design 4)."""
+
 import json
 import zlib
 
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -3,6 +3,7 @@
 Each value carries the core set it stands under. A round needs a majority of every set on its way:
 the one it knew, the one it found with the highest value, and the one it writes.
 """
+
 import collections
 
 from pw.base import problems
@@ -15,13 +16,33 @@
     """One change of one register. `edit(payload)` gives the new payload, or None to leave it as it is."""
 
     __slots__ = (
-        "number", "name", "edit", "done", "ballot", "stage", "sets", "promises", "accepts", "best", "members",
-        "rev", "value", "payload", "goes", "deadline", "next_set", "timer", "is_write", "sent",
+        "number",
+        "name",
+        "edit",
+        "done",
+        "ballot",
+        "stage",
+        "sets",
+        "promises",
+        "accepts",
+        "best",
+        "members",
+        "rev",
+        "value",
+        "payload",
+        "goes",
+        "deadline",
+        "next_set",
+        "timer",
+        "is_write",
+        "sent",
     )
 
 
 class Proposer:
-    def __init__(self, *, own: str, seeds: tuple, send, later, now, chance, on_chosen, limit_s: float, patience_s: float):
+    def __init__(
+        self, *, own: str, seeds: tuple, send, later, now, chance, on_chosen, limit_s: float, patience_s: float
+    ):
         self.own = own
         self.known = {}  # register: core set last seen
         self.seeds = tuple(seeds)
@@ -100,7 +121,10 @@
         number = self._renumber(work)
         for member in work.sets[0]:
             self._send(member, ("peek", number, work.name))
-        self._later(self._patience_s * 0.5, lambda: self._prepare(work) if work.number == number and work.stage == "peek" else None)
+        self._later(
+            self._patience_s * 0.5,
+            lambda: self._prepare(work) if work.number == number and work.stage == "peek" else None,
+        )
 
     def take_peeked(self, member: str, message: tuple) -> None:
         _kind, number, name, is_voter, promised_n, _promised_p, accepted_n, accepted_p, rev, value = message
@@ -167,7 +191,9 @@
         self._top[name] = max(self._top.get(name, 0), number)
 
     def take_promise(self, member: str, message: tuple) -> None:
-        _kind, number, name, is_granted, incarnation, promised_n, promised_p, accepted_n, accepted_p, rev, value = message
+        _kind, number, name, is_granted, incarnation, promised_n, promised_p, accepted_n, accepted_p, rev, value = (
+            message
+        )
         work = self._rounds.get(number)
         if work is None or work.name != name:
             return
@@ -250,7 +276,9 @@
 
     def _send_accept(self, work, member) -> None:
         # The incarnation that promised is named: a promise forgotten with a disk can't be used.
-        self._send(member, ("accept", work.number, work.name, *work.ballot, work.promises[member], work.rev, work.value))
+        self._send(
+            member, ("accept", work.number, work.name, *work.ballot, work.promises[member], work.rev, work.value)
+        )
 
     def take_accepted(self, member: str, message: tuple) -> None:
         _kind, number, name, is_granted, ballot_n, ballot_p = message
--- a/pw/ctl/register/store.py
+++ b/pw/ctl/register/store.py
@@ -1,4 +1,5 @@
 """Acceptor state on disk: an append-only file of checksummed records (design 4)."""
+
 import os
 import struct
 import zlib
@@ -34,7 +35,7 @@
     place = 0
     while place + _RECORD_HEAD.size <= len(data):
         size, check = _RECORD_HEAD.unpack_from(data, place)
-        body = data[place + _RECORD_HEAD.size:place + _RECORD_HEAD.size + size]
+        body = data[place + _RECORD_HEAD.size : place + _RECORD_HEAD.size + size]
         if size == 0 or len(body) < size or zlib.crc32(body) != check:
             break
         try:
@@ -51,7 +52,7 @@
     for start in range(place + 1, len(data) - _RECORD_HEAD.size):
         size, check = _RECORD_HEAD.unpack_from(data, start)
         if 8 <= size <= len(data) - start - _RECORD_HEAD.size:
-            body = data[start + _RECORD_HEAD.size:start + _RECORD_HEAD.size + size]
+            body = data[start + _RECORD_HEAD.size : start + _RECORD_HEAD.size + size]
             if zlib.crc32(body) == check:
                 return True
     return False
@@ -77,7 +78,7 @@
             os.lseek(handle, size_before, os.SEEK_SET)
             view = memoryview(data)
             while view:
-                view = view[os.write(handle, view):]
+                view = view[os.write(handle, view) :]
             os.fsync(handle)
         finally:
             os.close(handle)
--- a/pw/ctl/register/test_register.py
+++ b/pw/ctl/register/test_register.py
@@ -1,4 +1,5 @@
 """The register under loss, delay, restarts and emptied disks: histories are checked after the fact."""
+
 import pytest
 
 from pw.base import problems
@@ -34,9 +35,15 @@
             self.acceptor.incarnation = f"{self.name}{self.life}"
             self.store.write(rows=(), incarnation=self.acceptor.incarnation, table=())
         self.proposer = proposers.Proposer(
-            own=f"{self.name}/{self.life}", seeds=MEMBERS, send=self.send,
-            later=self.later, now=self.world.now, chance=self.world.chance.random,
-            on_chosen=lambda name, ballot, rev, value, is_news: None, limit_s=3.0, patience_s=0.6,
+            own=f"{self.name}/{self.life}",
+            seeds=MEMBERS,
+            send=self.send,
+            later=self.later,
+            now=self.world.now,
+            chance=self.world.chance.random,
+            on_chosen=lambda name, ballot, rev, value, is_news: None,
+            limit_s=3.0,
+            patience_s=0.6,
         )
         self.refilled = {}
         if not self.acceptor.votes:
@@ -55,12 +62,14 @@
         def arrive():
             if target.is_up:
                 target.take(self, life, message)
+
         self.world.send(self.name, member, arrive)
 
     def answer(self, source, life, message):
         def arrive():
             if source.is_up and source.life == life:
                 source.take(self, self.life, message)
+
         self.world.send(self.name, source.name, arrive)
 
     def take(self, source, life, message):
@@ -203,6 +212,7 @@
             if payload is not None:
                 raise problems.StaleBase(current=1)
             return name, "won"
+
         return edit
 
     for name in ("a", "c"):
@@ -228,7 +238,9 @@
     for node in nodes.values():
         for name in names:
             node.proposer.read(name=name, done=lambda *row: done.append(row))
-            node.proposer.change(name=name, edit=lambda payload: (payload + 1, None), done=lambda *row: done.append(row))
+            node.proposer.change(
+                name=name, edit=lambda payload: (payload + 1, None), done=lambda *row: done.append(row)
+            )
     world.run(until=14.0)
     assert len(done) == 24
     assert sum(1 for row in done if row[0] is None) >= 20
@@ -275,7 +287,9 @@
 
     nodes["a"].proposer.change(name="spec", edit=lambda payload: (1, None), done=end)
     world.run(until=4.0)
-    nodes["a"].proposer.change(name="spec", edit=lambda payload: (payload, None), done=end, next_set=("a", "b", "c", "d"))
+    nodes["a"].proposer.change(
+        name="spec", edit=lambda payload: (payload, None), done=end, next_set=("a", "b", "c", "d")
+    )
     world.run(until=8.0)
     nodes["c"].stop()
     nodes["b"].proposer.change(name="spec", edit=lambda payload: (payload, None), done=end, next_set=("a", "b", "d"))
@@ -292,7 +306,7 @@
 
 def _filled(count):
     disk = worlds.Disk(chance=None)
-    store = stores.Store(disk=disk, limit_bytes=10 ** 6)
+    store = stores.Store(disk=disk, limit_bytes=10**6)
     store.write(rows=(), incarnation="i1", table=())
     for number in range(1, count + 1):
         store.write(rows=(("spec", number, "a", number, "a", number, b"v%d" % number),), incarnation="i1", table=())
@@ -303,7 +317,7 @@
 def test_torn_tail_is_cut_at_the_last_good_record(cut):
     disk = _filled(4)
     disk.tear(name=stores.FILE_NAME, keep=len(disk.files[stores.FILE_NAME]) - cut)
-    incarnation, rows = stores.Store(disk=disk, limit_bytes=10 ** 6).load()
+    incarnation, rows = stores.Store(disk=disk, limit_bytes=10**6).load()
     assert incarnation == "i1" and rows["spec"][6] == b"v3"
 
 
@@ -313,7 +327,7 @@
     data[30] ^= 0xFF
     disk.files[stores.FILE_NAME] = bytes(data)
     with pytest.raises(problems.StoreProblem):
-        stores.Store(disk=disk, limit_bytes=10 ** 6).load()
+        stores.Store(disk=disk, limit_bytes=10**6).load()
 
 
 def test_long_file_is_rewritten_and_keeps_the_state():
--- a/pw/ctl/spec/models.py
+++ b/pw/ctl/spec/models.py
@@ -1,4 +1,5 @@
 """What an operator's configuration must be (design 5). Unknown fields are kept as they came."""
+
 import hashlib
 import json
 
--- a/pw/ctl/spec/test_models.py
+++ b/pw/ctl/spec/test_models.py
@@ -1,4 +1,5 @@
 """What a configuration must be, and what a resent or raced call gets."""
+
 import copy
 import json
 
@@ -10,8 +11,16 @@
 GOOD = {
     "edition": 7,
     "routes": [
-        {"name": "r1", "host": "h", "pathLead": "/a/", "kind": "streaming", "expiryMs": 4000, "tries": 1,
-         "apportion": [{"destination": "d1", "share": 90}, {"destination": "d2", "share": 10}], "unknown": {"kept": 1}},
+        {
+            "name": "r1",
+            "host": "h",
+            "pathLead": "/a/",
+            "kind": "streaming",
+            "expiryMs": 4000,
+            "tries": 1,
+            "apportion": [{"destination": "d1", "share": 90}, {"destination": "d2", "share": 10}],
+            "unknown": {"kept": 1},
+        },
         {"name": "r2", "host": "h", "pathLead": "/a/b/", "kind": "retry_safe", "expiryMs": 3000, "destination": "d2"},
     ],
     "destinations": [{"name": "d1", "maxConns": 10}, {"name": "d2", "maxConns": 10}],
@@ -31,17 +40,20 @@
     return body
 
 
-@pytest.mark.parametrize("body, place", [
-    (changed(("routes", 1, "destination"), "nowhere"), "routes.1.destination"),
-    (changed(("routes", 1, "pathLead"), "/a/"), "routes.1.pathLead"),
-    (changed(("routes", 1, "pathLead"), "/a"), "routes.1.pathLead"),
-    (changed(("routes", 0, "apportion"), [{"destination": "d1", "share": 0}]), "routes.0.apportion"),
-    (changed(("routes", 0, "expiryMs"), 0), "routes.0.expiryMs"),
-    (changed(("routes", 0, "kind"), "odd"), "routes.0.kind"),
-    (changed(("routes",), None), "routes"),
-    (changed(("edition",), None), "edition"),
-    (changed(("destinations", 1, "name"), "d1"), "destinations.1.name"),
-])
+@pytest.mark.parametrize(
+    "body, place",
+    [
+        (changed(("routes", 1, "destination"), "nowhere"), "routes.1.destination"),
+        (changed(("routes", 1, "pathLead"), "/a/"), "routes.1.pathLead"),
+        (changed(("routes", 1, "pathLead"), "/a"), "routes.1.pathLead"),
+        (changed(("routes", 0, "apportion"), [{"destination": "d1", "share": 0}]), "routes.0.apportion"),
+        (changed(("routes", 0, "expiryMs"), 0), "routes.0.expiryMs"),
+        (changed(("routes", 0, "kind"), "odd"), "routes.0.kind"),
+        (changed(("routes",), None), "routes"),
+        (changed(("edition",), None), "edition"),
+        (changed(("destinations", 1, "name"), "d1"), "destinations.1.name"),
+    ],
+)
 def test_invalid_ones_name_the_place(body, place):
     with pytest.raises(problems.SpecProblem) as told:
         models.check(body=body)
@@ -78,8 +90,13 @@
 
 def test_patch_adds_replaces_and_withdraws():
     first, _told = take(None, base=0, body=GOOD)
-    patch = {"edition": 8, "upsert": {"routes": [{**GOOD["routes"][1], "expiryMs": 1}, {**GOOD["routes"][1], "name": "r3", "pathLead": "/c/"}]},
-             "withdraw": {"routes": ["r1"]}}
+    patch = {
+        "edition": 8,
+        "upsert": {
+            "routes": [{**GOOD["routes"][1], "expiryMs": 1}, {**GOOD["routes"][1], "name": "r3", "pathLead": "/c/"}]
+        },
+        "withdraw": {"routes": ["r1"]},
+    }
     new, told = take(first, base=7, body=patch, method="PATCH")
     assert told == "taken"
     assert [(row["name"], row["expiryMs"]) for row in new["body"]["routes"]] == [("r2", 1), ("r3", 3000)]
@@ -91,7 +108,18 @@
 
 
 def test_260_routes_are_checked_quickly_enough_to_be_acknowledged():
-    body = changed(("routes",), [
-        {"name": f"r{number}", "host": "h", "pathLead": f"/p{number}/", "kind": "retry_safe", "expiryMs": 10, "destination": "d1"}
-        for number in range(400)])
+    body = changed(
+        ("routes",),
+        [
+            {
+                "name": f"r{number}",
+                "host": "h",
+                "pathLead": f"/p{number}/",
+                "kind": "retry_safe",
+                "expiryMs": 10,
+                "destination": "d1",
+            }
+            for number in range(400)
+        ],
+    )
     assert len(models.check(body=body).routes) == 400
--- a/pw/ctl/test_duties.py
+++ b/pw/ctl/test_duties.py
@@ -1,16 +1,19 @@
 """Duties under epochs, and the answer to an operator, with the core's mixins on their own."""
+
 import types
 
-from pw.ctl import core
+from pw.ctl import dispatch
+from pw.ctl import membership
 from pw.ctl.news import desk as desks
 
 
 def take(payload, rows):
     """What `_take_duties` makes of a payload."""
     made = []
-    node = types.SimpleNamespace(proposer=types.SimpleNamespace(
-        change=lambda *, name, edit, done: made.append((name, edit(payload)[0]))))
-    core.MembersMixin._take_duties(node, rows)
+    node = types.SimpleNamespace(
+        proposer=types.SimpleNamespace(change=lambda *, name, edit, done: made.append((name, edit(payload)[0])))
+    )
+    membership.MembersMixin._take_duties(node, rows)
     assert node._is_taking
     return made[0]
 
@@ -28,7 +31,11 @@
 def test_open_duties_are_taken_together():
     payload = {"watch": [1, "a", "l"], "relay/north": [3, "p", "l"]}
     rows = {"relay/north": (3, "q", "m"), "relay/south": (0, "r", "n")}
-    assert take(payload, rows)[1] == {"watch": [1, "a", "l"], "relay/north": [4, "q", "m"], "relay/south": [1, "r", "n"]}
+    assert take(payload, rows)[1] == {
+        "watch": [1, "a", "l"],
+        "relay/north": [4, "q", "m"],
+        "relay/south": [1, "r", "n"],
+    }
 
 
 class Link:
@@ -43,13 +50,17 @@
     answers = []
     timers = []
     node = types.SimpleNamespace(
-        desk=desks.Desk(), receipt_s=4.0, _waits=[],
+        desk=desks.Desk(),
+        receipt_s=4.0,
+        _waits=[],
         proxies=lambda *, is_listed=True: [types.SimpleNamespace(link=link) for link in links],
         loop=types.SimpleNamespace(
-            after=lambda *, delay, act: timers.append((delay, act)) or act, cancel=lambda *, timer: None),
-        _json=lambda ask, status, body: answers.append((ask, status, body)))
+            after=lambda *, delay, act: timers.append((delay, act)) or act, cancel=lambda *, timer: None
+        ),
+        _json=lambda ask, status, body: answers.append((ask, status, body)),
+    )
     for name in ("_check_waits", "_end_wait"):
-        setattr(node, name, types.MethodType(getattr(core.DispatchMixin, name), node))
+        setattr(node, name, types.MethodType(getattr(dispatch.DispatchMixin, name), node))
     for link in links:
         node.desk.join(link)
     return node, answers, timers
@@ -58,7 +69,7 @@
 def test_the_operator_is_answered_once_all_live_proxies_applied_it():
     links = [Link(), Link()]
     node, answers, _timers = make(links)
-    core.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
+    dispatch.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
     assert answers == []
     node.desk.take_have(links[0], ("have", (("spec", 0, 3),)))
     node._check_waits()
@@ -71,13 +82,13 @@
 def test_a_proxy_whose_lease_ran_out_is_not_waited_for_and_there_is_a_ceiling():
     links = [Link(), Link()]
     node, answers, _timers = make(links)
-    core.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
+    dispatch.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
     node.desk.take_have(links[0], ("have", (("spec", 0, 3),)))
     links.pop()
     node._check_waits()
     assert len(answers) == 1
     node, answers, timers = make([Link()])
-    core.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
+    dispatch.DispatchMixin._answer_when_applied(node, "ask", "spec", 3)
     delay, act = timers[0]
     assert delay < node.receipt_s / 4
     act()
--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -1,4 +1,5 @@
 """News, grant entries, frames and settings."""
+
 import json
 import random
 
@@ -41,7 +42,9 @@
     chance = random.Random(seed)
     clock = [0.0]
     seen = []
-    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda topic, epoch, number, data: seen.append((epoch, number)))
+    follower = desks.Follower(
+        now=lambda: clock[0], patience_s=0.3, on_image=lambda topic, epoch, number, data: seen.append((epoch, number))
+    )
     links = [Wire() for _ in range(3)]
     for _ in range(200):
         clock[0] += chance.random() * 0.2
@@ -92,21 +95,31 @@
 
 
 def test_frames_come_back_as_they_went_and_in_pieces():
-    messages = [("offer", (("spec", 0, 3), ("list", 2, 9))), ("beat", 0), ("image", "list", 2, 9, b"x" * 3000),
-                ("entry", 0.25, 0.5, 2.5, 0.2, 3, 16), ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v")]
+    messages = [
+        ("offer", (("spec", 0, 3), ("list", 2, 9))),
+        ("beat", 0),
+        ("image", "list", 2, 9, b"x" * 3000),
+        ("entry", 0.25, 0.5, 2.5, 0.2, 3, 16),
+        ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v"),
+    ]
     data = b"".join(wire.pack(message) for message in messages)
     buffer = bytearray()
     got = []
     for start in range(0, len(data), 7):
-        buffer += data[start:start + 7]
+        buffer += data[start : start + 7]
         got += wire.unpack_from(buffer)
     assert got == messages and not buffer
 
 
-@pytest.mark.parametrize("data", [
-    b"\xff\xff\xff\xff\x01", b"\x00\x00\x00\x01\xee\x00", wire.pack(("want", "spec"))[:5] + b"\x7fabcd",
-    b"\x00\x00\x00\x06\x16\x04spec\x00",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xff\xff\xff\x01",
+        b"\x00\x00\x00\x01\xee\x00",
+        wire.pack(("want", "spec"))[:5] + b"\x7fabcd",
+        b"\x00\x00\x00\x06\x16\x04spec\x00",
+    ],
+)
 def test_malformed_frames_are_problems(data):
     with pytest.raises(problems.FrameProblem):
         wire.unpack_from(bytearray(data))
@@ -134,7 +147,10 @@
         assert name in str(told.value)
 
 
-@pytest.mark.parametrize("line", ["no equals sign", "seedNodes=10.0.0.1", "bounds.contactMs=soon", "firstStart=perhaps", "innerPortRange=9,1"])
+@pytest.mark.parametrize(
+    "line",
+    ["no equals sign", "seedNodes=10.0.0.1", "bounds.contactMs=soon", "firstStart=perhaps", "innerPortRange=9,1"],
+)
 def test_malformed_settings_are_one_clear_line(line):
     with pytest.raises(problems.SettingsProblem) as told:
         settings_files.check(text=entry.SETTINGS + line + "\n")
@@ -142,24 +158,37 @@
 
 
 def test_the_roll_tells_what_matters_and_not_the_passing_of_a_cold_time():
-    entry_of = {"id": "i", "destination": "d", "address": "1.1.1.1:1", "zone": "z", "condition": "accepting", "warmupLeftMs": 3000}
+    entry_of = {
+        "id": "i",
+        "destination": "d",
+        "address": "1.1.1.1:1",
+        "zone": "z",
+        "condition": "accepting",
+        "warmupLeftMs": 3000,
+    }
     roll = platform.Roll()
     assert roll.differs(rows=[platform.read_row(entry=entry_of)], at=10.0)
     assert not roll.differs(rows=[platform.read_row(entry={**entry_of, "warmupLeftMs": 2000})], at=11.0)
     assert roll.differs(rows=[platform.read_row(entry={**entry_of, "warmupLeftMs": 3000})], at=12.0)
-    assert roll.differs(rows=[platform.read_row(entry={**entry_of, "condition": "clearing", "warmupLeftMs": 2000})], at=13.0)
+    assert roll.differs(
+        rows=[platform.read_row(entry={**entry_of, "condition": "clearing", "warmupLeftMs": 2000})], at=13.0
+    )
     assert roll.differs(rows=[], at=14.0)
 
 
 def test_a_near_teller_is_asked_first_and_a_far_one_where_it_is_silent():
     clock = [0.0]
     near, far = Wire(), Wire()
-    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near)
+    follower = desks.Follower(
+        now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near
+    )
     follower.take_offer(far, ("offer", (("spec", 0, 5),)))
     assert far.told == []
     follower.take_offer(near, ("offer", (("spec", 0, 5),)))
     assert near.told == [("want", "spec")]
-    follower = desks.Follower(now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near)
+    follower = desks.Follower(
+        now=lambda: clock[0], patience_s=0.3, on_image=lambda *row: None, is_near=lambda link: link is near
+    )
     follower.take_offer(far, ("offer", (("spec", 0, 5),)))
     clock[0] = 0.16
     follower.tick()
@@ -202,7 +231,13 @@
             status = 429 if token == self.failing else 200
             done(None, status, json.dumps({"replicas": [row(name) for name in names], "nextPage": following}).encode())
 
-    watch = platform.Watch(loop=Loop(), address="x:1", gap_s=0.5, limit_s=1.0, on_list=lambda rows, at: told.append([one["id"] for one in rows]))
+    watch = platform.Watch(
+        loop=Loop(),
+        address="x:1",
+        gap_s=0.5,
+        limit_s=1.0,
+        on_list=lambda rows, at: told.append([one["id"] for one in rows]),
+    )
     watch._caller = Caller()
     watch.start()
     assert told == [["a", "b", "c", "d"]] and asked == ["", "p-2", "p-3"]
--- a/pw/dat/adapters/counts.py
+++ b/pw/dat/adapters/counts.py
@@ -1,4 +1,5 @@
 """How often each adapter arrives cold, as one proxy sees it (docs/pins.md 2, 3)."""
+
 import json
 
 MOST_ROWS = 2000  # (service, model, adapter, replica, route) in one window; what is past them is counted in one number
@@ -75,7 +76,12 @@
         """Sent. Whether it counts shows when it has run."""
         state = self.state(replica=replica, model=model, adapter=adapter) if adapter else UNKNOWN
         arrival = Arrival(
-            key=(service, model, adapter, replica.id, route), replica=replica, state=state, sent_at=self._now(), target_s=target_s)
+            key=(service, model, adapter, replica.id, route),
+            replica=replica,
+            state=state,
+            sent_at=self._now(),
+            target_s=target_s,
+        )
         if state == COLD:
             self._loading.setdefault((replica.id, model, adapter), [0, False])[0] += 1
         return arrival
--- a/pw/dat/adapters/test_counts.py
+++ b/pw/dat/adapters/test_counts.py
@@ -1,4 +1,5 @@
 """Counting of cold arrivals on a proxy: what is warm, cold, unknown; what is a load and what a wait."""
+
 import json
 
 import pytest
@@ -11,16 +12,31 @@
 ADAPTERS = {"drafts": {"m"}, "reviews": {"m"}, "both": {"m", "n"}}
 
 
-@pytest.mark.parametrize("text, found", [
-    ("m", ("m", "", True)), ("", ("", "", True)), ("drafts", ("m", "drafts", True)),
-    ("both", ("both", "", False)), ("nobody", ("nobody", "", False)), ("m/drafts", ("m/drafts", "", False)),
-])
+@pytest.mark.parametrize(
+    "text, found",
+    [
+        ("m", ("m", "", True)),
+        ("", ("", "", True)),
+        ("drafts", ("m", "drafts", True)),
+        ("both", ("both", "", False)),
+        ("nobody", ("nobody", "", False)),
+        ("m/drafts", ("m/drafts", "", False)),
+    ],
+)
 def test_an_adapter_is_known_by_the_list_or_not_at_all(text, found):
     assert counts.resolve(text=text, models=("m", "n"), adapters=ADAPTERS) == found
 
 
 def replica(name="i1", adapters=()):
-    row = {"id": name, "service": "llm", "zone": "za", "berths": 8, "models": ["m"], "is_clearing": False, "adapters": adapters}
+    row = {
+        "id": name,
+        "service": "llm",
+        "zone": "za",
+        "berths": 8,
+        "models": ["m"],
+        "is_clearing": False,
+        "adapters": adapters,
+    }
     return replicas.Replica(row=row, endpoint=("127.0.0.1", 1), region="north", now=0.0)
 
 
@@ -35,8 +51,8 @@
     def rows(self):
         found = {}
         for _window, _number, data in self.counter.report():
-            for service, model, adapter, name, route, *numbers in json.loads(data)["rows"]:
-                found[(adapter, name)] = dict(zip(counts.FIELDS, numbers))
+            for _service, _model, adapter, name, _route, *numbers in json.loads(data)["rows"]:
+                found[(adapter, name)] = dict(zip(counts.FIELDS, numbers, strict=False))
         return found
 
 
@@ -70,7 +86,9 @@
     scene.counter.ran(scene.begin(replica("cold", [["m", "reviews"]])))
     scene.counter.ran(scene.begin(replica("dark", None)))
     rows = scene.rows()
-    assert [rows[("drafts", name)][state] for name, state in (("warm", "warm"), ("cold", "cold"), ("dark", "unknown"))] == [1, 1, 1]
+    assert [
+        rows[("drafts", name)][state] for name, state in (("warm", "warm"), ("cold", "cold"), ("dark", "unknown"))
+    ] == [1, 1, 1]
     assert sum(row["loads"] for row in rows.values()) == 1
 
 
@@ -89,7 +107,7 @@
     scene = Scene()
     for number in range(5):
         scene.counter.ran(scene.begin(replica(f"i{number}")))
-    (_window, _number, data), = scene.counter.report()
+    ((_window, _number, data),) = scene.counter.report()
     body = json.loads(data)
     assert len(body["rows"]) == 3 and body["over"] == 2
 
@@ -127,7 +145,10 @@
     missing = row({"name": "m"})
     assert missing["adapters"] is None and not missing["is_malformed"]
     for bad in ("a", 7, [1], [["a"]], {"a": 1}):
-        assert row({"name": "m", "adapters": bad})["is_malformed"] and row({"name": "m", "adapters": bad})["adapters"] is None
+        assert (
+            row({"name": "m", "adapters": bad})["is_malformed"]
+            and row({"name": "m", "adapters": bad})["adapters"] is None
+        )
     roll = platform.Roll()
     assert roll.differs(rows=[row({"name": "m", "adapters": ["a"]})], at=1.0)
     assert not roll.differs(rows=[row({"name": "m", "adapters": ["a"]})], at=2.0)
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -1,4 +1,5 @@
 """The choice of a replica: tokens to read by the mirror, load, way (design 6)."""
+
 import hashlib
 
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
@@ -48,7 +49,11 @@
             return running, tokens, False, False
         own = self._counted(replica)
         return (
-            running + max(0, total[0] - own[0]), tokens + max(0, total[1] - own[1]), total[2] > own[2], bool(total[3]))
+            running + max(0, total[0] - own[0]),
+            tokens + max(0, total[1] - own[1]),
+            total[2] > own[2],
+            bool(total[3]),
+        )
 
     def candidates(self, *, service: str, permitted, model: str, avoid) -> list:
         now = self._now()
@@ -65,8 +70,9 @@
         rows = [replica for replica in rows if not replica.is_suspect]
         return [replica for replica in rows if replica.away_until <= now] or rows
 
-    def choose(self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0,
-               load_s=None) -> tuple:
+    def choose(
+        self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0, load_s=None
+    ) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
         spec = self._table.services.get(service, {})
         rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid)
@@ -133,7 +139,13 @@
             # A long read slows all that run beside it.
             aside = to_read / rate * running / berths * BESIDE_PART
             # Inside the aim a longer way harms little, while what is read again is paid for twice.
-            score = reading + aside + wait * WAY_PART + running / berths * 120.0 + max(0.0, wait + reading - aim_s * 400.0) * 2.0
+            score = (
+                reading
+                + aside
+                + wait * WAY_PART
+                + running / berths * 120.0
+                + max(0.0, wait + reading - aim_s * 400.0) * 2.0
+            )
         else:
             score = wait + running / berths * 90.0
         if running >= berths:
--- a/pw/dat/custody.py
+++ b/pw/dat/custody.py
@@ -1,4 +1,5 @@
 """The proxy's part of the custody trail (design 10): ids and hashes only, never text; told in batches."""
+
 import json
 import time
 
@@ -6,21 +7,32 @@
 def trail_of(*, passage, proxy, status: int) -> dict:
     return {
         "id": passage.ask_id.decode("latin-1"),
-        "proxy": proxy.settings.node, "zone": proxy.settings.zone, "region": proxy.settings.region, "life": proxy.life,
+        "proxy": proxy.settings.node,
+        "zone": proxy.settings.zone,
+        "region": proxy.settings.region,
+        "life": proxy.life,
         "arrived": round(time.time() - (proxy.loop.now() - passage.ask.begun_at), 3),
         "lasted_ms": round((proxy.loop.now() - passage.ask.begun_at) * 1000),
-        "route": passage.route.name, "service": passage.service, "model": passage.model,
-        "edition": passage.edition, "homes": sorted(passage.first_homes),
-        "status": status, "goes": passage.custody,
+        "route": passage.route.name,
+        "service": passage.service,
+        "model": passage.model,
+        "edition": passage.edition,
+        "homes": sorted(passage.first_homes),
+        "status": status,
+        "goes": passage.custody,
         "parts": [full_hash.hex() for full_hash, _tokens in passage.chain],
     }
 
 
 def go_row(*, go, passage, proxy) -> dict:
     return {
-        "replica": go.replica.id, "zone": go.replica.zone, "edition": proxy.routes.edition,
+        "replica": go.replica.id,
+        "zone": go.replica.zone,
+        "edition": proxy.routes.edition,
         "homes": sorted(go.permitted) if go.permitted is not None else [],
-        "from_ms": round((go.sent_at - passage.ask.begun_at) * 1000), "to_ms": None, "end": "",
+        "from_ms": round((go.sent_at - passage.ask.begun_at) * 1000),
+        "to_ms": None,
+        "end": "",
         "is_resumption": passage.has_head,
     }
 
--- a/pw/dat/digest/source.py
+++ b/pw/dat/digest/source.py
@@ -1,4 +1,5 @@
 """What one proxy reports of itself, and how much of it the sums that come back hold already (docs/digest.md 2, 3)."""
+
 import collections
 
 from pw.base import records
@@ -43,15 +44,25 @@
     def note_read(self, *, replica, service: str, model: str, parts, salt: str = "") -> None:
         """`salt`: what X-Model said, where it names an adapter: parts of different adapters are never the same."""
         if len(self._reads) < MOST_READS and replica.region in self._regions:
-            self._reads.append(records.pack_read(
-                replica=records.key_of(replica.id), region=self._regions[replica.region],
-                domain=bytes.fromhex(resolution.domain_id(service=service, model=model)),
-                parts=tuple((ckf.token_hash(model=salt or model, part=part, tokens=tokens), tokens) for part, tokens in parts)))
+            self._reads.append(
+                records.pack_read(
+                    replica=records.key_of(replica.id),
+                    region=self._regions[replica.region],
+                    domain=bytes.fromhex(resolution.domain_id(service=service, model=model)),
+                    parts=tuple(
+                        (ckf.token_hash(model=salt or model, part=part, tokens=tokens), tokens)
+                        for part, tokens in parts
+                    ),
+                )
+            )
 
     def _row(self, key: bytes, replica) -> tuple:
         return (
-            self._regions.get(replica.region, 255), records.short(replica.running),
-            records.long(sum(replica.to_read.values())), int(key in self._marked))
+            self._regions.get(replica.region, 255),
+            records.short(replica.running),
+            records.long(sum(replica.to_read.values())),
+            int(key in self._marked),
+        )
 
     def _look(self) -> None:
         now = self._now()
--- a/pw/dat/digest/sums.py
+++ b/pw/dat/digest/sums.py
@@ -2,6 +2,7 @@
 
 A digest is no actor: it adds loads up and passes reads on; ownership stays exact in the relay's actors alone.
 """
+
 import collections
 
 from pw.base import problems
@@ -23,7 +24,9 @@
         self._outcomes = [{} for _name in self._names]
         self._reads = [{} for _name in self._names]
         self._touched = [set() for _name in self._names]  # members whose reports are in the next cut
-        self._cuts = [collections.deque() for _name in self._names]  # (number of the cut, {member: number of its report})
+        self._cuts = [
+            collections.deque() for _name in self._names
+        ]  # (number of the cut, {member: number of its report})
         self._cut_number = 0
 
     def take(self, member, number: int, rows: bytes, reads: bytes) -> None:
@@ -81,9 +84,17 @@
         for key in keys:
             total = totals.get(key, NOTHING)
             ended, failed = outcomes.get(key, (0, 0))
-            parts.append(records.REPORTED.pack(
-                key, region, records.short(total[0]), records.long(total[1]), records.short(total[2]),
-                records.short(ended), records.short(failed)))
+            parts.append(
+                records.REPORTED.pack(
+                    key,
+                    region,
+                    records.short(total[0]),
+                    records.long(total[1]),
+                    records.short(total[2]),
+                    records.short(ended),
+                    records.short(failed),
+                )
+            )
             if key in totals and not any(total):
                 del totals[key]
         return b"".join(parts)
@@ -103,8 +114,12 @@
     def _numbered(self, index: int, rows: bytes, reads: bytes) -> tuple:
         self._cut_number += 1
         cuts = self._cuts[index]
-        cuts.append((self._cut_number, {
-            member: self._numbers[member] for member in self._touched[index] if member in self._numbers}))
+        cuts.append(
+            (
+                self._cut_number,
+                {member: self._numbers[member] for member in self._touched[index] if member in self._numbers},
+            )
+        )
         self._touched[index] = set()
         while len(cuts) > MOST_CUTS:
             cuts.popleft()
--- a/pw/dat/digest/test_digest.py
+++ b/pw/dat/digest/test_digest.py
@@ -1,5 +1,5 @@
 """Digests: histories of reports, sums and credits, with loss, delay, restarts, two holders; then an independent count."""
-import random
+
 
 import pytest
 
@@ -94,7 +94,7 @@
     def lost(self, link):
         if self.links.get(link.region) is link:
             del self.links[link.region]
-            for member, down in self.members.items():
+            for _member, down in self.members.items():
                 down.send("broke", link.region, None)
             if self.is_up:
                 self.scene.world.later(0.3, lambda: self.dial(link.region))
@@ -199,8 +199,12 @@
         former = self.hosts.get(region)
         self.hosts[region] = hosts.Host(region=region, epoch=self.epochs[region], now=self.world.now, suspect_s=1.0)
         self.epochs[region] += 1
-        self.hosts[region].sync(services={}, replicas=[
-            {"id": name, "service": "llm", "region": place, "models": []} for name, place in self.places.items()])
+        self.hosts[region].sync(
+            services={},
+            replicas=[
+                {"id": name, "service": "llm", "region": place, "models": []} for name, place in self.places.items()
+            ],
+        )
         if former is not None:
             for link in list(former.subscribers):
                 link.close()
@@ -266,9 +270,12 @@
 def count(scene):
     """What runs, counted from the proxies' own attempts: {replica: (running, tokens)}."""
     return {
-        name: (sum(member.own[name].running for member in scene.members),
-               sum(sum(member.own[name].to_read.values()) for member in scene.members))
-        for name in scene.places}
+        name: (
+            sum(member.own[name].running for member in scene.members),
+            sum(sum(member.own[name].to_read.values()) for member in scene.members),
+        )
+        for name in scene.places
+    }
 
 
 def check_converged(scene):
@@ -334,7 +341,11 @@
     held = digests.Sums(regions=REGIONS)
     held.take("p1", 1, wires.load_row("i0", running=2, tokens=9), b"")
     key = records.key_of("i0")
-    for number, loads, reads in ((2, b"xx", b""), (2, wires.load_row("i0", running=7), b"\x01"), (1, wires.load_row("i0", running=7), b"")):
+    for number, loads, reads in (
+        (2, b"xx", b""),
+        (2, wires.load_row("i0", running=7), b"\x01"),
+        (1, wires.load_row("i0", running=7), b""),
+    ):
         with pytest.raises(problems.FrameProblem):
             held.take("p1", number, loads, reads)
         assert held.total(region="north", key=key) == (2, 9, 0)
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -1,4 +1,5 @@
 """A proxy's mirror of the pools of all regions (docs/relay.md 5). Frames are checked and installed whole."""
+
 from pw.base import problems
 from pw.base import records
 from pw.dat.relay import actor as actors
@@ -30,11 +31,16 @@
             index, serial = hubs.ROW.unpack_from(data, place)
             if index >= bucket_count:
                 raise problems.FrameProblem(f"bucket {index}", step=step, peer=self.name)
-            rows.append((index, serial, data[place + hubs.ROW.size:place + width]))
+            rows.append((index, serial, data[place + hubs.ROW.size : place + width]))
         return rows
 
     def install_cut(self, *, bucket_count: int, words: int, data: bytes) -> None:
-        if bucket_count < 1 or bucket_count & (bucket_count - 1) or bucket_count > actors.MOST_BUCKETS or not 0 < words <= MOST_WORDS:
+        if (
+            bucket_count < 1
+            or bucket_count & (bucket_count - 1)
+            or bucket_count > actors.MOST_BUCKETS
+            or not 0 < words <= MOST_WORDS
+        ):
             raise problems.FrameProblem("bucket count", step="cut", peer=self.name)
         blank = ckf.empty_image(words=words)
         buckets = [blank] * bucket_count
@@ -48,7 +54,9 @@
         """Every bucket is checked before any is exposed."""
         if self.buckets is None:
             raise problems.FrameProblem("a delta before the cut", step="delta", peer=self.name)
-        rows = self._rows(data, size=len(ckf.empty_image(words=self.words)), bucket_count=len(self.buckets), step="delta")
+        rows = self._rows(
+            data, size=len(ckf.empty_image(words=self.words)), bucket_count=len(self.buckets), step="delta"
+        )
         for index, serial, _image in rows:
             if serial != self.serials[index] + 1:
                 raise problems.FrameProblem(f"bucket {index} at {serial}", step="delta", peer=self.name)
@@ -60,8 +68,10 @@
         """A cut as of now, for a member of the zone that joins later: its own, with the same sequences."""
         blank = ckf.empty_image(words=self.words)
         rows = b"".join(
-            hubs.ROW.pack(index, serial) + image for index, (serial, image) in enumerate(zip(self.serials, self.buckets))
-            if serial or image != blank)
+            hubs.ROW.pack(index, serial) + image
+            for index, (serial, image) in enumerate(zip(self.serials, self.buckets, strict=False))
+            if serial or image != blank
+        )
         return ("cut", self.name, self.generation, len(self.buckets), self.words, rows)
 
     def bits(self, full_hash: bytes) -> int:
@@ -124,12 +134,20 @@
     def frames(self) -> list:
         """All that a later member of the zone needs to stand where this one stands."""
         rows = tuple(
-            (mirror.name, mirror.service, mirror.model, mirror.generation,
-             b"".join(records.LANE.pack(key, lane) for key, lane in mirror.lanes.items()))
-            for mirror in self.mirrors.values())
+            (
+                mirror.name,
+                mirror.service,
+                mirror.model,
+                mirror.generation,
+                b"".join(records.LANE.pack(key, lane) for key, lane in mirror.lanes.items()),
+            )
+            for mirror in self.mirrors.values()
+        )
         frames = [("catalogue", self.epoch, rows)]
         frames += [mirror.frame() for mirror in self.mirrors.values() if mirror.buckets is not None]
-        frames.append(("load", self.epoch, True, b"".join(records.LOAD.pack(key, *load) for key, load in self.load.items())))
+        frames.append(
+            ("load", self.epoch, True, b"".join(records.LOAD.pack(key, *load) for key, load in self.load.items()))
+        )
         return frames
 
     def _take_catalogue(self, message: tuple) -> None:
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -1,4 +1,5 @@
 """The way to one replica: connections by h11, strictly one ask at a time on each (design 3, 7)."""
+
 import errno
 import selectors
 import socket
@@ -9,10 +10,19 @@
 
 MOST_SKIPS = 2
 KEEP_PART = 0.85  # of the idle time that a replica states; the rest is for the way
-HOP_NAMES = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"proxy-authenticate", b"proxy-authorization",
-))
+HOP_NAMES = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+    )
+)
 
 
 class Outlet:
@@ -50,7 +60,9 @@
             self._mask = 0
             return
         loop.watch(sock=self.sock, mask=self._mask, act=self._ready)
-        self._timer = loop.after(delay=connect_s, act=lambda: self._broken("connect timeout") if not self.is_up else None)
+        self._timer = loop.after(
+            delay=connect_s, act=lambda: self._broken("connect timeout") if not self.is_up else None
+        )
 
     def take(self, go, *, head: h11.Request, body: bytes) -> None:
         self.go = go
@@ -87,7 +99,9 @@
             self._set_mask()
 
     def _set_mask(self) -> None:
-        mask = (0 if self.is_paused else selectors.EVENT_READ) | (selectors.EVENT_WRITE if self._out or not self.is_up else 0)
+        mask = (0 if self.is_paused else selectors.EVENT_READ) | (
+            selectors.EVENT_WRITE if self._out or not self.is_up else 0
+        )
         if not self.is_open or mask == self._mask:
             return
         if not mask:
@@ -162,7 +176,11 @@
                 headers = dict(event.headers)
                 asked = self.go.ask_id
                 told = headers.get(b"x-attempt-id")
-                is_ours = told == asked if told is not None else (self.served == 0 and self._skips == 0 and event.status_code >= 400)
+                is_ours = (
+                    told == asked
+                    if told is not None
+                    else (self.served == 0 and self._skips == 0 and event.status_code >= 400)
+                )
                 if not is_ours:
                     # One answer too many at the head of ours: it is read past, and the connection ends after.
                     if self._skips >= MOST_SKIPS or told is None:
@@ -216,8 +234,12 @@
         self._set_mask()
         has_more = bool(self._h11.trailing_data[0])
         is_reusable = (
-            not has_more and not self._is_tainted and not self._must_close and not self._out
-            and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+            not has_more
+            and not self._is_tainted
+            and not self._must_close
+            and not self._out
+            and self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
         )
         if is_reusable:
             self._h11.start_next_cycle()
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -1,4 +1,5 @@
 """The way of an ask through a proxy: a chain of filters that each may answer (design 7)."""
+
 import random
 
 import h11
@@ -187,7 +188,9 @@
             self.prompt_tokens = max(self.prompt_tokens, sum(tokens for _part, tokens in self.parts))
 
     def resolve_model(self) -> None:
-        self.model, self.adapter, self.is_adapter_known = self.proxy.table.resolve(service=self.service, text=self.model_text)
+        self.model, self.adapter, self.is_adapter_known = self.proxy.table.resolve(
+            service=self.service, text=self.model_text
+        )
 
     @property
     def is_repeatable(self) -> bool:
@@ -213,9 +216,15 @@
         self.turns += 1
         self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
         replica, to_read, is_any = self.proxy.chooser.choose(
-            service=self.service, permitted=self.permitted, model=self.model if self.route.is_sticky else "",
-            chain=self.chain, prompt_tokens=self.prompt_tokens, avoid=self.avoid, aim_s=self.aim_s,
-            load_s=self.adapter_cost if self.adapter else None)
+            service=self.service,
+            permitted=self.permitted,
+            model=self.model if self.route.is_sticky else "",
+            chain=self.chain,
+            prompt_tokens=self.prompt_tokens,
+            avoid=self.avoid,
+            aim_s=self.aim_s,
+            load_s=self.adapter_cost if self.adapter else None,
+        )
         if replica is None:
             # Nobody in reach comes back less soon than somebody full.
             self.come_back_s = self.aim_s * 0.3 if is_any else max(self.aim_s * 0.3, self.proxy.reach_s)
@@ -232,7 +241,9 @@
             return
         self.goes += 1
         now = self.loop.now()
-        go = Go(passage=self, replica=replica, number=self.proxy.next_number(), to_read=to_read, permitted=self.permitted)
+        go = Go(
+            passage=self, replica=replica, number=self.proxy.next_number(), to_read=to_read, permitted=self.permitted
+        )
         go.sent_at = go.heard_at = now
         go.outlet = outlet
         self.go = go
@@ -244,8 +255,13 @@
         self.proxy.tell_send(replica=replica, kind=sources.SENT)
         if self.needs_adapter:
             go.arrival = self.proxy.adapters.begin(
-                replica=replica, service=self.service, model=self.model, adapter=self.adapter, route=self.route.name,
-                target_s=self.route.target_s)
+                replica=replica,
+                service=self.service,
+                model=self.model,
+                adapter=self.adapter,
+                route=self.route.name,
+                target_s=self.route.target_s,
+            )
         go.row = custody.go_row(go=go, passage=self, proxy=self.proxy)
         self.custody.append(go.row)
         outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
@@ -265,7 +281,12 @@
         left_ms = max(1, int((self.deadline - now) * 1000))
         for name, value in self.ask.headers:
             if name in outlets.HOP_NAMES or name in (
-                b"content-length", b"expect", b"x-time-left-ms", b"x-addressed-replica", b"last-event-id", b"x-urgency",
+                b"content-length",
+                b"expect",
+                b"x-time-left-ms",
+                b"x-addressed-replica",
+                b"last-event-id",
+                b"x-urgency",
             ):
                 continue
             headers.append((name, value))
@@ -339,9 +360,7 @@
                 return
             if self.has_head:
                 return  # a resumed stream keeps the head and stamp of its first replica
-            self.kept_headers = [
-                (name, value) for name, value in headers if name not in outlets.HOP_NAMES
-            ]
+            self.kept_headers = [(name, value) for name, value in headers if name not in outlets.HOP_NAMES]
             is_stream = self.route.is_stream or table.get(b"content-type", b"").startswith(b"text/event-stream")
             if is_stream:
                 self.is_streaming = True
@@ -363,8 +382,10 @@
     def open_stream(self) -> None:
         if not self.has_head:
             self.has_head = True
-            self.ask.start(status=200 if self.go is None else self.go.status, headers=[
-                *self.kept_headers, (b"Transfer-Encoding", b"chunked")])
+            self.ask.start(
+                status=200 if self.go is None else self.go.status,
+                headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")],
+            )
 
     def mark_read(self, go) -> None:
         """The first event shows that the prompt was read: it counts as kept from now on."""
@@ -377,10 +398,14 @@
         go.replica.to_read.pop(go.number, None)
         go.replica.is_suspect = False
         way_s = self.proxy.table.way(go.replica) or 0.0
-        self.proxy.chooser.note_read(service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s)
+        self.proxy.chooser.note_read(
+            service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s
+        )
         self.proxy.tell_send(replica=go.replica, kind=sources.READ)
         if self.parts:
-            self.proxy.tell_read(replica=go.replica, service=self.service, model=self.model, parts=self.parts, salt=self.model_text)
+            self.proxy.tell_read(
+                replica=go.replica, service=self.service, model=self.model, parts=self.parts, salt=self.model_text
+            )
 
     def take_data(self, go, data: bytes) -> None:
         if go.status == 421 or (self.buffer is None and not self.is_streaming):
@@ -465,8 +490,14 @@
         self.mark("failed", reason)
         self.proxy.note_fault(replica=go.replica, reason=reason, was_up=was_up)
         # A connection that idled and is reset at once was forgotten by its replica: that says nothing of the replica.
-        is_stale = go.outlet.served > 0 and not go.status and self.loop.now() - go.sent_at < 0.05 + 2 * (go.replica.way_s or 0.0)
-        self.end_go(go, kind=sources.BROKEN if not was_up else sources.FAILED if was_sent and not is_stale else sources.DONE)
+        is_stale = (
+            go.outlet.served > 0
+            and not go.status
+            and self.loop.now() - go.sent_at < 0.05 + 2 * (go.replica.way_s or 0.0)
+        )
+        self.end_go(
+            go, kind=sources.BROKEN if not was_up else sources.FAILED if was_sent and not is_stale else sources.DONE
+        )
         if not was_sent:
             # No byte left this node: it has not run and is not an arrival.
             self.avoid.add(go.replica.id)
@@ -504,7 +535,12 @@
     def wait_or_reject(self) -> None:
         """No replica can be named now: a short wait within the aim, then an open refusal."""
         now = self.loop.now()
-        if not self.has_head and now >= self.wait_until or now >= self.deadline or (self.has_head and now > self.ask.at + self.aim_s * 3):
+        if (
+            not self.has_head
+            and now >= self.wait_until
+            or now >= self.deadline
+            or (self.has_head and now > self.ask.at + self.aim_s * 3)
+        ):
             self.give_up()
             return
         self.avoid = set() if not self.arrivals else self.avoid
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -1,4 +1,5 @@
 """The proxy program: follows the core, carries the traffic, hosts its region's relay by duty (design 1, 5, 6, 7, 9)."""
+
 import json
 import signal
 import uuid
@@ -39,8 +40,12 @@
         self.near_cores = set()
         self.near_links = set()
         self.floors = {}  # core host: floor of the spec
-        self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image,
-                                        is_near=lambda link: link in self.near_links)
+        self.follower = desks.Follower(
+            now=self.loop.now,
+            patience_s=self.contact_s / 12,
+            on_image=self._on_image,
+            is_near=lambda link: link in self.near_links,
+        )
         self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
         self._dial_cores()
 
@@ -48,9 +53,12 @@
         wanted = set(self.core_members) | {host for host, _port in self.settings.seeds}
         for host in wanted - self.core_dialers.keys():
             self.core_dialers[host] = links.Dialer(
-                loop=self.loop, address=(host, self.settings.core_port), on_up=self._hail,
+                loop=self.loop,
+                address=(host, self.settings.core_port),
+                on_up=self._hail,
                 on_message=lambda link, message, host=host: self._take_news(host, link, message),
-                on_end=self._core_gone, silence_s=self.silence_s,
+                on_end=self._core_gone,
+                silence_s=self.silence_s,
             )
         for host in [host for host in self.core_dialers if host not in wanted]:
             self.core_dialers.pop(host).stop()
@@ -99,8 +107,13 @@
         for region in self.regions.values():
             for (full_hash,) in hashes:
                 found |= region.owners(service=service, model=model, full_hash=full_hash)
-        return tuple(sorted(
-            (replica.id, replica.zone) for replica in self.table.replicas.values() if records.key_of(replica.id) in found))
+        return tuple(
+            sorted(
+                (replica.id, replica.zone)
+                for replica in self.table.replicas.values()
+                if records.key_of(replica.id) in found
+            )
+        )
 
     def _near_core(self):
         link = None
@@ -171,8 +184,10 @@
 
     def _set_limits(self, body: dict) -> None:
         self.limits = inlet.Limits(
-            head_bytes=int(body.get("labelBytes", 16384)), body_bytes=int(body.get("parcelBytes", 4194304)),
-            head_s=float(body.get("labelMs", 3000)) / 1000.0, idle_s=float(body.get("idleMs", 15000)) / 1000.0,
+            head_bytes=int(body.get("labelBytes", 16384)),
+            body_bytes=int(body.get("parcelBytes", 4194304)),
+            head_s=float(body.get("labelMs", 3000)) / 1000.0,
+            idle_s=float(body.get("idleMs", 15000)) / 1000.0,
         )
 
 
@@ -193,13 +208,19 @@
         self.digest_epoch = 0  # of the duty that this proxy holds; 0: it holds none
         self.digest_dialer = None  # ((epoch, holder), dialer) to the digest of the zone
         self.is_enrolled = False
-        self.adapters = adapter_counts.Counter(now=self.loop.now, window_s=self.contact_s * 6, trust_s=self.contact_s / 2)
+        self.adapters = adapter_counts.Counter(
+            now=self.loop.now, window_s=self.contact_s * 6, trust_s=self.contact_s / 2
+        )
         self._adapter_rows = {}  # (life, window): what members told, until the next telling
         self._members = {}  # link of a member: its address
         self._waiting = {}  # links that came before this node knew of its duty: the message
         self.port = links.Port(
-            loop=self.loop, address=(self.settings.ip, self.settings.proxy_port), on_link=lambda link: None,
-            on_message=self._take_inner, on_end=self._inner_gone, silence_s=self.silence_s,
+            loop=self.loop,
+            address=(self.settings.ip, self.settings.proxy_port),
+            on_link=lambda link: None,
+            on_message=self._take_inner,
+            on_end=self._inner_gone,
+            silence_s=self.silence_s,
         )
 
     def _follow_duties(self) -> None:
@@ -233,10 +254,17 @@
             dialer, self.digest_dialer = self.digest_dialer[1], None
             dialer.stop()
         if wanted is not None:
-            self.digest_dialer = (wanted, links.Dialer(
-                loop=self.loop, address=(holder, self.settings.proxy_port),
-                on_up=lambda link: link.send(("enroll", epoch, self.settings.ip)),
-                on_message=self._take_digest, on_end=self._digest_gone, silence_s=self.silence_s))
+            self.digest_dialer = (
+                wanted,
+                links.Dialer(
+                    loop=self.loop,
+                    address=(holder, self.settings.proxy_port),
+                    on_up=lambda link: link.send(("enroll", epoch, self.settings.ip)),
+                    on_message=self._take_digest,
+                    on_end=self._digest_gone,
+                    silence_s=self.silence_s,
+                ),
+            )
         elif is_mine:
             self._stop_relays()  # dialled again under the duty's epoch
 
@@ -294,13 +322,17 @@
             if known is not None:
                 known[1].stop()
             self.regions[region].fail()
-            self.relay_dialers[region] = ((epoch, holder), links.Dialer(
-                loop=self.loop, address=(holder, self.settings.proxy_port),
-                on_up=lambda link, region=region, epoch=epoch: self._subscribe(region, link, epoch),
-                on_message=lambda link, message, region=region: self._take_relay(region, link, message),
-                on_end=lambda link, reason, region=region: self._publication_broke(region, link),
-                silence_s=self.silence_s,
-            ))
+            self.relay_dialers[region] = (
+                (epoch, holder),
+                links.Dialer(
+                    loop=self.loop,
+                    address=(holder, self.settings.proxy_port),
+                    on_up=lambda link, region=region, epoch=epoch: self._subscribe(region, link, epoch),
+                    on_message=lambda link, message, region=region: self._take_relay(region, link, message),
+                    on_end=lambda link, reason, region=region: self._publication_broke(region, link),
+                    silence_s=self.silence_s,
+                ),
+            )
         if is_fresh and self.relay_dialers:
             self.sums.end(OWN)
             self.sums.take(OWN, *self.source.checkpoint(replicas=self._own_load()))
@@ -416,7 +448,8 @@
                 link.close(reason="the relay is another's")
         if is_mine and self.relay is None:
             self.relay = relay_hosts.Host(
-                region=self.settings.region, epoch=epoch, now=self.loop.now, suspect_s=self.contact_s / 4)
+                region=self.settings.region, epoch=epoch, now=self.loop.now, suspect_s=self.contact_s / 4
+            )
             self._sync_relay()
 
     def _sync_relay(self) -> None:
@@ -437,7 +470,8 @@
     def tell_adapters(self) -> None:
         rows = [
             (self.settings.node, self.settings.zone, self.settings.region, self.life, window, number, data)
-            for window, number, data in self.adapters.report()]
+            for window, number, data in self.adapters.report()
+        ]
         rows += self._adapter_rows.values()
         self._adapter_rows = {}
         if not rows:
@@ -480,15 +514,22 @@
         self.passages = set()
         self._number = 0
         self.hall = inlet.Hall(
-            loop=self.loop, address=self.settings.bindings["counter"], on_ask=self._on_ask,
-            limits=lambda: self.limits, silence_s=self.contact_s * 2, most_doors=int(self.settings.handles * 0.6),
+            loop=self.loop,
+            address=self.settings.bindings["counter"],
+            on_ask=self._on_ask,
+            limits=lambda: self.limits,
+            silence_s=self.contact_s * 2,
+            most_doors=int(self.settings.handles * 0.6),
             most_bytes=int(self.settings.memory_mb * 1024 * 1024 * 0.3),
         )
         if "readiness" in self.settings.bindings:
             self.ready_hall = inlet.Hall(
-                loop=self.loop, address=self.settings.bindings["readiness"], on_ask=self._on_ready_ask,
+                loop=self.loop,
+                address=self.settings.bindings["readiness"],
+                on_ask=self._on_ready_ask,
                 limits=lambda: inlet.Limits(head_bytes=8192, body_bytes=8192, head_s=3.0, idle_s=10.0),
-                silence_s=self.contact_s, most_doors=100,
+                silence_s=self.contact_s,
+                most_doors=100,
             )
 
     def next_number(self) -> int:
@@ -572,8 +613,13 @@
         self.file_watch = settings_files.FileWatch()
         self.start_relay()
         self.chooser = choice.Chooser(
-            table=self.table, settings=self.settings, regions=self.regions, quota=self.quota, now=self.loop.now,
-            counted=self.source.counted)
+            table=self.table,
+            settings=self.settings,
+            regions=self.regions,
+            quota=self.quota,
+            now=self.loop.now,
+            counted=self.source.counted,
+        )
         self.start_serving()
         self.start_following()
         self._relay_tick()
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -1,4 +1,5 @@
 """This proxy's part of the bounds that hold over all machines (design 8)."""
+
 import collections
 import zlib
 
--- a/pw/dat/relay/actor.py
+++ b/pw/dat/relay/actor.py
@@ -1,5 +1,6 @@
 """The actor of one pool generation (docs/relay.md 2): exact ownership for each replica id, refcounts, the
 filter. It hears no evictions, so it models them: an LRU over the replica's cacheTokens."""
+
 import collections
 
 from pw.dat.relay import ckf
@@ -52,7 +53,8 @@
                 self._groups.setdefault(self._group(full_hash), set()).add(full_hash)
             missed = sum(
                 not self.filter.put(full_hash=next(iter(held)), bits=self._bits(group))
-                for group, held in self._groups.items())
+                for group, held in self._groups.items()
+            )
             if not missed or bucket_count >= MOST_BUCKETS:
                 break
             bucket_count *= 2
--- a/pw/dat/relay/ckf.py
+++ b/pw/dat/relay/ckf.py
@@ -3,6 +3,7 @@
 The source's filter says that some replica of the pool holds a prefix. Choosing one needs to know
 which, so each slot carries a lane bit for every owner. Bucket images are absolute.
 """
+
 import functools
 import hashlib
 import struct
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -3,6 +3,7 @@
 What it takes are the sums of digests, one row for each replica that changed (docs/digest.md 2); what it publishes goes
 to digests, which pass it on unchanged.
 """
+
 from pw.base import problems
 from pw.base import records
 from pw.base import ring
@@ -36,7 +37,8 @@
         self.region = region
         self.epoch = epoch
         self.registry = pool_registry.Registry(
-            on_withdraw=self._withdrawn, on_catalogue=self._catalogue, first_generation=epoch * 1000000)
+            on_withdraw=self._withdrawn, on_catalogue=self._catalogue, first_generation=epoch * 1000000
+        )
         self.subscribers = {}  # link: Subscriber
         self.totals = {}  # replica key: [running, tokens, marks]
         self._judge = outcomes.Judge(now=now, suspect_s=suspect_s)
@@ -58,7 +60,8 @@
 
     def _resolve(self) -> None:
         pools, conflicts = resolution.resolve(
-            region=self.region, services=self._services, replicas=self._replicas, sent=self._sent)
+            region=self.region, services=self._services, replicas=self._replicas, sent=self._sent
+        )
         self.registry.sync(resolved=pools, conflicts=conflicts)
         self._join_new()
 
@@ -158,8 +161,13 @@
     def _load_rows(self, keys) -> bytes:
         return b"".join(
             records.LOAD.pack(
-                key, *(records.short(total[0]), records.long(total[1]), records.short(total[2])), int(key in self._judge.failing))
-            for key in sorted(keys) for total in (self.totals.get(key, NOTHING),))
+                key,
+                *(records.short(total[0]), records.long(total[1]), records.short(total[2])),
+                int(key in self._judge.failing),
+            )
+            for key in sorted(keys)
+            for total in (self.totals.get(key, NOTHING),)
+        )
 
     def tick(self) -> None:
         self.registry.grow()
--- a/pw/dat/relay/hub.py
+++ b/pw/dat/relay/hub.py
@@ -1,4 +1,5 @@
 """The hub of one producer generation (docs/relay.md 4): lazy, one mirror, a cut and a bounded queue for each subscriber."""
+
 import struct
 
 from pw.base import problems
@@ -28,7 +29,8 @@
         self.flush()
         blank = bytes(len(self._images[0]))
         rows = b"".join(
-            ROW.pack(index, serial) + image for index, (serial, image) in enumerate(zip(self._serials, self._images))
+            ROW.pack(index, serial) + image
+            for index, (serial, image) in enumerate(zip(self._serials, self._images, strict=False))
             if serial or image != blank
         )
         self._subscribers[link] = True
--- a/pw/dat/relay/outcomes.py
+++ b/pw/dat/relay/outcomes.py
@@ -1,4 +1,5 @@
 """Replicas judged by how attempts at them ended, over all proxies of the system (docs/digest.md 5): never by health alone."""
+
 import collections
 
 SPANS = 6  # a window has so many spans
@@ -58,7 +59,7 @@
                 continue
             count, last = self._repeats.get(key, (0, 0.0))
             count = min(count + 1, MOST_REPEATS) if now - last < self._window_s * 2 else 0
-            self._until[key] = now + self._eject_s * 2 ** count
+            self._until[key] = now + self._eject_s * 2**count
             self._repeats[key] = (count, self._until[key])
             self.failing.add(key)
             changed.add(key)
--- a/pw/dat/relay/pool_registry.py
+++ b/pw/dat/relay/pool_registry.py
@@ -1,4 +1,5 @@
 """The catalogue of live pool generations (docs/relay.md 4). Withdrawal always comes before teardown."""
+
 from pw.base import problems
 from pw.base import records
 from pw.base import ring
@@ -46,7 +47,10 @@
             if pool is None:
                 self._generation += 1
                 pool = Pool(
-                    identity=identity, service=service, model=model, generation=self._generation,
+                    identity=identity,
+                    service=service,
+                    model=model,
+                    generation=self._generation,
                     actor=actors.Actor(cache_tokens=cache_tokens, words=ckf.words_for(lanes=_lanes_for(replicas))),
                 )
                 self.pools[identity] = pool
@@ -74,7 +78,9 @@
         self.withdraw(identity=pool.identity)
         self._generation += 1
         actor.resize(lanes=lanes)
-        fresh = Pool(identity=pool.identity, service=pool.service, model=pool.model, generation=self._generation, actor=actor)
+        fresh = Pool(
+            identity=pool.identity, service=pool.service, model=pool.model, generation=self._generation, actor=actor
+        )
         fresh.catalogued = dict(actor.lanes)
         self.pools[pool.identity] = fresh
         return fresh
@@ -89,8 +95,16 @@
 
     def rows(self) -> tuple:
         return tuple(
-            (pool.name, pool.service, pool.model, pool.generation, b"".join(
-                records.LANE.pack(records.key_of(replica), lane) for replica, lane in sorted(pool.catalogued.items())))
+            (
+                pool.name,
+                pool.service,
+                pool.model,
+                pool.generation,
+                b"".join(
+                    records.LANE.pack(records.key_of(replica), lane)
+                    for replica, lane in sorted(pool.catalogued.items())
+                ),
+            )
             for pool in self.pools.values()
         )
 
--- a/pw/dat/relay/resolution.py
+++ b/pw/dat/relay/resolution.py
@@ -1,5 +1,6 @@
 """Which pools there should be (docs/relay.md 1). Our replicas send no cards: the facts come from the
 configuration, the platform's list, and the requests seen sent."""
+
 import hashlib
 
 IDENTITY_VERSION = 1
@@ -35,7 +36,9 @@
                 expected.setdefault((row["service"], model), set()).add(replica)
     by_id = {}
     for service, model in expected:
-        by_id.setdefault(pool_id(service=service, model=model, region=region, domain=domain), []).append((service, model))
+        by_id.setdefault(pool_id(service=service, model=model, region=region, domain=domain), []).append(
+            (service, model)
+        )
     pools = {}
     conflicts = []
     for identity, owners in by_id.items():
--- a/pw/dat/relay/test_relay.py
+++ b/pw/dat/relay/test_relay.py
@@ -1,4 +1,5 @@
 """The relay: ownership, refcounts, publication, fencing, withdrawal order, whole-frame installation."""
+
 import random
 
 import pytest
@@ -113,8 +114,12 @@
 def test_colliding_pool_ids_are_fenced_never_merged():
     services = {"llm": SERVICES["llm"], "other": SERVICES["llm"]}
     pools, conflicts = resolution.resolve(
-        region="north", services=services, replicas=[replica("r1"), replica("r2", service="other")],
-        sent={"r1", "r2"}, domain=lambda *, service, model: "same")
+        region="north",
+        services=services,
+        replicas=[replica("r1"), replica("r2", service="other")],
+        sent={"r1", "r2"},
+        domain=lambda *, service, model: "same",
+    )
     assert pools == {} and len(conflicts) == 1
 
 
@@ -185,7 +190,7 @@
     last = len(changed) - hubs.ROW.size - len(ckf.empty_image(words=1))
     assert last > 0  # more than one bucket: the fault is in the last
     index, serial = hubs.ROW.unpack_from(changed, last)
-    broken = changed[:last] + hubs.ROW.pack(index, serial + 1) + changed[last + hubs.ROW.size:]
+    broken = changed[:last] + hubs.ROW.pack(index, serial + 1) + changed[last + hubs.ROW.size :]
     before = list(region.mirrors[name].buckets)
     for bad in (broken, changed[:-1], changed + b"x"):
         with pytest.raises(problems.FrameProblem):
@@ -198,7 +203,10 @@
 def test_withdrawal_comes_before_teardown_and_a_new_generation_follows():
     seen = []
     registry = pool_registry.Registry(
-        on_withdraw=lambda pool: seen.append((pool.name, pool.actor is not None)), on_catalogue=lambda: None, first_generation=5)
+        on_withdraw=lambda pool: seen.append((pool.name, pool.actor is not None)),
+        on_catalogue=lambda: None,
+        first_generation=5,
+    )
     identity = (1, "d", "north")
     registry.sync(resolved={identity: ("llm", "m", 100, frozenset({"r1"}))})
     first = registry.pools[identity]
@@ -337,7 +345,7 @@
 
 
 def test_a_filter_without_room_grows_under_a_new_generation_and_withdraws_the_old_one_first():
-    services = {"llm": {"models": ("m",), "cache_tokens": 10 ** 7}}
+    services = {"llm": {"models": ("m",), "cache_tokens": 10**7}}
     host = hosts.Host(region="north", epoch=1, now=lambda: 0.0, suspect_s=1.0)
     host.sync(services=services, replicas=[replica("r1")])
     source = send(host)
@@ -347,13 +355,16 @@
     feed(region, reader)
     names = [f"p{number}" for number in range(6000)]
     for start in range(0, len(names), 100):
-        tell(host, source, reads=[wires.read_row("r1", (name, 10)) for name in names[start:start + 100]])
+        tell(host, source, reads=[wires.read_row("r1", (name, 10)) for name in names[start : start + 100]])
         host.tick()
     kinds = [message[0] for message in reader.told if message[0] in ("withdrawn", "catalogue", "cut")]
     assert kinds[:3] == ["withdrawn", "catalogue", "cut"]
     feed(region, reader)
-    kept = [name for name in names
-            if region.kept(service="llm", model="m", chain=rows(name), replicas=("r1",)) == {"r1": 10}]
+    kept = [
+        name
+        for name in names
+        if region.kept(service="llm", model="m", chain=rows(name), replicas=("r1",)) == {"r1": 10}
+    ]
     assert len(kept) == len(names)
 
 
@@ -377,7 +388,11 @@
     wire = wires.Wire()
     tell(host, wire, wires.load_row("r1", running=2, tokens=7))
     before = {key: list(total) for key, total in host.totals.items()}
-    for loads, reads in ((data, b""), (wires.load_row("r1", running=9), data), (wires.load_row("r1", running=9), wires.read_row("r1", ("a", 1))[:-1])):
+    for loads, reads in (
+        (data, b""),
+        (wires.load_row("r1", running=9), data),
+        (wires.load_row("r1", running=9), wires.read_row("r1", ("a", 1))[:-1]),
+    ):
         with pytest.raises(problems.FrameProblem):
             host.take_sums(wire, ("sums", 2, loads, reads))
         assert host.totals == before and host.subscribers[wire].counted == 1
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -1,4 +1,5 @@
 """The replicas as this proxy sees them: one owner of the table (design 5, 7, 8)."""
+
 import collections
 
 from pw.base import records
@@ -38,8 +39,9 @@
         """Pairs of model and adapter that it holds, as the list says, and since when; None where the list can't tell."""
         pairs = row.get("adapters", ())
         before = self.adapters or {}
-        self.adapters = None if pairs is None else {
-            (model, adapter): before.get((model, adapter), now) for model, adapter in pairs}
+        self.adapters = (
+            None if pairs is None else {(model, adapter): before.get((model, adapter), now) for model, adapter in pairs}
+        )
 
     def forget(self, outlet) -> None:
         self.outlets.discard(outlet)
@@ -95,7 +97,8 @@
     def resolve(self, *, service: str, text: str) -> tuple:
         """(model, adapter, is it known) that X-Model names for this service."""
         return counts.resolve(
-            text=text, models=self.services.get(service, {}).get("models", ()), adapters=self.adapters.get(service, {}))
+            text=text, models=self.services.get(service, {}).get("models", ()), adapters=self.adapters.get(service, {})
+        )
 
     def region_of(self, zone: str) -> str:
         return self._settings.zones.get(zone, "")
@@ -169,8 +172,13 @@
         contact_s = self._settings.bound_s(name="contactMs")
         known = self.way(replica)
         outlet = outlets.Outlet(
-            loop=self._loop, replica=replica, connect_s=contact_s / 50 + 3 * known if known is not None else contact_s / 14,
-            silence_s=contact_s * 2, on_free=self._free, on_way=self._note_way)
+            loop=self._loop,
+            replica=replica,
+            connect_s=contact_s / 50 + 3 * known if known is not None else contact_s / 14,
+            silence_s=contact_s * 2,
+            on_free=self._free,
+            on_way=self._note_way,
+        )
         replica.outlets.add(outlet)
         return outlet
 
@@ -205,7 +213,12 @@
     def try_suspects(self) -> None:
         """One connection to each suspect, in the background: no ask is spent on finding out."""
         for replica in self.replicas.values():
-            if replica.is_suspect and not replica.is_clearing and replica.zone not in self.out_zones and not replica.outlets:
+            if (
+                replica.is_suspect
+                and not replica.is_clearing
+                and replica.zone not in self.out_zones
+                and not replica.outlets
+            ):
                 self.outlet(replica=replica)
 
     def _free(self, outlet) -> None:
--- a/pw/dat/routes.py
+++ b/pw/dat/routes.py
@@ -52,7 +52,7 @@
             cut = path.rfind("/", 0, end)
             if cut < 0:
                 return None
-            route = prefixes.get(path[:cut + 1])
+            route = prefixes.get(path[: cut + 1])
             if route is not None:
                 return route
             end = cut
@@ -76,6 +76,7 @@
             "berths": int(engine.get("berths") or 0),
             "models": tuple(model["name"] for model in engine.get("models") or ()),
             "adapters": tuple(
-                (model["name"], name) for model in engine.get("models") or () for name in _names(model.get("adapters"))),
+                (model["name"], name) for model in engine.get("models") or () for name in _names(model.get("adapters"))
+            ),
         }
     return table
--- a/pw/dat/test_follow.py
+++ b/pw/dat/test_follow.py
@@ -1,4 +1,5 @@
 """A proxy serves nothing before it has what a majority of the core may have acknowledged; cut off, it serves on."""
+
 import types
 
 from pw.base import loop as loops
@@ -9,8 +10,14 @@
 def make():
     told = []
     node = types.SimpleNamespace(
-        is_serving=False, is_leaving=False, core_members=("a", "b", "c"), floors={}, routes=types.SimpleNamespace(edition=1),
-        follower=types.SimpleNamespace(serials={}), _tell_core=told.append)
+        is_serving=False,
+        is_leaving=False,
+        core_members=("a", "b", "c"),
+        floors={},
+        routes=types.SimpleNamespace(edition=1),
+        follower=types.SimpleNamespace(serials={}),
+        _tell_core=told.append,
+    )
     return node, told
 
 
@@ -51,8 +58,7 @@
 def test_older_homes_bind_until_their_time_is_over():
     clock = [0.0]
     loop = types.SimpleNamespace(now=lambda: clock[0])
-    node = types.SimpleNamespace(
-        loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)})])
+    node = types.SimpleNamespace(loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)})])
     route = types.SimpleNamespace(name="chat", homes=("north", "south"))
     assert proxy.FollowMixin.permitted(node, route=route, first_homes=()) == {"north"}
     clock[0] = 2.6
@@ -62,7 +68,14 @@
 
 def test_a_relay_ends_when_its_duty_goes_to_another_life():
     node = types.SimpleNamespace(
-        relay=None, settings=entry.settings(), life="l1", loop=loops.Loop(), contact_s=4.0, _waiting={}, _sync_relay=lambda: None)
+        relay=None,
+        settings=entry.settings(),
+        life="l1",
+        loop=loops.Loop(),
+        contact_s=4.0,
+        _waiting={},
+        _sync_relay=lambda: None,
+    )
     keep = proxy.RelayMixin._keep_relay
     keep(node, 1, "127.0.0.1", "l1")
     first = node.relay
--- a/pw/dat/test_later.py
+++ b/pw/dat/test_later.py
@@ -1,5 +1,6 @@
 """The troubles that came with growth: ill replicas with a good word for themselves, false health, flapping, ways that carry one
 direction, jumps of traffic, idle connections forgotten without a word."""
+
 import collections
 import random
 import re
@@ -32,7 +33,11 @@
 def test_a_replica_that_fails_requests_is_told_by_its_outcomes_and_left_by_who_saw_it(status):
     def script(number, heard):
         more = b"" if status.startswith(b"200") else b"X-Postmark: p\r\n"  # a success without its stamp is none
-        return [test_way.answer(test_way.ask_id(heard), b"no", status=status, more=more)] if test_way.is_whole(heard) else None
+        return (
+            [test_way.answer(test_way.ask_id(heard), b"no", status=status, more=more)]
+            if test_way.is_whole(heard)
+            else None
+        )
 
     scene = test_way.Scene(script, test_way.replying)
     kinds = told_kinds(scene)
@@ -68,7 +73,7 @@
             judge.take(key=KEY, ended=2, failed=2 if is_down else 0)
         for _key in judge.look():
             changes.append((clock[0], KEY in judge.failing))
-    outs = [back - out for (out, is_out), (back, _is) in zip(changes, changes[1:]) if is_out]
+    outs = [back - out for (out, is_out), (back, _is) in zip(changes, changes[1:], strict=False) if is_out]
     assert len(outs) >= 3 and outs[0] < outs[1] < outs[2] and max(outs) < 17.0
     assert outcomes.Judge(now=lambda: 0.0, suspect_s=1.0).failing == set()
 
@@ -80,7 +85,8 @@
         scene.ask("safe")
         assert scene.until(b" 50")
     replica, _tokens, is_any = scene.entry.chooser.choose(
-        service="llm", permitted=None, model="", chain=(), prompt_tokens=0, avoid=set())
+        service="llm", permitted=None, model="", chain=(), prompt_tokens=0, avoid=set()
+    )
     assert replica is not None and is_any
 
 
@@ -96,16 +102,24 @@
     def accept(_mask):
         sock, _address = server.accept()
         heard.append(sock)  # it is open and takes all, and nothing ever comes back
+
     loop.watch(sock=server, mask=selectors.EVENT_READ, act=accept)
     ended = []
-    dialer = links.Dialer(loop=loop, address=server.getsockname(), on_up=lambda link: None, on_message=lambda link, message: None,
-                          on_end=lambda link, reason: ended.append(reason), silence_s=1.0)
+    dialer = links.Dialer(
+        loop=loop,
+        address=server.getsockname(),
+        on_up=lambda link: None,
+        on_message=lambda link, message: None,
+        on_end=lambda link, reason: ended.append(reason),
+        silence_s=1.0,
+    )
     beats = [0]
 
     def beat():
         if dialer.link is not None and dialer.link.is_up:
             dialer.link.send(("beat", 0))
             beats[0] += 1
+
     loop.every(gap=0.1, act=beat)
     assert loopback.until(loop, lambda: ended)
     assert ended[0] == "silent" and beats[0] >= 2
@@ -120,7 +134,8 @@
     taken = collections.Counter()
     for number in range(64):
         replica, tokens, _is_any = scene.entry.chooser.choose(
-            service="llm", permitted=None, model="m", chain=(), prompt_tokens=chance.randint(100, 200), avoid=set())
+            service="llm", permitted=None, model="m", chain=(), prompt_tokens=chance.randint(100, 200), avoid=set()
+        )
         replica.running += 1
         replica.to_read[number] = tokens
         taken[replica.id] += 1
@@ -132,7 +147,11 @@
     def script(number, heard):
         if not test_way.is_whole(heard):
             return None
-        return ["reset"] if len(re.findall(rb"x-attempt-id", heard, re.I)) > 1 else [test_way.answer(test_way.ask_id(heard))]
+        return (
+            ["reset"]
+            if len(re.findall(rb"x-attempt-id", heard, re.I)) > 1
+            else [test_way.answer(test_way.ask_id(heard))]
+        )
 
     scene = test_way.Scene(script, test_way.replying)
     kinds = told_kinds(scene)
@@ -158,8 +177,14 @@
     server.listen(1)
     near = socket.create_connection(server.getsockname())
     ended = []
-    link = links.Link(loop=loop, sock=near, on_message=lambda link, message: None,
-                      on_end=lambda link, reason: ended.append(reason), silence_s=5.0, is_connecting=True)
+    link = links.Link(
+        loop=loop,
+        sock=near,
+        on_message=lambda link, message: None,
+        on_end=lambda link, reason: ended.append(reason),
+        silence_s=5.0,
+        is_connecting=True,
+    )
     link.close(reason="another event")
     link._ready(mask)
     assert ended == ["another event"]
--- a/pw/dat/test_quota.py
+++ b/pw/dat/test_quota.py
@@ -1,4 +1,5 @@
 """This proxy's part of the shared bounds, and the choice under them."""
+
 import random
 
 import pytest
@@ -53,7 +54,10 @@
     quota, clock = make(share=share)
     replica = replicas.Replica(
         row={"id": "i", "service": "llm", "zone": "za", "berths": 8, "models": [], "is_clearing": False},
-        endpoint=("127.0.0.1", 1), region="north", now=0.0)
+        endpoint=("127.0.0.1", 1),
+        region="north",
+        now=0.0,
+    )
     sends = []
     for _ in range(2000):
         clock[0] += 0.01
@@ -90,9 +94,25 @@
     def start():
         nonlocal lives
         lives += 1
-        nodes[f"n{lives}"] = (quotas.Quota(now=lambda: clock[0], settings=entry.settings()), [
-            replicas.Replica(row={"id": f"i{number}", "service": "llm", "zone": "za", "berths": 8, "models": [], "is_clearing": False},
-                             endpoint=("127.0.0.1", 1), region="north", now=0.0) for number in range(3)])
+        nodes[f"n{lives}"] = (
+            quotas.Quota(now=lambda: clock[0], settings=entry.settings()),
+            [
+                replicas.Replica(
+                    row={
+                        "id": f"i{number}",
+                        "service": "llm",
+                        "zone": "za",
+                        "berths": 8,
+                        "models": [],
+                        "is_clearing": False,
+                    },
+                    endpoint=("127.0.0.1", 1),
+                    region="north",
+                    now=0.0,
+                )
+                for number in range(3)
+            ],
+        )
 
     for _ in range(count):
         start()
@@ -104,9 +124,19 @@
             start()
         for name, (quota, held) in nodes.items():
             if step % 8 == 0:
-                for book, link in zip(books, links):
+                for book, link in zip(books, links, strict=False):
                     if chance.random() < 0.9:
-                        quota.take_entry(link, ("entry", 0.9 / count / cores, 0.9 / count / cores, life_s, 1 / cores, *book.renew(node=name)))
+                        quota.take_entry(
+                            link,
+                            (
+                                "entry",
+                                0.9 / count / cores,
+                                0.9 / count / cores,
+                                life_s,
+                                1 / cores,
+                                *book.renew(node=name),
+                            ),
+                        )
             for replica in held:
                 if quota.may_send(replica=replica, service=SPEC["llm"], is_hard=True):
                     quota.note_send(replica=replica, service=SPEC["llm"])
@@ -146,8 +176,18 @@
 
 
 def row(name, zone="za", **more):
-    return {"id": name, "service": "llm", "address": "127.0.0.1:9", "zone": zone, "berths": 8, "is_clearing": False,
-            "cold_ms": 0, "left_ms": None, "models": ["m"], **more}
+    return {
+        "id": name,
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "zone": zone,
+        "berths": 8,
+        "is_clearing": False,
+        "cold_ms": 0,
+        "left_ms": None,
+        "models": ["m"],
+        **more,
+    }
 
 
 @pytest.mark.parametrize("seed", range(30))
@@ -169,8 +209,13 @@
             table.suspect(chance.choice(list(table.replicas.values())))
         permitted = chance.choice((None, frozenset(("north",)), frozenset(("south",)), frozenset()))
         replica, _tokens, _is_any = chooser.choose(
-            service="llm", permitted=permitted, model="m", chain=ckf.chain(model="m", parts=(("a", 10), (f"b{step}", 10))),
-            prompt_tokens=20, avoid=set())
+            service="llm",
+            permitted=permitted,
+            model="m",
+            chain=ckf.chain(model="m", parts=(("a", 10), (f"b{step}", 10))),
+            prompt_tokens=20,
+            avoid=set(),
+        )
         if replica is not None:
             chosen.append(replica)
             replica.running += 1
@@ -205,5 +250,6 @@
     chain = ckf.chain(model="m", parts=(("doc", 5000), ("own", 10)))
     chooser.note_send(replica=table.replicas["i2"], chain=chain)
     replica, tokens, _is_any = chooser.choose(
-        service="llm", permitted=None, model="m", chain=chain, prompt_tokens=5010, avoid=set())
+        service="llm", permitted=None, model="m", chain=chain, prompt_tokens=5010, avoid=set()
+    )
     assert replica.id == "i2" and tokens == 0
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -1,5 +1,6 @@
 """Histories on real sockets: regions are lost, cut and overrun, homes change, zones go out; what the replicas heard is
 then compared, by a look of its own, with the permitted regions and with the custody trails."""
+
 import copy
 import random
 import re
@@ -42,7 +43,11 @@
         self.host = hosts.Host(region="south", epoch=self.epoch, now=self.scenes[0].loop.now, suspect_s=1.0)
         self.host.sync(
             services={"llm": {"models": ("m",), "cache_tokens": 1000}},
-            replicas=[{"id": row["id"], "service": "llm", "region": ZONES[row["zone"]], "models": ["m"]} for row in self.scenes[0].rows])
+            replicas=[
+                {"id": row["id"], "service": "llm", "region": ZONES[row["zone"]], "models": ["m"]}
+                for row in self.scenes[0].rows
+            ],
+        )
         self.digest = wires.Wire()
         self.number = 1
         self.host.subscribe(self.digest, region="south")
@@ -54,7 +59,9 @@
         assert salt == model
         self.number += 1
         self.host.take_sums(
-            self.digest, wires.sums(self.number, reads=[wires.read_row(replica.id, *parts, service=service, model=model)]))
+            self.digest,
+            wires.sums(self.number, reads=[wires.read_row(replica.id, *parts, service=service, model=model)]),
+        )
 
     def tell(self):
         self.host.tick()
@@ -89,11 +96,12 @@
                 if chance.random() < 0.15:
                     return [out, "close"]
             return [out + b"0\r\n\r\n"]
+
         return script
 
     zones = ["za", "za", "zb", "zb", "zc"]
     peers = [loopback.Peer(loop=loop, script=script_of(zone)) for zone in zones]
-    scenes = [entry.Entry(loop=loop, peers=list(zip(peers, zones))) for _ in range(2)]  # two entry proxies
+    scenes = [entry.Entry(loop=loop, peers=list(zip(peers, zones, strict=False))) for _ in range(2)]  # two entry proxies
     relay = Relay(scenes=scenes)
     spec = copy.deepcopy(entry.SPEC)
     home = next(route for route in spec["routes"] if route["name"] == "home")
@@ -131,11 +139,21 @@
             clients.append(client)
             client.send(
                 b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
-                b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: 300\r\nContent-Length: 4\r\n\r\nbody" % (lead.encode(), number, number))
+                b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: 300\r\nContent-Length: 4\r\n\r\nbody"
+                % (lead.encode(), number, number)
+            )
             if lead == "home":
                 bound[b"a%d" % number] = set(homes)
-        assert loopback.until(loop, lambda: not any(scene.passages for scene in scenes) and all(
-            client.is_closed or client.got.endswith(b"0\r\n\r\n") or b"HTTP/1.1 50" in client.got for client in clients))
+        assert loopback.until(
+            loop,
+            lambda clients=clients: (
+                not any(scene.passages for scene in scenes)
+                and all(
+                    client.is_closed or client.got.endswith(b"0\r\n\r\n") or b"HTTP/1.1 50" in client.got
+                    for client in clients
+                )
+            ),
+        )
         for client in clients:
             if not client.is_closed:
                 loop.unwatch(sock=client.sock)
@@ -144,7 +162,7 @@
     assert all(region.mirrors and region.epoch == relay.epoch for _wire, region in relay.views)
 
     heard = {}
-    for index, (peer, zone) in enumerate(zip(peers, zones)):
+    for index, (peer, zone) in enumerate(zip(peers, zones, strict=False)):
         for data in peer.heard:
             for which in ids(data):
                 heard.setdefault(which, set()).add((f"i{index}", zone))
@@ -155,12 +173,16 @@
 
     trails = [trail for scene in scenes for trail in scene.trails()]
     assert audits.summary(trails=trails, coverage=[], zones=ZONES)["outside"] == []
-    told = {trail["id"].encode(): {(go["replica"], go["zone"]) for go in trail["goes"] if go["end"] != "not sent"} for trail in trails}
+    told = {
+        trail["id"].encode(): {(go["replica"], go["zone"]) for go in trail["goes"] if go["end"] != "not sent"}
+        for trail in trails
+    }
     for which, places in heard.items():
         assert places <= told[which]
 
     homed = next(trail for trail in trails if trail["homes"] and any(go["end"] != "not sent" for go in trail["goes"]))
     planted = copy.deepcopy(homed)
     next(go for go in planted["goes"] if go["end"] != "not sent")["zone"] = next(
-        zone for zone, region in ZONES.items() if region not in planted["homes"])
+        zone for zone, region in ZONES.items() if region not in planted["homes"]
+    )
     assert audits.summary(trails=[planted], coverage=[], zones=ZONES)["outside"]
--- a/pw/dat/test_way.py
+++ b/pw/dat/test_way.py
@@ -1,4 +1,5 @@
 """The traps of the wire, with scripted peers on real sockets: nothing runs twice, nothing is mixed, nothing looks complete that is not."""
+
 import re
 
 import pytest
@@ -20,7 +21,10 @@
 
 
 def head(which: bytes, *, more=b"") -> bytes:
-    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n" % (which, more)
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Type: text/event-stream\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+        % (which, more)
+    )
 
 
 def event(number: int) -> bytes:
@@ -36,7 +40,7 @@
         self.loop = loopback.new_loop()
         self.peers = [loopback.Peer(loop=self.loop, script=script) for script in scripts]
         zones = zones or ["za"] * len(scripts)
-        self.entry = entry.Entry(loop=self.loop, peers=list(zip(self.peers, zones)))
+        self.entry = entry.Entry(loop=self.loop, peers=list(zip(self.peers, zones, strict=False)))
         self.client = loopback.Client(loop=self.loop, address=self.entry.address)
         self.number = 0
 
@@ -45,7 +49,8 @@
         self.client.send(
             b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
             b"X-Prompt-Lead: aa:10,b%d:20\r\nX-Time-Left-Ms: %d\r\n%sContent-Length: 4\r\n\r\nbody"
-            % (lead.encode(), self.number, self.number, left_ms, more))
+            % (lead.encode(), self.number, self.number, left_ms, more)
+        )
 
     def until(self, what: bytes) -> bool:
         return loopback.until(self.loop, lambda: what in self.client.got)
@@ -74,6 +79,7 @@
         if not is_whole(heard):
             return None
         return [answer(ask_id(heard))] if heard.count(b"\r\n\r\nbody") == 1 else [end]
+
     scene = Scene(script)
     scene.ask("safe")
     assert scene.until(b"\r\n\r\nok")
@@ -99,6 +105,7 @@
         if heard.count(b"\r\n\r\nbody") == 1:
             return [answer(ask_id(heard))]
         return [answer(ask_id(heard, 0), b"stale"), answer(ask_id(heard), b"mine")]
+
     scene = Scene(script)
     scene.ask("unsafe")
     assert scene.until(b"\r\n\r\nok")
@@ -111,6 +118,7 @@
 def test_bytes_after_an_answer_belong_to_no_request():
     def script(number, heard):
         return [answer(ask_id(heard)) + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"] if is_whole(heard) else None
+
     scene = Scene(script)
     for _ in range(3):
         scene.client.got = b""
@@ -120,18 +128,22 @@
     assert len(scene.peers[0].heard) == 3  # never used again
 
 
-@pytest.mark.parametrize("spoiled", [
-    b"not an answer at all\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nok",  # no stamp
-    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
-    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Postmark: p\r\nContent-Length: 2\r\n\r\nok",
-    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Length: 20\r\n\r\nok",  # cut short
-])
+@pytest.mark.parametrize(
+    "spoiled",
+    [
+        b"not an answer at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nok",  # no stamp
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Postmark: p\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Length: 20\r\n\r\nok",  # cut short
+    ],
+)
 def test_a_spoiled_answer_is_never_a_success(spoiled):
     def script(number, heard):
         if not is_whole(heard):
             return None
         return [spoiled.replace(b"%s", ask_id(heard)), "close"]
+
     scene = Scene(script)
     scene.ask("unsafe")
     assert scene.until(b"HTTP/1.1 502")
@@ -141,7 +153,12 @@
 
 def test_not_run_may_go_on_inside_tries_and_ends_in_a_promise():
     def full(number, heard):
-        return [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"X-Not-Run: 1\r\n")] if is_whole(heard) else None
+        return (
+            [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"X-Not-Run: 1\r\n")]
+            if is_whole(heard)
+            else None
+        )
+
     scene = Scene(full, replying)
     scene.ask("unsafe")
     assert scene.until(b"\r\n\r\nok")
@@ -155,6 +172,7 @@
 def test_a_failure_without_x_not_run_is_no_promise():
     def script(number, heard):
         return [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"")] if is_whole(heard) else None
+
     scene = Scene(script)
     scene.ask("unsafe")
     assert scene.until(b"HTTP/1.1 502")
@@ -187,6 +205,7 @@
         if b"Last-Event-Id" not in heard:
             return [head(ask_id(heard)) + event(1) + event(2) + event(3)[:9], "close"]
         return [head(ask_id(heard)) + event(2) + event(3) + END]
+
     scene = Scene(cutting, cutting)
     scene.ask("resume")
     assert scene.until(b"0\r\n\r\n")
@@ -196,6 +215,7 @@
 def test_a_stream_that_may_not_be_resumed_is_broken_visibly():
     def cutting(number, heard):
         return [head(ask_id(heard)) + event(1), "close"] if is_whole(heard) else None
+
     scene = Scene(cutting)
     scene.ask("once")
     assert loopback.until(scene.loop, lambda: scene.client.is_closed)
@@ -220,6 +240,7 @@
         if b"Last-Event-Id" not in heard:
             return [head(ask_id(heard)) + event(1), "close"]
         return [head(ask_id(heard)) + event(2) + END]
+
     scene = Scene(cutting, cutting, zones=["zb", "zb"])
     scene.ask("home")
     assert scene.until(b"0\r\n\r\n")
@@ -232,7 +253,12 @@
 
 def test_another_life_at_the_address_runs_nothing():
     def other(number, heard):
-        return [b"HTTP/1.1 421 Misdirected Request\r\nX-Replica-Id: i-x\r\nContent-Length: 0\r\n\r\n"] if is_whole(heard) else None
+        return (
+            [b"HTTP/1.1 421 Misdirected Request\r\nX-Replica-Id: i-x\r\nContent-Length: 0\r\n\r\n"]
+            if is_whole(heard)
+            else None
+        )
+
     scene = Scene(other)
     scene.ask("once")
     assert scene.until(b"HTTP/1.1 503")
@@ -247,13 +273,16 @@
     assert scene.until(b"\r\n\r\nok")
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
-    (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
-    (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 9000 + b"\r\n\r\n", b"431"),
-    (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\n", b"413"),
-    (b"\x00\x01garbage\r\n\r\n", b"400"),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 9000 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\n", b"413"),
+        (b"\x00\x01garbage\r\n\r\n", b"400"),
+    ],
+)
 def test_bad_framing_is_refused_and_the_connection_closed(data, status):
     scene = Scene(replying)
     scene.client.send(data)
@@ -265,6 +294,7 @@
 def test_a_client_that_leaves_ends_the_go():
     def script(number, heard):
         return [head(ask_id(heard)) + event(1)] if is_whole(heard) else None
+
     scene = Scene(script)
     scene.ask("once")
     assert scene.until(b"data: t1")
@@ -288,8 +318,14 @@
     def script(number, heard):
         if not is_whole(heard):
             return None
-        return [head(ask_id(heard)) + b"".join(
-            b"%x\r\n%s\r\n" % (len(text), text) for text in (b"id: %d\ndata: %s\n\n" % (nth, big) for nth in range(1, 3)))]
+        return [
+            head(ask_id(heard))
+            + b"".join(
+                b"%x\r\n%s\r\n" % (len(text), text)
+                for text in (b"id: %d\ndata: %s\n\n" % (nth, big) for nth in range(1, 3))
+            )
+        ]
+
     scene = Scene(script)
     scene.loop.unwatch(sock=scene.client.sock)
     scene.ask("once", left_ms=5000)
--- a/pw/dat/test_zone.py
+++ b/pw/dat/test_zone.py
@@ -1,5 +1,6 @@
 """The zone's digest and the relay among several proxies on real sockets: duties change, holders end, freeze or are cut off;
 what each proxy takes for the load is compared with what runs."""
+
 import dataclasses
 import random
 import socket
@@ -17,8 +18,17 @@
 from pw.sim import loopback
 
 ROWS = [
-    {"id": f"i{number}", "service": "llm", "address": "127.0.0.1:9", "zone": zone, "berths": 8, "is_clearing": False,
-     "cold_ms": 0, "left_ms": None, "models": ["m"]}
+    {
+        "id": f"i{number}",
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "zone": zone,
+        "berths": 8,
+        "is_clearing": False,
+        "cold_ms": 0,
+        "left_ms": None,
+        "models": ["m"],
+    }
     for number, zone in enumerate(("za", "za", "zb"))
 ]
 
@@ -47,8 +57,13 @@
         self.table.install_list(ROWS)
         self.start_relay()
         self.chooser = choice.Chooser(
-            table=self.table, settings=self.settings, regions=self.regions, quota=self.quota, now=loop.now,
-            counted=self.source.counted)
+            table=self.table,
+            settings=self.settings,
+            regions=self.regions,
+            quota=self.quota,
+            now=loop.now,
+            counted=self.source.counted,
+        )
         self._relay_tick()
         self.loop.every(gap=self.silence_s / 3, act=self._beat_inner)
 
@@ -88,6 +103,7 @@
                 self._held.append((act, args))
             else:
                 act(*args)
+
         return run
 
     def thaw(self):
@@ -135,13 +151,18 @@
         ports = (port, port + 2)
         self.places = {f"127.0.4.{number}": "za" for number in range(1, 6)} | {"127.0.4.9": "zb"}
         self.nodes = {
-            ip: Node(loop=self.loop, ip=ip, zone=zone, ports=ports, life=f"l{ip}") for ip, zone in self.places.items()}
+            ip: Node(loop=self.loop, ip=ip, zone=zone, ports=ports, life=f"l{ip}") for ip, zone in self.places.items()
+        }
         self.duties = {}
         self.live = set(self.nodes)
         self.name_duties()
 
     def name_duties(self):
-        listed = [(ip, node.life, node.settings.zone, node.settings.region) for ip, node in self.nodes.items() if ip in self.live]
+        listed = [
+            (ip, node.life, node.settings.zone, node.settings.region)
+            for ip, node in self.nodes.items()
+            if ip in self.live
+        ]
         rows = duties.named(proxies=listed, duty=lambda name: tuple(self.duties.get(name, (0, "", ""))))
         for name, (seen, holder, life) in rows.items():
             self.duties[name] = (seen + 1, holder, life)
@@ -160,7 +181,8 @@
 
     def settle(self):
         assert loopback.until(self.loop, self.agree), {
-            ip: [(self.nodes[ip].sees(row["id"]), self.truth(row["id"])) for row in ROWS] for ip in self.live}
+            ip: [(self.nodes[ip].sees(row["id"]), self.truth(row["id"])) for row in ROWS] for ip in self.live
+        }
 
     def stop(self, ip):
         node = self.nodes[ip]
@@ -190,11 +212,13 @@
     zones.settle()
     holder = zones.nodes[zones.digest()]
     assert loopback.until(zones.loop, lambda: len(holder._members) == 4)
-    for ip, node in zones.nodes.items():
+    for _ip, node in zones.nodes.items():
         if node.settings.zone == "za" and node is not holder:
             assert node.is_enrolled and not node.relay_dialers
     assert len(zones.nodes[zones.duties["relay/north"][1]].relay.subscribers) == 2  # one for each zone
-    zones.nodes["127.0.4.1"].end(next(name for name in ("i0", "i1", "i2") if zones.nodes["127.0.4.1"].table.replicas[name].running))
+    zones.nodes["127.0.4.1"].end(
+        next(name for name in ("i0", "i1", "i2") if zones.nodes["127.0.4.1"].table.replicas[name].running)
+    )
     zones.settle()
 
 
@@ -231,7 +255,11 @@
 
     def refused():
         epochs.extend(known.zone_epoch for known in relay.subscribers.values() if known.zone == "za")
-        return any(link is None or not link.is_open for link in [dialer.link for _known, dialer in former.relay_dialers.values()])
+        return any(
+            link is None or not link.is_open
+            for link in [dialer.link for _known, dialer in former.relay_dialers.values()]
+        )
+
     assert loopback.until(zones.loop, refused)
     zones.settle()  # it still takes itself for the holder; the relays refuse it under its old epoch
     assert 1 not in epochs
@@ -271,7 +299,7 @@
     holder = zones.nodes[zones.digest()]
     member = next(node for node in zones.nodes.values() if node.is_enrolled)
     link = member.digest_dialer[1].link
-    link.send_bytes(wire.pack(("report", 10 ** 6, b"nonsense", b"")))
+    link.send_bytes(wire.pack(("report", 10**6, b"nonsense", b"")))
     assert loopback.until(zones.loop, lambda: not link.is_open)
     zones.settle()  # and it comes back with its whole state
     assert loopback.until(zones.loop, lambda: len(holder._members) == 4)
@@ -284,7 +312,7 @@
     zones.settle()
     holder = zones.nodes[zones.digest()]
     slow, *others = holder._members
-    slow.queued = lambda: 10 ** 9
+    slow.queued = lambda: 10**9
     zones.work(seed=11)
     assert loopback.until(zones.loop, lambda: not slow.is_open)
     assert all(link.is_open for link in others)
@@ -301,13 +329,17 @@
 
     def kept(one):
         from pw.dat.relay import ckf
+
         return one.regions["north"].kept(
-            service="llm", model="m", chain=ckf.chain(model="m", parts=chain), replicas=("i0", "i1"))
+            service="llm", model="m", chain=ckf.chain(model="m", parts=chain), replicas=("i0", "i1")
+        )
 
     assert loopback.until(zones.loop, lambda: all(kept(one) == {"i0": 110, "i1": 0} for one in zones.nodes.values()))
     late = max(ip for ip in zones.live if zones.places[ip] == "za" and ip != zones.digest())
     zones.nodes[late].digest_dialer[1].link.close(reason="test")  # it comes back and is given a cut of its own
-    assert loopback.until(zones.loop, lambda: zones.nodes[late].is_enrolled and kept(zones.nodes[late]) == {"i0": 110, "i1": 0})
+    assert loopback.until(
+        zones.loop, lambda: zones.nodes[late].is_enrolled and kept(zones.nodes[late]) == {"i0": 110, "i1": 0}
+    )
 
 
 @pytest.mark.parametrize("count, is_there", [(1, False), (3, False), (4, True), (30, True)])
--- a/pw/ops/caller.py
+++ b/pw/ops/caller.py
@@ -1,4 +1,5 @@
 """Calls of operator tools to the published interfaces of the core nodes, by pycurl."""
+
 import io
 import json
 
--- a/pw/ops/custody.py
+++ b/pw/ops/custody.py
@@ -1,4 +1,5 @@
 """ploverward.py custody: which nodes held a request's text and cache, and the audit of all trails (docs/residency.md)."""
+
 import json
 import urllib.parse
 
@@ -55,7 +56,8 @@
         while True:
             try:
                 status, body = caller.one(
-                    address=address, method="GET", path=f"/ploverward/custody?after={marks.get(address, 0)}")
+                    address=address, method="GET", path=f"/ploverward/custody?after={marks.get(address, 0)}"
+                )
             except problems.Unreachable as fault:
                 missed[address] = fault.text
                 break
@@ -83,7 +85,11 @@
         for line in found["outside"]:
             out(f"OUTSIDE: {line}")
         for row in found["lives_with_parts_missing"]:
-            why = "ended without closing" if row["ended_without_closing"] else f"{row['missing_batches']} batches did not come"
+            why = (
+                "ended without closing"
+                if row["ended_without_closing"]
+                else f"{row['missing_batches']} batches did not come"
+            )
             out(f"missing: {row['node']} life {row['life']}: {why}")
         for address, why in sorted(missed.items()):
             out(f"unreachable: {address} ({why})")
--- a/pw/ops/drill.py
+++ b/pw/ops/drill.py
@@ -1,4 +1,5 @@
 """ploverward.py drill ZONE: takes a zone out, watches the promises, takes it back (docs/drill.md)."""
+
 import json
 
 from pw.base import problems
@@ -18,7 +19,20 @@
 class Drill:
     """Talks only through `call(method, path)` -> (status, body); time comes from `clock` and `pause`."""
 
-    def __init__(self, *, zone: str, call, trails, clock, pause, watch_s: float, receipt_s: float, evacuate_s: float, slack_s: float, out):
+    def __init__(
+        self,
+        *,
+        zone: str,
+        call,
+        trails,
+        clock,
+        pause,
+        watch_s: float,
+        receipt_s: float,
+        evacuate_s: float,
+        slack_s: float,
+        out,
+    ):
         self.zone = zone
         self.call = call
         self.trails = trails  # the custody trails told since the last look
@@ -74,7 +88,9 @@
                 if part["share"] > 0 and not (regions & homes if homes else regions):
                     raise Refused(
                         f"without {self.zone}, route {route['name']} has no replica of {part['destination']}"
-                        f"{' in ' + ', '.join(sorted(homes)) if homes else ''}; nothing was done", step="check")
+                        f"{' in ' + ', '.join(sorted(homes)) if homes else ''}; nothing was done",
+                        step="check",
+                    )
         self.zones = nodes["zones"]
 
     def _order(self, method: str) -> tuple:
@@ -112,7 +128,9 @@
 
     def _take_out(self) -> None:
         in_time, took = self._order("POST")
-        self._judge("evacuation acknowledged in time", KEPT if in_time else BROKEN, f"{took:.2f} s of {self.receipt_s:g} s")
+        self._judge(
+            "evacuation acknowledged in time", KEPT if in_time else BROKEN, f"{took:.2f} s of {self.receipt_s:g} s"
+        )
         if not in_time:
             return
         quiet_from = self.clock() + self.evacuate_s + self.slack_s
@@ -155,7 +173,9 @@
             self._judge("zone taken back in time", BROKEN, str(fault))
             return False
         is_back = status == 200 and self.zone not in out["zones"]
-        self._judge("zone taken back in time", KEPT if in_time and is_back else BROKEN, f"{took:.2f} s of {self.receipt_s:g} s")
+        self._judge(
+            "zone taken back in time", KEPT if in_time and is_back else BROKEN, f"{took:.2f} s of {self.receipt_s:g} s"
+        )
         return is_back
 
     def report(self) -> None:
--- a/pw/ops/keep.py
+++ b/pw/ops/keep.py
@@ -1,4 +1,5 @@
 """ploverward.py keep: the configuration in force, kept in a Git object store by dulwich (docs/operations.md)."""
+
 import json
 import os
 
@@ -46,7 +47,10 @@
                 return None
             if newest["edition"] >= body["edition"]:
                 raise problems.Problem(
-                    f"edition {body['edition']} is not above {newest['edition']}, the newest one kept", step="keep", peer=self.folder)
+                    f"edition {body['edition']} is not above {newest['edition']}, the newest one kept",
+                    step="keep",
+                    peer=self.folder,
+                )
         path = os.path.join(self.folder, FILE_NAME)
         with open(path, "w", encoding="utf-8") as handle:
             json.dump(body, handle, indent=2, sort_keys=True)
--- a/pw/ops/redlist.py
+++ b/pw/ops/redlist.py
@@ -1,4 +1,5 @@
 """Runs the tests. Passes over just what KNOWN-RED.txt lists, prints it, and fails where a listed test passes."""
+
 import os
 import sys
 
--- a/pw/ops/test_command.py
+++ b/pw/ops/test_command.py
@@ -1,4 +1,5 @@
 """The command line as a new user meets it: clear lines and exit codes, no tracebacks."""
+
 import os
 import subprocess
 import sys
@@ -13,10 +14,14 @@
 def run(*words, settings=""):
     env = {**os.environ, "PLOVERWARD_NODE_FILE": settings}
     env["PYTHONPATH"] = os.pathsep.join(sys.path)
-    return subprocess.run([sys.executable, "ploverward.py", *words], cwd=ROOT, env=env, capture_output=True, text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "ploverward.py", *words], cwd=ROOT, env=env, capture_output=True, text=True, timeout=60
+    )
 
 
-@pytest.mark.parametrize("words", [(), ("nothing",), ("drill",), ("custody",), ("keep",), ("core", "more"), ("--nonsense",)])
+@pytest.mark.parametrize(
+    "words", [(), ("nothing",), ("drill",), ("custody",), ("keep",), ("core", "more"), ("--nonsense",)]
+)
 def test_misuse_is_told_and_exits_2(words):
     done = run(*words)
     assert done.returncode == 2
--- a/pw/ops/test_drill.py
+++ b/pw/ops/test_drill.py
@@ -1,4 +1,5 @@
 """The drill against stand-ins: a system that keeps its promises, and one for each way of breaking them."""
+
 import pytest
 
 from pw.base import problems
@@ -38,9 +39,18 @@
         if path == "/ploverward/evacuation":
             return 200, {"zones": sorted(self.out)}
         if path == "/ploverward/configuration":
-            return 200, {"routes": [{"name": "chat", "destination": "llm", "homeRegions": self.homes}, {"name": "open", "destination": "llm"}]}
+            return 200, {
+                "routes": [
+                    {"name": "chat", "destination": "llm", "homeRegions": self.homes},
+                    {"name": "open", "destination": "llm"},
+                ]
+            }
         if path == "/ploverward/replicas":
-            return 200, {"replicas": [{"id": f"i-{zone}", "service": "llm", "zone": zone, "is_clearing": False} for zone in ZONES]}
+            return 200, {
+                "replicas": [
+                    {"id": f"i-{zone}", "service": "llm", "zone": zone, "is_clearing": False} for zone in ZONES
+                ]
+            }
         zone = path.rpartition("/")[2]
         self.orders.append((method, zone))
         if method == "POST":
@@ -67,16 +77,31 @@
             if self.fault == "leaves home" and self.number % 9 == 0:
                 zone = "zc"
             status = 503 if self.fault == "refuses all" else 200
-            rows.append({"id": f"r{self.number}", "arrived": at, "status": status, "goes": [
-                {"replica": f"i-{zone}", "zone": zone, "homes": self.homes, "from_ms": 1, "end": "200"}]})
+            rows.append(
+                {
+                    "id": f"r{self.number}",
+                    "arrived": at,
+                    "status": status,
+                    "goes": [{"replica": f"i-{zone}", "zone": zone, "homes": self.homes, "from_ms": 1, "end": "200"}],
+                }
+            )
         return rows
 
 
 def run(stand_in, zone="za"):
     lines = []
     work = drills.Drill(
-        zone=zone, call=stand_in.call, trails=stand_in.trails, clock=stand_in.clock, pause=stand_in.pause,
-        watch_s=8.0, receipt_s=5.0, evacuate_s=4.0, slack_s=1.0, out=lines.append)
+        zone=zone,
+        call=stand_in.call,
+        trails=stand_in.trails,
+        clock=stand_in.clock,
+        pause=stand_in.pause,
+        watch_s=8.0,
+        receipt_s=5.0,
+        evacuate_s=4.0,
+        slack_s=1.0,
+        out=lines.append,
+    )
     return work.run(), work, lines
 
 
@@ -89,14 +114,17 @@
     assert lines == snapshot
 
 
-@pytest.mark.parametrize("fault, promise, code", [
-    ("no ack", "evacuation acknowledged in time", 1),
-    ("sends on", "nothing new is sent to the zone", 1),
-    ("refuses all", "serving goes on", 1),
-    ("leaves home", "homed requests stay home", 1),
-    ("stays out", "zone taken back in time", 4),
-    ("no way back", "zone taken back in time", 4),
-])
+@pytest.mark.parametrize(
+    "fault, promise, code",
+    [
+        ("no ack", "evacuation acknowledged in time", 1),
+        ("sends on", "nothing new is sent to the zone", 1),
+        ("refuses all", "serving goes on", 1),
+        ("leaves home", "homed requests stay home", 1),
+        ("stays out", "zone taken back in time", 4),
+        ("no way back", "zone taken back in time", 4),
+    ],
+)
 def test_each_broken_promise_is_told(fault, promise, code):
     got, work, _lines = run(StandIn(fault=fault))
     assert work.promises[promise] == drills.BROKEN
@@ -104,7 +132,7 @@
 
 
 def test_without_traffic_promises_are_not_seen():
-    code, work, _lines = run(StandIn(ask_gap_s=10 ** 6))
+    code, work, _lines = run(StandIn(ask_gap_s=10**6))
     assert work.promises["nothing new is sent to the zone"] == drills.NOT_SEEN
     assert work.promises["serving goes on"] == drills.NOT_SEEN
     assert code == 0
@@ -120,9 +148,14 @@
     assert stand_in.orders[-1] == ("DELETE", "za")
 
 
-@pytest.mark.parametrize("stand_in, zone", [
-    (StandIn(), "nowhere"), (StandIn(out=("za",)), "za"), (StandIn(homes=("north",)), "za"),
-])
+@pytest.mark.parametrize(
+    "stand_in, zone",
+    [
+        (StandIn(), "nowhere"),
+        (StandIn(out=("za",)), "za"),
+        (StandIn(homes=("north",)), "za"),
+    ],
+)
 def test_refused_before_anything_is_done(stand_in, zone):
     with pytest.raises(drills.Refused):
         run(stand_in, zone=zone)
--- a/pw/ops/test_pins.py
+++ b/pw/ops/test_pins.py
@@ -1,4 +1,5 @@
 """The pins command: what an operator reads, and what it says to wrong names, lost nodes and empty tables."""
+
 import json
 
 import pytest
@@ -11,16 +12,42 @@
 
 
 def window(life="l1", number=1, cold=6, adapter="drafts"):
-    return {"life": life, "window": 0, "number": number, "age_s": 4.0, "node": "p1", "zone": "z1", "region": "north", "over": 0,
-            "rows": [["tutor", "m", adapter, "i1", "chat", 3, cold, 0, 2, cold, cold * 900, 1000, cold]]}
+    return {
+        "life": life,
+        "window": 0,
+        "number": number,
+        "age_s": 4.0,
+        "node": "p1",
+        "zone": "z1",
+        "region": "north",
+        "over": 0,
+        "rows": [["tutor", "m", adapter, "i1", "chat", 3, cold, 0, 2, cold, cold * 900, 1000, cold]],
+    }
 
 
 def body(*windows, **changed):
-    return {"node": "c", "window_s": 24.0, "windows": list(windows), "malformed": 0, "malformed_replicas": [], "zones": ZONES,
-            "replicas": [
-                {"id": name, "service": "tutor", "zone": zone, "region": ZONES[zone], "is_clearing": False, "models": ["m"],
-                 "adapters": held} for name, zone, held in (("i1", "z1", [["m", "drafts"]]), ("i2", "z2", []), ("i3", "z2", None))],
-            "proxies": [{"address": "a", "life": "l1", "zone": "z1"}, {"address": "b", "life": "l2", "zone": "z2"}], **changed}
+    return {
+        "node": "c",
+        "window_s": 24.0,
+        "windows": list(windows),
+        "malformed": 0,
+        "malformed_replicas": [],
+        "zones": ZONES,
+        "replicas": [
+            {
+                "id": name,
+                "service": "tutor",
+                "zone": zone,
+                "region": ZONES[zone],
+                "is_clearing": False,
+                "models": ["m"],
+                "adapters": held,
+            }
+            for name, zone, held in (("i1", "z1", [["m", "drafts"]]), ("i2", "z2", []), ("i3", "z2", None))
+        ],
+        "proxies": [{"address": "a", "life": "l1", "zone": "z1"}, {"address": "b", "life": "l2", "zone": "z2"}],
+        **changed,
+    }
 
 
 class Caller:
@@ -54,7 +81,9 @@
     _code, text = run(Caller(body(window()), body(window(number=2, cold=8))), capacity=1, as_json=True)
     told = json.loads(text)
     assert [row["cold"] for row in told["evidence"]] == [8]
-    assert told["nodes"] == [{"node": "p1", "zone": "z1", "service": "tutor", "model": "m", "adapter": "drafts", "cold": 8, "arrivals": 11}]
+    assert told["nodes"] == [
+        {"node": "p1", "zone": "z1", "service": "tutor", "model": "m", "adapter": "drafts", "cold": 8, "arrivals": 11}
+    ]
 
 
 def test_no_adapters_seen_is_said_and_is_no_error():
@@ -72,7 +101,9 @@
 def test_names_that_are_known_narrow_the_table():
     _code, text = run(Caller(body(window())), capacity=1, as_json=True, wanted=pins.Filter(zone="z1"))
     assert list(json.loads(text)["suggestion"]["replicas"]) == ["i1"]
-    _code, text = run(Caller(body(window())), capacity=1, as_json=True, wanted=pins.Filter(service="tutor", model="m", replica="i2"))
+    _code, text = run(
+        Caller(body(window())), capacity=1, as_json=True, wanted=pins.Filter(service="tutor", model="m", replica="i2")
+    )
     assert list(json.loads(text)["suggestion"]["replicas"]) == ["i2"]
 
 
@@ -94,7 +125,9 @@
     _code, text = run(Caller(body(window())), capacity=1, as_json=True)
     path = tmp_path / "last.json"
     path.write_text(text)
-    _code, again = run(Caller(body(window(cold=9), window(life="l2", adapter="coach"))), capacity=1, as_json=True, previous=str(path))
+    _code, again = run(
+        Caller(body(window(cold=9), window(life="l2", adapter="coach"))), capacity=1, as_json=True, previous=str(path)
+    )
     first, second = (json.loads(one)["suggestion"]["replicas"] for one in (text, again))
     assert all(second[name]["pins"] == row["pins"] for name, row in first.items() if row["pins"])
     path.write_text("[]")
--- a/pw/sim/capacity.py
+++ b/pw/sim/capacity.py
@@ -6,6 +6,7 @@
 Hollow: the real code of sources, sums, relay, mirrors, choice, grants and frames, without sockets, HTTP and traffic.
 Processor time is this process's own; bytes are those of packed frames.
 """
+
 import argparse
 import json
 import random
@@ -29,8 +30,19 @@
 
 TURNS = 3
 # The operators' target, from their page: sizes only, no constant of any code.
-TARGET = {"proxies": 330, "replicas": 920, "regions": 5, "zones": 12, "requests_s": 15000, "cores": 6, "changes_day": 4100,
-          "restarts_day": 172, "cpu_part": 0.017, "memory_mb": 128, "bytes_s": 8000}
+TARGET = {
+    "proxies": 330,
+    "replicas": 920,
+    "regions": 5,
+    "zones": 12,
+    "requests_s": 15000,
+    "cores": 6,
+    "changes_day": 4100,
+    "restarts_day": 172,
+    "cpu_part": 0.017,
+    "memory_mb": 128,
+    "bytes_s": 8000,
+}
 CURVED = 0.5  # a line that misses a point by more than this is none
 TICK_S = 0.075  # contactMs / 80 at a contactMs of 6,000
 
@@ -78,8 +90,20 @@
 
 
 def rows(count: int) -> list:
-    return [{"id": f"i-{number:08x}", "service": "llm", "address": f"10.9.{number // 250}.{number % 250}:8080", "zone": "za",
-             "berths": 16, "is_clearing": False, "cold_ms": 0.0, "left_ms": None, "models": ["m"]} for number in range(count)]
+    return [
+        {
+            "id": f"i-{number:08x}",
+            "service": "llm",
+            "address": f"10.9.{number // 250}.{number % 250}:8080",
+            "zone": "za",
+            "berths": 16,
+            "is_clearing": False,
+            "cold_ms": 0.0,
+            "left_ms": None,
+            "models": ["m"],
+        }
+        for number in range(count)
+    ]
 
 
 class Loop:
@@ -106,15 +130,22 @@
     for message in link.told:
         if message[0] in ("catalogue", "cut", "load"):
             region.take(message)
-    chooser = choice.Chooser(table=table, settings=entry.settings(), regions={"north": region}, quota=quota, now=time.monotonic)
+    chooser = choice.Chooser(
+        table=table, settings=entry.settings(), regions={"north": region}, quota=quota, now=time.monotonic
+    )
     prompt = ckf.chain(model="m", parts=chain(random.Random(1)))
-    return clocked(lambda: chooser.choose(service="llm", permitted=None, model="m", chain=prompt, prompt_tokens=1500, avoid=set()), repeats=20)
+    return clocked(
+        lambda: chooser.choose(service="llm", permitted=None, model="m", chain=prompt, prompt_tokens=1500, avoid=set()),
+        repeats=20,
+    )
 
 
 def relay(count: int):
     host = hosts.Host(region="north", epoch=1, now=time.monotonic, suspect_s=1.0)
-    host.sync(services={"llm": {"models": ("m",), "cache_tokens": 200000}}, replicas=[
-        {"id": row["id"], "service": "llm", "region": "north", "models": ["m"]} for row in rows(count)])
+    host.sync(
+        services={"llm": {"models": ("m",), "cache_tokens": 200000}},
+        replicas=[{"id": row["id"], "service": "llm", "region": "north", "models": ["m"]} for row in rows(count)],
+    )
     feeder = Frames()
     host.subscribe(feeder, region="north")
     host.take_sums(feeder, wires.sums(1, loads=[wires.load_row(row["id"], running=1) for row in rows(count)]))
@@ -133,9 +164,17 @@
 
     def tick():
         number[0] += 1
-        host.take_sums(host.feeder, wires.sums(number[0], reads=[
-            wires.read_row(chance.choice(names), ("all", 500), *chain(chance, parts=2)) for _ in range(count)]))
+        host.take_sums(
+            host.feeder,
+            wires.sums(
+                number[0],
+                reads=[
+                    wires.read_row(chance.choice(names), ("all", 500), *chain(chance, parts=2)) for _ in range(count)
+                ],
+            ),
+        )
         host.tick()
+
     tick()
     before = reader.bytes
     took = clocked(tick, repeats=4)
@@ -150,8 +189,11 @@
     def tick():
         number[0] += 1
         running[0] = running[0] % 50 + 1
-        host.take_sums(host.feeder, wires.sums(number[0], loads=[wires.load_row(row["id"], running=running[0]) for row in listed]))
+        host.take_sums(
+            host.feeder, wires.sums(number[0], loads=[wires.load_row(row["id"], running=running[0]) for row in listed])
+        )
         host.tick()
+
     listed = rows(count)
     return clocked(tick, repeats=5)
 
@@ -161,7 +203,10 @@
     held = digests.Sums(regions=("north",))
     chance = random.Random(3)
     names = [row["id"] for row in rows(200)]
-    reports = [b"".join(wires.load_row(name, running=chance.randint(1, 9)) for name in chance.sample(names, changed)) for _ in range(members)]
+    reports = [
+        b"".join(wires.load_row(name, running=chance.randint(1, 9)) for name in chance.sample(names, changed))
+        for _ in range(members)
+    ]
     number = [0]
 
     def tick():
@@ -169,6 +214,7 @@
         for member, report in enumerate(reports):
             held.take(member, number[0], report, b"")
         held.counted(region="north", number=held.cut(region="north")[0])
+
     return clocked(tick, repeats=10)
 
 
@@ -194,6 +240,7 @@
         number, loads, reads = source.cut()
         wire.pack(("report", number, loads, reads))
         source.credit(region="north", number=number)
+
     return clocked(tick, repeats=10)
 
 
@@ -206,11 +253,14 @@
     def beat():
         for name in names:
             wire.pack(("entry", book.renew(node=name, part=0.2, live=count), 0.0, 1.5, 0.2, *slots.renew(node=name)))
+
     return clocked(beat, repeats=1)
 
 
 def list_bytes(count: int) -> float:
-    return len(wire.pack(("image", "list", 1, 1, json.dumps({"replicas": rows(count)}, separators=(",", ":")).encode())))
+    return len(
+        wire.pack(("image", "list", 1, 1, json.dumps({"replicas": rows(count)}, separators=(",", ":")).encode()))
+    )
 
 
 def offer_time(count: int) -> float:
@@ -226,6 +276,7 @@
         desk.publish(topic="spec", epoch=0, number=number[0], data=b"")
         for link in links:
             desk.take_have(link, wire.unpack(wire.pack(("have", (("spec", 0, number[0]),)))))
+
     return clocked(change, repeats=3)
 
 
@@ -237,8 +288,13 @@
     chance = random.Random(4)
     names = [row["id"] for row in rows(20)]
     for number in range(2, count // 100 + 2):
-        host.take_sums(host.feeder, wires.sums(number, reads=[
-            wires.read_row(chance.choice(names), (f"{chance.getrandbits(40):x}", 10)) for _ in range(100)]))
+        host.take_sums(
+            host.feeder,
+            wires.sums(
+                number,
+                reads=[wires.read_row(chance.choice(names), (f"{chance.getrandbits(40):x}", 10)) for _ in range(100)],
+            ),
+        )
         host.tick()
     held = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
@@ -269,8 +325,15 @@
         if off > CURVED:
             square, slope, base = fit_square(points)
             off = 0.0
-        found[name] = {"of": of, "square": round(square, 5), "unit": unit, "points": [[size, round(value, 1)] for size, value in points],
-                       "slope": round(slope, 3), "base": round(base, 1), "off": round(off, 3)}
+        found[name] = {
+            "of": of,
+            "square": round(square, 5),
+            "unit": unit,
+            "points": [[size, round(value, 1)] for size, value in points],
+            "slope": round(slope, 3),
+            "base": round(base, 1),
+            "off": round(off, 3),
+        }
     return found
 
 
@@ -280,31 +343,75 @@
 
     def at(name, count):
         return found[name]["square"] * count * count + found[name]["slope"] * count + found[name]["base"]
+
     ticks = 1 / TICK_S
     by_region = size["replicas"] / size["regions"]
     per_proxy = size["requests_s"] / size["proxies"]
     members = size["proxies"] / size["zones"]
     changed = min(by_region, 3 * size["requests_s"] / size["regions"] * TICK_S)
     load_bytes = changed * records.LOAD.size * ticks * size["regions"]
-    read_bytes = at("relay: published for reads", size["requests_s"] / size["regions"] * TICK_S) * ticks * size["regions"]
+    read_bytes = (
+        at("relay: published for reads", size["requests_s"] / size["regions"] * TICK_S) * ticks * size["regions"]
+    )
     lists_s = size["restarts_day"] * 3 / 86400
     lines = [
-        ("proxy", "choices, part of a core", per_proxy * at("proxy: a choice", size["replicas"]) / 1e6, size["cpu_part"]),
-        ("proxy", "reports, part of a core", ticks * at("proxy: a report", min(3 * per_proxy * TICK_S, by_region)) / 1e6, size["cpu_part"]),
-        ("proxy", "load frames, part of a core", ticks * size["regions"] * at("proxy: a load frame", changed) / 1e6, size["cpu_part"]),
+        (
+            "proxy",
+            "choices, part of a core",
+            per_proxy * at("proxy: a choice", size["replicas"]) / 1e6,
+            size["cpu_part"],
+        ),
+        (
+            "proxy",
+            "reports, part of a core",
+            ticks * at("proxy: a report", min(3 * per_proxy * TICK_S, by_region)) / 1e6,
+            size["cpu_part"],
+        ),
+        (
+            "proxy",
+            "load frames, part of a core",
+            ticks * size["regions"] * at("proxy: a load frame", changed) / 1e6,
+            size["cpu_part"],
+        ),
         ("proxy", "load frames, bytes a second", load_bytes, size["bytes_s"]),
         ("proxy", "bucket images, bytes a second", read_bytes, size["bytes_s"]),
-        ("digest", "reports of the zone, part of a core", ticks * at("digest: a tick", members) / 1e6, size["cpu_part"]),
+        (
+            "digest",
+            "reports of the zone, part of a core",
+            ticks * at("digest: a tick", members) / 1e6,
+            size["cpu_part"],
+        ),
         ("digest", "passed on to members, bytes a second", (load_bytes + read_bytes) * members, size["bytes_s"]),
-        ("relay", "sums of %d zones, part of a core" % size["zones"],
-         ticks * size["zones"] * at("relay: a cut with loads", changed) / 1e6, size["cpu_part"]),
-        ("relay", "reads, part of a core", ticks * at("relay: reads in a tick", size["requests_s"] / size["regions"] * TICK_S) / 1e6, size["cpu_part"]),
+        (
+            "relay",
+            "sums of %d zones, part of a core" % size["zones"],
+            ticks * size["zones"] * at("relay: a cut with loads", changed) / 1e6,
+            size["cpu_part"],
+        ),
+        (
+            "relay",
+            "reads, part of a core",
+            ticks * at("relay: reads in a tick", size["requests_s"] / size["regions"] * TICK_S) / 1e6,
+            size["cpu_part"],
+        ),
         ("relay", "exact ownership, MB", at("relay: exact ownership", by_region * 200) / 1e6, size["memory_mb"]),
         ("core", "leases, part of a core", at("core: a beat of leases", size["proxies"]) / 1e6 / 0.4, size["cpu_part"]),
-        ("core", "changes offered, part of a core", at("core: a change offered and acknowledged", size["proxies"]) / 1e6 * size["changes_day"] / 86400, size["cpu_part"]),
-        ("core", "the list told, bytes a second to each proxy", at("core: the list as one image", size["replicas"]) * lists_s, size["bytes_s"]),
+        (
+            "core",
+            "changes offered, part of a core",
+            at("core: a change offered and acknowledged", size["proxies"]) / 1e6 * size["changes_day"] / 86400,
+            size["cpu_part"],
+        ),
+        (
+            "core",
+            "the list told, bytes a second to each proxy",
+            at("core: the list as one image", size["replicas"]) * lists_s,
+            size["bytes_s"],
+        ),
+    ]
+    return [
+        (role, what, value, limit, "fits" if value <= limit else "does not fit") for role, what, value, limit in lines
     ]
-    return [(role, what, value, limit, "fits" if value <= limit else "does not fit") for role, what, value, limit in lines]
 
 
 def main() -> None:
@@ -320,7 +427,9 @@
     for name, row in found.items():
         points = ", ".join(f"{size}: {value:,.0f}" for size, value in row["points"])
         curve = f"{row['square']:,} a square and " if row["square"] else ""
-        print(f"| {name} ({row['unit']}) | {points} | {curve}{row['slope']:,} a {row['of']} | {row['base']:,} | {row['off']:.0%} |")
+        print(
+            f"| {name} ({row['unit']}) | {points} | {curve}{row['slope']:,} a {row['of']} | {row['base']:,} | {row['off']:.0%} |"
+        )
     print("\n| role | what, extrapolated | at the target | limit | verdict |\n| --- | --- | --- | --- | --- |")
     for role, what, value, limit, verdict in lines:
         print(f"| {role} | {what} | {value:,.4g} | {limit:,} | {verdict} |")
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -1,4 +1,5 @@
 """A proxy's way of a request on the loopback, with its control side stood in for."""
+
 import dataclasses
 
 from pw.base import inlet
@@ -42,8 +43,19 @@
 
 
 def route(name, lead, **more):
-    return {"name": name, "host": "h", "pathLead": lead, "kind": "streaming", "expiryMs": 5000, "targetMs": 400,
-            "destination": "llm", "tries": 1, "sticky": True, "gapTargetMs": 300, **more}
+    return {
+        "name": name,
+        "host": "h",
+        "pathLead": lead,
+        "kind": "streaming",
+        "expiryMs": 5000,
+        "targetMs": 400,
+        "destination": "llm",
+        "tries": 1,
+        "sticky": True,
+        "gapTargetMs": 300,
+        **more,
+    }
 
 
 SPEC = {
@@ -74,7 +86,9 @@
         self.quota.take_entry("core", ("entry", share, share, 1000.0, 1.0, 0, 8))
         self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
         self.table.install_services(route_tables.services(body=SPEC))
-        self.chooser = choice.Chooser(table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now)
+        self.chooser = choice.Chooser(
+            table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now
+        )
         self.passages = set()
         self.batches = custody.Batches(most=1000)
         self.adapters = counts.Counter(now=loop.now, window_s=24.0, trust_s=4.0)
@@ -82,13 +96,23 @@
         self.faults = []
         self.older_homes = []
         self.rows = [
-            {"id": f"i{number}", "service": "llm", "address": "%s:%d" % peer.address, "zone": zone, "berths": 8,
-             "is_clearing": False, "cold_ms": 0, "left_ms": None, "models": ["m"]}
+            {
+                "id": f"i{number}",
+                "service": "llm",
+                "address": "%s:%d" % peer.address,
+                "zone": zone,
+                "berths": 8,
+                "is_clearing": False,
+                "cold_ms": 0,
+                "left_ms": None,
+                "models": ["m"],
+            }
             for number, (peer, zone) in enumerate(peers)
         ]
         self.table.install_list(self.rows)
         self.hall = inlet.Hall(
-            loop=loop, address=("127.0.0.1", 0), on_ask=self.take, limits=lambda: loopback.limits(), silence_s=5.0)
+            loop=loop, address=("127.0.0.1", 0), on_ask=self.take, limits=lambda: loopback.limits(), silence_s=5.0
+        )
         self.address = self.hall._sock.getsockname()
 
     def take(self, ask):
@@ -133,5 +157,6 @@
 
     def trails(self):
         import json
+
         self.batches.cut()
         return [json.loads(data) for _number, _last, rows in self.batches.drain() for _id, data in rows]
--- a/pw/sim/loopback.py
+++ b/pw/sim/loopback.py
@@ -1,4 +1,5 @@
 """Real sockets on the loopback range with scripted peers, for the traps of the wire. Steps the loop; never sleeps."""
+
 import selectors
 import socket
 import time
@@ -12,6 +13,7 @@
 def new_loop():
     def raise_it(fault):
         raise fault
+
     return loops.Loop(on_fault=raise_it)
 
 
@@ -23,6 +25,7 @@
     def tick():
         if ticking[0]:
             loop.after(delay=0.01, act=tick)
+
     tick()
     while not is_so():
         if time.monotonic() > end:
--- a/pw/sim/standin.py
+++ b/pw/sim/standin.py
@@ -3,6 +3,7 @@
 Three regions with a core node, a proxy and two stand-in replicas each, a stand-in platform, and a little
 traffic. It stands in for a platform and model replicas; it measures nothing. Ends with Ctrl-C.
 """
+
 import argparse
 import json
 import os
@@ -21,21 +22,72 @@
 
 REGIONS = ("north", "south", "west")
 BOUNDS = {
-    "seedLagS": 3, "reuseAfterS": 2, "contactMs": 4000, "receiptMs": 5000, "catchUpS": 4, "drainMs": 4000, "graceS": 8,
-    "lossSlackMs": 200, "applyMs": 2500, "revertSlackMs": 250, "stretchMaxMs": 6000, "retryRatio": 0.2, "retryWindowS": 10,
-    "retrySlack": 50, "warmupExcess": 1.5, "warmupSlack": 5, "evacuateMs": 5000, "recoverS": 12, "passMs": 300, "ttl_max_s": 5,
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "contactMs": 4000,
+    "receiptMs": 5000,
+    "catchUpS": 4,
+    "drainMs": 4000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "applyMs": 2500,
+    "revertSlackMs": 250,
+    "stretchMaxMs": 6000,
+    "retryRatio": 0.2,
+    "retryWindowS": 10,
+    "retrySlack": 50,
+    "warmupExcess": 1.5,
+    "warmupSlack": 5,
+    "evacuateMs": 5000,
+    "recoverS": 12,
+    "passMs": 300,
+    "ttl_max_s": 5,
 }
 SPEC = {
     "edition": 1,
     "routes": [
-        {"name": "chat", "host": "club.example", "pathLead": "/chat/", "kind": "streaming", "expiryMs": 10000, "targetMs": 600,
-         "urgency": 0, "destination": "tutor", "tries": 2, "sticky": True, "resume": True, "gapTargetMs": 600,
-         "homeRegions": ["north", "south"]},
-        {"name": "board", "host": "club.example", "pathLead": "/board/", "kind": "retry_safe", "expiryMs": 3000, "targetMs": 300,
-         "urgency": 2, "destination": "tutor", "tries": 2, "sticky": False},
+        {
+            "name": "chat",
+            "host": "club.example",
+            "pathLead": "/chat/",
+            "kind": "streaming",
+            "expiryMs": 10000,
+            "targetMs": 600,
+            "urgency": 0,
+            "destination": "tutor",
+            "tries": 2,
+            "sticky": True,
+            "resume": True,
+            "gapTargetMs": 600,
+            "homeRegions": ["north", "south"],
+        },
+        {
+            "name": "board",
+            "host": "club.example",
+            "pathLead": "/board/",
+            "kind": "retry_safe",
+            "expiryMs": 3000,
+            "targetMs": 300,
+            "urgency": 2,
+            "destination": "tutor",
+            "tries": 2,
+            "sticky": False,
+        },
+    ],
+    "destinations": [
+        {
+            "name": "tutor",
+            "health": "/health",
+            "maxConns": 200,
+            "warmupS": 0,
+            "warmupPerS": 0,
+            "engine": {
+                "berths": 16,
+                "cacheTokens": 20000,
+                "models": [{"name": "m", "adapters": ["drafts", "hearings", "moves", "coach"]}],
+            },
+        }
     ],
-    "destinations": [{"name": "tutor", "health": "/health", "maxConns": 200, "warmupS": 0, "warmupPerS": 0,
-                      "engine": {"berths": 16, "cacheTokens": 20000, "models": [{"name": "m", "adapters": ["drafts", "hearings", "moves", "coach"]}]}}],
     "limits": {"labelBytes": 16384, "parcelBytes": 1000000, "labelMs": 3000, "idleMs": 15000},
 }
 
@@ -54,25 +106,45 @@
         self.held = {}  # replica: {adapter: when it is loaded}, least lately used first
         self.nodes = []
         self.platform = f"127.0.100.1:{base_port + 50}"
-        limits = lambda: loopback.limits(head_bytes=65536, body_bytes=10 ** 6)  # noqa: E731
-        inlet.Hall(loop=self.loop, address=("127.0.100.1", base_port + 50), on_ask=self._list, limits=limits, silence_s=10.0)
+        limits = lambda: loopback.limits(head_bytes=65536, body_bytes=10**6)  # noqa: E731
+        inlet.Hall(
+            loop=self.loop, address=("127.0.100.1", base_port + 50), on_ask=self._list, limits=limits, silence_s=10.0
+        )
         for index, region in enumerate(REGIONS):
             for number in (1, 2):
                 address = (f"127.0.{index + 1}.{100 + number}", base_port + 60)
                 name = f"i-{region}-{number}-{uuid.uuid4().hex[:4]}"
-                self.rows.append({
-                    "id": name, "destination": "tutor", "address": "%s:%d" % address, "zone": f"z{region}", "edition": "v1",
-                    "berths": 16, "condition": "accepting", "warmupLeftMs": 0, "leg": "both",
-                    "models": [{"name": "m", "edition": 1, "adapters": []}]})
+                self.rows.append(
+                    {
+                        "id": name,
+                        "destination": "tutor",
+                        "address": "%s:%d" % address,
+                        "zone": f"z{region}",
+                        "edition": "v1",
+                        "berths": 16,
+                        "condition": "accepting",
+                        "warmupLeftMs": 0,
+                        "leg": "both",
+                        "models": [{"name": "m", "edition": 1, "adapters": []}],
+                    }
+                )
                 self.held[name] = {}
-                inlet.Hall(loop=self.loop, address=address, limits=limits, silence_s=10.0,
-                           on_ask=lambda ask, name=name: self._serve(ask, name))
+                inlet.Hall(
+                    loop=self.loop,
+                    address=address,
+                    limits=limits,
+                    silence_s=10.0,
+                    on_ask=lambda ask, name=name: self._serve(ask, name),
+                )
 
     def _list(self, ask):
         for row in self.rows:
             row["models"][0]["adapters"] = [name for name, at in self.held[row["id"]].items() if at <= self.loop.now()]
-        ask.reply(status=200, headers=[(b"Content-Type", b"application/json")],
-                  body=json.dumps({"replicas": self.rows, "nextPage": None}).encode())
+        ask.reply(
+            status=200,
+            headers=[(b"Content-Type", b"application/json")],
+            body=json.dumps({"replicas": self.rows, "nextPage": None}).encode(),
+        )
 
     def _serve(self, ask, name):
         known = [(b"X-Attempt-Id", ask.header(b"x-attempt-id")), (b"X-Postmark", uuid.uuid4().hex.encode())]
@@ -81,7 +153,10 @@
         elif not ask.target.startswith(b"/chat/"):
             ask.reply(status=200, headers=known, body=b"done")
         else:
-            ask.start(status=200, headers=[*known, (b"Content-Type", b"text/event-stream"), (b"Transfer-Encoding", b"chunked")])
+            ask.start(
+                status=200,
+                headers=[*known, (b"Content-Type", b"text/event-stream"), (b"Transfer-Encoding", b"chunked")],
+            )
             number = int(ask.text(b"last-event-id", "0") or 0) + 1
             self.loop.after(delay=self._load(name, ask.text(b"x-model")), act=lambda: self._event(ask, number))
 
@@ -111,13 +186,29 @@
                 self._start(role, f"127.0.{index + 1}.{number}", region)
 
     def _start(self, role, ip, region):
-        lines = [f"node={role}-{region}", f"role={role}", f"ip={ip}", f"zone=z{region}", f"region={region}", "firstStart=true"]
+        lines = [
+            f"node={role}-{region}",
+            f"role={role}",
+            f"ip={ip}",
+            f"zone=z{region}",
+            f"region={region}",
+            "firstStart=true",
+        ]
         lines += [f"zones.z{name}={name}" for name in REGIONS]
-        lines += [f"innerPortRange={self.base + 20},{self.base + 35}", f"cloudApi.address={self.platform}", "cloudApi.perS=40"]
+        lines += [
+            f"innerPortRange={self.base + 20},{self.base + 35}",
+            f"cloudApi.address={self.platform}",
+            "cloudApi.perS=40",
+        ]
         lines.append("seedNodes=" + ",".join(f"127.0.{index + 1}.1:{self.base}" for index in range(3)))
         if role == "core":
             data = os.path.join(self.folder, f"data-{region}")
-            lines += [f"bindings.control={ip}:{self.base}", f"bindings.directory={ip}:{self.base + 1}", f"dataDir={data}", "limits.diskMb=64"]
+            lines += [
+                f"bindings.control={ip}:{self.base}",
+                f"bindings.directory={ip}:{self.base + 1}",
+                f"dataDir={data}",
+                "limits.diskMb=64",
+            ]
         else:
             lines += [f"bindings.counter={ip}:{self.base + 2}", f"bindings.readiness={ip}:{self.base + 3}"]
         lines += [f"bounds.{name}={value}" for name, value in BOUNDS.items()]
@@ -129,8 +220,11 @@
 
     def configure(self):
         request = urllib.request.Request(
-            f"http://127.0.1.1:{self.base}/ploverward/configuration", method="PUT", data=json.dumps(SPEC).encode(),
-            headers={"If-Match": "0", "Content-Type": "application/json"})
+            f"http://127.0.1.1:{self.base}/ploverward/configuration",
+            method="PUT",
+            data=json.dumps(SPEC).encode(),
+            headers={"If-Match": "0", "Content-Type": "application/json"},
+        )
         try:
             with urllib.request.urlopen(request, timeout=3) as reply:
                 return reply.status == 200
@@ -141,9 +235,18 @@
         ask_id = ask_id or uuid.uuid4().hex[:16]
         lead = random.choice(("chat", "board"))
         request = urllib.request.Request(
-            f"http://127.0.{random.randint(1, 3)}.2:{self.base + 2}/{lead}/x", method="POST", data=b"hello",
-            headers={"Host": "club.example", "X-Attempt-Id": ask_id, "X-Model": random.choice(ADAPTERS) if lead == "chat" else "m", "X-Token-Count": "120,40",
-                     "X-Prompt-Lead": f"aa{random.randint(1, 5)}:80,{ask_id[:8]}:40", "X-Time-Left-Ms": "3000"})
+            f"http://127.0.{random.randint(1, 3)}.2:{self.base + 2}/{lead}/x",
+            method="POST",
+            data=b"hello",
+            headers={
+                "Host": "club.example",
+                "X-Attempt-Id": ask_id,
+                "X-Model": random.choice(ADAPTERS) if lead == "chat" else "m",
+                "X-Token-Count": "120,40",
+                "X-Prompt-Lead": f"aa{random.randint(1, 5)}:80,{ask_id[:8]}:40",
+                "X-Time-Left-Ms": "3000",
+            },
+        )
         try:
             with urllib.request.urlopen(request, timeout=4) as reply:
                 reply.read()
@@ -175,6 +278,7 @@
 
     def stop(*_about):
         is_on[0] = False
+
     signal.signal(signal.SIGINT, stop)
     signal.signal(signal.SIGTERM, stop)
     state = {"is_configured": False, "busy": 0, "last": None}
@@ -193,7 +297,10 @@
         state["busy"] -= 1
         state["is_configured"] = bool(future.result())
         if state["is_configured"]:
-            print(f"up: --core 127.0.1.1:{args.port},127.0.2.1:{args.port},127.0.3.1:{args.port}; settings in {folder}", flush=True)
+            print(
+                f"up: --core 127.0.1.1:{args.port},127.0.2.1:{args.port},127.0.3.1:{args.port}; settings in {folder}",
+                flush=True,
+            )
 
     def asked(future):
         state["busy"] -= 1
--- a/pw/sim/wires.py
+++ b/pw/sim/wires.py
@@ -1,4 +1,5 @@
 """Links that keep what they are told, and frames as digests send them, for tests."""
+
 from pw.base import records
 from pw.base import wire
 from pw.dat.relay import ckf
@@ -35,8 +36,11 @@
 
 def read_row(name, *parts, service="llm", model="m", region=0):
     return records.pack_read(
-        replica=records.key_of(name), region=region, domain=bytes.fromhex(resolution.domain_id(service=service, model=model)),
-        parts=tuple((ckf.token_hash(model=model, part=part, tokens=tokens), tokens) for part, tokens in parts))
+        replica=records.key_of(name),
+        region=region,
+        domain=bytes.fromhex(resolution.domain_id(service=service, model=model)),
+        parts=tuple((ckf.token_hash(model=model, part=part, tokens=tokens), tokens) for part, tokens in parts),
+    )
 
 
 def sums(number, *, loads=(), reads=()):
--- a/pw/sim/world.py
+++ b/pw/sim/world.py
@@ -1,4 +1,5 @@
 """A simulated world for tests: time, network and disk with seeds. Nothing sleeps."""
+
 import heapq
 import random
 
