--- a/pw/ctl/adapters/test_world.py
+++ b/pw/ctl/adapters/test_world.py
@@ -410,8 +410,14 @@
     scene.traffic = lambda: None
     scene.world.run(until=70.0 + 1e-6)
     windows = ledgers.merge(tables=[core.rows() for core in scene.cores]).values()
-    told = sum(suggest.arrivals(dict(zip(counts.FIELDS, row[5:], strict=False))) for window in windows for row in window["rows"])
+    told = sum(
+        suggest.arrivals(dict(zip(counts.FIELDS, row[5:], strict=False)))
+        for window in windows
+        for row in window["rows"]
+    )
     seen = sum(1 for _request, _at, first_at, *_rest in scene.log if first_at <= 68.0)
     assert seen - 20 <= told <= len(scene.log) + 60
-    waits = sum(dict(zip(counts.FIELDS, row[5:], strict=False))["waits"] for window in windows for row in window["rows"])
+    waits = sum(
+        dict(zip(counts.FIELDS, row[5:], strict=False))["waits"] for window in windows for row in window["rows"]
+    )
     assert 0 < waits
--- a/pw/dat/digest/test_digest.py
+++ b/pw/dat/digest/test_digest.py
@@ -1,6 +1,5 @@
 """Digests: histories of reports, sums and credits, with loss, delay, restarts, two holders; then an independent count."""
 
-
 import pytest
 
 from pw.base import problems
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -101,7 +101,9 @@
 
     zones = ["za", "za", "zb", "zb", "zc"]
     peers = [loopback.Peer(loop=loop, script=script_of(zone)) for zone in zones]
-    scenes = [entry.Entry(loop=loop, peers=list(zip(peers, zones, strict=False))) for _ in range(2)]  # two entry proxies
+    scenes = [
+        entry.Entry(loop=loop, peers=list(zip(peers, zones, strict=False))) for _ in range(2)
+    ]  # two entry proxies
     relay = Relay(scenes=scenes)
     spec = copy.deepcopy(entry.SPEC)
     home = next(route for route in spec["routes"] if route["name"] == "home")
--- a/pw/ops/pins.py
+++ b/pw/ops/pins.py
@@ -189,7 +189,9 @@
         for name, row in sorted(made["replicas"].items(), key=lambda one: (one[1]["zone"], one[0])):
             if row["pins"] or told["capacity"].get(row["service"]):
                 marks = ["+" if pair in [tuple(one) for one in row["to_load"]] else "" for pair in row["pins"]]
-                names = ", ".join(f"{mark}{model}/{adapter}" for mark, (model, adapter) in zip(marks, row["pins"], strict=False))
+                names = ", ".join(
+                    f"{mark}{model}/{adapter}" for mark, (model, adapter) in zip(marks, row["pins"], strict=False)
+                )
                 lines.append(
                     f"{name:<24} {row['zone']:<18} {names or '-'}{'' if row['is_known'] else '  (what it holds is not known)'}"
                 )
