--- /dev/null
+++ b/pw/dat/follow.py
@@ -0,0 +1,190 @@
+"""Following the core: held connections, news, leases, grant entries, and when to serve (design 4, 5, 8)."""
+
+import json
+
+from pw.base import inlet
+from pw.base import link as links
+from pw.base import residency
+from pw.base import records
+from pw.base import ring
+from pw.ctl.news import desk as desks
+from pw.ctl.register import ballots
+from pw.dat import routes as route_tables
+
+
+RENEWALS_KEPT = 16  # entries that answer older renewals have run out
+
+
+class FollowMixin:
+    """Held connections to the core: news, leases, grant entries (design 4, 5, 8)."""
+
+    def start_following(self) -> None:
+        self.core_dialers = {}
+        self._renewal = 0
+        self._renewed_at = {}  # number of a renewal: when it was sent
+        self.near_cores = set()
+        self.near_links = set()
+        self.floors = {}  # core host: floor of the spec
+        self.follower = desks.Follower(
+            now=self.loop.now,
+            patience_s=self.contact_s / 12,
+            on_image=self._on_image,
+            is_near=lambda link: link in self.near_links,
+        )
+        self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
+        self._dial_cores()
+
+    def _dial_cores(self) -> None:
+        wanted = set(self.core_members) | {host for host, _port in self.settings.seeds}
+        for host in wanted - self.core_dialers.keys():
+            self.core_dialers[host] = links.Dialer(
+                loop=self.loop,
+                address=(host, self.settings.core_port),
+                on_up=self._hail,
+                on_message=lambda link, message, host=host: self._take_news(host, link, message),
+                on_end=self._core_gone,
+                silence_s=self.silence_s,
+            )
+        for host in [host for host in self.core_dialers if host not in wanted]:
+            self.core_dialers.pop(host).stop()
+
+    def _hail(self, link) -> None:
+        public = "%s:%d" % self.settings.bindings["counter"]
+        link.send(("hello", "proxy", self.settings.ip, self.settings.zone, self.settings.region, self.life, public))
+        link.send(("state", self.is_serving and not self.is_leaving, self.is_leaving))
+
+    def _core_gone(self, link, _reason) -> None:
+        self.near_links.discard(link)
+        self.follower.drop(link)
+
+    def _tell_core(self, message: tuple) -> None:
+        for dialer in self.core_dialers.values():
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(message)
+
+    def _take_news(self, host: str, link, message: tuple) -> None:
+        kind = message[0]
+        if kind == "hello":
+            if message[4] == self.settings.region:
+                self.near_cores.add(host)
+                self.near_links.add(link)
+        elif kind == "offer":
+            self.follower.take_offer(link, message)
+        elif kind == "image":
+            if self.follower.take_image(link, message):
+                topic = message[1]
+                if not self.is_serving:
+                    ring.note("has", topic=topic)
+                self._tell_core(("have", ((topic, *self.follower.serials[topic]),)))
+        elif kind == "floor":
+            if host not in self.floors:
+                ring.note("floor", host=host)
+            self.floors[host] = dict(message[1])
+            self._check_serving()
+        elif kind == "keeps":
+            link.send(("kept", message[1], self._keepers(message[2], message[3], message[4])))
+        elif kind == "entry":
+            self._take_entry(link, message)
+
+    def renew_entries(self) -> None:
+        """Asks each core node for this proxy's entry; the entry counts from now, whenever it comes (docs/control.md 2)."""
+        self._renewal += 1
+        self._renewed_at[self._renewal] = self.loop.now()
+        self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
+        self._tell_core(("renew", self._renewal))
+
+    def _take_entry(self, link, message: tuple) -> None:
+        sent_at = self._renewed_at.get(message[-1])
+        if sent_at is not None:
+            self.quota.take_entry(link, message[:-1], sent_at=sent_at)
+
+    def _keepers(self, service: str, model: str, hashes) -> tuple:
+        """Replicas that, by the mirrors, still keep any of these parts."""
+        found = set()
+        for region in self.regions.values():
+            for (full_hash,) in hashes:
+                found |= region.owners(service=service, model=model, full_hash=full_hash)
+        return tuple(
+            sorted(
+                (replica.id, replica.zone)
+                for replica in self.table.replicas.values()
+                if records.key_of(replica.id) in found
+            )
+        )
+
+    def _near_core(self):
+        link = None
+        for host, dialer in sorted(self.core_dialers.items()):
+            if dialer.link is not None and dialer.link.is_up:
+                if link is None or host in self.near_cores:
+                    link = dialer.link
+        return link
+
+    def tell_trails(self, *, is_last: bool = False) -> None:
+        """To the core node of this region, or to the first other one in reach."""
+        link = self._near_core()
+        if link is None:
+            return
+        self.batches.cut(is_last=is_last)
+        for number, is_end, rows in self.batches.drain():
+            link.send(("trails", self.settings.node, self.life, number, is_end, rows))
+
+    def _check_serving(self) -> None:
+        """Serves nothing before it has what a majority of the core may have acknowledged (design 5)."""
+        if self.is_serving:
+            return
+        if not ballots.has_majority(of=self.core_members, among=self.floors):
+            return
+        for name in ("spec", "evac"):
+            floor = max(floors.get(name, 0) for floors in self.floors.values())
+            if self.follower.serials.get(name, (0, 0))[1] < floor:
+                return
+        if self.follower.serials.get("spec", (0, 0))[1] < 1 or "list" not in self.follower.serials:
+            return
+        if "cores" not in self.follower.serials:
+            return  # the floors may be those of seeds that no longer vote
+        self.is_serving = True
+        ring.note("serving", edition=self.routes.edition)
+        self._tell_core(("state", True, self.is_leaving))
+
+    def _on_image(self, topic: str, epoch: int, number: int, data: bytes) -> None:
+        if topic in ("spec", "evac", "duty", "cores"):
+            members, payload = ballots.unpack(data)
+            if topic == "spec" and payload:
+                self._keep_older_homes()
+                self.routes = route_tables.Routes(body=payload["body"])
+                self.table.install_services(route_tables.services(body=payload["body"]))
+                self._set_limits(payload["body"].get("limits") or {})
+            elif topic == "evac":
+                self.table.install_evacuations((payload or {}).get("zones", ()))
+            elif topic == "duty":
+                self.duties = payload or {}
+                self._follow_duties()
+            elif topic == "cores":
+                self.core_members = members
+                self._dial_cores()
+        elif topic == "list":
+            self.table.install_list(json.loads(data)["replicas"])
+        self.loop.command(act=self._check_serving)
+        if topic in ("spec", "list") and self.relay is not None:
+            self._sync_relay()
+
+    def _keep_older_homes(self) -> None:
+        """Until the older configuration is gone everywhere, the stricter of the two binds (design 10)."""
+        now = self.loop.now()
+        self.older_homes = [row for row in self.older_homes if row[0] > now]
+        if self.routes.edition:
+            self.older_homes.append((now + self.settings.bound_s(name="applyMs"), self.routes.homes()))
+
+    def permitted(self, *, route, first_homes):
+        now = self.loop.now()
+        older = [homes.get(route.name, ()) for until, homes in self.older_homes if until > now]
+        return residency.permitted(homes=route.homes, older=(*older, first_homes))
+
+    def _set_limits(self, body: dict) -> None:
+        self.limits = inlet.Limits(
+            head_bytes=int(body.get("labelBytes", 16384)),
+            body_bytes=int(body.get("parcelBytes", 4194304)),
+            head_s=float(body.get("labelMs", 3000)) / 1000.0,
+            idle_s=float(body.get("idleMs", 15000)) / 1000.0,
+        )
--- /dev/null
+++ b/pw/dat/serving.py
@@ -0,0 +1,88 @@
+"""Serving: listeners, readiness, what attempts tell of replicas, and leaving (design 7, 9)."""
+
+from pw.base import inlet
+from pw.base import ring
+from pw.dat import passage as passages
+
+
+class ServeMixin:
+    """Traffic, readiness, leaving (design 7, 9)."""
+
+    def start_serving(self) -> None:
+        self.passages = set()
+        self._number = 0
+        self.hall = inlet.Hall(
+            loop=self.loop,
+            address=self.settings.bindings["counter"],
+            on_ask=self._on_ask,
+            limits=lambda: self.limits,
+            silence_s=self.contact_s * 2,
+            most_doors=int(self.settings.handles * 0.6),
+            most_bytes=int(self.settings.memory_mb * 1024 * 1024 * 0.3),
+        )
+        if "readiness" in self.settings.bindings:
+            self.ready_hall = inlet.Hall(
+                loop=self.loop,
+                address=self.settings.bindings["readiness"],
+                on_ask=self._on_ready_ask,
+                limits=lambda: inlet.Limits(head_bytes=8192, body_bytes=8192, head_s=3.0, idle_s=10.0),
+                silence_s=self.contact_s,
+                most_doors=100,
+            )
+
+    def next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _on_ask(self, ask) -> None:
+        passage = passages.Passage(proxy=self, ask=ask)
+        self.passages.add(passage)
+        passage.begin()
+
+    def _on_ready_ask(self, ask) -> None:
+        is_ready = self.is_serving and not self.is_leaving and ask.target.partition(b"?")[0] == b"/ploverward/ready"
+        ask.reply(status=200 if is_ready else 503)
+
+    def suspect(self, replica) -> None:
+        self.table.suspect(replica)
+
+    def note_fault(self, *, replica, reason: str, was_up: bool) -> None:
+        ring.note("go failed", replica=replica.id, reason=reason)
+        if not was_up:
+            self.table.suspect(replica)
+
+    def wrong_replica(self, replica) -> None:
+        """421: another life has the address. The list will say; until then it is left alone."""
+        replica.close_idle()
+        replica.away_until = self.loop.now() + self.contact_s / 2
+
+    def full(self, replica) -> None:
+        replica.away_until = max(replica.away_until, self.loop.now() + self.contact_s / 60)
+
+    def leave(self) -> None:
+        """SIGTERM: out of the lists at once, on with the work while old lookups live, out inside graceS."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self._tell_core(("state", False, True))
+        self.hall.leave()
+        grace_s = self.settings.bound(name="graceS")
+        self.loop.after(delay=grace_s * 0.6, act=self._last_calls)
+        self.loop.after(delay=grace_s * 0.92, act=self._end)
+
+    def _end(self) -> None:
+        self.tell_trails(is_last=True)
+        self.tell_adapters()
+        self.loop.after(delay=grace_end_s(self.settings), act=self.loop.stop)
+
+    def _last_calls(self) -> None:
+        self.hall.close_idle()
+        if not self.hall.doors and not self.passages:
+            self._end()
+            return
+        self.loop.after(delay=0.05, act=self._last_calls)
+
+
+def grace_end_s(settings) -> float:
+    """Time for the last batch to leave."""
+    return settings.bound(name="graceS") / 80
--- a/pw/dat/test_follow.py
+++ b/pw/dat/test_follow.py
@@ -3,7 +3,8 @@
 import types
 
 from pw.base import loop as loops
-from pw.dat import proxy
+from pw.dat import follow
+from pw.dat import relaying
 from pw.sim import entry
 
 
@@ -23,35 +24,37 @@
 
 def test_no_serving_before_a_majority_told_and_its_most_is_here():
     node, told = make()
-    node.follower.serials = {"spec": (0, 4), "evac": (0, 1), "list": (1, 1)}
+    node.follower.serials = {"spec": (0, 4), "evac": (0, 1), "list": (1, 1), "cores": (0, 1)}
     node.floors = {"a": {"spec": 4, "evac": 1}}
-    proxy.FollowMixin._check_serving(node)
+    follow.FollowMixin._check_serving(node)
     assert not node.is_serving
     node.floors["b"] = {"spec": 5, "evac": 1}  # one of them may have acknowledged a newer one
-    proxy.FollowMixin._check_serving(node)
+    follow.FollowMixin._check_serving(node)
     assert not node.is_serving
     node.follower.serials["spec"] = (0, 5)
-    proxy.FollowMixin._check_serving(node)
+    follow.FollowMixin._check_serving(node)
     assert node.is_serving and told == [("state", True, False)]
 
 
-def test_no_serving_without_a_list_or_a_configuration():
-    for serials in ({"spec": (0, 1)}, {"list": (1, 1)}):
+def test_no_serving_without_a_list_a_configuration_or_an_agreed_core_set():
+    whole = {"spec": (0, 1), "list": (1, 1), "cores": (0, 1)}
+    for missing in whole:
+        serials = {topic: version for topic, version in whole.items() if topic != missing}
         node, _told = make()
         node.follower.serials = serials
         node.floors = {"a": {}, "b": {}, "c": {}}
-        proxy.FollowMixin._check_serving(node)
+        follow.FollowMixin._check_serving(node)
         assert not node.is_serving
 
 
 def test_cut_off_it_serves_on_with_what_it_has():
     node, _told = make()
-    node.follower.serials = {"spec": (0, 1), "list": (1, 1)}
+    node.follower.serials = {"spec": (0, 1), "list": (1, 1), "cores": (0, 1)}
     node.floors = {"a": {"spec": 1}, "b": {"spec": 1}}
-    proxy.FollowMixin._check_serving(node)
+    follow.FollowMixin._check_serving(node)
     node.floors = {}
     node.core_members = ("x", "y", "z")
-    proxy.FollowMixin._check_serving(node)
+    follow.FollowMixin._check_serving(node)
     assert node.is_serving
 
 
@@ -60,10 +63,10 @@
     loop = types.SimpleNamespace(now=lambda: clock[0])
     node = types.SimpleNamespace(loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)})])
     route = types.SimpleNamespace(name="chat", homes=("north", "south"))
-    assert proxy.FollowMixin.permitted(node, route=route, first_homes=()) == {"north"}
+    assert follow.FollowMixin.permitted(node, route=route, first_homes=()) == {"north"}
     clock[0] = 2.6
-    assert proxy.FollowMixin.permitted(node, route=route, first_homes=()) == {"north", "south"}
-    assert proxy.FollowMixin.permitted(node, route=route, first_homes=("south",)) == {"south"}
+    assert follow.FollowMixin.permitted(node, route=route, first_homes=()) == {"north", "south"}
+    assert follow.FollowMixin.permitted(node, route=route, first_homes=("south",)) == {"south"}
 
 
 def test_a_relay_ends_when_its_duty_goes_to_another_life():
@@ -76,7 +79,7 @@
         _waiting={},
         _sync_relay=lambda: None,
     )
-    keep = proxy.RelayMixin._keep_relay
+    keep = relaying.RelayMixin._keep_relay
     keep(node, 1, "127.0.0.1", "l1")
     first = node.relay
     assert first.epoch == 1
--- a/pw/dat/test_zone.py
+++ b/pw/dat/test_zone.py
@@ -10,7 +10,7 @@
 from pw.base import wire
 from pw.ctl import duties
 from pw.dat import choice
-from pw.dat import proxy
+from pw.dat import relaying
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat.digest import source as sources
@@ -38,7 +38,7 @@
         pass
 
 
-class Node(proxy.RelayMixin):
+class Node(relaying.RelayMixin):
     """A proxy without its traffic and without the core: duties are handed to it."""
 
     def __init__(self, *, loop, ip, zone, ports, life):
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -7,7 +7,7 @@
 from pw.dat import choice
 from pw.dat import custody
 from pw.dat import passage as passages
-from pw.dat import proxy
+from pw.dat import follow
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import routes as route_tables
@@ -121,8 +121,8 @@
         passage.begin()
 
     # The real rule, and the real keeping of older homes.
-    permitted = proxy.FollowMixin.permitted
-    _keep_older_homes = proxy.FollowMixin._keep_older_homes
+    permitted = follow.FollowMixin.permitted
+    _keep_older_homes = follow.FollowMixin._keep_older_homes
 
     def configure(self, spec):
         self._keep_older_homes()
