--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -1,20 +1,14 @@
 """The core program: register, leases, duties, news, dispatch and directory (design 1, 4, 5, 9)."""
 
-import os
-import signal
-import uuid
-
-
-from pw.base import loop as loops
 from pw.base import problems
 from pw.base import ring
-from pw.base import settings as settings_files
 from pw.ctl import grants
 from pw.ctl import directory
 from pw.ctl import dispatch
 from pw.ctl import membership
 from pw.ctl import platform
 from pw.ctl import reports
+from pw.ctl import runtime as runtimes
 from pw.ctl import voting
 from pw.ctl.news import desk as desks
 
@@ -29,11 +23,12 @@
     reports.AdaptersMixin,
     reports.CustodyMixin,
 ):
-    def __init__(self, *, settings):
+    def __init__(self, *, settings, runtime=None):
+        self.runtime = runtime if runtime is not None else runtimes.Runtime()
         self.settings = settings
         self.own = settings.ip
-        self.life = uuid.uuid4().hex[:12]
-        self.loop = loops.Loop(on_fault=lambda fault: ring.spill("a step failed", fault=fault))
+        self.life = self.runtime.unique_id()
+        self.loop = self.runtime.loop(on_fault=lambda fault: ring.spill("a step failed", fault=fault))
         self.contact_s = settings.bound_s(name="contactMs")
         self.receipt_s = settings.bound_s(name="receiptMs")
         self.silence_s = self.contact_s / 5
@@ -58,14 +53,14 @@
         self.duties = {}
         self.spec = None
         self._beats = 0
-        self.file_watch = settings_files.FileWatch()
+        self.file_watch = self.runtime.file_watch()
         self._behind = {}
         self._reading = set()
         self._is_taking = False
         self._is_moving = False
         self._aside_since = None
         self._members_changed = True
-        self.watch = platform.Watch(
+        self.watch = self.runtime.watch(
             loop=self.loop,
             address=settings.cloud_address,
             gap_s=max(settings.bound_s(name="drainMs") / 8, 4 / settings.cloud_per_s),
@@ -82,8 +77,7 @@
         elif name == "cores":
             self._dial_cores()
 
-    def run(self) -> int:
-        os.makedirs(self.settings.data_dir or "/tmp", exist_ok=True)
+    def start(self) -> None:
         self.start_members()
         self.start_custody()
         self.start_adapters()
@@ -92,9 +86,11 @@
         self.start_dispatch()
         self.watch.start()
         self.loop.every(gap=self.silence_s / 3, act=self._beat)
-        signal.signal(signal.SIGTERM, lambda *_: self.loop.command(act=self._leave))
-        signal.signal(signal.SIGHUP, lambda *_: self.loop.command(act=self._reread))
+        self.runtime.on_signals(loop=self.loop, on_terminate=self._leave, on_reread=self._reread)
         ring.note("core up", own=self.own, first=self.settings.first_start)
+
+    def run(self) -> int:
+        self.start()
         self.loop.run()
         return 0
 
@@ -107,6 +103,6 @@
 
     def _reread(self) -> None:
         try:
-            self.settings = settings_files.load()
+            self.settings = self.runtime.load_settings()
         except problems.SettingsProblem as fault:
             ring.spill(f"the new settings are kept out: {fault}")
--- a/pw/ctl/dispatch.py
+++ b/pw/ctl/dispatch.py
@@ -41,7 +41,7 @@
         for name in ("control", "directory"):
             if name in bindings:
                 self.halls.append(
-                    inlet.Hall(
+                    self.runtime.hall(
                         loop=self.loop,
                         address=bindings[name],
                         on_ask=self._on_ask,
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -3,7 +3,6 @@
 import json
 
 
-from pw.base import link as links
 from pw.base import ring
 from pw.ctl import duties
 from pw.ctl.register import ballots
@@ -32,7 +31,7 @@
         self.peers = {}  # link: Peer
         self.dialers = {}
         self.core_lost = {}  # core address: since when out of touch
-        self.port = links.Port(
+        self.port = self.runtime.port(
             loop=self.loop,
             address=(self.settings.ip, self.settings.core_port),
             on_link=lambda link: None,
@@ -48,7 +47,7 @@
         wanted = set(self.members()) | {host for host, _port in self.settings.seeds} | self.known_cores()
         wanted.discard(self.own)
         for host in wanted - self.dialers.keys():
-            self.dialers[host] = links.Dialer(
+            self.dialers[host] = self.runtime.dialer(
                 loop=self.loop,
                 address=(host, self.settings.core_port),
                 on_up=self._hail,
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -1,9 +1,5 @@
 """Acceptor, proposer, disk and the refill of an emptied core node (design 4)."""
 
-import random
-import uuid
-
-
 from pw.base import problems
 from pw.base import ring
 from pw.ctl.register import acceptor as acceptors
@@ -18,7 +14,7 @@
 
     def start_voting(self) -> None:
         self.store = stores.Store(
-            disk=stores.Disk(folder=self.settings.data_dir or "/tmp"),
+            disk=self.runtime.disk(folder=self.settings.data_dir),
             limit_bytes=int(max(self.settings.disk_mb, 8) * 1024 * 1024 / 16),
         )
         self._unsafe = []  # (row, send when safe)
@@ -35,12 +31,12 @@
             self.is_damaged = True
         self.acceptor = acceptors.Acceptor(incarnation=incarnation, rows=rows)
         self.proposer = proposers.Proposer(
-            own=f"{self.own}/{uuid.uuid4().hex[:6]}",
+            own=f"{self.own}/{self.runtime.unique_id()[:6]}",
             seeds=tuple(sorted(host for host, _port in self.settings.seeds)),
             send=self._send_core,
             later=lambda delay, act: self.loop.after(delay=delay, act=act),
             now=self.loop.now,
-            chance=random.random,
+            chance=self.runtime.chance,
             on_chosen=self._on_chosen,
             limit_s=self.receipt_s / 2,
             patience_s=self.receipt_s / 10,
@@ -51,7 +47,7 @@
             if value:
                 self.proposer.known[name] = ballots.unpack(value)[0]
         if not incarnation and self.settings.first_start:
-            self.acceptor.incarnation = uuid.uuid4().hex[:12]
+            self.acceptor.incarnation = self.runtime.unique_id()
             self._make_safe(None, None)
         if not self.acceptor.votes:
             self._ask_refill()
@@ -166,7 +162,7 @@
                 need = ballots.majority(members)
             if sum(1 for other in others if other in self._refilled) < min(need, len(others)):
                 return
-        incarnation = uuid.uuid4().hex[:12]
+        incarnation = self.runtime.unique_id()
         self.acceptor.refill(incarnation="", states=tuple(self._refilled.values()))
         staged = acceptors.Acceptor(incarnation=incarnation, rows={row[0]: row for row in self.acceptor.rows()})
         self.acceptor = staged
