--- a/pw/base/problems.py
+++ b/pw/base/problems.py
@@ -29,7 +29,7 @@
     """No majority answered in time."""
 
 
-class SpecProblem(Problem):
+class InvalidConfiguration(Problem):
     """A configuration that can't be in force; `place` names the field."""
 
     def __init__(self, text: str, *, place: str = "", step: str = "check", peer: str = ""):
--- /dev/null
+++ b/pw/ctl/configuration/models.py
@@ -0,0 +1,112 @@
+"""What an operator's configuration must be (design 5). Unknown fields are kept as they came."""
+
+import typing
+
+import pydantic
+
+from pw.base import problems
+
+MOST_EDITION = 2**63 - 1
+
+
+def _number(value):
+    """Text and truth values are not numbers, although Python would take them for some."""
+    if isinstance(value, (str, bool)):
+        raise ValueError("not a number")
+    return value
+
+
+Whole = typing.Annotated[int, pydantic.BeforeValidator(_number)]
+Number = typing.Annotated[float, pydantic.BeforeValidator(_number)]
+
+
+class _Open(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="allow")
+
+
+class Portion(_Open):
+    destination: str
+    share: Number = pydantic.Field(ge=0)
+
+
+class Route(_Open):
+    name: str = pydantic.Field(min_length=1)
+    host: str = pydantic.Field(min_length=1)
+    pathLead: str = pydantic.Field(pattern=r"^/(.*/)?$")
+    kind: str = pydantic.Field(pattern=r"^(retry_safe|retry_unsafe|streaming)$")
+    expiryMs: Number = pydantic.Field(gt=0)
+    targetMs: Number = pydantic.Field(default=0, ge=0)
+    urgency: Whole = 0
+    tries: Whole = pydantic.Field(default=1, ge=1)
+    sticky: bool = False
+    resume: bool = False
+    gapTargetMs: Number = 0
+    homeRegions: list[str] = []
+    destination: str | None = None
+    apportion: list[Portion] | None = None
+
+    def portions(self) -> list:
+        if self.apportion is not None:
+            return [(part.destination, part.share) for part in self.apportion]
+        return [(self.destination, 1.0)] if self.destination else []
+
+
+class Destination(_Open):
+    name: str = pydantic.Field(min_length=1)
+    health: str = "/health"
+    maxConns: Whole = pydantic.Field(default=64, ge=1)
+    warmupS: Number = pydantic.Field(default=0, ge=0)
+    warmupPerS: Number = pydantic.Field(default=0, ge=0)
+
+
+class Limits(_Open):
+    labelBytes: Whole = pydantic.Field(default=16384, ge=256)
+    parcelBytes: Whole = pydantic.Field(default=4194304, ge=0)
+    labelMs: Number = pydantic.Field(default=3000, gt=0)
+    idleMs: Number = pydantic.Field(default=15000, gt=0)
+
+
+class Configuration(_Open):
+    edition: Whole = pydantic.Field(ge=1, le=MOST_EDITION, strict=True)
+    routes: list[Route]
+    destinations: list[Destination]
+    limits: Limits = Limits()
+
+
+def check(*, body: dict) -> Configuration:
+    try:
+        configuration = Configuration.model_validate(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise problems.InvalidConfiguration(first["msg"], place=place) from None
+    names = set()
+    for index, destination in enumerate(configuration.destinations):
+        if destination.name in names:
+            raise problems.InvalidConfiguration(
+                f"'{destination.name}' stands twice", place=f"destinations.{index}.name"
+            )
+        names.add(destination.name)
+    places = {}
+    route_names = set()
+    for index, route in enumerate(configuration.routes):
+        if route.name in route_names:
+            raise problems.InvalidConfiguration(f"'{route.name}' stands twice", place=f"routes.{index}.name")
+        route_names.add(route.name)
+        key = (route.host.lower(), route.pathLead)
+        if key in places:
+            raise problems.InvalidConfiguration(
+                f"same host and prefix as '{places[key]}'", place=f"routes.{index}.pathLead"
+            )
+        places[key] = route.name
+        portions = route.portions()
+        if not portions:
+            raise problems.InvalidConfiguration("no destination", place=f"routes.{index}.destination")
+        for name, _share in portions:
+            if name not in names:
+                raise problems.InvalidConfiguration(
+                    f"unknown destination '{name}'", place=f"routes.{index}.destination"
+                )
+        if sum(share for _name, share in portions) <= 0:
+            raise problems.InvalidConfiguration("the shares sum to 0", place=f"routes.{index}.apportion")
+    return configuration
--- a/pw/ctl/spec/test_models.py
+++ b/pw/ctl/configuration/test_models.py
@@ -6,7 +6,9 @@
 import pytest
 
 from pw.base import problems
-from pw.ctl.spec import models
+from pw.ctl.configuration import models
+from pw.ctl.configuration import orders
+from pw.ctl.configuration import reading
 
 GOOD = {
     "edition": 7,
@@ -55,20 +57,21 @@
     ],
 )
 def test_invalid_ones_name_the_place(body, place):
-    with pytest.raises(problems.SpecProblem) as told:
+    with pytest.raises(problems.InvalidConfiguration) as told:
         models.check(body=body)
     assert told.value.place == place
 
 
 @pytest.mark.parametrize("data", [b"", b"{", b"[]", json.dumps(GOOD).encode()[:-30], b"\xff\xfe"])
 def test_unreadable_ones(data):
-    with pytest.raises(problems.SpecProblem):
-        models.read_json(data=data)
+    with pytest.raises(problems.InvalidConfiguration):
+        reading.read_json(data=data)
 
 
 def take(payload, *, base, body, method="PUT"):
     data = json.dumps(body).encode()
-    return models.edit_for(method=method, base=base, data=data, body=body)(payload)
+    order = orders.read(method=method, base=base, data=data)
+    return orders.edit_for(order=order, archived=0)(payload)
 
 
 def test_taken_then_resent_unchanged_is_known_also_after_newer_ones():
@@ -83,7 +86,7 @@
     first, _told = take(None, base=0, body=GOOD)
     with pytest.raises(problems.StaleBase):
         take(first, base=3, body=changed(("edition",), 9))
-    with pytest.raises(problems.SpecProblem) as told:
+    with pytest.raises(problems.InvalidConfiguration) as told:
         take(first, base=7, body=changed(("edition",), 6))
     assert told.value.place == "edition"
 
@@ -101,9 +104,9 @@
     assert told == "taken"
     assert [(row["name"], row["expiryMs"]) for row in new["body"]["routes"]] == [("r2", 1), ("r3", 3000)]
     assert new["body"]["limits"] == GOOD["limits"]
-    with pytest.raises(problems.SpecProblem):
+    with pytest.raises(problems.InvalidConfiguration):
         take(first, base=7, body={"edition": 8, "withdraw": {"destinations": ["d2"]}}, method="PATCH")
-    with pytest.raises(problems.SpecProblem):
+    with pytest.raises(problems.InvalidConfiguration):
         take(first, base=7, body={"edition": 8, "withdraw": {"routes": ["nobody"]}}, method="PATCH")
 
 
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -3,11 +3,10 @@
 from pw.base import problems
 from pw.base import ring
 from pw.ctl import grants
-from pw.ctl import directory
-from pw.ctl import dispatch
+from pw.ctl import interfaces
 from pw.ctl import membership
 from pw.ctl import platform
-from pw.ctl import reports
+from pw.ctl import registers
 from pw.ctl import runtime as runtimes
 from pw.ctl import voting
 from pw.ctl.news import desk as desks
@@ -15,14 +14,7 @@
 RATE_WINDOW_S = 1.5  # the cold bound is stated for one second
 
 
-class Core(
-    voting.VotingMixin,
-    membership.MembersMixin,
-    dispatch.DispatchMixin,
-    directory.DirectoryMixin,
-    reports.AdaptersMixin,
-    reports.CustodyMixin,
-):
+class Core(voting.VotingMixin, membership.MembersMixin):
     def __init__(self, *, settings, runtime=None):
         self.runtime = runtime if runtime is not None else runtimes.Runtime()
         self.settings = settings
@@ -58,7 +50,6 @@
         self._reading = set()
         self._is_taking = False
         self._is_moving = False
-        self._aside_since = None
         self._members_changed = True
         self.watch = self.runtime.watch(
             loop=self.loop,
@@ -74,30 +65,52 @@
             self.loop.command(act=self._watch_over)
         elif name == "spec":
             self.spec = payload["body"] if payload else None
+        elif name == registers.ARCHIVE:
+            self.interfaces.dispatch.learn_archive(payload)
         elif name == "cores":
             self._dial_cores()
 
     def start(self) -> None:
         self.start_members()
-        self.start_custody()
-        self.start_adapters()
+        self._make_interfaces()
         self.start_voting()
         self._dial_cores()
-        self.start_dispatch()
+        self.interfaces.listen()
         self.watch.start()
         self.loop.every(gap=self.silence_s / 3, act=self._beat)
         self.runtime.on_signals(loop=self.loop, on_terminate=self._leave, on_reread=self._reread)
         ring.note("core up", own=self.own, first=self.settings.first_start)
 
+    def _make_interfaces(self) -> None:
+        self.interfaces = interfaces.Interfaces(
+            loop=self.loop,
+            make_hall=self.runtime.hall,
+            settings=lambda: self.settings,
+            own=self.own,
+            desk=self.desk,
+            registers=interfaces.Registers(
+                change=lambda **about: self.proposer.change(**about), read=lambda **about: self.proposer.read(**about)
+            ),
+            members=self.members,
+            is_core_live=self.is_core_live,
+            is_learned=lambda: self.acceptor.votes,
+            has_majority_contact=self.has_majority_contact,
+            proxies=self.proxies,
+            configuration=lambda: self.spec,
+            duties=lambda: self.duties,
+            votes=lambda: self.acceptor.votes,
+            ttl_s=self.ttl_s,
+            contact_s=self.contact_s,
+            receipt_s=self.receipt_s,
+        )
+
     def run(self) -> int:
         self.start()
         self.loop.run()
         return 0
 
     def _leave(self) -> None:
-        for hall in self.halls:
-            hall.stop_listening()
-            hall.leave()
+        self.interfaces.leave()
         self.watch.stop()
         self.loop.after(delay=self.receipt_s / 6, act=self.loop.stop)
 
--- a/pw/ctl/directory.py
+++ b/pw/ctl/directory.py
@@ -2,73 +2,107 @@
 
 import json
 
-
 from pw.base import residency
+from pw.ctl import router
 from pw.ctl.register import ballots
 
+MOST_ADDRESSES = 64  # the protocol's figure
+RETRY_LATER = ((b"Retry-After", b"1"),)
+
+
+class Directory:
+    """Tells user agents where to go (design 4, 10)."""
 
-class DirectoryMixin:
-    """Where user agents should go (design 4, 10)."""
+    def __init__(self, *, loop, members, is_core_live, proxies, configuration, ttl_s: int, contact_s: float):
+        self._loop = loop
+        self._members = members
+        self._is_core_live = is_core_live
+        self._proxies = proxies
+        self._configuration = configuration  # the body in force as far as this node knows, or None
+        self._ttl_s = ttl_s
+        self._contact_s = contact_s
+        self._aside_since = None
 
-    def _get_lookup(self, ask, request) -> None:
-        host = request.args.get("name", "")
-        region = request.args.get("region", "")
-        zone = request.args.get("zone", "")
-        if self._is_aside():
-            self._json(ask, 503, {"error": "cut off from the core; ask another node"}, headers=[(b"Retry-After", b"1")])
+    def rules(self) -> list:
+        return [router.Rule("GET", "/ploverward/lookup", self._get_lookup)]
+
+    def _get_lookup(self, call) -> None:
+        host = call.query.get("name", "")
+        region = call.query.get("region", "")
+        zone = call.query.get("zone", "")
+        if self.is_aside():
+            call.answer(status=503, body={"error": "cut off from the core; call another node"}, headers=RETRY_LATER)
             return
-        listed = self.proxies()
+        listed = self._proxies()
         regions = {peer.region for peer in listed}
-        allowed = residency.lookup_regions(spec=self.spec, host=host, region=region, serving=regions)
+        allowed = residency.lookup_regions(spec=self._configuration(), host=host, region=region, serving=regions)
         chosen = [peer for peer in listed if peer.region in allowed]
         if not chosen:
-            self._json(ask, 503, {"error": "no node may serve this now"}, headers=[(b"Retry-After", b"1")])
+            call.answer(status=503, body={"error": "no node may serve this now"}, headers=RETRY_LATER)
             return
         near = [peer for peer in chosen if peer.zone == zone]
         chosen = near or chosen
-        addresses = sorted(peer.public for peer in chosen)[:64]
-        self._json(ask, 200, {"addressList": addresses, "ttlS": self.ttl_s})
+        addresses = sorted(peer.public for peer in chosen)[:MOST_ADDRESSES]
+        call.answer(status=200, body={"addressList": addresses, "ttlS": self._ttl_s})
 
-    def _is_aside(self) -> bool:
+    def is_aside(self) -> bool:
         """Cut off from most of the core while others may see more: they tell user agents where to go. When that
         lasts, the others are taken for lost, and this node answers with what it sees."""
-        members = self.members()
-        if ballots.has_majority(of=members, among={host for host in members if self.is_core_live(host)}):
+        members = self._members()
+        if ballots.has_majority(of=members, among={host for host in members if self._is_core_live(host)}):
             self._aside_since = None
             return False
         if self._aside_since is None:
-            self._aside_since = self.loop.now()
-        return self.loop.now() - self._aside_since < self.contact_s * 2
+            self._aside_since = self._loop.now()
+        return self._loop.now() - self._aside_since < self._contact_s * 2
+
+
+class Views:
+    """What operator tools read of this node."""
 
-    def _get_replicas(self, ask, _request) -> None:
-        held = self.desk.get("list")
+    def __init__(self, *, desk, proxies, settings, votes, members, duties):
+        self._desk = desk
+        self._proxies = proxies
+        self._settings = settings
+        self._votes = votes
+        self._members = members
+        self._duties = duties
+
+    def rules(self) -> list:
+        return [
+            router.Rule("GET", "/ploverward/replicas", self._get_replicas),
+            router.Rule("GET", "/ploverward/nodes", self._get_nodes),
+        ]
+
+    def _get_replicas(self, call) -> None:
+        held = self._desk.get("list")
         if held is None:
-            self._json(ask, 503, {"error": "no list of replicas yet"}, headers=[(b"Retry-After", b"1")])
+            call.answer(status=503, body={"error": "no list of replicas yet"}, headers=RETRY_LATER)
             return
-        self._json(ask, 200, {"epoch": held[0], "number": held[1], **json.loads(held[2])})
-
-    def _get_nodes(self, ask, _request) -> None:
-        """For operator tools: the nodes in touch with this one."""
-        self._json(
-            ask,
-            200,
-            {
-                "node": self.settings.node,
-                "votes": self.acceptor.votes,
-                "members": list(self.members()),
-                "zones": self.settings.zones,
-                "duties": self.duties,
-                "bounds": self.settings.bounds,
-                "proxies": [
-                    {
-                        "address": peer.address,
-                        "counter": peer.public,
-                        "zone": peer.zone,
-                        "region": peer.region,
-                        "ready": peer.is_ready,
-                        "leaving": peer.is_leaving,
-                    }
-                    for peer in self.proxies(is_listed=False)
-                ],
-            },
-        )
+        epoch, number, data = held
+        call.answer(status=200, body={"epoch": epoch, "number": number, **json.loads(data)})
+
+    def _get_nodes(self, call) -> None:
+        """The nodes in touch with this one."""
+        settings = self._settings()
+        body = {
+            "node": settings.node,
+            "votes": self._votes(),
+            "members": list(self._members()),
+            "zones": settings.zones,
+            "duties": self._duties(),
+            "bounds": settings.bounds,
+            "proxies": [_proxy_row(peer) for peer in self._proxies(is_listed=False)],
+        }
+        call.answer(status=200, body=body)
+
+
+def _proxy_row(peer) -> dict:
+    return {
+        "address": peer.address,
+        "counter": peer.public,
+        "zone": peer.zone,
+        "region": peer.region,
+        "ready": peer.is_ready,
+        "leaving": peer.is_leaving,
+    }
--- a/pw/ctl/dispatch.py
+++ b/pw/ctl/dispatch.py
@@ -1,195 +1,388 @@
-"""The operator's calls: configurations and evacuations (design 5, 9)."""
+"""The operator's calls: configurations and evacuations (design 5, 9; docs/orders.md)."""
 
-import json
+import re
 
-import werkzeug.exceptions
-import werkzeug.routing
-import werkzeug.sansio.request
-import werkzeug.datastructures
-
-from pw.base import inlet
 from pw.base import problems
 from pw.base import ring
-from pw.ctl.spec import models
-
-
-_URLS = werkzeug.routing.Map(
-    [
-        werkzeug.routing.Rule("/ploverward/configuration", endpoint="spec", methods=["GET", "PUT", "PATCH"]),
-        werkzeug.routing.Rule("/ploverward/evacuation/<zone>", endpoint="evac", methods=["POST", "DELETE"]),
-        werkzeug.routing.Rule("/ploverward/evacuation", endpoint="evacs", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/lookup", endpoint="lookup", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/custody/<ask_id>", endpoint="trail", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/custody", endpoint="trails", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/replicas", endpoint="replicas", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/adapters", endpoint="adapters", methods=["GET"]),
-        werkzeug.routing.Rule("/ploverward/nodes", endpoint="nodes", methods=["GET"]),
-    ]
-)
-
-
-class DispatchMixin:
-    """The operator's calls (design 5, 9)."""
-
-    def start_dispatch(self) -> None:
-        self._waits = []  # (topic, rev, answer, deadline timer)
-        bindings = self.settings.bindings
-        limits = lambda: inlet.Limits(  # noqa: E731
-            head_bytes=65536, body_bytes=16 * 1024 * 1024, head_s=self.contact_s, idle_s=self.contact_s * 4
-        )
-        self.halls = []
-        for name in ("control", "directory"):
-            if name in bindings:
-                self.halls.append(
-                    self.runtime.hall(
-                        loop=self.loop,
-                        address=bindings[name],
-                        on_ask=self._on_ask,
-                        limits=limits,
-                        silence_s=self.contact_s,
-                        most_doors=max(200, self.settings.handles // 2),
-                    )
-                )
-
-    def _on_ask(self, ask) -> None:
-        request = werkzeug.sansio.request.Request(
-            ask.method.decode(),
-            "http",
-            None,
-            "",
-            *_split_target(ask.target),
-            werkzeug.datastructures.Headers(
-                [(name.decode("latin-1"), value.decode("latin-1")) for name, value in ask.headers]
-            ),
-            None,
-        )
-        try:
-            endpoint, values = _URLS.bind("core").match(request.path, method=request.method)
-        except werkzeug.exceptions.HTTPException as fault:
-            self._json(ask, fault.code or 404, {"error": fault.name})
-            return
-        getattr(self, f"_{request.method.lower()}_{endpoint}")(ask, request, **values)
+from pw.ctl import registers
+from pw.ctl import router
+from pw.ctl.configuration import archive
+from pw.ctl.configuration import evacuations
+from pw.ctl.configuration import orders
 
-    def _json(self, ask, status: int, body, headers=()) -> None:
-        ask.reply(
-            status=status,
-            headers=[(b"Content-Type", b"application/json"), *headers],
-            body=json.dumps(body, separators=(",", ":")).encode(),
-        )
+CALLER_SILENCE_S = 1.0  # after so long a silence a caller goes to another node (the protocol's figure)
+ROUND_PART = 0.8  # of that silence: a round that has not ended by then is answered with 503
+APPLIED_PART = 0.9  # of that silence: an order that is taken is acknowledged by then, whoever has not applied it
+_VERSION = re.compile(r"[0-9]{1,19}")
 
-    def _unavailable(self, ask, fault) -> None:
-        self._json(ask, 503, {"error": str(fault)}, headers=[(b"Retry-After", b"0.3")])
 
-    def _get_spec(self, ask, _request) -> None:
-        def done(fault, _rev, payload, _result):
-            if fault is not None:
-                self._unavailable(ask, fault)
-            elif not payload:
-                self._json(ask, 404, {"error": "no configuration yet"})
-            else:
-                self._json(ask, 200, payload["body"], headers=[(b"ETag", b'"%d"' % payload["edition"])])
+class Reply:
+    """The answer that a caller waits for: given once, at the latest when `limit_s` is over."""
+
+    def __init__(self, *, loop, call, limit_s: float, at_limit):
+        self._loop = loop
+        self.call = call
+        self.begun_at = loop.now()
+        self.is_over = False
+        self._timer = loop.after(delay=limit_s, act=lambda: at_limit(self))
+
+    def extend(self, *, until: float, at_limit) -> None:
+        """Another limit in place of the one before."""
+        self._loop.cancel(timer=self._timer)
+        delay = max(0.0, until - self._loop.now())
+        self._timer = self._loop.after(delay=delay, act=lambda: at_limit(self))
+
+    def claim(self):
+        """The call, to be answered now, or None where it has its answer."""
+        if self.is_over:
+            return None
+        self.is_over = True
+        self._loop.cancel(timer=self._timer)
+        return self.call
+
 
-        self.proposer.read(name="spec", done=done)
+class Applying:
+    """Holds acknowledgements until the proxies in touch have applied what is acknowledged."""
 
-    def _put_spec(self, ask, request) -> None:
-        match = (request.headers.get("If-Match") or "").strip().strip('"')
-        if not match.isdigit():
-            self._json(ask, 400, {"error": "If-Match is missing or not a number", "place": "If-Match"})
+    def __init__(self, *, desk, proxies):
+        self._desk = desk
+        self._proxies = proxies
+        self._waiting = []  # (topic, version, reply)
+
+    def wait(self, *, reply, topic: str, version: int, until: float) -> None:
+        if reply.is_over:
             return
-        base = int(match)
-        data = ask.body
-        method = request.method
-
-        def checked(future):
-            fault = future.exception()
-            if fault is not None:
-                self._reject(ask, fault)
-                return
-            edit = models.edit_for(method=method, base=base, data=data, body=future.result())
-            self.proposer.change(
-                name="spec",
-                edit=edit,
-                done=lambda problem, rev, _payload, _result: self._changed(ask, "spec", problem, rev),
-            )
+        row = (topic, version, reply)
+        reply.extend(until=until, at_limit=lambda _reply: self._end(row))
+        self._waiting.append(row)
+        self.check()
+
+    def check(self) -> None:
+        """To be called when a proxy has applied something or is gone."""
+        for row in list(self._waiting):
+            topic, version, _reply = row
+            links = [peer.link for peer in self._proxies(is_listed=False)]
+            if not self._desk.lagging(topic=topic, serial=(0, version), links=links):
+                self._end(row)
+
+    def _end(self, row) -> None:
+        if row in self._waiting:
+            self._waiting.remove(row)
+        _topic, version, reply = row
+        call = reply.claim()
+        if call is not None:
+            call.answer(status=200, body={"serial": version})
+
+
+class Redirect:
+    """Names another core node to callers of a node that can't answer."""
+
+    def __init__(self, *, own: str, port: int, members, is_live):
+        self._own = own
+        self._port = port
+        self._members = members
+        self._is_live = is_live
+        self._turn = 0
+
+    def pick(self, *, is_cut_off: bool) -> str:
+        """An address, or "". A node that is cut off from the most names first one that it has no link to."""
+        others = [host for host in self._members() if host != self._own]
+        preferred = [host for host in others if self._is_live(host) != is_cut_off]
+        chosen = preferred or others
+        if not chosen:
+            return ""
+        self._turn += 1
+        return f"{chosen[self._turn % len(chosen)]}:{self._port}"
 
-        def work():
-            body = models.read_json(data=data)
-            if method == "PUT":
-                models.check(body=body)
-            return body
 
-        self.loop.offload(work=work, done=checked)
+class Dispatch:
+    """Takes configurations and evacuations, and reads them back.
 
-    _patch_spec = _put_spec
+    `registers`: change and read of the replicated registers. `applied()`: the body of the configuration that this node
+    knows to be chosen, or None. `is_learned()`: whether this node holds its state and votes.
+    """
 
-    def _reject(self, ask, fault) -> None:
-        if isinstance(fault, problems.StaleBase):
-            self._json(ask, 412, {"error": str(fault), "edition": fault.current})
-        elif isinstance(fault, problems.SpecProblem):
-            self._json(ask, 400, {"error": fault.text, "place": fault.place})
-        elif isinstance(fault, problems.Problem):
-            self._unavailable(ask, fault)
+    def __init__(
+        self,
+        *,
+        loop,
+        registers,
+        applying,
+        redirect,
+        applied,
+        zones,
+        receipt_s: float,
+        is_learned,
+        has_majority_contact,
+    ):
+        self._loop = loop
+        self._registers = registers
+        self._applying = applying
+        self._redirect = redirect
+        self._applied = applied
+        self._zones = zones
+        self._is_learned = is_learned
+        self._has_majority_contact = has_majority_contact
+        self._round_s = min(receipt_s / 8, CALLER_SILENCE_S * ROUND_PART)
+        self._is_leaving = False
+        self._under_way = {}  # mark: replies that wait for the order's round
+        self._archived = 0
+        self._is_archiving = False
+
+    def rules(self) -> list:
+        return [
+            router.Rule("GET", "/ploverward/configuration", self._get_configuration),
+            router.Rule("PUT", "/ploverward/configuration", self._change_configuration),
+            router.Rule("PATCH", "/ploverward/configuration", self._change_configuration),
+            router.Rule("GET", "/ploverward/evacuation", self._get_evacuations),
+            router.Rule("POST", "/ploverward/evacuation/<zone>", self._post_evacuation),
+            router.Rule("DELETE", "/ploverward/evacuation/<zone>", self._delete_evacuation),
+        ]
+
+    def leave(self) -> None:
+        """This node ends: new calls are sent on, those under way come to their answer or are left."""
+        self._is_leaving = True
+
+    def learn_archive(self, payload) -> None:
+        """The archive as it was chosen; called for each version that this node gets to know."""
+        self._archived = max(self._archived, archive.through(payload))
+
+    # Calls that this node can't answer.
+
+    def _is_sent_on(self, call) -> bool:
+        has_contact = self._has_majority_contact()
+        if has_contact and self._is_learned() and not self._is_leaving:
+            return False
+        self._send_on(call, is_cut_off=not has_contact)
+        return True
+
+    def _send_on(self, call, *, is_cut_off: bool) -> None:
+        address = self._redirect.pick(is_cut_off=is_cut_off)
+        if address:
+            call.see_other_node(address=address)
         else:
-            ring.spill("a configuration broke the check", fault=fault)
-            self._json(ask, 400, {"error": "not a configuration"})
+            call.unavailable(why="no other core node is known")
+
+    def _reply_to(self, call) -> Reply:
+        return Reply(loop=self._loop, call=call, limit_s=self._round_s, at_limit=self._give_up)
 
-    def _changed(self, ask, topic: str, fault, rev: int) -> None:
-        if fault is not None:
-            self._reject(ask, fault)
+    def _give_up(self, reply) -> None:
+        """The round has not ended in time; it may go on, and the call sent again is known."""
+        call = reply.claim()
+        if call is None:
             return
-        self._answer_when_applied(ask, topic, rev)
-
-    def _answer_when_applied(self, ask, topic: str, rev: int) -> None:
-        wait = [topic, rev, ask, None]
-        wait[3] = self.loop.after(delay=self.receipt_s / 8, act=lambda: self._end_wait(wait))
-        self._waits.append(wait)
-        self._check_waits()
-
-    def _check_waits(self) -> None:
-        for wait in list(self._waits):
-            topic, rev, _ask, _timer = wait
-            proxy_links = [peer.link for peer in self.proxies(is_listed=False)]
-            if not self.desk.lagging(topic=topic, serial=(0, rev), links=proxy_links):
-                self._end_wait(wait)
-
-    def _end_wait(self, wait) -> None:
-        if wait not in self._waits:
+        if self._has_majority_contact():
+            call.unavailable(why="no majority answered in time")
+        else:
+            self._send_on(call, is_cut_off=True)
+
+    def _refuse(self, reply, error) -> None:
+        call = reply.claim()
+        if call is None:
             return
-        self._waits.remove(wait)
-        self.loop.cancel(timer=wait[3])
-        self._json(wait[2], 200, {"serial": wait[1]})
+        if isinstance(error, problems.StaleBase):
+            call.answer(status=412, body={"error": str(error), "edition": error.current})
+        elif isinstance(error, problems.InvalidConfiguration):
+            call.answer(status=400, body={"error": error.text, "place": error.place})
+        else:
+            if not isinstance(error, problems.Problem):
+                ring.spill("an order broke its handling", fault=error)
+            call.unavailable(why=str(error))
 
-    def _evacuate(self, ask, zone: str, is_out: bool) -> None:
-        if zone not in self.settings.zones:
-            self._json(ask, 404, {"error": f"unknown zone '{zone}'"})
+    # Reading back.
+
+    def _get_configuration(self, call) -> None:
+        if self._is_sent_on(call):
             return
+        reply = self._reply_to(call)
+
+        def done(error, _version, payload, _result):
+            if error is not None:
+                self._refuse(reply, error)
+                return
+            waiting = reply.claim()
+            if waiting is None:
+                return
+            if not payload:
+                waiting.answer(status=404, body={"error": "no configuration yet"})
+                return
+            waiting.answer(status=200, body=payload["body"], headers=[(b"ETag", b'"%d"' % payload["edition"])])
+
+        self._registers.read(name=registers.CONFIGURATION, done=done)
+
+    def _get_evacuations(self, call) -> None:
+        if self._is_sent_on(call):
+            return
+        reply = self._reply_to(call)
+
+        def done(error, _version, payload, _result):
+            if error is not None:
+                self._refuse(reply, error)
+                return
+            waiting = reply.claim()
+            if waiting is not None:
+                waiting.answer(status=200, body={"zones": sorted(evacuations.zones_of(payload))})
+
+        self._registers.read(name=registers.EVACUATIONS, done=done)
 
-        def edit(payload):
-            zones = set((payload or {}).get("zones", ()))
-            wanted = zones | {zone} if is_out else zones - {zone}
-            if payload is not None and wanted == zones:
-                return payload, None
-            return {"zones": sorted(wanted)}, None
+    # Configurations.
 
-        self.proposer.change(
-            name="evac", edit=edit, done=lambda fault, rev, _payload, _result: self._changed(ask, "evac", fault, rev)
+    def _change_configuration(self, call) -> None:
+        base = _version_of(call.headers.get("If-Match"))
+        if base is None:
+            call.answer(status=400, body={"error": "If-Match is missing or not a version", "place": "If-Match"})
+            return
+        if self._is_sent_on(call):
+            return
+        reply = self._reply_to(call)
+        method, data = call.method, call.body
+        self._offload(
+            work=lambda: orders.read(method=method, base=base, data=data),
+            reply=reply,
+            then=lambda order: self._take_order(order, reply),
         )
 
-    def _post_evac(self, ask, _request, zone: str) -> None:
-        self._evacuate(ask, zone, True)
+    def _offload(self, *, work, reply, then) -> None:
+        def done(future):
+            error = future.exception()
+            if error is not None:
+                self._refuse(reply, error)
+            else:
+                then(future.result())
+
+        self._loop.offload(work=work, done=done)
 
-    def _delete_evac(self, ask, _request, zone: str) -> None:
-        self._evacuate(ask, zone, False)
+    def _take_order(self, order, reply) -> None:
+        """One round an order: the same call that comes again meanwhile waits for the round under way."""
+        waiting = self._under_way.get(order.mark)
+        if waiting is not None:
+            waiting.append(reply)
+            return
+        self._under_way[order.mark] = [reply]
+        if order.candidate is not None:
+            self._start_round(order)
+        else:
+            self._build(order)
 
-    def _get_evacs(self, ask, _request) -> None:
-        self.proposer.read(
-            name="evac",
-            done=lambda fault, _rev, payload, _result: (
-                self._unavailable(ask, fault) if fault is not None else self._json(ask, 200, payload or {"zones": []})
-            ),
+    def _build(self, order) -> None:
+        """A PATCH is merged and checked off the loop, against the version it builds on."""
+        held = self._applied()
+        current = held["edition"] if held else 0
+        if current == order.base:
+            self._build_on(order, held or {})
+        elif current > order.base:
+            self._start_round(order)
+        else:
+            self._registers.read(
+                name=registers.CONFIGURATION,
+                done=lambda error, _version, payload, _result: self._build_on_read(order, error, payload),
+            )
+
+    def _build_on_read(self, order, error, payload) -> None:
+        if error is not None:
+            self._end_order(order, error, 0)
+        elif orders.edition_of(payload) == order.base:
+            self._build_on(order, payload["body"] if payload else {})
+        else:
+            self._start_round(order)
+
+    def _build_on(self, order, held: dict) -> None:
+        def done(future):
+            error = future.exception()
+            if error is not None:
+                self._end_order(order, error, 0)
+            else:
+                self._start_round(future.result())
+
+        self._loop.offload(work=lambda: orders.build(order=order, held=held), done=done)
+
+    def _start_round(self, order) -> None:
+        self._registers.change(
+            name=registers.CONFIGURATION,
+            edit=orders.edit_for(order=order, archived=self._archived),
+            done=lambda error, version, payload, _result: self._round_ended(order, error, version, payload),
         )
 
+    def _round_ended(self, order, error, version: int, payload) -> None:
+        if isinstance(error, problems.StaleBase) and order.base < error.current:
+            self._look_up(order, error)
+            return
+        self._end_order(order, error, version)
+        if error is None:
+            self._tend_archive(payload)
+
+    def _look_up(self, order, stale) -> None:
+        """Whether an order on an older version was taken so long ago that only the archive knows."""
+
+        def done(error, _version, payload, _result):
+            if error is not None:
+                self._end_order(order, error, 0)
+            elif archive.has(payload=payload, mark=order.mark):
+                self._end_order(order, None, 0)
+            else:
+                self._end_order(order, stale, 0)
+
+        self._registers.read(name=registers.ARCHIVE, done=done)
+
+    def _end_order(self, order, error, version: int) -> None:
+        first, *later = self._under_way.pop(order.mark)
+        if error is None:
+            for reply in (first, *later):
+                self._acknowledge(reply, registers.CONFIGURATION, version)
+            return
+        self._refuse(first, error)
+        # Those that came later may ask about a later state than the one that refused.
+        for reply in later:
+            if not reply.is_over:
+                self._take_order(order, reply)
+
+    def _acknowledge(self, reply, topic: str, version: int) -> None:
+        until = reply.begun_at + CALLER_SILENCE_S * APPLIED_PART
+        self._applying.wait(reply=reply, topic=topic, version=version, until=until)
+
+    def _tend_archive(self, payload) -> None:
+        """Puts the marks of a chosen value into the archive once there are many that it lacks."""
+        rows = [row for row in orders.recent_of(payload) if row[0] > self._archived]
+        if self._is_archiving or len(rows) < orders.ARCHIVE_FROM:
+            return
+        self._is_archiving = True
+
+        def done(error, _version, payload, _result):
+            self._is_archiving = False
+            if error is None:
+                self.learn_archive(payload)
+
+        self._registers.change(name=registers.ARCHIVE, edit=archive.edit_for(rows=rows), done=done)
+
+    # Evacuations.
+
+    def _post_evacuation(self, call, zone: str) -> None:
+        self._evacuate(call, zone, is_out=True)
+
+    def _delete_evacuation(self, call, zone: str) -> None:
+        self._evacuate(call, zone, is_out=False)
+
+    def _evacuate(self, call, zone: str, *, is_out: bool) -> None:
+        if zone not in self._zones():
+            call.answer(status=404, body={"error": f"unknown zone '{zone}'", "place": "zone"})
+            return
+        if self._is_sent_on(call):
+            return
+        reply = self._reply_to(call)
+
+        def done(error, version, _payload, _result):
+            if error is not None:
+                self._refuse(reply, error)
+            else:
+                self._acknowledge(reply, registers.EVACUATIONS, version)
+
+        edit = evacuations.edit_for(zone=zone, is_out=is_out, is_late=lambda: reply.is_over)
+        self._registers.change(name=registers.EVACUATIONS, edit=edit, done=done)
+
 
-def _split_target(target: bytes) -> tuple:
-    path, _mark, query = target.partition(b"?")
-    return path.decode("latin-1"), query
+def _version_of(text) -> int | None:
+    """The version that If-Match names, with or without quotes."""
+    text = (text or "").strip()
+    if len(text) >= 2 and text[0] == text[-1] == '"':
+        text = text[1:-1]
+    return int(text) if _VERSION.fullmatch(text) else None
--- /dev/null
+++ b/pw/ctl/interfaces.py
@@ -0,0 +1,124 @@
+"""The published interfaces of a core node, put together: dispatch, directory and what tools read (design 4, 5, 9, 10)."""
+
+import dataclasses
+import typing
+
+from pw.base import inlet
+from pw.ctl import directory
+from pw.ctl import dispatch
+from pw.ctl import reports
+from pw.ctl import router
+
+HEAD_BYTES = 65536
+BODY_BYTES = 16 * 1024 * 1024
+IDLE_CONTACTS = 4  # a connection may rest for so many contactMs
+LEAST_CONNECTIONS = 200
+SERVED = ("control", "directory")
+
+
+@dataclasses.dataclass(frozen=True)
+class Registers:
+    """Access to the replicated registers: the arguments of the proposer's methods of the same names."""
+
+    change: typing.Callable
+    read: typing.Callable
+
+
+class Interfaces:
+    """Listeners and handlers. Inputs ending in `()` are called each time, as what they tell changes.
+
+    `registers`: change and read of the replicated registers; `members()`, `is_core_live(host)`, `is_learned()`,
+    `has_majority_contact()`: what this node knows of the core; `proxies(is_listed=)`: those in touch;
+    `configuration()`: the body in force as far as known, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop,
+        make_hall,
+        settings,
+        own: str,
+        desk,
+        registers,
+        members,
+        is_core_live,
+        is_learned,
+        has_majority_contact,
+        proxies,
+        configuration,
+        duties,
+        votes,
+        ttl_s: int,
+        contact_s: float,
+        receipt_s: float,
+    ):
+        self.halls = []
+        self.applying = dispatch.Applying(desk=desk, proxies=proxies)
+        self.dispatch = dispatch.Dispatch(
+            loop=loop,
+            registers=registers,
+            applying=self.applying,
+            redirect=dispatch.Redirect(own=own, port=_control_port(settings()), members=members, is_live=is_core_live),
+            applied=configuration,
+            zones=lambda: settings().zones,
+            receipt_s=receipt_s,
+            is_learned=is_learned,
+            has_majority_contact=has_majority_contact,
+        )
+        self.directory = directory.Directory(
+            loop=loop,
+            members=members,
+            is_core_live=is_core_live,
+            proxies=proxies,
+            configuration=configuration,
+            ttl_s=ttl_s,
+            contact_s=contact_s,
+        )
+        self.views = directory.Views(
+            desk=desk, proxies=proxies, settings=settings, votes=votes, members=members, duties=duties
+        )
+        self.adapters = reports.Adapters(loop=loop, desk=desk, proxies=proxies, settings=settings, contact_s=contact_s)
+        self.custody = reports.Custody(
+            loop=loop, proxies=proxies, settings=settings, contact_s=contact_s, receipt_s=receipt_s
+        )
+        parts = (self.dispatch, self.directory, self.views, self.adapters, self.custody)
+        self._router = router.Router(rules=[rule for part in parts for rule in part.rules()])
+        self._loop = loop
+        self._make_hall = make_hall
+        self._settings = settings
+        self._contact_s = contact_s
+
+    def listen(self) -> None:
+        settings = self._settings()
+        for name in SERVED:
+            if name in settings.bindings:
+                hall = self._make_hall(
+                    loop=self._loop,
+                    address=settings.bindings[name],
+                    on_ask=self._router.take,
+                    limits=self._limits,
+                    silence_s=self._contact_s,
+                    most_doors=max(LEAST_CONNECTIONS, settings.handles // 2),
+                )
+                self.halls.append(hall)
+
+    def leave(self) -> None:
+        """No new connections; calls on those that are open are sent on to other nodes."""
+        self.dispatch.leave()
+        for hall in self.halls:
+            hall.stop_listening()
+            hall.leave()
+
+    def _limits(self):
+        return inlet.Limits(
+            head_bytes=HEAD_BYTES,
+            body_bytes=BODY_BYTES,
+            head_s=self._contact_s,
+            idle_s=self._contact_s * IDLE_CONTACTS,
+        )
+
+
+def _control_port(settings) -> int:
+    """Ports are alike on all machines."""
+    return settings.bindings["control"][1] if "control" in settings.bindings else 0
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -71,7 +71,7 @@
         if peer is not None and peer.role == "proxy":
             ring.note("proxy gone", peer=peer.address, reason=reason)
             self._members_changed = True
-            self._check_waits()
+            self.interfaces.applying.check()
 
     def _take(self, link, message: tuple) -> None:
         kind = message[0]
@@ -104,19 +104,17 @@
             self.desk.take_want(link, message)
         elif kind == "have":
             self.desk.take_have(link, message)
-            self._check_waits()
+            self.interfaces.applying.check()
         elif kind == "trails":
             _kind, node, life, number, is_last, rows = message
-            self.ledger.take(node=node, life=life, number=number, is_last=is_last, rows=rows)
+            self.interfaces.custody.ledger.take(node=node, life=life, number=number, is_last=is_last, rows=rows)
         elif kind == "adapters":
             for node, zone, region, life, window, number, data in message[1]:
-                self.adapters.take(
+                self.interfaces.adapters.ledger.take(
                     node=node, zone=zone, region=region, life=life, window=window, number=number, data=data
                 )
         elif kind == "kept":
-            done = self._kept_asked.pop(message[1], None)
-            if done is not None:
-                done([{"replica": replica, "zone": zone} for replica, zone in message[2]])
+            self.interfaces.custody.take_kept(number=message[1], rows=message[2])
         elif kind == "state":
             peer = self.peers.get(link)
             if peer is not None:
@@ -154,6 +152,11 @@
         dialer = self.dialers.get(host)
         return dialer is not None and dialer.link is not None and dialer.link.is_up
 
+    def has_majority_contact(self) -> bool:
+        """Whether this node has links to a majority of the core set."""
+        members = self.members()
+        return ballots.has_majority(of=members, among={host for host in members if self.is_core_live(host)})
+
     def _beat(self) -> None:
         message = ("beat", 0)
         for link, peer in list(self.peers.items()):
--- a/pw/ctl/news/desk.py
+++ b/pw/ctl/news/desk.py
@@ -55,10 +55,11 @@
 class Follower:
     """The other end: asks one teller at a time for what it lacks, never goes back."""
 
-    def __init__(self, *, now, patience_s: float, on_image, is_near=None):
+    def __init__(self, *, now, patience_s: float, on_image, is_near=None, unwanted=()):
         self._now = now
         self._patience_s = patience_s
         self._is_near = is_near  # whether a link's images come cheaply
+        self._unwanted = frozenset(unwanted)  # topics that are never asked for
         self._on_image = on_image  # (topic, epoch, number, data)
         self.serials = {}
         self._offered = {}  # topic: {link: serial}
@@ -66,6 +67,8 @@
 
     def take_offer(self, link, message: tuple) -> None:
         for topic, epoch, number in message[1]:
+            if topic in self._unwanted:
+                continue
             if (epoch, number) <= self.serials.get(topic, (0, 0)):
                 link.send(("have", ((topic, *self.serials[topic]),)))
                 continue
--- a/pw/ctl/registers.py
+++ b/pw/ctl/registers.py
@@ -3,5 +3,6 @@
 CONFIGURATION = "spec"
 EVACUATIONS = "evac"
 DUTIES = "duty"
-CORE_SET = "cores"
-REGISTERS = (CONFIGURATION, EVACUATIONS, DUTIES, CORE_SET)
+ARCHIVE = "orders"  # marks of orders taken long ago (pw/ctl/configuration/archive.py)
+CORE_SET = "cores"  # last: it moves after the others
+REGISTERS = (CONFIGURATION, EVACUATIONS, DUTIES, ARCHIVE, CORE_SET)
--- a/pw/ctl/reports.py
+++ b/pw/ctl/reports.py
@@ -2,111 +2,130 @@
 
 import json
 
-
+from pw.ctl import router
 from pw.ctl.adapters import ledger as adapter_ledgers
 from pw.ctl.custody import ledger as ledgers
 
-
 CUSTODY_CONTACTS = 720  # trails are kept for so many contactMs: an hour, at 5 s
+TRAILS_PER_MB = 60  # of the process's memory
+TRAILS_PER_PAGE = 500
+WINDOW_CONTACTS = 6  # adapters are counted over so many contactMs
 
 
-class AdaptersMixin:
+class Adapters:
     """What the proxies counted of adapters, for operators (docs/pins.md)."""
 
-    def start_adapters(self) -> None:
-        self.adapters = adapter_ledgers.Ledger(now=self.loop.now, window_s=self.contact_s * 6)
-
-    def _get_adapters(self, ask, _request) -> None:
-        held = self.desk.get("list")
-        listed = json.loads(held[2])["replicas"] if held is not None else []
-        self._json(
-            ask,
-            200,
-            {
-                "node": self.settings.node,
-                "window_s": self.contact_s * 6,
-                "windows": self.adapters.rows(),
-                "malformed": self.adapters.malformed,
-                "malformed_replicas": [row["id"] for row in listed if row.get("is_malformed")],
-                "zones": self.settings.zones,
-                "replicas": [
-                    {
-                        "id": row["id"],
-                        "service": row["service"],
-                        "zone": row["zone"],
-                        "region": self.settings.zones.get(row["zone"], ""),
-                        "is_clearing": row["is_clearing"],
-                        "models": row["models"],
-                        "adapters": row.get("adapters", []),
-                    }
-                    for row in listed
-                ],
-                "proxies": [
-                    {"address": peer.address, "life": peer.life, "zone": peer.zone}
-                    for peer in self.proxies(is_listed=False)
-                ],
-            },
-        )
+    def __init__(self, *, loop, desk, proxies, settings, contact_s: float):
+        self._desk = desk
+        self._proxies = proxies
+        self._settings = settings
+        self._window_s = contact_s * WINDOW_CONTACTS
+        self.ledger = adapter_ledgers.Ledger(now=loop.now, window_s=self._window_s)
 
+    def rules(self) -> list:
+        return [router.Rule("GET", "/ploverward/adapters", self._get_adapters)]
 
-class CustodyMixin:
+    def _get_adapters(self, call) -> None:
+        held = self._desk.get("list")
+        listed = json.loads(held[2])["replicas"] if held is not None else []
+        zones = self._settings().zones
+        body = {
+            "node": self._settings().node,
+            "window_s": self._window_s,
+            "windows": self.ledger.rows(),
+            "malformed": self.ledger.malformed,
+            "malformed_replicas": [row["id"] for row in listed if row.get("is_malformed")],
+            "zones": zones,
+            "replicas": [_replica_row(row, zones) for row in listed],
+            "proxies": [
+                {"address": peer.address, "life": peer.life, "zone": peer.zone}
+                for peer in self._proxies(is_listed=False)
+            ],
+        }
+        call.answer(status=200, body=body)
+
+
+def _replica_row(row: dict, zones: dict) -> dict:
+    return {
+        "id": row["id"],
+        "service": row["service"],
+        "zone": row["zone"],
+        "region": zones.get(row["zone"], ""),
+        "is_clearing": row["is_clearing"],
+        "models": row["models"],
+        "adapters": row.get("adapters", []),
+    }
+
+
+class Custody:
     """Custody trails, for operators (design 10, docs/residency.md)."""
 
-    def start_custody(self) -> None:
-        self.ledger = ledgers.Ledger(
-            now=self.loop.now, keep_s=self.contact_s * CUSTODY_CONTACTS, most=int(self.settings.memory_mb * 60)
-        )
-        self._kept_asked = {}
-        self._kept_number = 0
-
-    def _get_trail(self, ask, _request, ask_id: str) -> None:
-        trails = self.ledger.find(ask_id)
+    def __init__(self, *, loop, proxies, settings, contact_s: float, receipt_s: float):
+        self._loop = loop
+        self._proxies = proxies
+        self._settings = settings
+        self._keep_s = contact_s * CUSTODY_CONTACTS
+        self._receipt_s = receipt_s
+        most = int(settings().memory_mb * TRAILS_PER_MB)
+        self.ledger = ledgers.Ledger(now=loop.now, keep_s=self._keep_s, most=most)
+        self._waiting = {}  # number: who waits for what a proxy knows of kept parts
+        self._number = 0
+
+    def rules(self) -> list:
+        return [
+            router.Rule("GET", "/ploverward/custody/<request_id>", self._get_trail),
+            router.Rule("GET", "/ploverward/custody", self._get_trails),
+        ]
+
+    def take_kept(self, *, number: int, rows) -> None:
+        """A proxy's answer: (replica, zone) of those that keep parts of a trail."""
+        done = self._waiting.pop(number, None)
+        if done is not None:
+            done([{"replica": replica, "zone": zone} for replica, zone in rows])
+
+    def _get_trail(self, call, request_id: str) -> None:
+        trails = self.ledger.find(request_id)
+        node = self._settings().node
         if not trails:
-            self._json(ask, 404, {"error": f"no trail of '{ask_id}' here", "node": self.settings.node})
+            call.answer(status=404, body={"error": f"no trail of '{request_id}' here", "node": node})
             return
         waiting = [trail for trail in trails if trail["parts"]]
-        if not waiting or not self.proxies():
-            self._json(ask, 200, {"node": self.settings.node, "trails": trails, "kept_known": not waiting})
+        if not waiting or not self._proxies():
+            call.answer(status=200, body={"node": node, "trails": trails, "kept_known": not waiting})
             return
         trail = waiting[-1]
 
         def done(rows):
-            self.loop.cancel(timer=timer)
+            self._loop.cancel(timer=timer)
             if rows is not None:
                 trail["kept"] = rows
-            self._json(ask, 200, {"node": self.settings.node, "trails": trails, "kept_known": rows is not None})
+            call.answer(status=200, body={"node": node, "trails": trails, "kept_known": rows is not None})
 
-        self._kept_number += 1
-        number = self._kept_number
-        self._kept_asked[number] = done
-        timer = self.loop.after(
-            delay=self.receipt_s / 12, act=lambda: done(None) if self._kept_asked.pop(number, None) else None
-        )
-        self.proxies()[0].link.send(
-            (
-                "keeps",
-                number,
-                trail["service"],
-                trail["model"],
-                tuple((bytes.fromhex(part),) for part in trail["parts"]),
-            )
+        number = self._request_kept(trail=trail, done=done)
+        timer = self._loop.after(
+            delay=self._receipt_s / 12, act=lambda: done(None) if self._waiting.pop(number, None) else None
         )
 
-    def _get_trails(self, ask, request) -> None:
-        after = request.args.get("after", "0")
-        rows, last, has_more = self.ledger.page(after=int(after) if after.isdigit() else 0, most=500)
-        live_lives = {peer.life for peer in self.proxies(is_listed=False)}
+    def _request_kept(self, *, trail: dict, done) -> int:
+        self._number += 1
+        self._waiting[self._number] = done
+        parts = tuple((bytes.fromhex(part),) for part in trail["parts"])
+        self._proxies()[0].link.send(("keeps", self._number, trail["service"], trail["model"], parts))
+        return self._number
+
+    def _get_trails(self, call) -> None:
+        after = call.query.get("after", "0")
+        first = int(after) if after.isascii() and after.isdecimal() and len(after) < 20 else 0
+        rows, last, has_more = self.ledger.page(after=first, most=TRAILS_PER_PAGE)
+        live_lives = {peer.life for peer in self._proxies(is_listed=False)}
         live = {key for key in self.ledger.lives if key[1] in live_lives}
-        self._json(
-            ask,
-            200,
-            {
-                "node": self.settings.node,
-                "trails": rows,
-                "last": last,
-                "has_more": has_more,
-                "coverage": self.ledger.coverage(live=live),
-                "zones": self.settings.zones,
-                "keep_s": self.contact_s * CUSTODY_CONTACTS,
-            },
-        )
+        body = {
+            "node": self._settings().node,
+            "trails": rows,
+            "last": last,
+            "has_more": has_more,
+            "coverage": self.ledger.coverage(live=live),
+            "zones": self._settings().zones,
+            "keep_s": self._keep_s,
+        }
+        call.answer(status=200, body=body)
--- /dev/null
+++ b/pw/ctl/test_applying.py
@@ -0,0 +1,71 @@
+"""When an order that was taken is acknowledged: once all live proxies applied it, and never later than the ceiling."""
+
+import types
+
+from pw.ctl import dispatch
+from pw.ctl.news import desk as desks
+from pw.sim import world as worlds
+
+CEILING_S = 0.9
+
+
+class Link:
+    def __init__(self):
+        self.told = []
+
+    def send(self, message):
+        self.told.append(message)
+
+
+class Call:
+    def __init__(self):
+        self.answers = []
+
+    def answer(self, *, status, body, headers=()):
+        self.answers.append((status, body))
+
+
+def make(links):
+    loop = worlds.Loop(world=worlds.World(seed=1))
+    desk = desks.Desk()
+    for link in links:
+        desk.join(link)
+    applying = dispatch.Applying(
+        desk=desk, proxies=lambda *, is_listed=True: [types.SimpleNamespace(link=link) for link in links]
+    )
+    call = Call()
+    reply = dispatch.Reply(loop=loop, call=call, limit_s=0.75, at_limit=lambda reply: None)
+    applying.wait(reply=reply, topic="spec", version=3, until=reply.begun_at + CEILING_S)
+    return applying, desk, call, loop
+
+
+def test_the_operator_is_answered_once_all_live_proxies_applied_it():
+    links = [Link(), Link()]
+    applying, desk, call, _loop = make(links)
+    assert call.answers == []
+    desk.take_have(links[0], ("have", (("spec", 0, 3),)))
+    applying.check()
+    assert call.answers == []
+    desk.take_have(links[1], ("have", (("spec", 0, 4),)))
+    applying.check()
+    assert call.answers == [(200, {"serial": 3})]
+
+
+def test_a_proxy_whose_lease_ran_out_is_not_waited_for():
+    links = [Link(), Link()]
+    applying, desk, call, _loop = make(links)
+    desk.take_have(links[0], ("have", (("spec", 0, 3),)))
+    links.pop()
+    applying.check()
+    assert len(call.answers) == 1
+
+
+def test_there_is_a_ceiling_and_one_answer_only():
+    applying, _desk, call, loop = make([Link()])
+    loop.world.run(until=CEILING_S - 0.01)
+    assert call.answers == []
+    loop.world.run(until=CEILING_S + 0.01)
+    assert call.answers == [(200, {"serial": 3})]
+    applying.check()
+    loop.world.run(until=5.0)
+    assert len(call.answers) == 1
--- a/pw/ctl/test_directory.py
+++ b/pw/ctl/test_directory.py
@@ -7,12 +7,14 @@
 
 def make(live):
     clock = [0.0]
-    node = types.SimpleNamespace(
+    node = directory.Directory(
+        loop=types.SimpleNamespace(now=lambda: clock[0]),
         members=lambda: ("a", "b", "c"),
         is_core_live=lambda host: host in live,
+        proxies=lambda **_about: [],
+        configuration=lambda: None,
+        ttl_s=1,
         contact_s=4.0,
-        _aside_since=None,
-        loop=types.SimpleNamespace(now=lambda: clock[0]),
     )
     return node, clock
 
@@ -20,14 +22,14 @@
 def test_cut_off_it_sends_on_then_answers_again_when_nobody_else_may():
     live = {"a", "b"}
     node, clock = make(live)
-    assert not directory.DirectoryMixin._is_aside(node)
+    assert not node.is_aside()
     live.discard("b")
-    assert directory.DirectoryMixin._is_aside(node)
+    assert node.is_aside()
     clock[0] = 7.9
-    assert directory.DirectoryMixin._is_aside(node)
+    assert node.is_aside()
     clock[0] = 8.1
-    assert not directory.DirectoryMixin._is_aside(node)
+    assert not node.is_aside()
     live.add("c")
-    assert not directory.DirectoryMixin._is_aside(node)
+    assert not node.is_aside()
     live.discard("c")
-    assert directory.DirectoryMixin._is_aside(node)
+    assert node.is_aside()
--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -249,3 +249,11 @@
     count = len(asked)
     later.pop()[1]()
     assert len(asked) == count
+
+
+def test_a_follower_never_asks_for_what_it_does_not_want():
+    follower = desks.Follower(now=lambda: 0.0, patience_s=0.3, on_image=lambda *row: None, unwanted=("orders",))
+    link = Wire()
+    follower.take_offer(link, ("offer", (("orders", 0, 5), ("spec", 0, 5))))
+    follower.tick()
+    assert link.told == [("want", "spec")]
--- a/pw/dat/follow.py
+++ b/pw/dat/follow.py
@@ -7,6 +7,7 @@
 from pw.base import residency
 from pw.base import records
 from pw.base import ring
+from pw.ctl import registers
 from pw.ctl.news import desk as desks
 from pw.ctl.register import ballots
 from pw.dat import routes as route_tables
@@ -30,6 +31,7 @@
             patience_s=self.contact_s / 12,
             on_image=self._on_image,
             is_near=lambda link: link in self.near_links,
+            unwanted=(registers.ARCHIVE,),
         )
         self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
         self._dial_cores()
--- a/pw/sim/world.py
+++ b/pw/sim/world.py
@@ -1,5 +1,6 @@
 """A simulated world for tests: time, network and disk with seeds. Nothing sleeps."""
 
+import concurrent.futures
 import heapq
 import random
 
@@ -59,3 +60,32 @@
     def tear(self, *, name: str, keep: int) -> None:
         """Power was lost in an append: only some of its bytes are there."""
         self.files[name] = self.files[name][:keep]
+
+
+class Loop:
+    """The world's time with the methods of pw.base.loop.Loop that handlers use. Offloaded work takes some time."""
+
+    def __init__(self, *, world, work_s: tuple = (0.0, 0.01)):
+        self.world = world
+        self.now = world.now
+        self.is_up = True
+        self._work_s = work_s
+
+    def after(self, *, delay: float, act):
+        timer = [act]
+        self.world.later(max(0.0, delay), lambda: timer.pop()() if timer and self.is_up else None)
+        return timer
+
+    def cancel(self, *, timer) -> None:
+        timer.clear()
+
+    def command(self, *, act) -> None:
+        self.after(delay=0.0, act=act)
+
+    def offload(self, *, work, done) -> None:
+        future = concurrent.futures.Future()
+        try:
+            future.set_result(work())
+        except Exception as error:
+            future.set_exception(error)
+        self.after(delay=self.world.chance.uniform(*self._work_s), act=lambda: done(future))
