--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -1,4 +1,4 @@
-"""The server side of HTTP/1.1, by h11 (design 3). Strictly one ask at a time on a connection."""
+"""The server side of HTTP/1.1, by h11 (design 3). Strictly one request at a time on a connection."""
 
 import collections
 import selectors
@@ -31,7 +31,7 @@
 Limits = collections.namedtuple("Limits", "head_bytes body_bytes head_s idle_s")
 
 
-class Ask:
+class Request:
     """One request of a user agent, whole, and the way to answer it."""
 
     __slots__ = (
@@ -81,7 +81,7 @@
 
     def start(self, *, status: int, headers, is_last=False) -> None:
         self.is_started = True
-        self.door.start(ask=self, status=status, headers=headers, is_last=is_last)
+        self.door.start(request=self, status=status, headers=headers, is_last=is_last)
 
     def data(self, data: bytes) -> None:
         if data:
@@ -89,7 +89,7 @@
 
     def end(self) -> None:
         self.is_answered = True
-        self.door.finish(ask=self)
+        self.door.finish(request=self)
 
     def abort(self) -> None:
         """Ends the connection so that the answer can't look complete."""
@@ -107,7 +107,7 @@
         self.is_open = True
         self.is_ending = False
         self._out = bytearray()
-        self._ask = None
+        self._request = None
         self._chunks = []
         self._size = 0
         self._has_head = False
@@ -125,7 +125,7 @@
     def _idle(self) -> None:
         if not self.is_open:
             return
-        if self._ask is not None and self._has_head is False:
+        if self._request is not None and self._has_head is False:
             return
         if self._head_begun is not None or self._has_head:
             self._refuse(status=408)
@@ -137,7 +137,7 @@
         self._timer = self.loop.after(delay=delay, act=self._idle)
 
     def _refuse(self, *, status: int) -> None:
-        """An answer to what never became a whole ask; the connection ends after it."""
+        """An answer to what never became a whole request; the connection ends after it."""
         self._has_head = False
         self._is_broken = True
         text = b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n" % (
@@ -166,7 +166,7 @@
             self._feed(data)
 
     def _feed(self, data: bytes) -> None:
-        if self._ask is None and not self._has_head and self._head_begun is None:
+        if self._request is None and not self._has_head and self._head_begun is None:
             self._head_begun = self.loop.now()
             self._arm(delay=self._limits.head_s)
         try:
@@ -178,8 +178,8 @@
 
     def _pump(self) -> None:
         while self.is_open and not self._is_broken:
-            if self._ask is not None and not self._has_head:
-                return  # an ask is being answered; what follows waits
+            if self._request is not None and not self._has_head:
+                return  # a request is being answered; what follows waits
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as fault:
@@ -206,7 +206,7 @@
                 if lengths and int(next(iter(lengths))) > self._limits.body_bytes:
                     self._refuse(status=413)
                     return
-                self._ask = Ask(
+                self._request = Request(
                     door=self,
                     method=event.method,
                     target=event.target,
@@ -227,21 +227,21 @@
                     return
                 self._chunks.append(bytes(event.data))
             elif kind is h11.EndOfMessage:
-                ask = self._ask
-                ask.body = b"".join(self._chunks)
-                ask.at = self.loop.now()
+                request = self._request
+                request.body = b"".join(self._chunks)
+                request.at = self.loop.now()
                 self._chunks = []
                 self._has_head = False
                 self._head_begun = None
                 self.loop.cancel(timer=self._timer)
                 self._served += 1
-                self.hall.take(ask)
+                self.hall.take(request)
                 return
             elif kind is h11.ConnectionClosed:
                 self.close()
                 return
 
-    def start(self, *, ask, status: int, headers, is_last: bool) -> None:
+    def start(self, *, request, status: int, headers, is_last: bool) -> None:
         if not self.is_open:
             return
         headers = [*headers]
@@ -258,12 +258,12 @@
         if data:
             self._write(data)
 
-    def finish(self, *, ask) -> None:
+    def finish(self, *, request) -> None:
         if not self.is_open:
             return
         self.send(h11.EndOfMessage())
         self.hall.let_go(door=self)
-        self._ask = None
+        self._request = None
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._limits = self.hall.limits()
             self._h11.start_next_cycle()
@@ -297,24 +297,24 @@
         except OSError:
             self._gone()
             return
-        if not self._out and self.is_ending and (self._ask is None or self._is_broken):
+        if not self._out and self.is_ending and (self._request is None or self._is_broken):
             self.close()
             return
-        if not self._out and self._ask is not None and self._ask.on_drain is not None:
-            self._ask.on_drain()
+        if not self._out and self._request is not None and self._request.on_drain is not None:
+            self._request.on_drain()
         mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out else 0)
         if self.is_open and mask != self._mask:
             self._mask = mask
             self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
 
     def _gone(self) -> None:
-        ask = self._ask
+        request = self._request
         self.close()
-        if ask is not None and ask.on_gone is not None and not ask.is_answered:
-            ask.on_gone()
+        if request is not None and request.on_gone is not None and not request.is_answered:
+            request.on_gone()
 
     def is_idle(self) -> bool:
-        return self._ask is None and self._head_begun is None
+        return self._request is None and self._head_begun is None
 
     def close(self, *, is_hard=False) -> None:
         if not self.is_open:
@@ -335,9 +335,20 @@
 
 
 class Hall:
-    """A listener and its connections. `on_ask(ask)` takes each whole ask."""
-
-    def __init__(self, *, loop, address, on_ask, limits, silence_s, most_doors=3000, most_bytes=64 * 1024 * 1024):
+    """A listener and its connections. `on_request(request)` takes each whole request."""
+
+    def __init__(
+        self,
+        *,
+        loop,
+        address,
+        limits,
+        silence_s,
+        on_request=None,
+        on_ask=None,  # the former name of on_request, until all callers use the new one
+        most_doors=3000,
+        most_bytes=64 * 1024 * 1024,
+    ):
         self.loop = loop
         self.limits = limits
         self.silence_s = silence_s
@@ -347,7 +358,7 @@
         self._most_bytes = most_bytes
         self._held = {}
         self._held_bytes = 0
-        self._on_ask = on_ask
+        self._on_request = on_request or on_ask
         self._sock = links.listen(address=address)
         self._is_listening = True
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
@@ -361,8 +372,8 @@
             return
         self.doors.add(Door(hall=self, sock=sock))
 
-    def take(self, ask) -> None:
-        self._on_ask(ask)
+    def take(self, request) -> None:
+        self._on_request(request)
 
     def hold(self, *, door, size: int) -> bool:
         """Whether the bodies held of all connections stay inside the bound."""
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -66,7 +66,7 @@
             if model and replica.models and model not in replica.models:
                 continue
             rows.append(replica)
-        # Suspects are tried by connections of their own; an ask is better refused at once than spent on them.
+        # Suspects are tried by connections of their own; a request is better refused at once than spent on them.
         rows = [replica for replica in rows if not replica.is_suspect]
         return [replica for replica in rows if replica.away_until <= now] or rows
 
--- a/pw/dat/custody.py
+++ b/pw/dat/custody.py
@@ -6,13 +6,13 @@
 
 def trail_of(*, passage, proxy, status: int) -> dict:
     return {
-        "id": passage.ask_id.decode("latin-1"),
+        "id": passage.request_id.decode("latin-1"),
         "proxy": proxy.settings.node,
         "zone": proxy.settings.zone,
         "region": proxy.settings.region,
         "life": proxy.life,
-        "arrived": round(time.time() - (proxy.loop.now() - passage.ask.begun_at), 3),
-        "lasted_ms": round((proxy.loop.now() - passage.ask.begun_at) * 1000),
+        "arrived": round(time.time() - (proxy.loop.now() - passage.request.begun_at), 3),
+        "lasted_ms": round((proxy.loop.now() - passage.request.begun_at) * 1000),
         "route": passage.route.name,
         "service": passage.service,
         "model": passage.model,
@@ -24,13 +24,13 @@
     }
 
 
-def go_row(*, go, passage, proxy) -> dict:
+def attempt_row(*, attempt, passage, proxy) -> dict:
     return {
-        "replica": go.replica.id,
-        "zone": go.replica.zone,
+        "replica": attempt.replica.id,
+        "zone": attempt.replica.zone,
         "edition": proxy.routes.edition,
-        "homes": sorted(go.permitted) if go.permitted is not None else [],
-        "from_ms": round((go.sent_at - passage.ask.begun_at) * 1000),
+        "homes": sorted(attempt.permitted) if attempt.permitted is not None else [],
+        "from_ms": round((attempt.sent_at - passage.request.begun_at) * 1000),
         "to_ms": None,
         "end": "",
         "is_resumption": passage.has_head,
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -1,4 +1,4 @@
-"""The way to one replica: connections by h11, strictly one ask at a time on each (design 3, 7)."""
+"""The way to one replica: connections by h11, strictly one request at a time on each (design 3, 7)."""
 
 import errno
 import selectors
@@ -26,7 +26,7 @@
 
 
 class Outlet:
-    """One connection. The go that uses it is told: on_head, on_data, on_end, on_fail(reason, was sent)."""
+    """One connection. The attempt that uses it is told: on_head, on_data, on_end, on_fail(reason, was sent)."""
 
     def __init__(self, *, loop, replica, connect_s: float, silence_s: float, on_free, on_way):
         self.loop = loop
@@ -34,7 +34,7 @@
         self.is_open = True
         self.is_up = False
         self.is_paused = False
-        self.go = None
+        self.attempt = None
         self.served = 0
         self.idle_until = 0.0
         self._on_free = on_free
@@ -64,8 +64,8 @@
             delay=connect_s, act=lambda: self._broken("connect timeout") if not self.is_up else None
         )
 
-    def take(self, go, *, head: h11.Request, body: bytes) -> None:
-        self.go = go
+    def take(self, attempt, *, head: h11.Request, body: bytes) -> None:
+        self.attempt = attempt
         self._request = head
         self._skips = 0
         self._is_skipping = False
@@ -79,9 +79,9 @@
         if self.is_up:
             self._flush()
 
-    def drop_go(self) -> None:
-        """The go is not wanted any more: the connection ends with it."""
-        self.go = None
+    def drop_attempt(self) -> None:
+        """The attempt is not wanted any more: the connection ends with it."""
+        self.attempt = None
         self.close()
 
     @property
@@ -125,7 +125,7 @@
                 self.loop.cancel(timer=self._timer)
                 self.replica.heard_at = self.loop.now()
                 self._on_way(self.replica, self.replica.heard_at - self._begun_at)
-                if self.go is None:
+                if self.attempt is None:
                     self.idle_until = self.replica.heard_at + 4.0
                     self._on_free(self)
             self._flush()
@@ -137,7 +137,7 @@
             except OSError as fault:
                 self._broken(str(fault))
                 return
-            if self.go is None:
+            if self.attempt is None:
                 self.close()  # bytes that belong to no request, or the end of an idle connection
                 return
             if not data:
@@ -159,13 +159,13 @@
             self._pump()
         except h11.RemoteProtocolError:
             pass
-        if self.is_open and self.go is not None:
+        if self.is_open and self.attempt is not None:
             self._broken("closed")
         else:
             self.close()
 
     def _pump(self) -> None:
-        while self.is_open and self.go is not None:
+        while self.is_open and self.attempt is not None:
             event = self._h11.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
@@ -174,10 +174,10 @@
                 continue
             if kind is h11.Response:
                 headers = dict(event.headers)
-                asked = self.go.ask_id
+                expected = self.attempt.request_id
                 told = headers.get(b"x-attempt-id")
                 is_ours = (
-                    told == asked
+                    told == expected
                     if told is not None
                     else (self.served == 0 and self._skips == 0 and event.status_code >= 400)
                 )
@@ -196,10 +196,12 @@
                 self._keep_s = _keep_seconds(keep)
                 is_framed = b"content-length" in headers or b"chunked" in headers.get(b"transfer-encoding", b"").lower()
                 self._is_head_seen = True
-                self.go.on_head(status=event.status_code, headers=event.headers, table=headers, is_framed=is_framed)
+                self.attempt.on_head(
+                    status=event.status_code, headers=event.headers, table=headers, is_framed=is_framed
+                )
             elif kind is h11.Data:
                 if not self._is_skipping:
-                    self.go.on_data(bytes(event.data))
+                    self.attempt.on_data(bytes(event.data))
             elif kind is h11.EndOfMessage:
                 if self._is_skipping:
                     trailing = self._h11.trailing_data[0]
@@ -228,7 +230,7 @@
         return self._body_size() > 0
 
     def _ended(self) -> None:
-        go, self.go = self.go, None
+        attempt, self.attempt = self.attempt, None
         self.served += 1
         self.is_paused = False
         self._set_mask()
@@ -247,7 +249,7 @@
             self._on_free(self)
         else:
             self.close()
-        go.on_end()
+        attempt.on_end()
 
     def _flush(self) -> None:
         try:
@@ -266,11 +268,11 @@
     def _broken(self, reason: str) -> None:
         if not self.is_open:
             return
-        go, self.go = self.go, None
+        attempt, self.attempt = self.attempt, None
         was_up = self.is_up
         self.close()
-        if go is not None:
-            go.on_fail(reason=reason, was_sent=self._sent_any, was_up=was_up)
+        if attempt is not None:
+            attempt.on_fail(reason=reason, was_sent=self._sent_any, was_up=was_up)
 
     def close(self) -> None:
         if not self.is_open:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -1,4 +1,4 @@
-"""The way of an ask through a proxy: a chain of filters that each may answer (design 7)."""
+"""The way of a request through a proxy: a chain of filters that each may answer (design 7)."""
 
 import random
 
@@ -60,7 +60,7 @@
     return tuple(rows)
 
 
-class Go:
+class Attempt:
     """One attempt at one replica."""
 
     def __init__(self, *, passage, replica, number, to_read, permitted):
@@ -69,7 +69,7 @@
         self.number = number
         self.to_read = to_read
         self.permitted = permitted
-        self.ask_id = passage.ask_id
+        self.request_id = passage.request_id
         self.outlet = None
         self.status = 0
         self.is_over = False
@@ -99,18 +99,18 @@
 
 
 class Passage:
-    """One ask, from the filters to its final answer."""
+    """One request, from the filters to its final answer."""
 
-    def __init__(self, *, proxy, ask):
+    def __init__(self, *, proxy, request):
         self.proxy = proxy
         self.loop = proxy.loop
-        self.ask = ask
-        self.ask_id = ask.header(b"x-attempt-id")
+        self.request = request
+        self.request_id = request.header(b"x-attempt-id")
         self.route = None
         self.service = ""
         self.permitted = None
         self.first_homes = ()
-        self.model_text = ask.text(b"x-model")
+        self.model_text = request.text(b"x-model")
         self.model = self.model_text
         self.adapter = ""
         self.is_adapter_known = True
@@ -118,8 +118,8 @@
         self.chain = ()
         self.prompt_tokens = 0
         self.deadline = 0.0
-        self.go = None
-        self.goes = 0
+        self.attempt = None
+        self.attempts = 0
         self.turns = 0
         self.arrivals = 0
         self.avoid = set()
@@ -129,17 +129,17 @@
         self.is_streaming = False
         self.buffer = None
         self.events = None
-        self.last_id = ask.header(b"last-event-id") or None
+        self.last_id = request.header(b"last-event-id") or None
         self.retry_timer = None
         self.watch_timer = None
         self.limit_timer = None
         self.wait_until = 0.0
         self.aim_s = 0.0
         self.come_back_s = 0.0
-        self.custody = []  # one row a go (design 10)
+        self.custody = []  # one row an attempt (design 10)
         self.edition = proxy.routes.edition
-        self.trail = []  # (seconds from the ask, step, replica): written to the ring where the ask was slow
-        ask.on_gone = self.gone
+        self.trail = []  # (seconds from the request, step, replica): written to the ring where the request was slow
+        request.on_gone = self.gone
 
     # Filters. Each may answer; each edits the head in place.
     def begin(self) -> None:
@@ -149,15 +149,15 @@
                 return
         self.proxy.quota.note_ask(self.service)
         self.limit_timer = self.loop.at(when=self.deadline, act=self.out_of_time)
-        self.wait_until = self.ask.at + self.aim_s * 0.2
-        self.try_go()
+        self.wait_until = self.request.at + self.aim_s * 0.2
+        self.try_attempt()
 
     def filter_ready(self) -> None:
         if not self.proxy.is_serving:
             self.reject(after_s=0.5)
 
     def filter_route(self) -> None:
-        route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
+        route = self.proxy.routes.find(host=self.request.text(b"host"), target=self.request.target)
         if route is None:
             self.answer(status=404)
             return
@@ -166,22 +166,22 @@
         self.service = route.pick(random.random())
 
     def filter_time(self) -> None:
-        given = self.ask.text(b"x-time-left-ms")
+        given = self.request.text(b"x-time-left-ms")
         left_s = self.route.expiry_s
         try:
             left_s = min(left_s, float(given) / 1000.0) if given else left_s
         except ValueError:
             self.answer(status=400)
             return
-        self.deadline = self.ask.begun_at + left_s
+        self.deadline = self.request.begun_at + left_s
         self.aim_s = self.route.target_s or left_s * 0.25
 
     def filter_prompt(self) -> None:
         self.resolve_model()
-        counts = self.ask.text(b"x-token-count").split(",")
+        counts = self.request.text(b"x-token-count").split(",")
         if counts[0].strip().isdigit():
             self.prompt_tokens = int(counts[0])
-        lead = self.ask.text(b"x-prompt-lead")
+        lead = self.request.text(b"x-prompt-lead")
         if lead and self.route.is_sticky:
             self.parts = parse_parts(lead)
             self.chain = ckf.chain(model=self.model_text, parts=self.parts)
@@ -197,15 +197,15 @@
         return self.route.is_repeatable
 
     def mark(self, step: str, *about) -> None:
-        self.trail.append((round(self.loop.now() - self.ask.at, 3), step, *about))
+        self.trail.append((round(self.loop.now() - self.request.at, 3), step, *about))
 
-    # Goes.
-    def try_go(self) -> None:
+    # Attempts.
+    def try_attempt(self) -> None:
         if self.is_over:
             return
         if self.turns:
             # A later turn stands under the configuration now in force, and the stricter homes of both.
-            route = self.proxy.routes.find(host=self.ask.text(b"host"), target=self.ask.target)
+            route = self.proxy.routes.find(host=self.request.text(b"host"), target=self.request.target)
             if route is None:
                 self.give_up()
                 return
@@ -239,22 +239,22 @@
             self.avoid.add(replica.id)
             self.wait_or_reject()
             return
-        self.goes += 1
+        self.attempts += 1
         now = self.loop.now()
-        go = Go(
+        attempt = Attempt(
             passage=self, replica=replica, number=self.proxy.next_number(), to_read=to_read, permitted=self.permitted
         )
-        go.sent_at = go.heard_at = now
-        go.outlet = outlet
-        self.go = go
+        attempt.sent_at = attempt.heard_at = now
+        attempt.outlet = outlet
+        self.attempt = attempt
         replica.running += 1
-        replica.to_read[go.number] = to_read
+        replica.to_read[attempt.number] = to_read
         self.proxy.quota.note_send(replica=replica, service=self.proxy.table.services.get(self.service, {}))
         self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.load(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.chain)
         self.proxy.tell_send(replica=replica, kind=sources.SENT)
         if self.needs_adapter:
-            go.arrival = self.proxy.adapters.begin(
+            attempt.arrival = self.proxy.adapters.begin(
                 replica=replica,
                 service=self.service,
                 model=self.model,
@@ -262,10 +262,10 @@
                 route=self.route.name,
                 target_s=self.route.target_s,
             )
-        go.row = custody.go_row(go=go, passage=self, proxy=self.proxy)
-        self.custody.append(go.row)
-        outlet.take(go, head=self.head_for(replica, now), body=self.ask.body)
-        if go is self.go and self.is_repeatable:
+        attempt.row = custody.attempt_row(attempt=attempt, passage=self, proxy=self.proxy)
+        self.custody.append(attempt.row)
+        outlet.take(attempt, head=self.head_for(replica, now), body=self.request.body)
+        if attempt is self.attempt and self.is_repeatable:
             self.watch_silence()
 
     @property
@@ -279,7 +279,7 @@
     def head_for(self, replica, now: float) -> h11.Request:
         headers = []
         left_ms = max(1, int((self.deadline - now) * 1000))
-        for name, value in self.ask.headers:
+        for name, value in self.request.headers:
             if name in outlets.HOP_NAMES or name in (
                 b"content-length",
                 b"expect",
@@ -296,67 +296,69 @@
             headers.append((b"X-Urgency", b"%d" % max(0, min(9, self.route.urgency))))
         if self.last_id is not None:
             headers.append((b"Last-Event-Id", self.last_id))
-        if self.ask.body or self.ask.method in (b"POST", b"PUT", b"PATCH"):
-            headers.append((b"Content-Length", b"%d" % len(self.ask.body)))
-        return h11.Request(method=self.ask.method, target=self.ask.target, headers=headers)
+        if self.request.body or self.request.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"Content-Length", b"%d" % len(self.request.body)))
+        return h11.Request(method=self.request.method, target=self.request.target, headers=headers)
 
     def watch_silence(self) -> None:
         """A replica that says nothing on any connection for longer than it should is left for another one."""
-        go = self.go
-        if self.is_over or go is None or go.is_over:
+        attempt = self.attempt
+        if self.is_over or attempt is None or attempt.is_over:
             return
         gap_s = self.route.gap_s or self.aim_s
-        patience = max(0.2, gap_s * 0.45) if go.is_read else max(0.2, self.aim_s * 0.5)
+        patience = max(0.2, gap_s * 0.45) if attempt.is_read else max(0.2, self.aim_s * 0.5)
         now = self.loop.now()
-        quiet = now - max(go.heard_at, go.replica.heard_at)
+        quiet = now - max(attempt.heard_at, attempt.replica.heard_at)
         pause = patience - quiet
-        if quiet >= patience and go.outlet.is_up and not go.outlet.is_paused:
+        if quiet >= patience and attempt.outlet.is_up and not attempt.outlet.is_paused:
             # Long reads make a busy replica silent too. A connection to it tells which it is.
-            if go.replica.is_suspect and self.may_go_on() and self.proxy.quota.has_extra(self.service):
+            if attempt.replica.is_suspect and self.may_try_again() and self.proxy.quota.has_extra(self.service):
                 self.mark("silent")
-                outlet = go.outlet
-                self.end_go(go, kind=sources.BROKEN)
-                outlet.drop_go()
-                self.after_loss(go)
+                outlet = attempt.outlet
+                self.end_attempt(attempt, kind=sources.BROKEN)
+                outlet.drop_attempt()
+                self.after_loss(attempt)
                 return
-            if not go.replica.is_suspect:
-                self.proxy.table.prove(replica=go.replica)
+            if not attempt.replica.is_suspect:
+                self.proxy.table.prove(replica=attempt.replica)
             pause = patience * 0.1
         self.watch_timer = self.loop.after(delay=max(0.02, pause), act=self.watch_silence)
 
-    def may_go_on(self) -> bool:
+    def may_try_again(self) -> bool:
         return self.arrivals_next() <= self.route.tries and self.loop.now() < self.deadline - 0.05
 
     def arrivals_next(self) -> int:
-        return self.arrivals + 1 + (1 if self.go is not None and not self.go.outlet.is_unsent else 0)
+        return self.arrivals + 1 + (1 if self.attempt is not None and not self.attempt.outlet.is_unsent else 0)
 
-    def end_go(self, go, *, kind: int) -> None:
-        """The go is over; what it did to the replica's load ends with it."""
-        if go.is_over:
+    def end_attempt(self, attempt, *, kind: int) -> None:
+        """the attempt is over; what it did to the replica's load ends with it."""
+        if attempt.is_over:
             return
-        go.is_over = True
-        go.row["to_ms"] = round((self.loop.now() - self.ask.begun_at) * 1000)
-        go.row["end"] = "not sent" if go.outlet.is_unsent else ("%d" % go.status if go.status else "no answer")
-        if go.arrival is not None:
-            self.proxy.adapters.not_run(go.arrival)  # nothing where it has run already
-        go.replica.running -= 1
-        go.replica.to_read.pop(go.number, None)
-        if not go.outlet.is_unsent:
+        attempt.is_over = True
+        attempt.row["to_ms"] = round((self.loop.now() - self.request.begun_at) * 1000)
+        attempt.row["end"] = (
+            "not sent" if attempt.outlet.is_unsent else ("%d" % attempt.status if attempt.status else "no answer")
+        )
+        if attempt.arrival is not None:
+            self.proxy.adapters.not_run(attempt.arrival)  # nothing where it has run already
+        attempt.replica.running -= 1
+        attempt.replica.to_read.pop(attempt.number, None)
+        if not attempt.outlet.is_unsent:
             self.arrivals += 1
         if kind in (sources.FAILED, sources.BROKEN):
-            go.replica.note_failure(now=self.loop.now(), span=self.proxy.settings.bound_s(name="contactMs"))
-        self.proxy.tell_send(replica=go.replica, kind=kind)
+            attempt.replica.note_failure(now=self.loop.now(), span=self.proxy.settings.bound_s(name="contactMs"))
+        self.proxy.tell_send(replica=attempt.replica, kind=kind)
         self.loop.cancel(timer=self.watch_timer)
-        if self.go is go:
-            self.go = None
+        if self.attempt is attempt:
+            self.attempt = None
 
-    def take_head(self, go, *, status, headers, table, is_framed) -> None:
-        go.status = status
+    def take_head(self, attempt, *, status, headers, table, is_framed) -> None:
+        attempt.status = status
         if status == 421 or b"x-not-run" in table:
             return  # decided at its end: the replica did not run it
         if 200 <= status < 300:
             if b"x-postmark" not in table or b"content-encoding" in table or not is_framed:
-                self.spoil(go)
+                self.spoil(attempt)
                 return
             if self.has_head:
                 return  # a resumed stream keeps the head and stamp of its first replica
@@ -373,45 +375,45 @@
         self.kept_headers = [(name, value) for name, value in headers if name not in outlets.HOP_NAMES]
         self.buffer = bytearray()
 
-    def spoil(self, go) -> None:
-        outlet = go.outlet
-        self.end_go(go, kind=sources.BROKEN)
-        outlet.drop_go()
-        self.after_loss(go)
+    def spoil(self, attempt) -> None:
+        outlet = attempt.outlet
+        self.end_attempt(attempt, kind=sources.BROKEN)
+        outlet.drop_attempt()
+        self.after_loss(attempt)
 
     def open_stream(self) -> None:
         if not self.has_head:
             self.has_head = True
-            self.ask.start(
-                status=200 if self.go is None else self.go.status,
+            self.request.start(
+                status=200 if self.attempt is None else self.attempt.status,
                 headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")],
             )
 
-    def mark_read(self, go) -> None:
+    def mark_read(self, attempt) -> None:
         """The first event shows that the prompt was read: it counts as kept from now on."""
-        if go.is_read:
+        if attempt.is_read:
             return
-        go.is_read = True
-        if go.arrival is not None:
-            self.proxy.adapters.ran(go.arrival)
+        attempt.is_read = True
+        if attempt.arrival is not None:
+            self.proxy.adapters.ran(attempt.arrival)
         self.mark("read")
-        go.replica.to_read.pop(go.number, None)
-        go.replica.is_suspect = False
-        way_s = self.proxy.table.way(go.replica) or 0.0
+        attempt.replica.to_read.pop(attempt.number, None)
+        attempt.replica.is_suspect = False
+        way_s = self.proxy.table.way(attempt.replica) or 0.0
         self.proxy.chooser.note_read(
-            service=self.service, tokens=go.to_read, took_s=self.loop.now() - go.sent_at - way_s
+            service=self.service, tokens=attempt.to_read, took_s=self.loop.now() - attempt.sent_at - way_s
         )
-        self.proxy.tell_send(replica=go.replica, kind=sources.READ)
+        self.proxy.tell_send(replica=attempt.replica, kind=sources.READ)
         if self.parts:
             self.proxy.tell_read(
-                replica=go.replica, service=self.service, model=self.model, parts=self.parts, salt=self.model_text
+                replica=attempt.replica, service=self.service, model=self.model, parts=self.parts, salt=self.model_text
             )
 
-    def take_data(self, go, data: bytes) -> None:
-        if go.status == 421 or (self.buffer is None and not self.is_streaming):
+    def take_data(self, attempt, data: bytes) -> None:
+        if attempt.status == 421 or (self.buffer is None and not self.is_streaming):
             return
-        if self.is_streaming and 200 <= go.status < 300:
-            self.mark_read(go)
+        if self.is_streaming and 200 <= attempt.status < 300:
+            self.mark_read(attempt)
             for event in self.events.take(data):
                 self.pass_event(event)
             return
@@ -419,11 +421,11 @@
             self.buffer += data
             if len(self.buffer) > BUFFER_LIMIT and not self.has_head:
                 self.has_head = True
-                self.ask.start(status=go.status, headers=self.kept_headers)
-                self.ask.data(bytes(self.buffer))
+                self.request.start(status=attempt.status, headers=self.kept_headers)
+                self.request.data(bytes(self.buffer))
                 self.buffer = bytearray()
             elif self.has_head:
-                self.ask.data(bytes(self.buffer))
+                self.request.data(bytes(self.buffer))
                 self.buffer = bytearray()
 
     def pass_event(self, event: bytes) -> None:
@@ -433,35 +435,35 @@
                 return  # already passed on
             self.last_id = number
         self.open_stream()
-        self.ask.data(event)
-        if self.ask.door.queued() > inlet.OUT_HIGH and self.go is not None:
-            self.go.outlet.pause()
-            self.ask.on_drain = self.drained
+        self.request.data(event)
+        if self.request.door.queued() > inlet.OUT_HIGH and self.attempt is not None:
+            self.attempt.outlet.pause()
+            self.request.on_drain = self.drained
 
     def drained(self) -> None:
-        self.ask.on_drain = None
-        if self.go is not None:
-            self.go.heard_at = self.loop.now()
-            self.go.outlet.resume()
+        self.request.on_drain = None
+        if self.attempt is not None:
+            self.attempt.heard_at = self.loop.now()
+            self.attempt.outlet.resume()
 
-    def take_end(self, go) -> None:
-        status = go.status
+    def take_end(self, attempt) -> None:
+        status = attempt.status
         if status == 421 or (status >= 400 and self.buffer is None):
-            self.end_go(go, kind=sources.DONE)
-            self.after_not_run(go)
+            self.end_attempt(attempt, kind=sources.DONE)
+            self.after_not_run(attempt)
             return
         if self.is_streaming and 200 <= status < 300:
             rest = self.events.rest()
-            self.end_go(go, kind=sources.DONE)
-            self.open_stream_after(go)
+            self.end_attempt(attempt, kind=sources.DONE)
+            self.open_stream_after(attempt)
             if rest:
-                self.ask.data(rest)
+                self.request.data(rest)
             self.finish(status=status)
-            self.ask.end()
+            self.request.end()
             return
-        self.end_go(go, kind=sources.FAILED if status >= 500 else sources.DONE)
-        if status >= 500 and self.is_repeatable and not self.has_head and self.may_go_on():
-            self.after_loss(go)
+        self.end_attempt(attempt, kind=sources.FAILED if status >= 500 else sources.DONE)
+        if status >= 500 and self.is_repeatable and not self.has_head and self.may_try_again():
+            self.after_loss(attempt)
             return
         if self.has_head and self.is_streaming:
             self.break_off()  # a failure in place of the rest of a stream
@@ -474,61 +476,62 @@
                 headers = []
                 body = b""
             self.finish(status=status)
-            self.ask.reply(status=status, headers=headers, body=body)
+            self.request.reply(status=status, headers=headers, body=body)
             return
         self.finish(status=status)
         if self.buffer:
-            self.ask.data(bytes(self.buffer))
-        self.ask.end()
+            self.request.data(bytes(self.buffer))
+        self.request.end()
 
-    def open_stream_after(self, go) -> None:
+    def open_stream_after(self, attempt) -> None:
         if not self.has_head:
             self.has_head = True
-            self.ask.start(status=go.status, headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")])
+            self.request.start(status=attempt.status, headers=[*self.kept_headers, (b"Transfer-Encoding", b"chunked")])
 
-    def take_fail(self, go, *, reason: str, was_sent: bool, was_up: bool) -> None:
+    def take_fail(self, attempt, *, reason: str, was_sent: bool, was_up: bool) -> None:
         self.mark("failed", reason)
-        self.proxy.note_fault(replica=go.replica, reason=reason, was_up=was_up)
+        self.proxy.note_fault(replica=attempt.replica, reason=reason, was_up=was_up)
         # A connection that idled and is reset at once was forgotten by its replica: that says nothing of the replica.
         is_stale = (
-            go.outlet.served > 0
-            and not go.status
-            and self.loop.now() - go.sent_at < 0.05 + 2 * (go.replica.way_s or 0.0)
+            attempt.outlet.served > 0
+            and not attempt.status
+            and self.loop.now() - attempt.sent_at < 0.05 + 2 * (attempt.replica.way_s or 0.0)
         )
-        self.end_go(
-            go, kind=sources.BROKEN if not was_up else sources.FAILED if was_sent and not is_stale else sources.DONE
+        self.end_attempt(
+            attempt,
+            kind=sources.BROKEN if not was_up else sources.FAILED if was_sent and not is_stale else sources.DONE,
         )
         if not was_sent:
             # No byte left this node: it has not run and is not an arrival.
-            self.avoid.add(go.replica.id)
-            if self.goes < 6 and self.loop.now() < self.deadline:
-                self.try_go()
+            self.avoid.add(attempt.replica.id)
+            if self.attempts < 6 and self.loop.now() < self.deadline:
+                self.try_attempt()
             else:
                 self.give_up()
             return
-        self.after_loss(go)
+        self.after_loss(attempt)
 
-    def after_not_run(self, go) -> None:
+    def after_not_run(self, attempt) -> None:
         """The replica did not run it: another one may, inside tries and budget."""
-        if go.status == 421:
-            self.proxy.wrong_replica(go.replica)
+        if attempt.status == 421:
+            self.proxy.wrong_replica(attempt.replica)
         else:
-            self.proxy.full(go.replica)
-        self.avoid.add(go.replica.id)
-        if self.may_go_on():
-            self.try_go()
+            self.proxy.full(attempt.replica)
+        self.avoid.add(attempt.replica.id)
+        if self.may_try_again():
+            self.try_attempt()
             return
         self.give_up()
 
-    def after_loss(self, go) -> None:
+    def after_loss(self, attempt) -> None:
         """Bytes of unclear fate."""
-        self.avoid.add(go.replica.id)
+        self.avoid.add(attempt.replica.id)
         self.is_lost = True
-        if self.is_repeatable and self.may_go_on() and (not self.has_head or self.is_streaming):
+        if self.is_repeatable and self.may_try_again() and (not self.has_head or self.is_streaming):
             if self.is_streaming:
                 self.events = Events()
             self.buffer = None
-            self.try_go()
+            self.try_attempt()
             return
         self.give_up()
 
@@ -539,12 +542,12 @@
             not self.has_head
             and now >= self.wait_until
             or now >= self.deadline
-            or (self.has_head and now > self.ask.at + self.aim_s * 3)
+            or (self.has_head and now > self.request.at + self.aim_s * 3)
         ):
             self.give_up()
             return
         self.avoid = set() if not self.arrivals else self.avoid
-        self.retry_timer = self.loop.after(delay=max(0.02, self.aim_s * 0.05), act=self.try_go)
+        self.retry_timer = self.loop.after(delay=max(0.02, self.aim_s * 0.05), act=self.try_attempt)
 
     def give_up(self) -> None:
         if self.has_head:
@@ -557,12 +560,12 @@
     def out_of_time(self) -> None:
         if self.is_over:
             return
-        go = self.go
-        if go is not None:
-            is_unsent = go.outlet.is_unsent
-            outlet = go.outlet
-            self.end_go(go, kind=self.silent_kind(go))
-            outlet.drop_go()
+        attempt = self.attempt
+        if attempt is not None:
+            is_unsent = attempt.outlet.is_unsent
+            outlet = attempt.outlet
+            self.end_attempt(attempt, kind=self.silent_kind(attempt))
+            outlet.drop_attempt()
             self.is_lost = self.is_lost or not is_unsent
         if self.has_head:
             self.break_off()
@@ -578,16 +581,16 @@
 
     def answer(self, *, status: int, headers=()) -> None:
         self.finish(status=status)
-        self.ask.reply(status=status, headers=headers)
+        self.request.reply(status=status, headers=headers)
 
     def break_off(self) -> None:
         self.finish()
-        self.ask.abort()
+        self.request.abort()
 
     def finish(self, *, status: int = 0) -> None:
         self.is_over = True
         if self.trail and self.route is not None and self.is_slow():
-            ring.note("slow ask", route=self.route.name, trail=self.trail)
+            ring.note("slow request", route=self.route.name, trail=self.trail)
         for timer in (self.retry_timer, self.watch_timer, self.limit_timer):
             self.loop.cancel(timer=timer)
         self.proxy.passages.discard(self)
@@ -596,22 +599,22 @@
 
     def is_slow(self) -> bool:
         reads = [row[0] for row in self.trail if row[1] == "read"]
-        return len(self.trail) > 2 or (reads[0] if reads else self.loop.now() - self.ask.at) > self.aim_s
+        return len(self.trail) > 2 or (reads[0] if reads else self.loop.now() - self.request.at) > self.aim_s
 
-    def silent_kind(self, go) -> int:
+    def silent_kind(self, attempt) -> int:
         """An attempt that was given up: the replica failed where it said nothing for longer than the aim."""
-        quiet = self.loop.now() - max(go.sent_at, go.heard_at)
-        return sources.FAILED if not go.outlet.is_unsent and quiet > self.aim_s * 1.5 else sources.DONE
+        quiet = self.loop.now() - max(attempt.sent_at, attempt.heard_at)
+        return sources.FAILED if not attempt.outlet.is_unsent and quiet > self.aim_s * 1.5 else sources.DONE
 
     def gone(self) -> None:
         """The user agent left."""
         if self.is_over:
             return
-        go = self.go
-        if go is not None:
-            outlet = go.outlet
-            self.end_go(go, kind=self.silent_kind(go))
-            outlet.drop_go()
+        attempt = self.attempt
+        if attempt is not None:
+            outlet = attempt.outlet
+            self.end_attempt(attempt, kind=self.silent_kind(attempt))
+            outlet.drop_attempt()
         self.finish()
 
 
--- a/pw/dat/relaying.py
+++ b/pw/dat/relaying.py
@@ -129,8 +129,8 @@
         """Replicas that this proxy has attempts at, gone from the list or not."""
         found = {}
         for passage in self.passages:
-            if passage.go is not None:
-                found[passage.go.replica.id] = passage.go.replica
+            if passage.attempt is not None:
+                found[passage.attempt.replica.id] = passage.attempt.replica
         return list(found.values())
 
     # Being a digest: of the zone by duty, or of this proxy alone.
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -30,7 +30,7 @@
         self.way_s = None
         self.proof = None
         self.running = 0
-        self.to_read = {}  # go number: tokens still to be read
+        self.to_read = {}  # attempt number: tokens still to be read
         self.sends = collections.deque()
         self.on_unproved = None
         self._failures = collections.deque()  # when attempts of ours at it failed although it was up
@@ -211,7 +211,7 @@
         self._loop.command(act=self.try_suspects)
 
     def try_suspects(self) -> None:
-        """One connection to each suspect, in the background: no ask is spent on finding out."""
+        """One connection to each suspect, in the background: no request is spent on finding out."""
         for replica in self.replicas.values():
             if (
                 replica.is_suspect
--- a/pw/dat/serving.py
+++ b/pw/dat/serving.py
@@ -14,7 +14,7 @@
         self.hall = inlet.Hall(
             loop=self.loop,
             address=self.settings.bindings["counter"],
-            on_ask=self._on_ask,
+            on_request=self._on_request,
             limits=lambda: self.limits,
             silence_s=self.contact_s * 2,
             most_doors=int(self.settings.handles * 0.6),
@@ -24,7 +24,7 @@
             self.ready_hall = inlet.Hall(
                 loop=self.loop,
                 address=self.settings.bindings["readiness"],
-                on_ask=self._on_ready_ask,
+                on_request=self._on_ready_request,
                 limits=lambda: inlet.Limits(head_bytes=8192, body_bytes=8192, head_s=3.0, idle_s=10.0),
                 silence_s=self.contact_s,
                 most_doors=100,
@@ -34,20 +34,20 @@
         self._number += 1
         return self._number
 
-    def _on_ask(self, ask) -> None:
-        passage = passages.Passage(proxy=self, ask=ask)
+    def _on_request(self, request) -> None:
+        passage = passages.Passage(proxy=self, request=request)
         self.passages.add(passage)
         passage.begin()
 
-    def _on_ready_ask(self, ask) -> None:
-        is_ready = self.is_serving and not self.is_leaving and ask.target.partition(b"?")[0] == b"/ploverward/ready"
-        ask.reply(status=200 if is_ready else 503)
+    def _on_ready_request(self, request) -> None:
+        is_ready = self.is_serving and not self.is_leaving and request.target.partition(b"?")[0] == b"/ploverward/ready"
+        request.reply(status=200 if is_ready else 503)
 
     def suspect(self, replica) -> None:
         self.table.suspect(replica)
 
     def note_fault(self, *, replica, reason: str, was_up: bool) -> None:
-        ring.note("go failed", replica=replica.id, reason=reason)
+        ring.note("attempt failed", replica=replica.id, reason=reason)
         if not was_up:
             self.table.suspect(replica)
 
--- a/pw/dat/test_later.py
+++ b/pw/dat/test_later.py
@@ -26,7 +26,9 @@
 
 
 def refusing(number, heard):
-    return [test_way.answer(test_way.ask_id(heard), b"no", status=b"500 Broken")] if test_way.is_whole(heard) else None
+    return (
+        [test_way.answer(test_way.request_id(heard), b"no", status=b"500 Broken")] if test_way.is_whole(heard) else None
+    )
 
 
 @pytest.mark.parametrize("status", [b"500 Broken", b"502 Broken", b"200 OK"])
@@ -34,7 +36,7 @@
     def script(number, heard):
         more = b"" if status.startswith(b"200") else b"X-Postmark: p\r\n"  # a success without its stamp is none
         return (
-            [test_way.answer(test_way.ask_id(heard), b"no", status=status, more=more)]
+            [test_way.answer(test_way.request_id(heard), b"no", status=status, more=more)]
             if test_way.is_whole(heard)
             else None
         )
@@ -43,7 +45,7 @@
     kinds = told_kinds(scene)
     for _ in range(12):
         scene.client.got = b""
-        scene.ask("safe")
+        scene.request("safe")
         assert scene.until(b"\r\n\r\nok")  # always answered, by the other one
     failed = [kind for kind in kinds["i0"] if kind in (sources.FAILED, sources.BROKEN)]
     assert 0 < len(failed) < 6  # soon left alone
@@ -54,7 +56,7 @@
     scene = test_way.Scene(test_way.replying, test_way.replying)
     for _ in range(8):
         scene.client.got = b""
-        scene.ask("safe")
+        scene.request("safe")
         assert scene.until(b"\r\n\r\nok")
     scene.entry.table.try_suspects()
     scene.entry.table.sweep()
@@ -82,7 +84,7 @@
     scene = test_way.Scene(refusing, refusing)
     for _ in range(6):
         scene.client.got = b""
-        scene.ask("safe")
+        scene.request("safe")
         assert scene.until(b" 50")
     replica, _tokens, is_any = scene.entry.chooser.choose(
         service="llm", permitted=None, model="", chain=(), prompt_tokens=0, avoid=set()
@@ -150,20 +152,20 @@
         return (
             ["reset"]
             if len(re.findall(rb"x-attempt-id", heard, re.I)) > 1
-            else [test_way.answer(test_way.ask_id(heard))]
+            else [test_way.answer(test_way.request_id(heard))]
         )
 
     scene = test_way.Scene(script, test_way.replying)
     kinds = told_kinds(scene)
     replica = scene.entry.table.replicas["i0"]
     scene.entry.table.replicas["i1"].is_clearing = True
-    scene.ask("safe")
+    scene.request("safe")
     assert scene.until(b"\r\n\r\nok")
     scene.entry.table.replicas["i1"].is_clearing = False
     scene.entry.table.replicas["i1"].running = 50  # the idle connection is taken again
     scene.client.got = b""
     arrivals = scene.arrivals()
-    scene.ask(lead)
+    scene.request(lead)
     assert scene.until(b"\r\n\r\nok" if is_answered else b" 502 ")
     assert scene.arrivals() - arrivals == (2 if is_answered else 1)  # what may have run once does not run again
     assert sources.FAILED not in kinds["i0"] and replica.failed_lately(now=scene.loop.now()) == 0
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -107,11 +107,11 @@
     relay = Relay(scenes=scenes)
     spec = copy.deepcopy(entry.SPEC)
     home = next(route for route in spec["routes"] if route["name"] == "home")
-    bound = {}  # ask id: the regions that every configuration around it permits
+    bound = {}  # request id: the regions that every configuration around it permits
     homes = ("south",)
     number = 0
     for step in range(18):
-        act = chance.random() if step else 1.0  # the first asks find all well
+        act = chance.random() if step else 1.0  # the first requests find all well
         if act < 0.25:
             state[chance.choice(list(ZONES))] = chance.choice(("well", "well", "lost", "dark", "full"))
         elif act < 0.4:
@@ -136,7 +136,7 @@
         for _ in range(chance.choice((1, 1, 4))):
             number += 1
             lead = chance.choice(("home", "home", "resume")) if step else "home"
-            # Clients move: any ask may come in at either proxy.
+            # Clients move: any request may come in at either proxy.
             client = loopback.Client(loop=loop, address=chance.choice(scenes).address)
             clients.append(client)
             client.send(
@@ -176,15 +176,19 @@
     trails = [trail for scene in scenes for trail in scene.trails()]
     assert audits.summary(trails=trails, coverage=[], zones=ZONES)["outside"] == []
     told = {
-        trail["id"].encode(): {(go["replica"], go["zone"]) for go in trail["goes"] if go["end"] != "not sent"}
+        trail["id"].encode(): {
+            (attempt["replica"], attempt["zone"]) for attempt in trail["goes"] if attempt["end"] != "not sent"
+        }
         for trail in trails
     }
     for which, places in heard.items():
         assert places <= told[which]
 
-    homed = next(trail for trail in trails if trail["homes"] and any(go["end"] != "not sent" for go in trail["goes"]))
+    homed = next(
+        trail for trail in trails if trail["homes"] and any(attempt["end"] != "not sent" for attempt in trail["goes"])
+    )
     planted = copy.deepcopy(homed)
-    next(go for go in planted["goes"] if go["end"] != "not sent")["zone"] = next(
+    next(attempt for attempt in planted["goes"] if attempt["end"] != "not sent")["zone"] = next(
         zone for zone, region in ZONES.items() if region not in planted["homes"]
     )
     assert audits.summary(trails=[planted], coverage=[], zones=ZONES)["outside"]
--- a/pw/dat/test_way.py
+++ b/pw/dat/test_way.py
@@ -8,7 +8,7 @@
 from pw.sim import loopback
 
 
-def ask_id(heard: bytes, nth: int = -1) -> bytes:
+def request_id(heard: bytes, nth: int = -1) -> bytes:
     return re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)[nth]
 
 
@@ -44,7 +44,7 @@
         self.client = loopback.Client(loop=self.loop, address=self.entry.address)
         self.number = 0
 
-    def ask(self, lead: str, *, left_ms=3000, more=b""):
+    def request(self, lead: str, *, left_ms=3000, more=b""):
         self.number += 1
         self.client.send(
             b"POST /%s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Model: m\r\nX-Token-Count: 30,8\r\n"
@@ -60,12 +60,12 @@
 
 
 def replying(number, heard):
-    return [answer(ask_id(heard))] if is_whole(heard) else None
+    return [answer(request_id(heard))] if is_whole(heard) else None
 
 
 def test_a_whole_answer_comes_back_with_its_stamp_and_the_replica_is_named():
     scene = Scene(replying)
-    scene.ask("safe")
+    scene.request("safe")
     assert scene.until(b"\r\n\r\nok")
     assert b"200 OK" in scene.client.got and re.search(rb"x-postmark: p", scene.client.got, re.I)
     heard = scene.peers[0].heard[0]
@@ -78,12 +78,12 @@
     def script(number, heard):
         if not is_whole(heard):
             return None
-        return [answer(ask_id(heard))] if heard.count(b"\r\n\r\nbody") == 1 else [end]
+        return [answer(request_id(heard))] if heard.count(b"\r\n\r\nbody") == 1 else [end]
 
     scene = Scene(script)
-    scene.ask("safe")
+    scene.request("safe")
     assert scene.until(b"\r\n\r\nok")
-    scene.ask(lead)
+    scene.request(lead)
     assert scene.until(b"HTTP/1.1 50")
     assert re.search(rb"HTTP/1.1 (502|504)", scene.client.got)
     assert b"503" not in scene.client.got and b"429" not in scene.client.got
@@ -94,7 +94,7 @@
     scene = Scene(lambda number, heard: ["close"], replying)
     for _ in range(4):
         scene.client.got = b""
-        scene.ask("safe")
+        scene.request("safe")
         assert scene.until(b"\r\n\r\nok")
 
 
@@ -103,13 +103,13 @@
         if not is_whole(heard):
             return None
         if heard.count(b"\r\n\r\nbody") == 1:
-            return [answer(ask_id(heard))]
-        return [answer(ask_id(heard, 0), b"stale"), answer(ask_id(heard), b"mine")]
+            return [answer(request_id(heard))]
+        return [answer(request_id(heard, 0), b"stale"), answer(request_id(heard), b"mine")]
 
     scene = Scene(script)
-    scene.ask("unsafe")
+    scene.request("unsafe")
     assert scene.until(b"\r\n\r\nok")
-    scene.ask("unsafe")
+    scene.request("unsafe")
     assert scene.until(b"mine")
     assert b"stale" not in scene.client.got
     assert scene.arrivals() == 2
@@ -117,12 +117,16 @@
 
 def test_bytes_after_an_answer_belong_to_no_request():
     def script(number, heard):
-        return [answer(ask_id(heard)) + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"] if is_whole(heard) else None
+        return (
+            [answer(request_id(heard)) + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"]
+            if is_whole(heard)
+            else None
+        )
 
     scene = Scene(script)
     for _ in range(3):
         scene.client.got = b""
-        scene.ask("safe")
+        scene.request("safe")
         assert scene.until(b"\r\n\r\nok")
         assert b"bad" not in scene.client.got
     assert len(scene.peers[0].heard) == 3  # never used again
@@ -142,10 +146,10 @@
     def script(number, heard):
         if not is_whole(heard):
             return None
-        return [spoiled.replace(b"%s", ask_id(heard)), "close"]
+        return [spoiled.replace(b"%s", request_id(heard)), "close"]
 
     scene = Scene(script)
-    scene.ask("unsafe")
+    scene.request("unsafe")
     assert scene.until(b"HTTP/1.1 502")
     assert b"200 OK" not in scene.client.got
     assert scene.arrivals() == 1
@@ -154,16 +158,16 @@
 def test_not_run_may_go_on_inside_tries_and_ends_in_a_promise():
     def full(number, heard):
         return (
-            [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"X-Not-Run: 1\r\n")]
+            [answer(request_id(heard), status=b"503 Service Unavailable", more=b"X-Not-Run: 1\r\n")]
             if is_whole(heard)
             else None
         )
 
     scene = Scene(full, replying)
-    scene.ask("unsafe")
+    scene.request("unsafe")
     assert scene.until(b"\r\n\r\nok")
     scene = Scene(full)
-    scene.ask("once")
+    scene.request("once")
     assert scene.until(b"HTTP/1.1 503")
     assert re.search(rb"retry-after: [\d.]+", scene.client.got, re.I)
     assert scene.arrivals() == 1
@@ -171,28 +175,28 @@
 
 def test_a_failure_without_x_not_run_is_no_promise():
     def script(number, heard):
-        return [answer(ask_id(heard), status=b"503 Service Unavailable", more=b"")] if is_whole(heard) else None
+        return [answer(request_id(heard), status=b"503 Service Unavailable", more=b"")] if is_whole(heard) else None
 
     scene = Scene(script)
-    scene.ask("unsafe")
+    scene.request("unsafe")
     assert scene.until(b"HTTP/1.1 502")
     assert b"503" not in scene.client.got
 
 
 def test_a_stream_goes_on_at_another_replica_inside_one_answer():
     def cutting(number, heard):
-        return [head(ask_id(heard)) + event(1) + event(2), "close"] if is_whole(heard) else None
+        return [head(request_id(heard)) + event(1) + event(2), "close"] if is_whole(heard) else None
 
     def going_on(number, heard):
         if not is_whole(heard):
             return None
         last = re.search(rb"Last-Event-Id: (\d+)", heard, re.I)
         first = int(last[1]) + 1 if last else 1
-        return [head(ask_id(heard)) + b"".join(event(nth) for nth in range(first, 5)) + END]
+        return [head(request_id(heard)) + b"".join(event(nth) for nth in range(first, 5)) + END]
 
     for scripts in ((cutting, going_on), (going_on, cutting)):
         scene = Scene(*scripts)
-        scene.ask("resume")
+        scene.request("resume")
         assert scene.until(b"0\r\n\r\n")
         assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2", b"3", b"4"]
         assert scene.client.got.count(b"HTTP/1.1 200") == 1
@@ -203,21 +207,21 @@
         if not is_whole(heard):
             return None
         if b"Last-Event-Id" not in heard:
-            return [head(ask_id(heard)) + event(1) + event(2) + event(3)[:9], "close"]
-        return [head(ask_id(heard)) + event(2) + event(3) + END]
+            return [head(request_id(heard)) + event(1) + event(2) + event(3)[:9], "close"]
+        return [head(request_id(heard)) + event(2) + event(3) + END]
 
     scene = Scene(cutting, cutting)
-    scene.ask("resume")
+    scene.request("resume")
     assert scene.until(b"0\r\n\r\n")
     assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2", b"3"]
 
 
 def test_a_stream_that_may_not_be_resumed_is_broken_visibly():
     def cutting(number, heard):
-        return [head(ask_id(heard)) + event(1), "close"] if is_whole(heard) else None
+        return [head(request_id(heard)) + event(1), "close"] if is_whole(heard) else None
 
     scene = Scene(cutting)
-    scene.ask("once")
+    scene.request("once")
     assert loopback.until(scene.loop, lambda: scene.client.is_closed)
     assert b"data: t1" in scene.client.got and scene.arrivals() == 1
     assert not scene.client.got.endswith(b"0\r\n\r\n")
@@ -225,7 +229,7 @@
 
 def test_homed_requests_wait_or_are_refused_never_moved():
     scene = Scene(replying, zones=["za"])  # north; the route's home is south
-    scene.ask("home")
+    scene.request("home")
     assert scene.until(b"HTTP/1.1 503")
     assert re.search(rb"retry-after", scene.client.got, re.I)
     assert scene.arrivals() == 0
@@ -238,16 +242,16 @@
         if not is_whole(heard):
             return None
         if b"Last-Event-Id" not in heard:
-            return [head(ask_id(heard)) + event(1), "close"]
-        return [head(ask_id(heard)) + event(2) + END]
+            return [head(request_id(heard)) + event(1), "close"]
+        return [head(request_id(heard)) + event(2) + END]
 
     scene = Scene(cutting, cutting, zones=["zb", "zb"])
-    scene.ask("home")
+    scene.request("home")
     assert scene.until(b"0\r\n\r\n")
     trail = scene.entry.trails()[0]
     assert trail["id"] == "a1" and trail["status"] == 200
-    assert [go["zone"] for go in trail["goes"]] == ["zb", "zb"]
-    assert [go["is_resumption"] for go in trail["goes"]] == [False, True]
+    assert [attempt["zone"] for attempt in trail["goes"]] == ["zb", "zb"]
+    assert [attempt["is_resumption"] for attempt in trail["goes"]] == [False, True]
     assert "body" not in str(trail) and all(len(part) == 16 for part in trail["parts"])
 
 
@@ -260,16 +264,16 @@
         )
 
     scene = Scene(other)
-    scene.ask("once")
+    scene.request("once")
     assert scene.until(b"HTTP/1.1 503")
     assert scene.arrivals() == 1
 
 
 def test_no_route_is_404_and_the_connection_goes_on():
     scene = Scene(replying)
-    scene.ask("nothing")
+    scene.request("nothing")
     assert scene.until(b"HTTP/1.1 404")
-    scene.ask("safe")
+    scene.request("safe")
     assert scene.until(b"\r\n\r\nok")
 
 
@@ -293,10 +297,10 @@
 
 def test_a_client_that_leaves_ends_the_go():
     def script(number, heard):
-        return [head(ask_id(heard)) + event(1)] if is_whole(heard) else None
+        return [head(request_id(heard)) + event(1)] if is_whole(heard) else None
 
     scene = Scene(script)
-    scene.ask("once")
+    scene.request("once")
     assert scene.until(b"data: t1")
     scene.client.sock.close()
     scene.loop.unwatch(sock=scene.client.sock)
@@ -307,7 +311,7 @@
 
 def test_out_of_time_is_504_when_it_was_sent():
     scene = Scene(lambda number, heard: None)
-    scene.ask("once", left_ms=200)
+    scene.request("once", left_ms=200)
     assert scene.until(b"HTTP/1.1 504")
     assert scene.arrivals() == 1
 
@@ -319,7 +323,7 @@
         if not is_whole(heard):
             return None
         return [
-            head(ask_id(heard))
+            head(request_id(heard))
             + b"".join(
                 b"%x\r\n%s\r\n" % (len(text), text)
                 for text in (b"id: %d\ndata: %s\n\n" % (nth, big) for nth in range(1, 3))
@@ -328,22 +332,22 @@
 
     scene = Scene(script)
     scene.loop.unwatch(sock=scene.client.sock)
-    scene.ask("once", left_ms=5000)
+    scene.request("once", left_ms=5000)
     assert loopback.until(scene.loop, lambda: any(passage.has_head for passage in scene.entry.passages))
     passage = next(iter(scene.entry.passages))
     number = 3
-    while not passage.go.outlet.is_paused and number < 1000:
+    while not passage.attempt.outlet.is_paused and number < 1000:
         number += 1
         passage.pass_event(b"id: %d\ndata: %s\n\n" % (number, big))
-    assert passage.go.outlet.is_paused and number < 1000
+    assert passage.attempt.outlet.is_paused and number < 1000
     assert scene.entry.hall._held_bytes == 4
     scene.loop.watch(sock=scene.client.sock, mask=1, act=scene.client._read)
-    assert loopback.until(scene.loop, lambda: not passage.go.outlet.is_paused)
+    assert loopback.until(scene.loop, lambda: not passage.attempt.outlet.is_paused)
 
 
 def test_bodies_held_are_bounded():
     scene = Scene(replying)
     scene.entry.hall._most_bytes = 3
-    scene.ask("safe")
+    scene.request("safe")
     assert scene.until(b"HTTP/1.1 503")
     assert scene.arrivals() == 0
--- a/pw/dat/test_zone.py
+++ b/pw/dat/test_zone.py
@@ -76,7 +76,7 @@
     def end(self, name):
         replica = self.table.replicas[name]
         replica.running -= 1
-        self.passages.discard(next(one for one in self.passages if one.go.replica is replica))
+        self.passages.discard(next(one for one in self.passages if one.attempt.replica is replica))
         self.tell_send(replica=replica, kind=sources.DONE)
 
     def sees(self, name):
@@ -85,7 +85,7 @@
 
 class Passage:
     def __init__(self, replica):
-        self.go = self
+        self.attempt = self
         self.replica = replica
 
 
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -111,12 +111,12 @@
         ]
         self.table.install_list(self.rows)
         self.hall = inlet.Hall(
-            loop=loop, address=("127.0.0.1", 0), on_ask=self.take, limits=lambda: loopback.limits(), silence_s=5.0
+            loop=loop, address=("127.0.0.1", 0), on_request=self.take, limits=lambda: loopback.limits(), silence_s=5.0
         )
         self.address = self.hall._sock.getsockname()
 
-    def take(self, ask):
-        passage = passages.Passage(proxy=self, ask=ask)
+    def take(self, request):
+        passage = passages.Passage(proxy=self, request=request)
         self.passages.add(passage)
         passage.begin()
 
--- a/pw/sim/standin.py
+++ b/pw/sim/standin.py
@@ -108,7 +108,11 @@
         self.platform = f"127.0.100.1:{base_port + 50}"
         limits = lambda: loopback.limits(head_bytes=65536, body_bytes=10**6)  # noqa: E731
         inlet.Hall(
-            loop=self.loop, address=("127.0.100.1", base_port + 50), on_ask=self._list, limits=limits, silence_s=10.0
+            loop=self.loop,
+            address=("127.0.100.1", base_port + 50),
+            on_request=self._list,
+            limits=limits,
+            silence_s=10.0,
         )
         for index, region in enumerate(REGIONS):
             for number in (1, 2):
@@ -134,7 +138,7 @@
                     address=address,
                     limits=limits,
                     silence_s=10.0,
-                    on_ask=lambda ask, name=name: self._serve(ask, name),
+                    on_request=lambda ask, name=name: self._serve(ask, name),
                 )
 
     def _list(self, ask):
