--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -25,15 +25,15 @@
     # both ways
     "hello": (1, (TEXT, TEXT, TEXT, TEXT, TEXT, TEXT)),  # role, address, zone, region, life, public address
     "beat": (2, (NUMBER,)),
-    # core to core: registers
-    "prepare": (10, (NUMBER, TEXT, *_BALLOT)),
+    # core to core: registers; prepare and peek name the accepted ballot whose value the proposer holds already
+    "prepare": (10, (NUMBER, TEXT, *_BALLOT, *_BALLOT)),
     "promise": (11, (NUMBER, TEXT, FLAG, TEXT, *_BALLOT, *_BALLOT, NUMBER, BLOB)),
     "accept": (12, (NUMBER, TEXT, *_BALLOT, TEXT, NUMBER, BLOB)),
     "accepted": (13, (NUMBER, TEXT, FLAG, *_BALLOT)),
     "chosen": (14, (TEXT, *_BALLOT, NUMBER)),
-    "peek": (17, (NUMBER, TEXT)),
+    "peek": (17, (NUMBER, TEXT, *_BALLOT)),
     "peeked": (18, (NUMBER, TEXT, FLAG, *_BALLOT, *_BALLOT, NUMBER, BLOB)),
-    "refill": (15, (NUMBER,)),
+    "refill": (15, (NUMBER, rows(TEXT, *_BALLOT))),  # number, ballots to be promised first
     "refilled": (16, (NUMBER, FLAG, rows(TEXT, *_BALLOT, *_BALLOT, NUMBER, BLOB))),
     # news
     "offer": (20, (rows(TEXT, NUMBER, NUMBER),)),
--- a/pw/ctl/register/ballots.py
+++ b/pw/ctl/register/ballots.py
@@ -1,9 +1,10 @@
-"""Ballots and the sets of core nodes that a value stands under (design 4)."""
+"""Ballots and the sets of core nodes that a value stands under (docs/register.md 2)."""
 
 import json
 import zlib
 
 NONE = (0, "")
+COMPRESSION = 1
 
 
 def majority(members) -> int:
@@ -14,10 +15,21 @@
     return sum(1 for member in of if member in among) >= majority(of)
 
 
-def pack(*, members, payload) -> bytes:
-    return zlib.compress(json.dumps([list(members), payload], separators=(",", ":")).encode(), 1)
+def pack(*, members, payload, previous=()) -> bytes:
+    """A value under the set `members`. `previous` is the last set known to be chosen where `members` is not yet."""
+    fields = [list(members), payload]
+    if previous:
+        fields.append(list(previous))
+    return zlib.compress(json.dumps(fields, separators=(",", ":")).encode(), COMPRESSION)
 
 
 def unpack(value: bytes) -> tuple:
-    members, payload = json.loads(zlib.decompress(value))
+    """(members, payload)."""
+    members, payload, *_previous = json.loads(zlib.decompress(value))
     return tuple(members), payload
+
+
+def way(value: bytes) -> tuple:
+    """The sets that a round has to reckon with which found this value accepted: the chosen one first."""
+    members, _payload, *previous = json.loads(zlib.decompress(value))
+    return (*(tuple(row) for row in previous), tuple(members))
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -1,7 +1,9 @@
 """The proposer: compare-and-set in two rounds at a majority (design 4; the CASPaxos family).
 
-Each value carries the core set it stands under. A round needs a majority of every set on its way:
-the one it knew, the one it found with the highest value, and the one it writes.
+Each value carries the core set it stands under, and the set before it for as long as its own is not known to be chosen.
+A round needs a majority of every set on its way: the one it knew, those it found with the highest value, and the one
+it writes. `known` holds sets of chosen values only: a set that was merely accepted somewhere may never be chosen, and a
+majority of it need not meet a majority of the set in force (docs/register.md 2).
 """
 
 import collections
@@ -9,7 +11,7 @@
 from pw.base import problems
 from pw.ctl.register import ballots
 
-MOST_GOES = 12
+MOST_ATTEMPTS = 12
 
 
 class Round:
@@ -30,22 +32,39 @@
         "rev",
         "value",
         "payload",
-        "goes",
+        "attempts",
         "deadline",
         "next_set",
         "timer",
         "is_write",
-        "sent",
+        "held",
+        "is_settling",
+        "outcome",
     )
 
 
 class Proposer:
+    """`seeds` is the set in force before any value was chosen; () where this node was never told one."""
+
     def __init__(
-        self, *, own: str, seeds: tuple, send, later, now, chance, on_chosen, limit_s: float, patience_s: float
+        self,
+        *,
+        own: str,
+        seeds: tuple,
+        send,
+        later,
+        now,
+        chance,
+        on_chosen,
+        limit_s: float,
+        patience_s: float,
+        held=None,
     ):
         self.own = own
-        self.known = {}  # register: core set last seen
+        self.known = {}  # register: the newest set known to be chosen
         self.seeds = tuple(seeds)
+        self.is_learner = False  # a learner makes no rounds
+        self._held = held  # register name -> (ballot, rev, value) that this node holds already
         self._send = send  # (member, message)
         self._later = later
         self._now = now
@@ -56,15 +75,23 @@
         self._top = {}
         self._number = 0
         self._rounds = {}
-        self._lines = {}  # register: rounds that wait for the one before them
+        self._queues = {}  # register: rounds that wait for the one before them
 
     def members(self, name: str) -> tuple:
         return self.known.get(name, self.seeds)
 
+    def learn_chosen(self, *, name: str, value: bytes) -> None:
+        """This value was chosen, and so is its set."""
+        self.known[name] = ballots.unpack(value)[0]
+
+    def learn_accepted(self, *, name: str, value: bytes) -> None:
+        """This value was found accepted; only the set before a change is known to be chosen."""
+        self.known[name] = ballots.way(value)[0]
+
     def change(self, *, name: str, edit, done, next_set=None) -> None:
         """`done(problem, rev, payload, result)` is called once.
 
-        A further go may find what an earlier go of the same change has written, so an edit must know
+        A further attempt may find what an earlier attempt of the same change has written, so an edit must know
         its own work again.
         """
         self._number += 1
@@ -73,22 +100,34 @@
         work.name = name
         work.edit = edit
         work.done = done
-        work.goes = 0
+        work.attempts = 0
         work.next_set = next_set
         work.deadline = self._now() + self._limit_s
         work.timer = None
         work.stage = ""
-        line = self._lines.setdefault(name, collections.deque())
-        line.append(work)
-        if len(line) == 1:
+        work.held = (ballots.NONE, 0, b"")
+        work.is_settling = False
+        work.outcome = None
+        queue = self._queues.setdefault(name, collections.deque())
+        queue.append(work)
+        if len(queue) == 1:
             self._start(work)
 
     def read(self, *, name: str, done) -> None:
         self.change(name=name, edit=None, done=done)
 
+    def finish_move(self, *, name: str) -> None:
+        """Writes the value found once more, without the set before it where the move from that is over."""
+        self.change(name=name, edit=lambda payload: (payload, None), done=lambda *_row: None)
+
     def _start(self, work) -> None:
         """Reads look first: where a majority accepted the highest ballot seen, it is chosen and no promise is needed."""
-        if work.edit is None and work.next_set is None:
+        if self.is_learner or not self.members(work.name):
+            work.stage = "refused"
+            self._rounds[work.number] = work
+            failure = problems.Unreachable("this node is a learner", step="start", peer=work.name)
+            self._later(0, lambda: self._finish(work, failure))
+        elif work.edit is None and work.next_set is None:
             self._peek(work)
         else:
             self._prepare(work)
@@ -97,30 +136,43 @@
         if self._rounds.pop(work.number, None) is None:
             return
         work.stage = "over"
-        line = self._lines[work.name]
-        line.remove(work)
-        if line:
-            self._later(0, lambda following=line[0]: self._start(following) if following.stage == "" else None)
-        if fault is None:
+        queue = self._queues[work.name]
+        queue.remove(work)
+        if queue:
+            self._later(0, lambda following=queue[0]: self._start(following) if following.stage == "" else None)
+        if work.outcome is not None:  # the change was chosen; only what follows a move was still under way
+            work.done(*work.outcome)
+        elif fault is None:
             work.done(None, work.rev, work.payload, result)
         else:
             work.done(fault, 0, None, None)
 
     def _renumber(self, work) -> int:
-        """A number of its own for each go, so that answers to an older go are never counted."""
+        """A number of its own for each attempt, so that answers to an older attempt are never counted."""
         self._rounds.pop(work.number, None)
         self._number += 1
         work.number = self._number
         self._rounds[work.number] = work
         return work.number
 
+    def _note_held(self, work) -> None:
+        """What this node holds is named in the request; an answer leaves that value out."""
+        if self._held is not None:
+            work.held = self._held(work.name)
+
+    def _fill_in(self, work, accepted: tuple, rev: int, value: bytes) -> tuple:
+        if not value and accepted != ballots.NONE and accepted == work.held[0]:
+            return work.held[1:]
+        return rev, value
+
     def _peek(self, work) -> None:
         work.stage = "peek"
         work.promises = {}
         work.sets = [self.members(work.name)]
         number = self._renumber(work)
+        self._note_held(work)
         for member in work.sets[0]:
-            self._send(member, ("peek", number, work.name))
+            self._send(member, ("peek", number, work.name, *work.held[0]))
         self._later(
             self._patience_s * 0.5,
             lambda: self._prepare(work) if work.number == number and work.stage == "peek" else None,
@@ -132,6 +184,7 @@
         if work is None or work.name != name or work.stage != "peek" or not is_voter:
             return
         self._top[name] = max(self._top.get(name, 0), promised_n, accepted_n)
+        rev, value = self._fill_in(work, (accepted_n, accepted_p), rev, value)
         work.promises[member] = ((accepted_n, accepted_p), rev, value)
         members = work.sets[0]
         if not ballots.has_majority(of=members, among=work.promises):
@@ -154,8 +207,8 @@
     def _prepare(self, work) -> None:
         if work.stage == "over":
             return
-        work.goes += 1
-        if self._now() >= work.deadline or work.goes > MOST_GOES:
+        work.attempts += 1
+        if self._now() >= work.deadline or work.attempts > MOST_ATTEMPTS:
             self._finish(work, problems.Unreachable("no majority", step=work.stage or "prepare", peer=work.name))
             return
         top = self._top.get(work.name, 0) + 1
@@ -168,12 +221,16 @@
         work.accepts = set()
         work.best = (ballots.NONE, 0, b"")
         work.is_write = False
-        work.sent = set()
+        work.is_settling = False
         number = work.number
+        self._note_held(work)
         for member in work.sets[0]:
-            self._send(member, ("prepare", number, work.name, *work.ballot))
+            self._send_prepare(work, member)
         self._later(self._patience_s, lambda: self._expire(work, number))
 
+    def _send_prepare(self, work, member: str) -> None:
+        self._send(member, ("prepare", work.number, work.name, *work.ballot, *work.held[0]))
+
     def _expire(self, work, number) -> None:
         if work.number == number and work.stage in ("prepare", "accept"):
             self._retry(work)
@@ -183,11 +240,11 @@
             return
         work.stage = "wait"
         # A round takes about half of the patience: two that meet must come apart by more than that.
-        pause = self._chance() * self._patience_s * 0.4 * min(2 ** (work.goes - 1), 8)
+        pause = self._chance() * self._patience_s * 0.4 * min(2 ** (work.attempts - 1), 8)
         self._later(pause, lambda: self._prepare(work) if work.stage == "wait" else None)
 
     def note_top(self, *, name: str, number: int) -> None:
-        """A ballot number known to be in use: a go below it would only be rejected."""
+        """A ballot number known to be in use: an attempt below it would only be rejected."""
         self._top[name] = max(self._top.get(name, 0), number)
 
     def take_promise(self, member: str, message: tuple) -> None:
@@ -217,60 +274,72 @@
             return
         work.promises[member] = incarnation
         if (accepted_n, accepted_p) > work.best[0]:
+            rev, value = self._fill_in(work, (accepted_n, accepted_p), rev, value)
             work.best = ((accepted_n, accepted_p), rev, value)
-            members = ballots.unpack(value)[0]
-            if members not in work.sets:
-                self.known[name] = members
-                work.sets.append(members)
-                for other in members:
-                    if other not in work.promises and other not in work.sets[0]:
-                        self._send(other, ("prepare", number, name, *work.ballot))
+            for members in ballots.way(value):
+                self._add_set(work, members)
         if all(ballots.has_majority(of=members, among=work.promises) for members in work.sets):
             self._write(work)
 
+    def _add_set(self, work, members: tuple) -> None:
+        """A majority of these members is needed too; who was not yet asked is asked to promise."""
+        if members in work.sets:
+            return
+        for member in members:
+            if member not in work.promises and all(member not in known for known in work.sets):
+                self._send_prepare(work, member)
+        work.sets.append(members)
+
     def _write(self, work) -> None:
         _ballot, rev, value = work.best
+        members, payload, chosen_set = work.sets[0], None, work.sets[0]
         if value:
+            known = self.members(work.name)
             members, payload = ballots.unpack(value)
-        else:
-            members, payload = work.sets[0], None
+            chosen_set = known if members == known else ballots.way(value)[0]
+        new_set = tuple(work.next_set) if work.next_set is not None else members
+        if new_set != members and chosen_set != members:
+            # One move after the other: the set found has to be chosen before the next one is written.
+            work.is_settling = True
+            work.rev = rev
+            work.payload = payload
+            self._accept(work, members, value, None, None)
+            return
         result = None
         new_payload = payload
         if work.edit is not None:
             try:
                 new_payload, result = work.edit(payload)
             except problems.Problem as fault:
-                self._settle(work, rev, members, payload, fault)
+                self._settle(work, chosen_set, payload, fault, None)
                 return
-        is_same = new_payload is payload and (work.next_set is None or tuple(work.next_set) == members)
-        if is_same:
-            self._settle(work, rev, members, payload, None, result)
+        if new_payload is payload and new_set == members:
+            self._settle(work, chosen_set, payload, None, result)
             return
-        new_set = tuple(work.next_set) if work.next_set is not None else members
         work.rev = rev + 1
         work.payload = new_payload
-        self._accept(work, members, new_set, ballots.pack(members=new_set, payload=new_payload), None, result)
+        previous = () if new_set == chosen_set else chosen_set
+        new_value = ballots.pack(members=new_set, payload=new_payload, previous=previous)
+        self._accept(work, new_set, new_value, None, result)
 
-    def _settle(self, work, rev, members, payload, fault, result=None) -> None:
+    def _settle(self, work, chosen_set, payload, fault, result) -> None:
         """Nothing to change: the value found is made safe at a majority under this ballot, then told."""
+        _ballot, rev, value = work.best
         work.rev = rev
         work.payload = payload
-        if payload is None and not work.best[2]:
-            self._finish(work, fault, result) if fault is None else self._finish(work, fault)
+        if not value:
+            self._finish(work, fault, result)
             return
-        self._accept(work, members, members, work.best[2], fault, result)
+        way = ballots.way(value)
+        if way[-1] == chosen_set and len(way) > 1:
+            value = ballots.pack(members=chosen_set, payload=payload)
+        self._accept(work, way[-1], value, fault, result)
 
-    def _accept(self, work, old_set, new_set, value, fault, result) -> None:
+    def _accept(self, work, new_set, value, fault, result) -> None:
         work.stage = "accept"
         work.value = value
         work.is_write = (fault, result)
-        if new_set not in work.sets:
-            work.sets.append(new_set)
-        if old_set not in work.sets:
-            work.sets.append(old_set)
-        for member in new_set:
-            if member not in work.promises and all(member not in known for known in work.sets[:-1]):
-                self._send(member, ("prepare", work.number, work.name, *work.ballot))
+        self._add_set(work, new_set)
         for member in list(work.promises):
             self._send_accept(work, member)
 
@@ -294,7 +363,21 @@
             return
         work.accepts.add(member)
         if all(ballots.has_majority(of=members, among=work.accepts) for members in work.sets):
-            fault, result = work.is_write
-            self.known[name] = ballots.unpack(work.value)[0]
-            self._on_chosen(name, work.ballot, work.rev, work.value, True)
+            self._take_chosen(work)
+
+    def _take_chosen(self, work) -> None:
+        """The value of this round is chosen, and so is its set."""
+        self.learn_chosen(name=work.name, value=work.value)
+        self._on_chosen(work.name, work.ballot, work.rev, work.value, True)
+        fault, result = work.is_write
+        if work.is_settling:
+            work.is_settling = False
+            self._prepare(work)
+        elif work.next_set is not None and work.outcome is None and len(ballots.way(work.value)) > 1:
+            # The move is agreed. One more round leaves the older set out of the value, so that nobody needs it.
+            work.outcome = (fault, work.rev, work.payload, result)
+            work.edit = None
+            work.next_set = None
+            self._prepare(work)
+        else:
             self._finish(work, fault, result)
--- a/pw/ctl/register/store.py
+++ b/pw/ctl/register/store.py
@@ -1,5 +1,6 @@
-"""Acceptor state on disk: an append-only file of checksummed records (design 4)."""
+"""Acceptor state on disk: an append-only file of checksummed records (docs/register.md 3)."""
 
+import dataclasses
 import os
 import struct
 import zlib
@@ -14,9 +15,19 @@
 _RECORD_HEAD = struct.Struct(">II")
 _ROW = construct.Sequence(wire.TEXT, wire.NUMBER, wire.TEXT, wire.NUMBER, wire.TEXT, wire.NUMBER, wire.BLOB)
 IDENTITY = "\x00identity"
+FILE_MODE = 0o644
+READ_SIZE = 1 << 20
+LONG_FACTOR = 4  # a file so many times as long as what it holds is written anew, once it is past the limit
+_BATCH = construct.PrefixedArray(construct.VarInt, _ROW)
 
 
-_BATCH = construct.PrefixedArray(construct.VarInt, _ROW)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Image:
+    """All that a node has to keep: its incarnation, the set in force before any value was chosen, a row a register."""
+
+    incarnation: str = ""
+    first_set: tuple = ()
+    rows: tuple = ()
 
 
 def pack_rows(rows) -> bytes:
@@ -59,77 +70,126 @@
 
 
 class Disk:
-    """The real disk. Tests put a simulated one in its place."""
+    """The real disk. Tests put a simulated `system` in the place of `os`."""
 
-    def __init__(self, *, folder: str):
+    def __init__(self, *, folder: str, system=os):
         self.folder = folder
+        self._system = system
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self.folder, name)
 
     def read(self, *, name: str):
+        """The bytes of the file, or None where there is none."""
+        system = self._system
         try:
-            with open(os.path.join(self.folder, name), "rb") as handle:
-                return handle.read()
+            handle = system.open(self._path(name), os.O_RDONLY)
         except FileNotFoundError:
             return None
+        parts = []
+        try:
+            while part := system.read(handle, READ_SIZE):
+                parts.append(part)
+        finally:
+            system.close(handle)
+        return b"".join(parts)
 
     def append(self, *, name: str, data: bytes, size_before: int) -> None:
-        handle = os.open(os.path.join(self.folder, name), os.O_WRONLY | os.O_CREAT, 0o644)
+        """Writes behind the first `size_before` bytes and syncs; what a failed write left behind them is cut off."""
+        handle = self._system.open(self._path(name), os.O_WRONLY)
         try:
-            os.ftruncate(handle, size_before)
-            os.lseek(handle, size_before, os.SEEK_SET)
-            view = memoryview(data)
-            while view:
-                view = view[os.write(handle, view) :]
-            os.fsync(handle)
+            self._system.ftruncate(handle, size_before)
+            self._system.lseek(handle, size_before, os.SEEK_SET)
+            self._write(handle, data)
         finally:
-            os.close(handle)
+            self._system.close(handle)
 
     def replace(self, *, name: str, new_name: str, data: bytes) -> None:
-        self.append(name=new_name, data=data, size_before=0)
-        os.rename(os.path.join(self.folder, new_name), os.path.join(self.folder, name))
-        handle = os.open(self.folder, os.O_RDONLY)
+        """Puts a file with this data in the place of the one of this name; either whole file is there at any moment."""
+        self._remove(new_name)
+        handle = self._system.open(self._path(new_name), os.O_WRONLY | os.O_CREAT | os.O_EXCL, FILE_MODE)
         try:
-            os.fsync(handle)
+            self._write(handle, data)
         finally:
-            os.close(handle)
+            self._system.close(handle)
+        self._system.rename(self._path(new_name), self._path(name))
+        self._sync_folder()
+
+    def _remove(self, name: str) -> None:
+        # Never written over: after a loss of power its name may stand for the very file that is to be replaced.
+        try:
+            self._system.unlink(self._path(name))
+        except FileNotFoundError:
+            pass
+
+    def _write(self, handle: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self._system.write(handle, view) :]
+        self._system.fsync(handle)
+
+    def _sync_folder(self) -> None:
+        handle = self._system.open(self.folder, os.O_RDONLY)
+        try:
+            self._system.fsync(handle)
+        finally:
+            self._system.close(handle)
 
 
 class Store:
-    """`write` is called on the pool, one call at a time; the rest on the loop."""
+    """`write` is called on the pool, one call at a time; the rest on the loop.
+
+    The first write of a process, and each one after a failed write, puts a whole new file in place of the old one: what
+    was read at the start may never have been synced, and after a failed sync a later one may tell of success without
+    having written the pages that were dropped.
+    """
 
     def __init__(self, *, disk, limit_bytes: int):
         self._disk = disk
         self._limit = limit_bytes
         self._size = 0
-        self._is_new = True
         self._live_size = 0
+        self._needs_whole = True
+        self.rewrites = 0
 
-    def load(self) -> tuple:
-        """(incarnation, rows by register) or ("", {}) where the disk is empty."""
+    def load(self) -> Image:
+        """What the file holds; an image without an incarnation where there is none."""
         data = self._disk.read(name=FILE_NAME)
         if data is None:
-            return "", {}
-        rows, size = read_rows(data)
-        self._size = size
+            return Image()
+        rows, _size = read_rows(data)
         incarnation = ""
+        first_set = ()
         table = {}
         for row in rows:
             if row[0] == IDENTITY:
                 incarnation = row[2]
+                first_set = tuple(row[4].split()) or first_set
             else:
                 table[row[0]] = row
         if not incarnation:
-            return "", {}
-        self._is_new = False
-        return incarnation, table
-
-    def write(self, *, rows: tuple, incarnation: str, table: tuple) -> None:
-        """Appends the rows, or writes the whole table anew where the file is new or long."""
-        data = pack_rows(rows)
-        if self._is_new or self._size + len(data) > max(self._limit, 4 * self._live_size):
-            whole = pack_rows(((IDENTITY, 0, incarnation, 0, "", 0, b""), *table))
-            self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=whole)
-            self._size = self._live_size = len(whole)
-            self._is_new = False
+            return Image()
+        return Image(incarnation=incarnation, first_set=first_set, rows=tuple(table.values()))
+
+    def write(self, *, rows: tuple, image: Image) -> None:
+        """Appends the rows, or writes the whole image anew. Once it returns, the disk holds the image."""
+        data = pack_rows(rows) if rows else b""
+        is_long = self._size + len(data) > max(self._limit, LONG_FACTOR * self._live_size)
+        if self._needs_whole or is_long:
+            self._rewrite(image)
             return
+        if not data:
+            return
+        self._needs_whole = True  # until it is known that all went well
         self._disk.append(name=FILE_NAME, data=data, size_before=self._size)
+        self._needs_whole = False
         self._size += len(data)
+
+    def _rewrite(self, image: Image) -> None:
+        identity = (IDENTITY, 0, image.incarnation, 0, " ".join(image.first_set), 0, b"")
+        whole = pack_rows((identity, *image.rows))
+        self._needs_whole = True
+        self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=whole)
+        self._needs_whole = False
+        self._size = self._live_size = len(whole)
+        self.rewrites += 1
--- a/pw/ctl/register/test_register.py
+++ b/pw/ctl/register/test_register.py
@@ -29,11 +29,11 @@
         self.life += 1
         self.is_up = True
         self.store = stores.Store(disk=self.disk, limit_bytes=4000)
-        incarnation, rows = self.store.load()
-        self.acceptor = acceptors.Acceptor(incarnation=incarnation, rows=rows)
-        if not incarnation and is_first:
+        image = self.store.load()
+        self.acceptor = acceptors.Acceptor(incarnation=image.incarnation, rows={row[0]: row for row in image.rows})
+        if not image.incarnation and is_first:
             self.acceptor.incarnation = f"{self.name}{self.life}"
-            self.store.write(rows=(), incarnation=self.acceptor.incarnation, table=())
+            self.write()
         self.proposer = proposers.Proposer(
             own=f"{self.name}/{self.life}",
             seeds=MEMBERS,
@@ -49,6 +49,10 @@
         if not self.acceptor.votes:
             self.refill()
 
+    def write(self, *rows):
+        image = stores.Image(incarnation=self.acceptor.incarnation, rows=self.acceptor.rows())
+        self.store.write(rows=rows, image=image)
+
     def later(self, delay, act):
         life = self.life
         self.world.later(delay, lambda: act() if self.is_up and self.life == life else None)
@@ -78,7 +82,7 @@
             answer, row = (self.acceptor.prepare if kind == "prepare" else self.acceptor.accept)(message)
             if row is not None:
                 try:
-                    self.store.write(rows=(row,), incarnation=self.acceptor.incarnation, table=self.acceptor.rows())
+                    self.write(row)
                 except OSError:
                     return
             self.answer(source, life, answer)
@@ -97,7 +101,7 @@
             self.refilled[source.name] = message[1]
             if len(self.refilled) >= 2:
                 rows = self.acceptor.refill(incarnation=f"{self.name}{self.life}", states=tuple(self.refilled.values()))
-                self.store.write(rows=rows, incarnation=self.acceptor.incarnation, table=self.acceptor.rows())
+                self.write(*rows)
 
     def refill(self):
         if self.acceptor.votes:
@@ -304,12 +308,17 @@
     assert stale[0][0] is None and stale[0][2] == 2
 
 
+def _row(number):
+    return ("spec", number, "a", number, "a", number, b"v%d" % number)
+
+
 def _filled(count):
     disk = worlds.Disk(chance=None)
     store = stores.Store(disk=disk, limit_bytes=10**6)
-    store.write(rows=(), incarnation="i1", table=())
+    store.write(rows=(), image=stores.Image(incarnation="i1", first_set=MEMBERS))
     for number in range(1, count + 1):
-        store.write(rows=(("spec", number, "a", number, "a", number, b"v%d" % number),), incarnation="i1", table=())
+        row = _row(number)
+        store.write(rows=(row,), image=stores.Image(incarnation="i1", first_set=MEMBERS, rows=(row,)))
     return disk
 
 
@@ -317,8 +326,8 @@
 def test_torn_tail_is_cut_at_the_last_good_record(cut):
     disk = _filled(4)
     disk.tear(name=stores.FILE_NAME, keep=len(disk.files[stores.FILE_NAME]) - cut)
-    incarnation, rows = stores.Store(disk=disk, limit_bytes=10**6).load()
-    assert incarnation == "i1" and rows["spec"][6] == b"v3"
+    image = stores.Store(disk=disk, limit_bytes=10**6).load()
+    assert image == stores.Image(incarnation="i1", first_set=MEMBERS, rows=(_row(3),))
 
 
 def test_damage_before_the_tail_is_told():
@@ -334,11 +343,12 @@
     disk = worlds.Disk(chance=None)
     store = stores.Store(disk=disk, limit_bytes=500)
     row = ("spec", 1, "a", 1, "a", 1, b"x" * 90)
-    store.write(rows=(), incarnation="i1", table=())
+    image = stores.Image(incarnation="i1", rows=(row,))
+    store.write(rows=(), image=image)
     for _ in range(30):
-        store.write(rows=(row,), incarnation="i1", table=(row,))
+        store.write(rows=(row,), image=image)
     assert len(disk.files[stores.FILE_NAME]) < 1200
-    assert stores.Store(disk=disk, limit_bytes=500).load() == ("i1", {"spec": row})
+    assert stores.Store(disk=disk, limit_bytes=500).load() == image
 
 
 def test_refusing_disk_answers_nothing():
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -1,226 +1,341 @@
-"""Acceptor, proposer, disk and the refill of an emptied core node (design 4)."""
+"""One core node's part in the registers: acceptor, proposer, disk, and how a learner comes by them (docs/register.md)."""
 
 from pw.base import problems
 from pw.base import ring
+from pw.ctl import registers
 from pw.ctl.register import acceptor as acceptors
 from pw.ctl.register import ballots
+from pw.ctl.register import journal as journals
 from pw.ctl.register import proposer as proposers
+from pw.ctl.register import refill as refills
 from pw.ctl.register import store as stores
-from pw.ctl import registers
 
+PATIENCE_SHARE = 1 / 10  # of receiptMs: how long an attempt waits for a majority
+LIMIT_SHARE = 1 / 2  # of receiptMs: how long a round is tried again
+RETRY_SHARE = 1 / 20  # of receiptMs: from a failed write to the next try
+HANG_PATIENCES = 2  # a write that takes longer helps no attempt: this node votes for nothing meanwhile
+LOOK_SHARE = 1 / 16  # of contactMs: how often a learner asks
+DISK_SHARE = 1 / 16  # of the disk: the register's file is written anew once it is longer
+LEAST_DISK_MB = 8.0
+MEGABYTE = 1024 * 1024
 
-class VotingMixin:
-    """Acceptor, proposer, disk and the refill of an emptied node (design 4)."""
 
-    def start_voting(self) -> None:
-        self.store = stores.Store(
-            disk=self.runtime.disk(folder=self.settings.data_dir),
-            limit_bytes=int(max(self.settings.disk_mb, 8) * 1024 * 1024 / 16),
+class Voting:
+    """Votes, proposes, reads and learns for one node.
+
+    `send` (member, message) and `ask_cores` (message) reach other core nodes; `publish` (name, rev, value) says whether
+    a chosen value is news; `on_value` (name, payload, members) takes it; `version` (name) is the newest known as chosen.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop,
+        own: str,
+        store,
+        seeds: tuple,
+        is_first_start: bool,
+        chance,
+        unique_id,
+        receipt_s: float,
+        contact_s: float,
+        send,
+        ask_cores,
+        members,
+        publish,
+        on_value,
+        version,
+    ):
+        self._loop = loop
+        self.own = own
+        self._unique_id = unique_id
+        self._contact_s = contact_s
+        self._send_other = send
+        self._ask_cores = ask_cores
+        self._members = members
+        self._publish = publish
+        self._on_value = on_value
+        self._version = version
+        self._reading = set()
+        self._behind = {}  # register: (version, beats for which it has been accepted here and not known as chosen)
+        self._refill = refills.Refill(own=own, registers=registers.REGISTERS)
+        self._refill_begun = loop.now()
+        patience_s = receipt_s * PATIENCE_SHARE
+        self.journal = journals.Journal(
+            loop=loop, store=store, retry_s=receipt_s * RETRY_SHARE, hang_s=patience_s * HANG_PATIENCES
         )
-        self._unsafe = []  # (row, send when safe)
-        self._is_writing = False
-        self._refill_number = 0
-        self._refilled = {}
-        self.is_damaged = False
-        try:
-            incarnation, rows = self.store.load()
-            ring.note("register read", incarnation=incarnation, registers={name: row[5] for name, row in rows.items()})
-        except (problems.StoreProblem, OSError) as fault:
-            ring.spill(f"the register's file can't be read, this node refills: {fault}")
-            incarnation, rows = "", {}
-            self.is_damaged = True
-        self.acceptor = acceptors.Acceptor(incarnation=incarnation, rows=rows)
         self.proposer = proposers.Proposer(
-            own=f"{self.own}/{self.runtime.unique_id()[:6]}",
-            seeds=tuple(sorted(host for host, _port in self.settings.seeds)),
-            send=self._send_core,
-            later=lambda delay, act: self.loop.after(delay=delay, act=act),
-            now=self.loop.now,
-            chance=self.runtime.chance,
+            own=f"{own}/{unique_id()[:6]}",
+            seeds=(),
+            send=self.send,
+            later=lambda delay, act: loop.after(delay=delay, act=act),
+            now=loop.now,
+            chance=chance,
             on_chosen=self._on_chosen,
-            limit_s=self.receipt_s / 2,
-            patience_s=self.receipt_s / 10,
+            limit_s=receipt_s * LIMIT_SHARE,
+            patience_s=patience_s,
+            held=lambda name: self.journal.held.get(name)[1:],
         )
-        for name in self.acceptor.table:
-            value = self.acceptor.get(name)[3]
-            self.proposer.note_top(name=name, number=self.acceptor.get(name)[0][0])
+        self.acceptor = acceptors.Acceptor()
+        self._load(store, seeds, is_first_start)
+
+    def _load(self, store, seeds: tuple, is_first_start: bool) -> None:
+        self.is_damaged = False
+        try:
+            image = store.load()
+            ring.note("register read", incarnation=image.incarnation, registers={row[0]: row[5] for row in image.rows})
+        except (problems.StoreProblem, OSError) as failure:
+            ring.spill(f"the register's file can't be read, this node refills: {failure}")
+            image = stores.Image()
+            self.is_damaged = True
+        if not image.incarnation and is_first_start and not self.is_damaged:
+            # All start at once with empty disks, and all are told the same seeds: only then are they the first set.
+            image = stores.Image(incarnation=self._unique_id(), first_set=tuple(sorted(seeds)))
+        if image.incarnation:
+            self._begin(image)
+        else:
+            self.proposer.is_learner = True
+            self._look()
+
+    def _begin(self, image) -> None:
+        """Goes on with these rows; nothing of them is told before they are written once more."""
+        self.acceptor = acceptors.Acceptor(incarnation=image.incarnation, rows={row[0]: row for row in image.rows})
+        self.proposer.seeds = image.first_set
+        for row in image.rows:
+            name, number, value = row[0], row[1], row[6]
+            self.proposer.note_top(name=name, number=number)
             if value:
-                self.proposer.known[name] = ballots.unpack(value)[0]
-        if not incarnation and self.settings.first_start:
-            self.acceptor.incarnation = self.runtime.unique_id()
-            self._make_safe(None, None)
-        if not self.acceptor.votes:
-            self._ask_refill()
+                self.proposer.learn_accepted(name=name, value=value)
+        self.journal.begin(acceptor=self.acceptor, first_set=image.first_set)
 
-    def _send_core(self, member: str, message: tuple) -> None:
+    # Messages.
+    def send(self, member: str, message: tuple) -> None:
         if member == self.own:
-            self.loop.command(act=lambda: self._take_register(self.own, None, message))
-            return
-        dialer = self.dialers.get(member)
-        if dialer is not None and dialer.link is not None:
-            dialer.link.send(message)
+            self._loop.command(act=lambda: self.take(self.own, None, message))
+        else:
+            self._send_other(member, message)
 
     def _answer(self, member: str, link, message: tuple) -> None:
         if link is None:
-            self._take_register(member, None, message)
+            self.take(member, None, message)
         else:
             link.send(message)
 
-    def _take_register(self, member: str, link, message: tuple) -> bool:
+    def take(self, member: str, link, message: tuple) -> bool:
+        """A message of the registers; False where it is none."""
         kind = message[0]
         if kind in ("prepare", "accept"):
-            act = self.acceptor.prepare if kind == "prepare" else self.acceptor.accept
-            answer, row = act(message)
-            self.proposer.note_top(name=message[2], number=self.acceptor.get(message[2])[0][0])
-            self._make_safe(row, lambda: self._answer(member, link, answer))
+            self._vote(member, link, message)
         elif kind == "promise":
             self.proposer.take_promise(member, message)
         elif kind == "peek":
-            answer = self.acceptor.peek(message)
-            self._make_safe(None, lambda: self._answer(member, link, answer))
+            self._answer(member, link, self.journal.held.peek(message))
         elif kind == "peeked":
             self.proposer.take_peeked(member, message)
         elif kind == "accepted":
             self.proposer.take_accepted(member, message)
         elif kind == "chosen":
-            _kind, name, ballot_n, ballot_p, rev = message
-            _promised, accepted, _rev, value = self.acceptor.get(name)
-            if accepted == (ballot_n, ballot_p):
-                self._publish(name, rev, value)
+            self._take_chosen(message)
         elif kind == "refill":
-            is_intact = self.acceptor.votes
-            link.send(("refilled", message[1], is_intact, self.acceptor.rows() if is_intact else ()))
+            self._take_refill(member, link, message)
         elif kind == "refilled":
             self._take_refilled(member, message)
         else:
             return False
         return True
 
-    def _make_safe(self, row, act) -> None:
-        """`act` runs once all that came before it is on the disk."""
-        if row is None and act is not None and not self._unsafe and not self._is_writing:
-            act()
+    def _vote(self, member: str, link, message: tuple) -> None:
+        is_prepare = message[0] == "prepare"
+        name = message[2]
+        if self.journal.is_hindered:
+            # Nothing changes here, so that the others can agree without this node.
+            held = self.journal.held
+            self._answer(member, link, held.refuse_prepare(message) if is_prepare else held.refuse_accept(message))
             return
-        self._unsafe.append((row, act))
-        self._write_next()
+        answer, row = self.acceptor.prepare(message) if is_prepare else self.acceptor.accept(message)
+        self.proposer.note_top(name=name, number=self.acceptor.get(name)[0][0])
+        self.journal.note(row=row)
+        self.journal.tell(key=(member, message[0], name), act=lambda: self._answer(member, link, answer))
+
+    def _take_chosen(self, message: tuple) -> None:
+        _kind, name, ballot_n, ballot_p, rev = message
+        _promised, accepted, _rev, value = self.acceptor.get(name)
+        if accepted == (ballot_n, ballot_p):
+            self.publish(name, rev, value)
 
-    def _write_next(self) -> None:
-        if self._is_writing or not self._unsafe:
+    # Learning.
+    def _take_refill(self, member: str, link, message: tuple) -> None:
+        """A learner asks. It is told what the disk holds, and what it asks to be promised is promised first."""
+        _kind, number, fences = message
+        if fences and self.journal.held.votes and self.journal.is_hindered:
             return
-        batch, self._unsafe = self._unsafe, []
-        rows = tuple(row for row, _act in batch if row is not None)
-        incarnation, table = self.acceptor.incarnation, self.acceptor.rows()
-        self._is_writing = True
-
-        def done(future):
-            self._is_writing = False
-            fault = future.exception()
-            if fault is not None:
-                ring.spill(f"the disk refused a write, this node does not answer for it: {fault}")
-                # What was not made safe is written whole with the next try; nothing was answered.
-                self.loop.after(delay=self.receipt_s / 20, act=self._write_whole)
-                return
-            for _row, act in batch:
-                if act is not None:
-                    act()
-            self._write_next()
-
-        self.loop.offload(work=lambda: self.store.write(rows=rows, incarnation=incarnation, table=table), done=done)
-
-    def _write_whole(self) -> None:
-        for row in self.acceptor.rows():
-            self._unsafe.append((row, None))
-        self._write_next()
-
-    def _ask_refill(self) -> None:
+        if self.acceptor.votes:
+            for name, ballot_n, ballot_p in fences:
+                self.journal.note(row=self.acceptor.fence(name=name, ballot=(ballot_n, ballot_p)))
+
+        def tell() -> None:
+            held = self.journal.held
+            rows = (refills.first_set_row(self.proposer.seeds), *held.rows()) if held.votes else ()
+            link.send(("refilled", number, held.votes, rows))
+
+        if fences:
+            self.journal.tell(key=(member, "refill", ""), act=tell)
+        else:
+            tell()
+
+    def _look(self) -> None:
+        """Asks the core nodes in touch again and again, until enough of them answered."""
         if self.acceptor.votes:
             return
-        self._refill_number += 1
-        ring.note("refill asked", had={member: len(rows) for member, rows in self._refilled.items()})
-        self._refilled = {}
-        for _member, dialer in self.dialers.items():
-            if dialer.link is not None and dialer.link.is_up:
-                dialer.link.send(("refill", self._refill_number))
-        self.loop.after(delay=self.contact_s / 16, act=self._ask_refill)
+        if self._loop.now() - self._refill_begun > self._contact_s:
+            self._refill_begun = self._loop.now()
+            self._refill.start()
+        ring.note("refill asked", had={member: len(rows) for member, rows in self._refill.answers.items()})
+        self._ask_cores(self._refill.request())
+        self._loop.after(delay=self._contact_s * LOOK_SHARE, act=self._look)
 
     def _take_refilled(self, member: str, message: tuple) -> None:
         _kind, number, is_intact, rows = message
-        if self.acceptor.votes or number != self._refill_number or not is_intact:
+        if self.acceptor.votes or not is_intact:
             return
-        self._refilled[member] = rows
-        newest = {}
-        for states in self._refilled.values():
-            for row in states:
-                if row[6] and (row[3], row[4]) > newest.get(row[0], (ballots.NONE, b""))[0]:
-                    newest[row[0]] = ((row[3], row[4]), row[6])
-        members = self.proposer.seeds
-        sets = [ballots.unpack(value)[0] for _ballot, value in newest.values()] or [members]
-        for members in sets:
-            others = [other for other in members if other != self.own]
-            need = len(members) - ballots.majority(members) + 1
-            if self.own not in members:
-                need = ballots.majority(members)
-            if sum(1 for other in others if other in self._refilled) < min(need, len(others)):
-                return
-        incarnation = self.runtime.unique_id()
-        self.acceptor.refill(incarnation="", states=tuple(self._refilled.values()))
-        staged = acceptors.Acceptor(incarnation=incarnation, rows={row[0]: row for row in self.acceptor.rows()})
-        self.acceptor = staged
-        for row in staged.rows():
-            if row[6]:
-                self.proposer.known[row[0]] = ballots.unpack(row[6])[0]
-            self._unsafe.append((row, None))
-        self._unsafe.append((None, self._refill_over))
-        self._write_next()
+        stage = self._refill.stage
+        first_set, rows = refills.split_first_set(rows)
+        self._refill.take(member=member, number=number, first_set=first_set, rows=rows)
+        if self._refill.stage == refills.DONE:
+            self._end_refill()
+        elif self._refill.stage != stage:
+            self._ask_cores(self._refill.request())
+
+    def _end_refill(self) -> None:
+        gathered = acceptors.Acceptor()
+        rows = gathered.refill(incarnation="", states=tuple(self._refill.answers.values()))
+        self._begin(stores.Image(incarnation=self._unique_id(), first_set=self._refill.first_set, rows=rows))
+        self.journal.tell(key=(self.own, "refill", ""), act=self._refill_over)
 
     def _refill_over(self) -> None:
         ring.note("refilled", incarnation=self.acceptor.incarnation)
-        self._read_all()
-
-    def _read_all(self) -> None:
+        self.proposer.is_learner = False
         for name in registers.REGISTERS:
-            self._repair(name)
+            self.repair(name)
 
-    def _read_unknown(self) -> None:
+    # Reading and mending.
+    def floor(self) -> tuple:
+        """(register, newest version that this node's disk holds), for each register."""
+        return tuple((name, self.journal.held.get(name)[2]) for name in registers.REGISTERS)
+
+    def read_unknown(self) -> None:
         """What is on the disk but not yet known as chosen."""
         for name in registers.REGISTERS:
-            if not self.desk.serial(name)[1] and name not in self._reading:
-                self._repair(name)
+            if not self._version(name) and name not in self._reading:
+                self.repair(name)
 
-    def _repair(self, name: str) -> None:
+    def repair(self, name: str) -> None:
         self._reading.add(name)
-        self.proposer.read(name=name, done=lambda fault, rev, payload, result: self._reading.discard(name))
+        self.proposer.read(name=name, done=lambda _failure, _rev, _payload, _result: self._reading.discard(name))
 
-    def _on_chosen(self, name: str, ballot: tuple, rev: int, value: bytes, is_news: bool) -> None:
-        self._publish(name, rev, value)
-        if not is_news:
-            return
-        for member in self.members():
-            if member != self.own:
-                self._send_core(member, ("chosen", name, *ballot, rev))
-
-    def _publish(self, name: str, rev: int, value: bytes) -> None:
-        if not value or not self.desk.publish(topic=name, epoch=0, number=rev, data=value):
-            return
-        ring.note("chosen", register=name, rev=rev)
-        members, payload = ballots.unpack(value)
-        self.proposer.known[name] = members
-        self._apply(name, payload, members)
+    def is_reading(self, name: str) -> bool:
+        return name in self._reading
 
-    def _mend(self) -> None:
-        """A value accepted here but not known as chosen for a while is finished by a read."""
+    def mend(self) -> None:
+        """A value accepted here but not known as chosen for a while is finished by a read, a half-done move by a round."""
         if not self.acceptor.votes:
             return
-        members = self.members()
+        members = self._members()
         turn = 2 + (members.index(self.own) if self.own in members else len(members))
         for name in registers.REGISTERS:
-            rev = self.acceptor.get(name)[2]
-            if rev <= self.desk.serial(name)[1]:
+            _promised, _accepted, rev, value = self.journal.held.get(name)
+            is_open = rev > self._version(name)
+            if not is_open and not (value and len(ballots.way(value)) > 1):
                 self._behind.pop(name, None)
                 continue
             known, beats = self._behind.get(name, (rev, 0))
             beats = beats + 1 if known == rev else 1
             if beats >= turn:  # in turn, so that the core nodes do not meet in it
-                self._repair(name)
+                self.repair(name) if is_open else self.proposer.finish_move(name=name)
                 beats = 0
             self._behind[name] = (rev, beats)
+
+    def _on_chosen(self, name: str, ballot: tuple, rev: int, value: bytes, is_news: bool) -> None:
+        self.publish(name, rev, value)
+        if not is_news:
+            return
+        for member in self._members():
+            if member != self.own:
+                self.send(member, ("chosen", name, *ballot, rev))
+
+    def publish(self, name: str, rev: int, value: bytes) -> None:
+        """A value that is known to be chosen."""
+        if not value or not self._publish(name, rev, value):
+            return
+        ring.note("chosen", register=name, rev=rev)
+        members, payload = ballots.unpack(value)
+        self.proposer.learn_chosen(name=name, value=value)
+        self._on_value(name, payload, members)
+
+
+class VotingMixin:
+    """Holds the `Voting` of a core node under the names that its other parts use."""
+
+    def start_voting(self) -> None:
+        disk_mb = max(self.settings.disk_mb, LEAST_DISK_MB)
+        self.store = stores.Store(
+            disk=self.runtime.disk(folder=self.settings.data_dir), limit_bytes=int(disk_mb * MEGABYTE * DISK_SHARE)
+        )
+        self.voting = Voting(
+            loop=self.loop,
+            own=self.own,
+            store=self.store,
+            seeds=tuple(host for host, _port in self.settings.seeds),
+            is_first_start=self.settings.first_start,
+            chance=self.runtime.chance,
+            unique_id=self.runtime.unique_id,
+            receipt_s=self.receipt_s,
+            contact_s=self.contact_s,
+            send=self._send_core,
+            ask_cores=self._ask_cores,
+            members=lambda: self.members(),
+            publish=lambda name, rev, value: self.desk.publish(topic=name, epoch=0, number=rev, data=value),
+            on_value=self._apply,
+            version=lambda name: self.desk.serial(name)[1],
+        )
+
+    @property
+    def acceptor(self):
+        return self.voting.acceptor
+
+    @property
+    def proposer(self):
+        return self.voting.proposer
+
+    @property
+    def _reading(self) -> set:
+        return self.voting._reading
+
+    @_reading.setter
+    def _reading(self, _names) -> None:
+        pass  # Core names it before the voting starts
+
+    def _send_core(self, member: str, message: tuple) -> None:
+        dialer = self.dialers.get(member)
+        if dialer is not None and dialer.link is not None:
+            dialer.link.send(message)
+
+    def _ask_cores(self, message: tuple) -> None:
+        for dialer in self.dialers.values():
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(message)
+
+    def _take_register(self, member: str, link, message: tuple) -> bool:
+        return self.voting.take(member, link, message)
+
+    def _read_unknown(self) -> None:
+        self.voting.read_unknown()
+
+    def _repair(self, name: str) -> None:
+        self.voting.repair(name)
+
+    def _mend(self) -> None:
+        self.voting.mend()
+
+    def _publish(self, name: str, rev: int, value: bytes) -> None:
+        self.voting.publish(name, rev, value)
