--- /dev/null
+++ b/pw/sim/control/machines.py
@@ -0,0 +1,235 @@
+"""Simulated machines: what a core node runs on, and the settings files they start with."""
+
+import dataclasses
+import json
+
+from pw.base import settings as settings_files
+from pw.ctl import core as cores
+from pw.ctl import platform
+from pw.ctl import runtime as runtimes
+from pw.sim.control import clock as clocks
+from pw.sim.control import disk as disks
+from pw.sim.control import network as networks
+
+CONTROL_PORT, DIRECTORY_PORT, INNER_PORT = 8080, 8081, 7720
+PLATFORM = "platform"
+BOUNDS = {
+    "contactMs": 4000,
+    "receiptMs": 5000,
+    "catchUpS": 4,
+    "drainMs": 4000,
+    "graceS": 8,
+    "applyMs": 2500,
+    "evacuateMs": 5000,
+    "retryRatio": 0.2,
+    "retryWindowS": 10,
+    "retrySlack": 50,
+    "warmupExcess": 1.5,
+    "warmupSlack": 5,
+    "ttl_max_s": 5,
+    "stretchMaxMs": 6000,
+}
+REGIONS = ("north", "south", "west")
+ZONES = {f"z{region}": region for region in REGIONS}
+
+
+def settings(*, host: str, region: str, seeds: tuple, is_first: bool, tolerated: int, is_core: bool = True):
+    """A settings file as a machine gets it, read by the real reader."""
+    lines = [
+        f"node=n-{host}",
+        f"role={'core' if is_core else 'proxy'}",
+        f"ip={host}",
+        f"zone=z{region}",
+        f"region={region}",
+        f"firstStart={'true' if is_first else 'false'}",
+        f"innerPortRange={INNER_PORT},{INNER_PORT + 15}",
+        f"cloudApi.address={PLATFORM}:80",
+        "cloudApi.perS=10",
+        "limits.diskMb=8",
+        "counted=true",
+        f"tolerate.machines={tolerated}",
+        "seedNodes=" + ",".join(f"{seed}:{CONTROL_PORT}" for seed in seeds),
+    ]
+    lines += [f"zones.{zone}={name}" for zone, name in ZONES.items()]
+    lines += [f"bounds.{name}={value}" for name, value in BOUNDS.items()]
+    if is_core:
+        lines += [f"bindings.control={host}:{CONTROL_PORT}", f"bindings.directory={host}:{DIRECTORY_PORT}"]
+        lines += ["dataDir=/data"]
+    return settings_files.check(text="\n".join(lines))
+
+
+class Machine:
+    """A machine with a disk, and the program that runs on it now."""
+
+    def __init__(self, *, clock, host: str, region: str):
+        self.host = host
+        self.region = region
+        self.disk = disks.Disk(clock=clock)
+        self.ports = {}
+        self.is_powered = True
+        self.is_removed = False
+        self.process = None
+        self.program = None  # the Core or the model proxy
+
+
+class Program(clocks.Process):
+    """A process with links."""
+
+    def __init__(self, *, clock, name, on_failure):
+        super().__init__(clock=clock, name=name, on_failure=on_failure)
+        self.links = set()
+
+
+def stop(*, machine: Machine, is_power_lost: bool = False) -> None:
+    """The process ends at once. Its links are reset by the system, or go silent with the power."""
+    process = machine.process
+    if process is not None and process.is_alive:
+        process.end()
+        for link in sorted(process.links, key=lambda link: (link.peer, link.opened_at)):
+            link.is_open = False
+            if not is_power_lost:
+                link.connection.left(link, item=networks.RESET)
+    machine.ports.clear()
+    if is_power_lost:
+        machine.disk.lose_power()
+    else:
+        machine.disk.kill()
+
+
+class Platform:
+    """The platform's list of replicas. Down, it is silent."""
+
+    def __init__(self, *, network):
+        self._network = network
+        self._clock = network.clock
+        self.is_up = True
+        self.number = 0
+        self.calls = 0
+
+    def change(self) -> None:
+        self.number += 1
+
+    def body(self) -> bytes:
+        row = {
+            "id": f"i-{self.number}",
+            "destination": "llm",
+            "address": "10.9.0.1:8080",
+            "zone": "znorth",
+            "edition": "v1",
+            "berths": 8,
+            "condition": "accepting",
+            "warmupLeftMs": 0,
+            "models": [],
+        }
+        return json.dumps({"replicas": [row], "nextPage": None}).encode()
+
+
+class PlatformCaller:
+    """Stands in for pw.ctl.platform.Caller."""
+
+    def __init__(self, *, platform_model, machine, process):
+        self._platform = platform_model
+        self._machine = machine
+        self._process = process
+        self._clock = process.clock
+
+    def get(self, *, url: str, limit_s: float, done) -> None:
+        self._platform.calls += 1
+        if self._platform.is_up:
+            body = self._platform.body()
+            delay = self._clock.chance.uniform(0.005, 0.05)
+            self._clock.later(delay=delay, act=lambda: done(None, 200, body), process=self._process)
+        else:
+            self._clock.later(delay=limit_s, act=lambda: done(OSError("timed out"), 0, b""), process=self._process)
+
+
+class NoFileWatch:
+    def is_changed(self) -> bool:
+        return False
+
+
+class SimulatedRuntime(runtimes.Runtime):
+    """Everything that a core node takes from its machine, simulated."""
+
+    def __init__(self, *, network, machine, process, platform_model, node_settings, on_stop):
+        self.network = network
+        self.machine = machine
+        self.process = process
+        self.on_terminate = None
+        self._clock = network.clock
+        self._platform = platform_model
+        self._settings = node_settings
+        self._on_stop = on_stop
+
+    def loop(self, *, on_fault=None):
+        return clocks.Loop(process=self.process, on_stop=self._on_stop, disk=self.machine.disk)
+
+    def port(self, **about):
+        return networks.Port(runtime=self, **about)
+
+    def dialer(self, **about):
+        return networks.Dialer(runtime=self, **about)
+
+    def hall(self, **about):
+        return networks.Hall(runtime=self, **about)
+
+    def disk(self, *, folder: str):
+        return self.machine.disk
+
+    def watch(self, **about):
+        watch = platform.Watch(**about)
+        watch._caller = PlatformCaller(platform_model=self._platform, machine=self.machine, process=self.process)
+        return watch
+
+    def file_watch(self):
+        return NoFileWatch()
+
+    def load_settings(self):
+        return self._settings
+
+    def chance(self) -> float:
+        return self._clock.chance.random()
+
+    def unique_id(self) -> str:
+        return f"{self._clock.chance.getrandbits(48):012x}"
+
+    def on_signals(self, *, loop, on_terminate, on_reread) -> None:
+        self.on_terminate = on_terminate
+
+
+@dataclasses.dataclass
+class Running:
+    """A core node that runs, and what the world needs of it."""
+
+    core: cores.Core
+    runtime: SimulatedRuntime
+    is_leaving: bool = False
+
+
+def start_core(*, network, machine, platform_model, node_settings, on_failure, on_stop, watcher) -> Running:
+    """Starts a core node on this machine; `watcher(core)` is called before it runs."""
+    machine.is_powered = True
+    process = Program(clock=network.clock, name=machine.host, on_failure=on_failure)
+    machine.process = process
+    runtime = SimulatedRuntime(
+        network=network,
+        machine=machine,
+        process=process,
+        platform_model=platform_model,
+        node_settings=node_settings,
+        on_stop=lambda: on_stop(machine, process),
+    )
+    running = []
+
+    def begin():
+        core = cores.Core(settings=node_settings, runtime=runtime)
+        watcher(core)
+        core.start()
+        machine.disk.finish_now()
+        running.append(core)
+
+    process.guard(begin)
+    if not running:
+        return None
+    machine.program = Running(core=running[0], runtime=runtime)
+    return machine.program
--- /dev/null
+++ b/pw/sim/control/network.py
@@ -0,0 +1,464 @@
+"""Simulated links between processes: the interfaces of pw/base/link.py and pw/base/inlet.py without sockets.
+
+A connection keeps the order of what is sent and loses nothing while it lives: what a cut holds back comes when the cut
+ends. The system of a machine takes connections and data while its process is frozen, answers for a dead process with a
+reset, and is silent while the machine is down.
+"""
+
+import functools
+
+from pw.base import wire
+from pw.sim.control import clock as clocks
+
+OPEN, OPENED, END, RESET = "open", "opened", "end", "reset"
+NEAR_S = (0.0005, 0.004)
+FAR_S = (0.01, 0.05)
+AGAIN_S = (0.0, 0.2)  # what a cut held back is sent again
+pack = functools.lru_cache(maxsize=8192)(wire.pack)
+unpack = functools.lru_cache(maxsize=8192)(wire.unpack)
+
+
+class Network:
+    """Which machines there are, which ways are cut or slow, and the connections between them."""
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.machines = {}  # host: Machine
+        self.cuts = {}  # (source, target): how many troubles cut it
+        self.slow = {}  # host: delay added to each way
+        self._connections = {}  # (source, target): connections that a cut may hold, in the order of their making
+
+    def is_cut(self, source: str, target: str) -> bool:
+        return bool(self.cuts) and self.cuts.get((source, target), 0) > 0
+
+    def delay(self, source: str, target: str) -> float:
+        one, other = self.machines.get(source), self.machines.get(target)
+        is_near = one is not None and other is not None and one.region == other.region
+        delay = self.clock.chance.uniform(*(NEAR_S if is_near else FAR_S))
+        if self.slow:
+            delay += self.slow.get(source, 0.0) + self.slow.get(target, 0.0)
+        return delay
+
+    def cut(self, *, pairs, is_reset: bool) -> None:
+        for pair in pairs:
+            self.cuts[pair] = self.cuts.get(pair, 0) + 1
+        if is_reset:
+            self.reset(pairs=pairs)
+
+    def join(self, *, pairs) -> None:
+        for pair in pairs:
+            self.cuts[pair] -= 1
+            if not self.cuts[pair]:
+                del self.cuts[pair]
+        for source, target in pairs:
+            for connection in self.between(source, target):
+                connection.flush()
+
+    def between(self, source: str, target: str) -> list:
+        found = self._connections.get((source, target), []) + self._connections.get((target, source), [])
+        return list(found)
+
+    def reset(self, *, pairs) -> None:
+        for source, target in pairs:
+            for connection in self.between(source, target):
+                connection.reset()
+
+    def add(self, connection) -> None:
+        self._connections.setdefault(connection.hosts, []).append(connection)
+
+    def drop(self, connection) -> None:
+        held = self._connections.get(connection.hosts, [])
+        if connection in held:
+            held.remove(connection)
+
+
+class Connection:
+    """One connection; direction 0 is from its dialer."""
+
+    __slots__ = ("network", "hosts", "ends", "port", "_stuck", "_last", "_early", "is_over")
+
+    def __init__(self, *, network, dialer_end, source: str, target: str, port: int):
+        self.network = network
+        self.hosts = (source, target)
+        self.ends = [dialer_end, None]
+        self.port = port
+        self._stuck = ([], [])
+        self._last = [0.0, 0.0]
+        self._early = []  # what came before the process took the connection
+        self.is_over = False
+        network.add(self)
+
+    def transmit(self, direction: int, item) -> None:
+        if self.is_over:
+            return
+        clock = self.network.clock
+        source, target = self.hosts if direction == 0 else self.hosts[::-1]
+        if self._stuck[direction] or self.network.is_cut(source, target):
+            self._stuck[direction].append((clock.time, item))
+            return
+        when = max(clock.time + self.network.delay(source, target), self._last[direction])
+        self._last[direction] = when
+        clock.schedule(when=when, act=lambda: self._arrive(direction, item))
+
+    def stuck_for(self, direction: int) -> float:
+        """How long the oldest data of this way has been held back: TCP_USER_TIMEOUT ends it."""
+        stuck = self._stuck[direction]
+        return self.network.clock.time - stuck[0][0] if stuck else 0.0
+
+    def flush(self) -> None:
+        clock = self.network.clock
+        for direction in (0, 1):
+            source, target = self.hosts if direction == 0 else self.hosts[::-1]
+            if not self._stuck[direction] or self.network.is_cut(source, target):
+                continue
+            items = [item for _when, item in self._stuck[direction]]
+            self._stuck[direction].clear()
+            pause = clock.chance.uniform(*AGAIN_S)
+            self._last[direction] = max(self._last[direction], clock.time + pause)
+            for item in items:
+                self.transmit(direction, item)
+
+    def reset(self) -> None:
+        for direction in (0, 1):
+            self._arrive(direction, RESET)
+        self.finish()
+
+    def finish(self) -> None:
+        self.is_over = True
+        self.network.drop(self)
+
+    def _arrive(self, direction: int, item) -> None:
+        target = self.network.machines.get(self.hosts[1 - direction])
+        if self.is_over or target is None or not target.is_powered:
+            return
+        end = self.ends[1 - direction]
+        if direction == 0 and item is OPEN:
+            self._accept(target)
+        elif end is None and direction == 0:
+            self._early.append(item)
+        elif end is None or not end.is_open or not end.process.is_alive:
+            if item not in (END, RESET):
+                self.transmit(1 - direction, RESET)
+            if item in (END, RESET):
+                self.finish()
+        else:
+            clock = self.network.clock
+            clock.schedule(
+                when=clock.time, act=lambda: end.arrived(item), process=end.process, kind=clocks.DELIVERY
+            ) if end.process.is_frozen else end.process.guard(lambda: end.arrived(item))
+
+    def _accept(self, machine) -> None:
+        port = machine.ports.get(self.port)
+        if port is None:
+            self.transmit(1, RESET)
+            return
+        self.transmit(1, OPENED)
+        clock = self.network.clock
+        clock.later(delay=0.0, act=lambda: self._taken(port), process=port.process, kind=clocks.DELIVERY)
+
+    def _taken(self, port) -> None:
+        self.ends[1] = port.take(self)
+        early, self._early = self._early, []
+        for item in early:
+            if self.ends[1].is_open:
+                self.ends[1].arrived(item)
+
+    def left(self, end, *, item) -> None:
+        """An end was closed by its process, or its process died on a living machine."""
+        direction = 0 if end is self.ends[0] else 1
+        self.transmit(direction, item)
+
+
+class Link:
+    """One end, with the interface of pw.base.link.Link."""
+
+    def __init__(self, *, process, loop, on_message, on_end, silence_s, is_connecting, peer):
+        self.process = process
+        self.loop = loop
+        self.peer = peer
+        self.hello = None
+        self.is_open = True
+        self.is_up = not is_connecting
+        self.heard_at = loop.now()
+        self.opened_at = loop.now()
+        self.silence_s = silence_s
+        self.frame = b""
+        self.connection = None
+        self._direction = 0 if is_connecting else 1
+        self._on_message = on_message
+        self._on_end = on_end
+        self._unsent = []
+        process.links.add(self)
+        self._check = loop.after(delay=silence_s / 2, act=self._check_silence)
+
+    def _check_silence(self) -> None:
+        if not self.is_open:
+            return
+        if self.loop.now() - self.heard_at > self.silence_s:
+            self.close(reason="silent")
+            return
+        if self.connection.stuck_for(self._direction) > self.silence_s:
+            self.close(reason="ETIMEDOUT")
+            return
+        self._check = self.loop.after(delay=self.silence_s / 4, act=self._check_silence)
+
+    def queued(self) -> int:
+        return sum(len(frame) for frame in self._unsent)
+
+    def send(self, message: tuple) -> None:
+        self.send_bytes(pack(message))
+
+    def send_bytes(self, data: bytes) -> None:
+        if not self.is_open:
+            return
+        if self.is_up:
+            self.connection.transmit(self._direction, data)
+        else:
+            self._unsent.append(data)
+
+    def arrived(self, item) -> None:
+        if not self.is_open:
+            return
+        if item is OPENED:
+            self.is_up = True
+            self.heard_at = self.loop.now()
+            unsent, self._unsent = self._unsent, []
+            for data in unsent:
+                self.connection.transmit(self._direction, data)
+            return
+        if item is END or item is RESET:
+            self.close(reason="closed" if item is END else "ECONNRESET")
+            return
+        self.heard_at = self.loop.now()
+        message = unpack(item)
+        if message[0] == "beat":
+            return
+        self.frame = item
+        self._on_message(self, message)
+
+    def close(self, *, reason: str = "") -> None:
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.loop.cancel(timer=self._check)
+        self.process.links.discard(self)
+        self.connection.left(self, item=END)
+        self._on_end(self, reason)
+
+
+class Dialer:
+    """The interface of pw.base.link.Dialer."""
+
+    def __init__(self, *, runtime, loop, address, on_up, on_message, on_end, silence_s, source_ip=""):
+        self.loop = loop
+        self.address = address
+        self.link = None
+        self._runtime = runtime
+        self._on_up = on_up
+        self._on_message = on_message
+        self._on_end = on_end
+        self._silence_s = silence_s
+        self._pause_s = silence_s / 40
+        self._is_stopped = False
+        self._dial()
+
+    def _dial(self) -> None:
+        if self._is_stopped:
+            return
+        host, port = self.address
+        self.link = Link(
+            process=self._runtime.process,
+            loop=self.loop,
+            on_message=self._take,
+            on_end=self._ended,
+            silence_s=self._silence_s,
+            is_connecting=True,
+            peer="%s:%d" % self.address,
+        )
+        own = self._runtime.machine.host
+        self.link.connection = Connection(
+            network=self._runtime.network, dialer_end=self.link, source=own, target=host, port=port
+        )
+        self.link.connection.transmit(0, OPEN)
+        self._on_up(self.link)
+
+    def _take(self, link, message) -> None:
+        self._pause_s = self._silence_s / 40
+        self._on_message(link, message)
+
+    def _ended(self, link, reason) -> None:
+        if self.link is link:
+            self.link = None
+        self._on_end(link, reason)
+        self._again()
+
+    def _again(self) -> None:
+        if self._is_stopped:
+            return
+        self._pause_s = min(self._pause_s * 1.6, self._silence_s / 4)
+        pause = self._pause_s * (0.5 + 0.5 * self._runtime.chance())
+        self.loop.after(delay=pause, act=self._dial)
+
+    def stop(self) -> None:
+        self._is_stopped = True
+        if self.link is not None:
+            self.link.close(reason="stopped")
+
+
+class Port:
+    """The interface of pw.base.link.Port."""
+
+    def __init__(self, *, runtime, loop, address, on_link, on_message, on_end, silence_s):
+        self.process = runtime.process
+        self._loop = loop
+        self._on_link = on_link
+        self._on_message = on_message
+        self._on_end = on_end
+        self._silence_s = silence_s
+        runtime.machine.ports[address[1]] = self
+
+    def take(self, connection) -> Link:
+        link = Link(
+            process=self.process,
+            loop=self._loop,
+            on_message=self._on_message,
+            on_end=self._on_end,
+            silence_s=self._silence_s,
+            is_connecting=False,
+            peer=connection.hosts[0],
+        )
+        link.connection = connection
+        self._on_link(link)
+        return link
+
+
+class Request:
+    """One call at a node's request handler, with the parts of pw.base.inlet.Request that handlers use."""
+
+    def __init__(self, *, method: str, target: str, headers: tuple, body: bytes, at: float, on_reply):
+        self.method = method.encode()
+        self.target = target.encode()
+        self.headers = [(name.lower().encode(), value.encode()) for name, value in headers]
+        self.body = body
+        self.at = at
+        self.begun_at = at
+        self.on_gone = None
+        self.on_drain = None
+        self.is_answered = False
+        self.is_started = False
+        self.note = None
+        self.door = self
+        self.is_open = True
+        self._on_reply = on_reply  # (status, headers, body), or None where the connection ends without an answer
+
+    def header(self, name: bytes, default: bytes = b"") -> bytes:
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return default
+
+    def text(self, name: bytes, default: str = "") -> str:
+        return self.header(name, default.encode()).decode("latin-1")
+
+    def reply(self, *, status: int, headers=(), body: bytes = b"", is_last=False) -> None:
+        if self.is_answered or self.is_started:
+            return
+        self.is_started = self.is_answered = True
+        told = {name.decode().lower(): value.decode() for name, value in headers}
+        self._on_reply((status, told, body))
+
+    def abort(self) -> None:
+        if not self.is_answered:
+            self.is_answered = True
+            self._on_reply(None)
+
+    def close(self, *, is_hard=False) -> None:
+        self.abort()
+
+    def gone(self) -> None:
+        """The caller closed its connection."""
+        self.is_open = False
+        if self.on_gone is not None and not self.is_answered:
+            self.on_gone()
+
+
+class Hall:
+    """The interface of pw.base.inlet.Hall, as far as a core node uses it."""
+
+    def __init__(self, *, runtime, loop, address, on_request, limits=None, silence_s=0.0, most_doors=0, most_bytes=0):
+        self.loop = loop
+        self.process = runtime.process
+        self.is_leaving = False
+        self.doors = set()
+        self._ports = runtime.machine.ports
+        self._address = address
+        self._on_request = on_request
+        self._ports[address[1]] = self
+
+    def take(self, request) -> None:
+        self._on_request(request)
+
+    def leave(self) -> None:
+        self.is_leaving = True
+
+    def close_idle(self) -> None:
+        """Calls have a connection each here; none is idle."""
+
+    def stop_listening(self) -> None:
+        if self._ports.get(self._address[1]) is self:
+            del self._ports[self._address[1]]
+
+
+class Caller:
+    """Calls from outside the system: one connection each, whose answer may be lost."""
+
+    def __init__(self, *, network, host: str):
+        self._network = network
+        self._clock = network.clock
+        self.host = host
+
+    def call(self, *, host, port, method, target, headers=(), body=b"", limit_s, done, is_answer_lost=False) -> None:
+        """`done(answer)`: (status, headers, body), or None where the connection ends without one or `limit_s` is over."""
+        state = {"is_over": False, "request": None}
+
+        def finish(answer):
+            if not state["is_over"]:
+                state["is_over"] = True
+                done(answer)
+
+        def give_up():
+            finish(None)
+            request = state["request"]
+            if request is not None and not request.is_answered and not self._network.is_cut(self.host, host):
+                process = state["process"]
+                self._clock.later(
+                    delay=self._network.delay(self.host, host), act=request.gone, process=process, kind=clocks.DELIVERY
+                )
+
+        def reply(answer):
+            if is_answer_lost or self._network.is_cut(host, self.host):
+                return
+            self._clock.later(delay=self._network.delay(host, self.host), act=lambda: finish(answer))
+
+        def arrive():
+            machine = self._network.machines.get(host)
+            if machine is None or not machine.is_powered or self._network.is_cut(self.host, host):
+                return
+            hall = machine.ports.get(port)
+            if hall is None:
+                reply(None)
+                return
+            state["process"] = hall.process
+
+            def handle():
+                state["request"] = Request(
+                    method=method, target=target, headers=headers, body=body, at=hall.loop.now(), on_reply=reply
+                )
+                hall.take(state["request"])
+                if state["is_over"]:
+                    state["request"].gone()
+
+            self._clock.later(delay=0.0, act=handle, process=hall.process, kind=clocks.DELIVERY)
+
+        self._clock.later(delay=self._network.delay(self.host, host), act=arrive)
+        self._clock.later(delay=limit_s, act=give_up)
--- /dev/null
+++ b/pw/sim/control/proxies.py
@@ -0,0 +1,155 @@
+"""A model of a proxy's control side: news, floors, acknowledgements and grant entries, with the real Follower and Quota.
+
+It follows pw/dat/follow.py, without the traffic. What it holds is what the checks of news and grants look at.
+"""
+
+import inspect
+import json
+
+from pw.base import wire
+from pw.ctl.news import desk as desks
+from pw.ctl.register import ballots
+from pw.dat import quota as quotas
+from pw.sim.control import clock as clocks
+from pw.sim.control import machines
+from pw.sim.control import network as networks
+
+RENEWALS_KEPT = 16
+_HAS_RENEWALS = "renew" in wire.KINDS
+_COUNTS_FROM_SENDING = "sent_at" in inspect.signature(quotas.Quota.take_entry).parameters
+
+
+class Proxy:
+    """One life of a model proxy. `recorder` is told of what it applies and of its shares."""
+
+    def __init__(self, *, network, machine, process, node_settings, recorder):
+        self.machine = machine
+        self.process = process
+        self.settings = node_settings
+        self.host = machine.host
+        self.life = f"{network.clock.chance.getrandbits(48):012x}"
+        self.network = network
+        self.is_serving = False
+        self.is_leaving = False
+        self.edition = 0
+        self.serials = {}
+        self._recorder = recorder
+        self.loop = clocks.Loop(process=process, on_stop=lambda: None)
+        self._contact_s = node_settings.bound_s(name="contactMs")
+        self._silence_s = self._contact_s / 5
+        self.quota = quotas.Quota(now=self.loop.now, settings=node_settings)
+        self.follower = desks.Follower(now=self.loop.now, patience_s=self._contact_s / 12, on_image=self._on_image)
+        self._floors = {}
+        self._renewal = 0
+        self._renewed_at = {}
+        self._seeds = tuple(sorted({host for host, _port in node_settings.seeds}))
+        self.members = self._seeds
+        self.dialers = {}
+        self._dial()
+        self.loop.every(gap=self._silence_s / 3, act=self._tick)
+
+    def chance(self) -> float:
+        return self.network.clock.chance.random()
+
+    def _dial(self) -> None:
+        wanted = set(self.members) | set(self._seeds)
+        for host in sorted(wanted - self.dialers.keys()):
+            self.dialers[host] = networks.Dialer(
+                runtime=self,
+                loop=self.loop,
+                address=(host, machines.INNER_PORT),
+                on_up=self._hail,
+                on_message=lambda link, message, host=host: self._take(host, link, message),
+                on_end=lambda link, _reason: self.follower.drop(link),
+                silence_s=self._silence_s,
+            )
+        for host in sorted(self.dialers.keys() - wanted):
+            self.dialers.pop(host).stop()
+
+    def _hail(self, link) -> None:
+        about = (self.settings.ip, self.settings.zone, self.settings.region, self.life, f"{self.host}:8082")
+        link.send(("hello", "proxy", *about))
+        link.send(("state", self.is_serving and not self.is_leaving, self.is_leaving))
+
+    def _tell(self, message: tuple) -> None:
+        for dialer in self.dialers.values():
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(message)
+
+    def _tick(self) -> None:
+        if _HAS_RENEWALS:
+            self._renewal += 1
+            self._renewed_at[self._renewal] = self.loop.now()
+            self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
+            self._tell(("renew", self._renewal))
+        else:
+            self._tell(("beat", 0))
+        self.follower.tick()
+
+    def _take(self, host: str, link, message: tuple) -> None:
+        kind = message[0]
+        if kind == "offer":
+            self.follower.take_offer(link, message)
+        elif kind == "image":
+            if self.follower.take_image(link, message):
+                topic = message[1]
+                self._tell(("have", ((topic, *self.follower.serials[topic]),)))
+        elif kind == "floor":
+            self._floors[host] = dict(message[1])
+            self._check_serving()
+        elif kind == "entry":
+            self._take_entry(link, message)
+
+    def _take_entry(self, link, message: tuple) -> None:
+        if not _HAS_RENEWALS:
+            self.quota.take_entry(link, message)
+        else:
+            sent_at = self._renewed_at.get(message[-1])
+            if sent_at is None:
+                return
+            if _COUNTS_FROM_SENDING:
+                self.quota.take_entry(link, message[:-1], sent_at=sent_at)
+            else:
+                self.quota.take_entry(link, message[:-1])
+        self._recorder.shares(self)
+
+    def _check_serving(self) -> None:
+        if self.is_serving or not ballots.has_majority(of=self.members, among=self._floors):
+            return
+        serials = self.follower.serials
+        for name in ("spec", "evac"):
+            floor = max(floors.get(name, 0) for floors in self._floors.values())
+            if serials.get(name, (0, 0))[1] < floor:
+                return
+        if serials.get("spec", (0, 0))[1] < 1 or "list" not in serials or "cores" not in serials:
+            return
+        self.is_serving = True
+        self._tell(("state", True, self.is_leaving))
+
+    def _on_image(self, topic: str, epoch: int, number: int, data: bytes) -> None:
+        self._recorder.applied(self, topic, epoch, number, data)
+        if topic == "cores":
+            self.members = ballots.unpack(data)[0]
+            self.loop.command(act=self._dial)
+        elif topic == "list":
+            json.loads(data)
+        self.loop.command(act=self._check_serving)
+
+
+def start_proxy(*, network, machine, node_settings, on_failure, recorder) -> Proxy:
+    machine.is_powered = True
+    machine.process = machines.Program(clock=network.clock, name=machine.host, on_failure=on_failure)
+    made = []
+    machine.process.guard(
+        lambda: made.append(
+            Proxy(
+                network=network,
+                machine=machine,
+                process=machine.process,
+                node_settings=node_settings,
+                recorder=recorder,
+            )
+        )
+    )
+    machine.program = made[0] if made else None
+    return machine.program
--- /dev/null
+++ b/pw/sim/control/recorder.py
@@ -0,0 +1,195 @@
+"""What happened in one day of the model world, and the checks that look at each step of it (docs/simulate.md)."""
+
+import dataclasses
+import functools
+import json
+
+from pw.ctl import registers
+from pw.ctl.register import ballots
+
+EPSILON = 1e-6
+MOST_FINDINGS = 20
+SLACKS, RATES = "slacks", "rates"
+RATE_WINDOW_S = 1.05  # the span over which a proxy counts what it sends to a cold replica
+unpack = functools.lru_cache(maxsize=4096)(ballots.unpack)
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """A check that was broken."""
+
+    when: float
+    check: str
+    text: str
+
+
+@dataclasses.dataclass
+class Chosen:
+    """One value of the configuration's register."""
+
+    version: int
+    edition: int
+    mark: str
+    seen_at: float
+
+
+def mark_of(body: dict) -> str:
+    """The order that made this configuration: it stands in the first route."""
+    routes = body.get("routes") or [{}]
+    return routes[0].get("note", "")
+
+
+class Recorder:
+    """Collects what nodes and proxies do, and checks what can be told at once."""
+
+    def __init__(self, *, clock, window_s: float, keeps_history: bool):
+        self._clock = clock
+        self._windows = {SLACKS: window_s, RATES: RATE_WINDOW_S}
+        self._keeps_history = keeps_history
+        self.history = []
+        self.findings = []
+        self.values = {}  # (register, version): (members, payload)
+        self.newest = {}  # register: version
+        self.configurations = []  # Chosen, in the order of their editions' first sight
+        self._by_edition = {}
+        self.holders = {}  # (duty, epoch): (holder, life)
+        self._topics = {}  # (topic, epoch, number): data
+        self._shares = {}  # proxy life: {kind: [(from, share)]}
+        self._proxies = {}  # proxy life: Proxy
+        self.most = {SLACKS: 0.0, RATES: 0.0}
+
+    def note(self, text: str, **about) -> None:
+        if self._keeps_history:
+            told = " ".join(f"{name}={value}" for name, value in about.items())
+            self.history.append((self._clock.time, f"{text} {told}"))
+
+    def find(self, check: str, text: str) -> None:
+        if len(self.findings) < MOST_FINDINGS:
+            self.findings.append(Finding(when=self._clock.time, check=check, text=text))
+        self.note(f"FINDING {check}: {text}")
+
+    def failed_step(self, process, text: str) -> None:
+        self.find("a step failed", f"{process.name}: {text.strip()}")
+
+    # Registers and topics, as core nodes publish them.
+    def watch(self, core) -> None:
+        publish = core.desk.publish
+        own = (core.own, core.life)
+
+        def watched(*, topic, epoch, number, data):
+            is_new = publish(topic=topic, epoch=epoch, number=number, data=data)
+            if is_new:
+                self.published(own, topic, epoch, number, data)
+            return is_new
+
+        core.desk.publish = watched
+
+    def published(self, own: tuple, topic: str, epoch: int, number: int, data: bytes) -> None:
+        if topic in registers.REGISTERS:
+            self._take_value(own[0], topic, number, data)
+        else:
+            self._take_topic(own, topic, epoch, number, data)
+
+    def _take_value(self, node: str, name: str, version: int, data: bytes) -> None:
+        value = unpack(data)
+        held = self.values.get((name, version))
+        if held is not None:
+            if held != value:
+                self.find("agreement", f"{name} {version}: {node} has {value}, another has {held}")
+            return
+        self.values[name, version] = value
+        members, payload = value
+        self.note("chosen", register=name, version=version, node=node, members=",".join(members))
+        if version > self.newest.get(name, 0):
+            self.newest[name] = version
+        if name == registers.CONFIGURATION and payload:
+            self._take_configuration(version, payload)
+        elif name == registers.DUTIES:
+            self._take_duties(payload or {})
+
+    def _take_configuration(self, version: int, payload: dict) -> None:
+        edition, mark = payload["edition"], mark_of(payload["body"])
+        held = self._by_edition.get(edition)
+        if held is not None:
+            if held.mark != mark:
+                self.find("configurations", f"edition {edition} stands for {held.mark} and for {mark}")
+            return
+        chosen = Chosen(version=version, edition=edition, mark=mark, seen_at=self._clock.time)
+        self._by_edition[edition] = chosen
+        self.configurations.append(chosen)
+        self.note("configuration chosen", edition=edition, mark=mark, version=version)
+
+    def _take_duties(self, payload: dict) -> None:
+        for duty, (epoch, holder, life) in payload.items():
+            held = self.holders.setdefault((duty, epoch), (holder, life))
+            if held != (holder, life):
+                self.find("duties", f"{duty}, epoch {epoch}: {held} and {(holder, life)}")
+
+    def _take_topic(self, own: tuple, topic: str, epoch: int, number: int, data: bytes) -> None:
+        held = self._topics.get((topic, epoch, number))
+        if held is None:
+            self._topics[topic, epoch, number] = data
+            self.note("told", topic=topic, epoch=epoch, number=number, node=own[0])
+            if epoch and self.holders.get(("watch", epoch)) != own:
+                holder = self.holders.get(("watch", epoch))
+                self.find("topics", f"{topic} of epoch {epoch} comes from {own}; the duty was held by {holder}")
+        elif held != data and epoch:
+            self.find("topics", f"{topic} ({epoch}, {number}) has two contents")
+
+    def body_of(self, edition: int):
+        return self._by_edition.get(edition)
+
+    # Proxies.
+    def applied(self, proxy, topic: str, epoch: int, number: int, data: bytes) -> None:
+        before = proxy.serials.get(topic, (0, 0))
+        if (epoch, number) <= before:
+            self.find("back", f"{proxy.host} goes from {topic} {before} to {(epoch, number)}")
+        proxy.serials[topic] = (epoch, number)
+        if topic not in registers.REGISTERS:
+            if self._topics.get((topic, epoch, number)) != data and epoch:
+                self.find("topics", f"{proxy.host} has another {topic} ({epoch}, {number}) than was told")
+            return
+        if self.values.get((topic, number)) != unpack(data):
+            self.find("agreement", f"{proxy.host} has a {topic} {number} that no core node has")
+        payload = unpack(data)[1]
+        if topic == registers.CONFIGURATION and payload:
+            if payload["edition"] < proxy.edition:
+                self.find("back", f"{proxy.host} goes from edition {proxy.edition} to {payload['edition']}")
+            proxy.edition = payload["edition"]
+            self.note("applied", proxy=proxy.host, edition=proxy.edition)
+        elif topic == registers.EVACUATIONS:
+            self.note("applied", proxy=proxy.host, evacuations=json.dumps(payload))
+
+    def shares(self, proxy) -> None:
+        """A proxy took an entry: what it may use now, and what all may have used within the window of each bound."""
+        now = self._clock.time
+        rows = self._shares.setdefault(proxy.life, {SLACKS: [], RATES: []})
+        self._proxies[proxy.life] = proxy
+        for kind, share in ((SLACKS, proxy.quota.share()), (RATES, proxy.quota.rate_share())):
+            held = rows[kind]
+            if held and held[-1][1] == share:
+                continue
+            held.append((now, share))
+            self._check_sum(kind, now)
+
+    def _check_sum(self, kind: str, now: float) -> None:
+        since = now - self._windows[kind]
+        total = 0.0
+        parts = {}
+        for life, rows in self._shares.items():
+            proxy = self._proxies[life]
+            if not proxy.process.is_alive:
+                continue
+            held = rows[kind]
+            while len(held) > 1 and held[1][0] <= since:
+                held.pop(0)
+            # An entry that has run out counts no more, whether or not the proxy has looked since.
+            current = proxy.quota.share() if kind == SLACKS else proxy.quota.rate_share()
+            if held and held[-1][1] != current:
+                held.append((now, current))
+            parts[proxy.host] = max((share for _from, share in held), default=0.0)
+            total += parts[proxy.host]
+        self.most[kind] = max(self.most[kind], total)
+        if total > 1.0 + EPSILON:
+            told = ", ".join(f"{host} {share:.3f}" for host, share in sorted(parts.items()))
+            self.find("grants", f"the shares of {kind} sum to {total:.3f}: {told}")
