--- /dev/null
+++ b/pw/dat/attempts.py
@@ -0,0 +1,100 @@
+"""One attempt of a request at one replica: the head that it is sent with, and what its answer means (design 7)."""
+
+import enum
+
+import h11
+
+from pw.dat import outlet as outlets
+
+NOT_PASSED_ON = frozenset(
+    (
+        b"content-length",
+        b"expect",
+        b"x-time-left-ms",
+        b"x-addressed-replica",
+        b"last-event-id",
+        b"x-urgency",
+    )
+)
+MOST_URGENCY = 9
+
+
+class Meaning(enum.Enum):
+    """What the head of an answer says of the attempt."""
+
+    NOT_RUN = "not run"  # the replica says that it did not run the request
+    SUCCESS = "success"
+    SPOILED = "spoiled"  # a success that may not be passed on as one
+    FAILURE = "failure"
+
+
+def meaning_of(*, status: int, table: dict, is_framed: bool) -> Meaning:
+    if status == 421 or b"x-not-run" in table:
+        return Meaning.NOT_RUN
+    if 200 <= status < 300:
+        is_whole = b"x-postmark" in table and b"content-encoding" not in table and is_framed
+        return Meaning.SUCCESS if is_whole else Meaning.SPOILED
+    return Meaning.FAILURE
+
+
+def kept_headers(headers) -> list:
+    """What of a replica's head goes back to the client."""
+    return [(name, value) for name, value in headers if name not in outlets.HOP_NAMES]
+
+
+def request_head(*, request, route, replica_id: str, left_s: float, last_id) -> h11.Request:
+    """The client's head as one replica gets it."""
+    headers = [
+        (name, value) for name, value in request.headers if name not in outlets.HOP_NAMES and name not in NOT_PASSED_ON
+    ]
+    headers.append((b"X-Time-Left-Ms", b"%d" % max(1, int(left_s * 1000))))
+    headers.append((b"X-Addressed-Replica", replica_id.encode()))
+    if route.is_sticky:
+        headers.append((b"X-Urgency", b"%d" % max(0, min(MOST_URGENCY, route.urgency))))
+    if last_id is not None:
+        headers.append((b"Last-Event-Id", last_id))
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return h11.Request(method=request.method, target=request.target, headers=headers)
+
+
+class Attempt:
+    """One attempt at one replica. Its connection tells it what comes; once it is over, nothing more reaches the request."""
+
+    def __init__(self, *, passage, replica, outlet, number, to_read, permitted, now):
+        self.passage = passage
+        self.replica = replica
+        self.outlet = outlet
+        self.number = number
+        self.to_read = to_read
+        self.permitted = permitted
+        self.request_id = passage.request_id
+        self.status = 0
+        self.meaning = None
+        self.is_over = False
+        self.is_read = False
+        self.sent_at = now
+        self.heard_at = now
+        self.row = None
+        self.arrival = None  # of an adapter (docs/pins.md 2)
+
+    def on_head(self, *, status, headers, table, is_framed) -> None:
+        if self.is_over:
+            return
+        self.heard_at = self.passage.loop.now()
+        self.status = status
+        self.meaning = meaning_of(status=status, table=table, is_framed=is_framed)
+        self.passage.take_head(self, headers=headers, table=table)
+
+    def on_data(self, data: bytes) -> None:
+        if not self.is_over:
+            self.heard_at = self.passage.loop.now()
+            self.passage.take_data(self, data)
+
+    def on_end(self) -> None:
+        if not self.is_over:
+            self.passage.take_end(self)
+
+    def on_fail(self, *, reason: str, was_sent: bool, was_up: bool) -> None:
+        if not self.is_over:
+            self.passage.take_fail(self, reason=reason, was_sent=was_sent, was_up=was_up)
--- a/pw/dat/custody.py
+++ b/pw/dat/custody.py
@@ -15,12 +15,12 @@
         "lasted_ms": round((proxy.loop.now() - passage.request.begun_at) * 1000),
         "route": passage.route.name,
         "service": passage.service,
-        "model": passage.model,
+        "model": passage.model.name,
         "edition": passage.edition,
         "homes": sorted(passage.first_homes),
         "status": status,
         "goes": passage.custody,
-        "parts": [full_hash.hex() for full_hash, _tokens in passage.chain],
+        "parts": [full_hash.hex() for full_hash, _tokens in passage.prompt.chain],
     }
 
 
