--- /dev/null
+++ b/pw/ctl/register/test_durable.py
@@ -0,0 +1,252 @@
+"""Nothing that was told is lost, whatever the disks do: seeded histories on simulated files (docs/register.md 3)."""
+
+import pytest
+
+from pw.ctl import voting
+from pw.ctl.register import acceptor as acceptors
+from pw.ctl.register import ballots
+from pw.ctl.register import journal as journals
+from pw.ctl.register import store as stores
+from pw.sim import linear
+from pw.sim import voters
+
+SEEDS = ("a", "b", "c")
+DISK_FAULTS = ("refuse", "full", "sync", "rename", "folder", "hang")
+TROUBLES = (*DISK_FAULTS, "kill", "power", "wipe", "all lose power", "all killed", "cut")
+VALUE = ballots.pack(members=SEEDS, payload=1)
+QUIET_S = 45.0
+END_S = 60.0
+
+
+def trouble(model):
+    chance = model.world.chance
+    kind = chance.choice(TROUBLES)
+    name = chance.choice(sorted(model.nodes))
+    lasts_s = chance.choice((0.2, 1.0, 4.0))
+    if kind in DISK_FAULTS:
+        model.fault(name, kind, lasts_s=lasts_s)
+        if chance.random() < 0.5:  # and the power fails in the midst of it
+            model.world.later(lasts_s * chance.random(), lambda: model.restart(name, back_s=0.8, loses_power=True))
+    elif kind in ("kill", "power"):
+        model.restart(name, back_s=0.8, loses_power=kind == "power")
+    elif kind == "wipe":
+        model.wipe(name, back_s=0.8)
+    elif kind == "cut":
+        for other in model.nodes:
+            model.world.cuts |= {(name, other), (other, name)}
+        model.world.later(lasts_s, model.world.cuts.clear)
+    else:
+        for other in model.nodes:
+            model.restart(other, back_s=0.8, loses_power=kind == "all lose power")
+
+
+def play(seed, *, others=(), voting_type=voting.Voting):
+    """A history of calls, moves of the set and troubles, then a quiet time with a read at each node."""
+    model = voters.Model(seed=seed, seeds=SEEDS, others=others, voting_type=voting_type)
+    chance = model.world.chance
+    model.world.loss = chance.choice((0.0, 0.02, 0.05))
+    names = sorted(model.nodes)
+
+    def call():
+        kind = chance.choice(("change", "change", "read"))
+        to = tuple(sorted(chance.sample(names, 3))) if others and chance.random() < 0.1 else None
+        model.call(chance.choice(names), kind="change" if to else kind, to=to)
+
+    for step in range(150):
+        model.world.later(2.0 + step * 0.28, call)
+    for step in range(14):
+        model.world.later(2.0 + step * 3.0 + chance.random(), lambda: trouble(model))
+    model.world.run(until=QUIET_S)
+    model.world.loss = 0.0
+    model.world.run(until=QUIET_S + 6.0)
+    for name in names:
+        model.call(name, kind="read")
+    model.world.run(until=END_S)
+    return model
+
+
+def check(model, *, least=20):
+    assert model.lost == []
+    assert linear.faults(history=model.history) == []
+    assert sum(1 for call in model.history if call["ended"] is not None) >= least
+    last = [call for call in model.history if call["begun"] >= QUIET_S + 6.0]
+    assert last and all(call["ended"] is not None for call in last)
+    assert all(node.votes for node in model.nodes.values())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nothing_told_is_lost(seed):
+    check(play(seed))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_nothing_told_is_lost_while_the_set_moves(seed):
+    check(play(seed, others=("d", "e")))
+
+
+@pytest.mark.parametrize("kind", ["full", "refuse", "sync", "rename", "folder"])
+def test_a_node_whose_disk_fails_for_long_steps_aside_and_comes_back(kind):
+    model = voters.Model(seed=7, seeds=SEEDS)
+    model.world.run(until=1.0)
+    model.fault("a", kind, lasts_s=20.0)
+    for step in range(40):
+        model.world.later(step * 0.5, lambda: model.call(model.world.chance.choice("bc"), kind="change"))
+    model.world.run(until=20.0)
+    ended = [call for call in model.history if call["ended"] is not None]
+    assert len(ended) >= 38 and max(call["ended"] - call["begun"] for call in ended) < 1.5
+    assert len(model.nodes["a"].voting.journal._waiting) <= 2
+    model.world.run(until=24.0)
+    model.restart("b", back_s=90.0)  # now a is needed
+    model.call("c", kind="change")
+    model.call("a", kind="read")
+    model.world.run(until=30.0)
+    assert all(call["ended"] is not None for call in model.history[-2:])
+    assert model.lost == [] and linear.faults(history=model.history) == []
+
+
+def test_answers_that_wait_for_a_hanging_disk_are_bounded():
+    model = voters.Model(seed=8, seeds=SEEDS)
+    model.world.run(until=1.0)
+    node, ear = model.nodes["a"], Ear()
+    model.fault("a", "hang", lasts_s=30.0)
+    for number in range(1, 400):
+        for member in "bc":
+            node.voting.take(member, ear, ("prepare", number, "spec", number, member))
+    assert len(node.voting.journal._waiting) == 2 and ear.heard == []
+    model.world.run(until=2.5)  # longer than any attempt waits: from here on it votes for nothing
+    node.voting.take("b", ear, ("prepare", 400, "spec", 400, "b"))
+    assert ear.heard[-1][3] is False and node.voting.acceptor.get("spec")[0] == (399, "c")
+    model.world.run(until=35.0)
+    assert [message[3] for message in ear.heard[1:]] == [True, True]
+    assert model.lost == []
+
+
+# Planted faults: the former behaviour put back has to be seen.
+
+
+def found(seeds, *, others=(), voting_type=voting.Voting):
+    """Seeds of which the history breaks a rule."""
+    broken = []
+    for seed in seeds:
+        model = play(seed, others=others, voting_type=voting_type)
+        if model.lost or linear.faults(history=model.history):
+            broken.append(seed)
+    return broken
+
+
+class PeekingAhead(voting.Voting):
+    """Answers a peek from memory while nothing is being written."""
+
+    def take(self, member, link, message):
+        if message[0] == "peek" and self.journal._writing_since is None:
+            self._answer(member, link, self.acceptor.peek(message))
+            return True
+        return super().take(member, link, message)
+
+
+def test_a_peek_from_memory_after_a_failed_write_is_found():
+    assert found(range(6), voting_type=PeekingAhead)
+
+
+class TellingAhead(voting.Voting):
+    """Tells a learner what is in memory."""
+
+    def _take_refill(self, member, link, message):
+        self.journal.held = self.acceptor
+        super()._take_refill(member, link, message)
+
+
+class Ear:
+    """A link whose messages are kept."""
+
+    def __init__(self):
+        self.heard = []
+
+    def send(self, message):
+        self.heard.append(message)
+
+
+def _after_a_failed_write(voting_type=voting.Voting):
+    """A node that accepted (5, x) while its disk refused: its answers to a peek and to a learner's look, by kind."""
+    model = voters.Model(seed=1, seeds=SEEDS, voting_type=voting_type)
+    model.world.run(until=1.0)
+    node, ear = model.nodes["b"], Ear()
+    node.files.faults.add("refuse")
+    node.voting.take("a", ear, ("prepare", 1, "spec", 5, "x"))
+    node.voting.take("a", ear, ("accept", 2, "spec", 5, "x", node.voting.acceptor.incarnation, 1, VALUE))
+    model.world.run(until=1.1)
+    assert node.voting.acceptor.get("spec")[1] == (5, "x") and ear.heard == []
+    node.voting.take("a", ear, ("peek", 3, "spec", 0, ""))
+    node.voting.take("c", ear, ("refill", 1, ()))
+    return node, ear, {message[0]: message for message in ear.heard}
+
+
+def test_what_a_failed_write_left_in_memory_is_not_told():
+    node, ear, heard = _after_a_failed_write()
+    assert voters.claims(heard["peeked"]) == [("spec", (0, ""), (0, ""))]
+    assert voters.claims(heard["refilled"]) == []
+    assert node.voting.floor()[0] == ("spec", 0)
+    # While the disk refuses, nothing is voted for and nothing changes here.
+    node.voting.take("a", ear, ("prepare", 4, "spec", 9, "x"))
+    assert ear.heard[-1][3] is False and node.voting.acceptor.get("spec")[0] == (5, "x")
+    # Once a write goes through, what was accepted is told again.
+    node.files.faults.clear()
+    node.world.run(until=3.0)
+    node.voting.take("a", ear, ("peek", 5, "spec", 0, ""))
+    assert voters.claims(ear.heard[-1])[0][2] >= (5, "x") and ear.heard[-1][8:] == (1, VALUE)
+
+
+def test_rows_from_memory_would_be_seen_by_that_test():
+    _node, _ear, heard = _after_a_failed_write(TellingAhead)
+    assert voters.claims(heard["refilled"]) == [("spec", (5, "x"), (5, "x"))]
+
+
+def test_a_file_that_is_appended_to_after_a_failed_sync_is_found(monkeypatch):
+    write = stores.Store.write
+
+    def trusting(self, *, rows, image):
+        """Takes the failed append for written, as a program does that only syncs once more."""
+        is_append, size = not self._needs_whole, self._size
+        try:
+            write(self, rows=rows, image=image)
+        except OSError:
+            if is_append:
+                self._size = size + len(stores.pack_rows(rows))
+                self._needs_whole = False
+            raise
+
+    monkeypatch.setattr(stores.Store, "write", trusting)
+    assert found(range(6))
+
+
+def test_a_file_that_is_trusted_as_it_was_read_is_found(monkeypatch):
+    load = stores.Store.load
+
+    def trusting(self):
+        image = load(self)
+        data = self._disk.read(name=stores.FILE_NAME)
+        if data is not None and image.incarnation:
+            self._size = len(data)
+            self._needs_whole = False
+        return image
+
+    begin = journals.Journal.begin
+
+    def telling(self, *, acceptor, first_set):
+        begin(self, acceptor=acceptor, first_set=first_set)
+        self._safe = self._change
+        self.held = acceptors.Acceptor(incarnation=acceptor.incarnation, rows={row[0]: row for row in acceptor.rows()})
+
+    monkeypatch.setattr(stores.Store, "load", trusting)
+    monkeypatch.setattr(journals.Journal, "begin", telling)
+    assert found(range(12))
+
+
+def test_a_rename_whose_folder_is_not_synced_is_found(monkeypatch):
+    monkeypatch.setattr(stores.Disk, "_sync_folder", lambda self: None)
+    assert found(range(12))
+
+
+def test_answers_that_do_not_wait_for_the_disk_are_found(monkeypatch):
+    monkeypatch.setattr(journals.Journal, "tell", lambda self, *, key, act: (act(), self._write()))
+    assert found(range(3))
--- /dev/null
+++ b/pw/sim/voters.py
@@ -0,0 +1,300 @@
+"""Voting nodes of the registers in a simulated world: the real Voting, Journal, Store and Disk on simulated files.
+
+At each answer that leaves a node, the disk is looked at as a loss of power at that moment would leave it: what was told
+has to be there (`lost`). Calls are kept as a history for `pw.sim.linear`.
+"""
+
+from pw.base import problems
+from pw.ctl import registers
+from pw.ctl import voting
+from pw.ctl.register import store as stores
+from pw.sim import files as simulated_files
+from pw.sim import world as worlds
+
+WRITE_S = (0.001, 0.01)
+BEAT_S = 0.3
+RECEIPT_S = 5.0
+CONTACT_S = 4.0
+LIMIT_BYTES = 1500
+NAME = registers.CONFIGURATION
+
+
+class Ended:
+    """What a finished piece of work on the pool looks like."""
+
+    def __init__(self, failure):
+        self._failure = failure
+
+    def exception(self):
+        return self._failure
+
+
+class Loop:
+    """The loop of one life of a node. Work on the pool is done at its end, or in part where the node ends before."""
+
+    def __init__(self, *, node):
+        self._node = node
+        self._life = node.life
+        self.now = node.world.now
+        self.work = None
+
+    def after(self, *, delay: float, act) -> None:
+        self._node.world.later(delay, lambda: act() if self._node.life == self._life else None)
+
+    def command(self, *, act) -> None:
+        self.after(delay=0.0, act=act)
+
+    def offload(self, *, work, done) -> None:
+        self.work = work
+        chance = self._node.world.chance
+        start = max(self.now(), self._node.hangs_until)
+        self.after(delay=start - self.now() + chance.uniform(*WRITE_S), act=lambda: self._end_work(done))
+
+    def _end_work(self, done) -> None:
+        if self._node.hangs_until > self.now():
+            self.after(delay=self._node.hangs_until - self.now(), act=lambda: self._end_work(done))
+            return
+        work, self.work = self.work, None
+        failure = None
+        try:
+            work()
+        except OSError as told:
+            failure = told
+        done(Ended(failure))
+
+
+class Link:
+    """The way back to who sent a message."""
+
+    def __init__(self, *, owner, target, life: int):
+        self._owner = owner
+        self._target = target
+        self._life = life
+
+    def send(self, message: tuple) -> None:
+        self._owner.check_told(message)
+        owner, target = self._owner, self._target
+        link = Link(owner=target, target=owner, life=owner.life)
+        self._owner.world.send(
+            owner.name,
+            target.name,
+            lambda: target.voting.take(owner.name, link, message) if target.life == self._life else None,
+        )
+
+
+class Node:
+    """One core node: its disk, and one Voting for each life."""
+
+    def __init__(self, *, world, name: str, nodes: dict, seeds: tuple, is_first_start: bool, voting_type=voting.Voting):
+        self.world = world
+        self.name = name
+        self._nodes = nodes
+        self._seeds = seeds
+        self._voting_type = voting_type
+        self.files = simulated_files.Files(chance=world.chance)
+        self.hangs_until = 0.0
+        self.life = 0
+        self.lost = []  # told, and not on the disk
+        self.versions = {}
+        self._ids = 0
+        self.start(is_first_start=is_first_start)
+
+    def _unique_id(self) -> str:
+        self._ids += 1
+        return f"{self.name}{self._ids}"
+
+    def start(self, *, is_first_start=False) -> None:
+        self.life += 1
+        self.loop = Loop(node=self)
+        self.versions = {}
+        self.store = stores.Store(
+            disk=stores.Disk(folder=simulated_files.FOLDER, system=self.files), limit_bytes=LIMIT_BYTES
+        )
+        self.voting = self._voting_type(
+            loop=self.loop,
+            own=self.name,
+            store=self.store,
+            seeds=self._seeds,
+            is_first_start=is_first_start,
+            chance=self.world.chance.random,
+            unique_id=self._unique_id,
+            receipt_s=RECEIPT_S,
+            contact_s=CONTACT_S,
+            send=self._send,
+            ask_cores=lambda message: [self._send(name, message) for name in self._nodes if name != self.name],
+            members=lambda: self.voting.proposer.members(registers.CORE_SET),
+            publish=self._publish,
+            on_value=lambda name, payload, members: None,
+            version=lambda name: self.versions.get(name, 0),
+        )
+        answer = self.voting._answer
+
+        def checked(member, link, message):
+            if link is None:
+                self.check_told(message)
+            answer(member, link, message)
+
+        self.voting._answer = checked
+        self._beat()
+
+    @property
+    def is_up(self) -> bool:
+        return self.voting is not None
+
+    @property
+    def votes(self) -> bool:
+        return self.is_up and self.voting.journal.held.votes and not self.voting.proposer.is_learner
+
+    def _beat(self) -> None:
+        self.voting.mend()
+        self.loop.after(delay=BEAT_S, act=self._beat)
+
+    def _send(self, member: str, message: tuple) -> None:
+        target = self._nodes.get(member)
+        if target is None:
+            return
+
+        def arrive() -> None:
+            if target.is_up:
+                target.voting.take(self.name, Link(owner=target, target=self, life=life), message)
+
+        life = self.life
+        self.world.send(self.name, member, arrive)
+
+    def _publish(self, name: str, rev: int, value: bytes) -> bool:
+        if rev <= self.versions.get(name, 0):
+            return False
+        self.versions[name] = rev
+        for other in self._nodes.values():
+            if other is not self:
+                self.world.send(self.name, other.name, lambda other=other: other.hear(name, rev, value))
+        return True
+
+    def hear(self, name: str, rev: int, value: bytes) -> None:
+        """News of a chosen value."""
+        if self.is_up:
+            self.voting.publish(name, rev, value)
+
+    # Ends.
+    def stop(self, *, loses_power=False, is_wiped=False) -> None:
+        """Ends at any call of a write that is under way."""
+        if self.loop.work is not None and self.hangs_until <= self.world.now():
+            self.files.calls_left = self.world.chance.randrange(12)
+            try:
+                self.loop.work()
+            except (simulated_files.PowerLost, OSError):
+                pass
+        self.loop.work = None
+        self.life += 1
+        self.voting = None
+        if is_wiped:
+            self.files.wipe()
+        elif loses_power:
+            self.files.lose_power()
+        else:
+            self.files.end_process()
+
+    # What is told has to be on the disk.
+    def check_told(self, message: tuple) -> None:
+        for name, promised, accepted in claims(message):
+            kept = self._surely_kept().get(name, (("", 0, "", 0, "", 0, b"")))
+            if (kept[1], kept[2]) < promised or (kept[3], kept[4]) < accepted:
+                self.lost.append(
+                    (round(self.world.now(), 4), self.name, message[0], name, promised, accepted, kept[:6])
+                )
+
+    def _surely_kept(self) -> dict:
+        path = f"{simulated_files.FOLDER}/{stores.FILE_NAME}"
+        try:
+            rows, _size = stores.read_rows(self.files.surely_kept(path))
+        except problems.StoreProblem:
+            return {}
+        return {row[0]: row for row in rows}
+
+
+def claims(message: tuple) -> list:
+    """(register, promised, accepted) that an answer tells."""
+    kind = message[0]
+    if kind == "promise":
+        return [(message[2], tuple(message[5:7]), tuple(message[7:9]))]
+    if kind == "peeked" and message[3]:
+        return [(message[2], tuple(message[4:6]), tuple(message[6:8]))]
+    if kind == "accepted":
+        ballot = tuple(message[4:6])
+        return [(message[2], ballot, ballot if message[3] else (0, ""))]
+    if kind == "refilled" and message[2]:
+        return [(row[0], (row[1], row[2]), (row[3], row[4])) for row in message[3] if row[0] in registers.REGISTERS]
+    return []
+
+
+class Model:
+    """Nodes, calls at them, and troubles, all from one seed."""
+
+    def __init__(self, *, seed: int, seeds=("a", "b", "c"), others=(), voting_type=voting.Voting):
+        self.world = worlds.World(seed=seed)
+        self.nodes = {}
+        self.history = []
+        self._wiped = None
+        for name in (*seeds, *others):
+            self.nodes[name] = Node(
+                world=self.world,
+                name=name,
+                nodes=self.nodes,
+                seeds=seeds,
+                is_first_start=True,
+                voting_type=voting_type,
+            )
+
+    def call(self, name: str, *, kind: str, to=None) -> None:
+        """A change of the counter, a move of its set, or a read."""
+        node = self.nodes[name]
+        if not node.is_up:
+            return
+        record = {"begun": self.world.now(), "ended": None, "kind": "read" if kind == "read" else "change"}
+        self.history.append(record)
+
+        def done(failure, _rev, payload, result) -> None:
+            if failure is not None:
+                return
+            record["ended"] = self.world.now()
+            if kind == "read":
+                record["saw"] = payload or 0
+            else:
+                record["base"], record["made"] = result
+
+        def edit(payload):
+            base = payload or 0
+            return base + 1, (base, base + 1)
+
+        if kind == "read":
+            node.voting.proposer.read(name=NAME, done=done)
+        else:
+            node.voting.proposer.change(name=NAME, edit=edit, done=done, next_set=to)
+
+    def wipe(self, name: str, *, back_s: float) -> None:
+        """Only one disk at a time is lost, and the next one once the first node votes again."""
+        if self._wiped is not None and not self.nodes[self._wiped].votes:
+            return
+        if not all(node.votes for node in self.nodes.values()):
+            return
+        self._wiped = name
+        self.restart(name, back_s=back_s, is_wiped=True)
+
+    def restart(self, name: str, *, back_s: float, loses_power=False, is_wiped=False) -> None:
+        node = self.nodes[name]
+        if not node.is_up:
+            return
+        node.stop(loses_power=loses_power, is_wiped=is_wiped)
+        self.world.later(back_s, node.start)
+
+    def fault(self, name: str, kind: str, *, lasts_s: float) -> None:
+        node = self.nodes[name]
+        if kind == "hang":
+            node.hangs_until = max(node.hangs_until, self.world.now() + lasts_s)
+            return
+        node.files.faults.add(kind)
+        self.world.later(lasts_s, lambda: node.files.faults.discard(kind))
+
+    @property
+    def lost(self) -> list:
+        return [told for node in self.nodes.values() for told in node.lost]
