--- /dev/null
+++ b/pw/ctl/register/test_learning.py
@@ -0,0 +1,335 @@
+"""Who votes, who learns, and from whom: first set, refill, and sets that were never chosen (docs/register.md 2, 4)."""
+
+import pytest
+
+from pw.base import problems
+from pw.ctl import registers
+from pw.ctl.register import acceptor as acceptors
+from pw.ctl.register import ballots
+from pw.ctl.register import proposer as proposers
+from pw.ctl.register import refill as refills
+from pw.ctl.register import store as stores
+from pw.sim import linear
+from pw.sim import voters
+
+SEEDS = ("a", "b", "c")
+MOVED = ("b", "c", "d")
+TEXT_NAME = registers.CONFIGURATION
+
+
+def settled(*, others=(), seed=1):
+    """Three voters (and others at the first start) with one change in each register."""
+    model = voters.Model(seed=seed, seeds=SEEDS, others=others)
+    for name in registers.REGISTERS:
+        model.nodes["a"].voting.proposer.change(name=name, edit=lambda _payload: (1, None), done=lambda *_row: None)
+    model.world.run(until=3.0)
+    return model
+
+
+def move(model, name, to, *, until):
+    """All registers to another set, as the core does it."""
+    ends = []
+    for register in registers.REGISTERS:
+        model.nodes[name].voting.proposer.change(
+            name=register, edit=lambda payload: (payload, None), done=lambda *row: ends.append(row[0]), next_set=to
+        )
+    model.world.run(until=until)
+    assert ends == [None] * len(registers.REGISTERS)
+
+
+def rows_of(members, *, ballot=(1, "x"), previous=()):
+    value = ballots.pack(members=members, payload=1, previous=previous)
+    return tuple((name, *ballot, *ballot, 1, value) for name in registers.REGISTERS)
+
+
+# The first set.
+
+
+def test_the_first_set_is_kept_so_that_a_restart_before_anything_was_agreed_still_knows_it():
+    model = voters.Model(seed=2, seeds=SEEDS)
+    model.world.run(until=0.5)
+    for node in model.nodes.values():
+        node.stop(loses_power=True)
+        node._seeds = ("x", "y", "z")  # later settings name other machines
+        node.start()
+    model.call("a", kind="change")
+    model.world.run(until=4.0)
+    assert model.history[-1]["ended"] is not None
+    assert all(node.voting.proposer.seeds == SEEDS for node in model.nodes.values())
+
+
+def test_a_first_start_is_not_trusted_where_the_disk_has_an_identity():
+    model = settled()
+    node = model.nodes["a"]
+    incarnation = node.voting.acceptor.incarnation
+    node.stop()
+    node._seeds = ("x", "y", "z")
+    node.start(is_first_start=True)
+    assert node.voting.acceptor.incarnation == incarnation and node.voting.proposer.seeds == SEEDS
+    node.stop()
+    path, data = next(iter(node.files._names.items()))
+    data.data[20] ^= 0xFF
+    assert path.endswith(stores.FILE_NAME)
+    node.start(is_first_start=True)
+    assert node.voting.is_damaged and not node.voting.acceptor.votes and node.voting.proposer.is_learner
+
+
+def test_a_disk_that_is_emptied_in_the_first_seconds_is_filled_by_the_others():
+    model = voters.Model(seed=3, seeds=SEEDS)
+    model.world.run(until=0.2)
+    model.restart("a", back_s=0.8, is_wiped=True)
+    model.world.run(until=4.0)
+    node = model.nodes["a"]
+    assert node.votes and node.voting.proposer.seeds == SEEDS
+
+
+def test_seeds_that_never_held_a_value_do_not_let_a_newcomer_read_that_there_is_none():
+    """All seeds of the newcomer are machines that came later and lag; only voters of the newest set count."""
+    model = settled(others=("d", "e", "f"))
+    for late in "def":
+        model.world.cuts |= {(late, other) for other in model.nodes} | {(other, late) for other in model.nodes}
+    newcomer = voters.Node(world=model.world, name="g", nodes=model.nodes, seeds=("d", "e", "f"), is_first_start=False)
+    model.nodes["g"] = newcomer
+    results = []
+    newcomer.voting.proposer.read(name=TEXT_NAME, done=lambda *row: results.append(row))
+    model.world.cuts |= {(old, "g") for old in "abc"} | {("g", old) for old in "abc"}
+    model.world.cuts -= {(late, "g") for late in "def"} | {("g", late) for late in "def"}
+    model.world.run(until=9.0)
+    assert isinstance(results[0][0], problems.Unreachable) and newcomer.voting.proposer.is_learner
+    model.world.cuts.clear()
+    model.world.run(until=14.0)
+    assert newcomer.votes
+    newcomer.voting.proposer.read(name=TEXT_NAME, done=lambda *row: results.append(row))
+    model.world.run(until=18.0)
+    assert results[1][0] is None and results[1][2] == 1
+
+
+def test_a_learner_neither_proposes_nor_votes_nor_answers_reads():
+    model = settled()
+    model.nodes["c"].stop(is_wiped=True)
+    model.nodes["b"].stop()
+    model.nodes["c"].start()
+    model.world.run(until=8.0)
+    node = model.nodes["c"]
+    results = []
+    node.voting.proposer.change(name=TEXT_NAME, edit=lambda payload: (2, None), done=lambda *row: results.append(row))
+    node.voting.proposer.read(name=TEXT_NAME, done=lambda *row: results.append(row))
+    model.world.run(until=8.1)  # at once, not after a round's patience
+    assert [type(row[0]) for row in results] == [problems.Unreachable] * 2
+    held = node.voting.journal.held
+    assert held.peek(("peek", 1, TEXT_NAME, 0, ""))[3] is False
+    assert node.voting.acceptor.prepare(("prepare", 1, TEXT_NAME, 99, "x"))[0][3] is False
+    assert node.voting.acceptor.rows() == ()
+    model.nodes["b"].start()
+    model.world.run(until=12.0)
+    assert node.votes and held is not node.voting.journal.held
+    assert all(node.voting.journal.held.get(name)[2] >= 1 for name in registers.REGISTERS)
+
+
+# The arithmetic of a refill.
+
+
+def take(refill, answers, *, first_set=SEEDS):
+    for member, rows in answers.items():
+        refill.take(member=member, number=refill.request()[1], first_set=first_set, rows=rows)
+    return refill.stage
+
+
+@pytest.mark.parametrize(
+    ("own", "members", "count"),
+    [("a", "abc", 2), ("a", "ab", 1), ("a", "abcde", 3), ("a", "abcdefg", 4), ("x", "abc", 2), ("x", "abcde", 3)],
+)
+def test_how_many_answers_are_needed(own, members, count):
+    members = tuple(members)
+    others = [member for member in members if member != own]
+    refill = refills.Refill(own=own, registers=registers.REGISTERS)
+    rows = rows_of(members)
+    assert take(refill, dict.fromkeys(others[: count - 1], rows)) == refills.LOOK
+    assert take(refill, {others[count - 1]: rows}) == refills.FENCE
+    assert all(number == 2 for _name, number, _proposer in refill.fences)
+    assert take(refill, dict.fromkeys(others[: count - 1], rows)) == refills.FENCE
+    assert take(refill, {others[-1]: rows}) == refills.DONE
+
+
+def test_an_evicted_machine_counts_only_for_the_set_that_it_is_in():
+    refill = refills.Refill(own="c", registers=registers.REGISTERS)
+    old, new = rows_of(SEEDS), rows_of(MOVED, ballot=(4, "y"))
+    assert take(refill, {"a": old, "d": new}) == refills.LOOK  # a is out of the newest set; c needs two of b, d
+    assert take(refill, {"b": new}) == refills.FENCE
+
+
+def test_a_move_that_is_not_yet_over_needs_members_of_both_sets():
+    refill = refills.Refill(own="b", registers=registers.REGISTERS)
+    new = ("b", "d", "e")
+    half = rows_of(new, ballot=(4, "y"), previous=SEEDS)
+    assert take(refill, {"d": half, "e": half}) == refills.LOOK
+    assert take(refill, {"a": rows_of(SEEDS)}) == refills.LOOK
+    assert take(refill, {"c": rows_of(SEEDS)}) == refills.FENCE
+
+
+def test_nothing_is_learned_without_any_set():
+    refill = refills.Refill(own="x", registers=registers.REGISTERS)
+    assert take(refill, {"a": (), "b": (), "c": ()}, first_set=()) == refills.LOOK
+
+
+def test_old_answers_are_not_counted():
+    refill = refills.Refill(own="a", registers=registers.REGISTERS)
+    rows = rows_of(SEEDS)
+    number = refill.request()[1]
+    take(refill, {"b": rows, "c": rows})
+    refill.take(member="b", number=number, first_set=SEEDS, rows=rows)
+    refill.take(member="c", number=number, first_set=SEEDS, rows=rows)
+    assert refill.stage == refills.FENCE and refill.answers == {}
+
+
+def test_an_accept_that_comes_after_the_refill_is_refused():
+    """a accepted (5, x) and was emptied; c promised (5, x) and gets the accept only after it helped a to learn."""
+    model = settled()
+    a, b, c = (model.nodes[name] for name in "abc")
+    link = Held()
+    c.voting.take("b", link, ("prepare", 1, TEXT_NAME, 50, "x"))
+    model.world.run(until=3.2)
+    incarnation = c.voting.acceptor.incarnation
+    model.restart("a", back_s=0.5, is_wiped=True)
+    model.world.run(until=8.0)
+    assert a.votes and b.votes
+    c.voting.take("b", link, ("accept", 2, TEXT_NAME, 50, "x", incarnation, 9, rows_of(SEEDS)[0][6]))
+    model.world.run(until=8.2)
+    assert [message[3] for message in link.heard] == [True, False]
+
+
+class Held:
+    """A link whose messages are kept."""
+
+    def __init__(self):
+        self.heard = []
+
+    def send(self, message):
+        self.heard.append(message)
+
+
+# Sets that were accepted and may never be chosen.
+
+
+class Bench:
+    """One proposer whose requests are answered by acceptors that the test reaches for it."""
+
+    def __init__(self, *, nodes, known, reached):
+        self.nodes = nodes
+        self.reached = reached
+        self.queue = []
+        self.chosen = []
+        self.results = []
+        self.proposer = proposers.Proposer(
+            own="p",
+            seeds=known,
+            send=lambda member, message: self.queue.append((member, message)),
+            later=lambda _delay, act: None,
+            now=lambda: 0.0,
+            chance=lambda: 0.0,
+            on_chosen=lambda name, ballot, rev, value, is_news: self.chosen.append((rev, value)),
+            limit_s=1.0,
+            patience_s=0.1,
+        )
+
+    def run(self):
+        while self.queue:
+            member, message = self.queue.pop(0)
+            if member not in self.reached:
+                continue
+            act = {"prepare": "prepare", "accept": "accept", "peek": "peek"}[message[0]]
+            answer = getattr(self.nodes[member], act)(message)
+            answer = answer[0] if act != "peek" else answer
+            take = {"prepare": "take_promise", "accept": "take_accepted", "peek": "take_peeked"}[act]
+            getattr(self.proposer, take)(member, answer)
+
+
+def acceptor_of(name, *rows):
+    return acceptors.Acceptor(incarnation=f"{name}1", rows={row[0]: row for row in rows})
+
+
+def test_a_set_that_only_one_member_accepted_is_not_taken_for_the_one_in_force():
+    """c alone accepted the move from abc to cde. A proposer that found it must not agree with c and d only."""
+    first = (TEXT_NAME, 1, "x", 1, "x", 1, ballots.pack(members=SEEDS, payload=1))
+    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS))
+    nodes = {name: acceptor_of(name, first) for name in "ab"} | {"c": acceptor_of("c", half)}
+    nodes |= {name: acceptor_of(name) for name in "de"}
+    bench = Bench(nodes=nodes, known=SEEDS, reached={"c", "d", "e"})
+    bench.proposer.learn_accepted(name=TEXT_NAME, value=half[6])  # as after a restart of c
+    bench.proposer.note_top(name=TEXT_NAME, number=2)
+    assert bench.proposer.members(TEXT_NAME) == SEEDS
+    bench.proposer.change(name=TEXT_NAME, edit=lambda payload: (3, None), done=lambda *row: bench.results.append(row))
+    bench.run()
+    assert bench.chosen == [] and bench.results == []
+
+
+def test_a_move_ends_with_a_value_that_no_longer_needs_the_older_set():
+    model = settled(others=("d", "e"))
+    move(model, "a", ("c", "d", "e"), until=8.0)
+    for name in "cde":
+        for row in model.nodes[name].voting.journal.held.rows():
+            assert ballots.way(row[6]) == (("c", "d", "e"),)
+    for name in "ab":
+        model.nodes[name].stop()
+    for name in "cde":
+        model.nodes[name].stop(loses_power=True)
+        model.nodes[name].start()
+    model.call("d", kind="change")
+    model.world.run(until=12.0)
+    assert model.history[-1]["ended"] is not None and model.history[-1]["made"] == 2
+
+
+def test_a_move_whose_proposer_ended_half_way_is_finished_by_another_node():
+    model = settled(others=("d",))
+    row = (TEXT_NAME, 9, "x", 9, "x", 2, ballots.pack(members=MOVED, payload=1, previous=SEEDS))
+    for name in "abcd":  # chosen at all, and the proposer is gone before the round that drops the older set
+        node = model.nodes[name]
+        node.voting.acceptor.install(rows=[row])
+        node.voting.journal.note(row=row)
+        node.voting.journal.tell(key=("test", "", ""), act=lambda: None)
+    model.world.run(until=12.0)
+    for name in MOVED:
+        assert ballots.way(model.nodes[name].voting.journal.held.get(TEXT_NAME)[3]) == (MOVED,)
+
+
+def test_a_second_move_waits_until_the_first_is_chosen():
+    first = (TEXT_NAME, 1, "x", 1, "x", 1, ballots.pack(members=SEEDS, payload=1))
+    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS))
+    nodes = {name: acceptor_of(name, first) for name in "ab"} | {"c": acceptor_of("c", half)}
+    nodes |= {name: acceptor_of(name) for name in "defg"}
+    bench = Bench(nodes=nodes, known=SEEDS, reached=set("bcdefg"))
+    bench.proposer.note_top(name=TEXT_NAME, number=2)
+    bench.proposer.change(
+        name=TEXT_NAME,
+        edit=lambda payload: (payload, None),
+        done=lambda *row: bench.results.append(row),
+        next_set=("e", "f", "g"),
+    )
+    bench.run()
+    ways = [ballots.way(value) for _rev, value in bench.chosen]
+    assert ways == [(SEEDS, ("c", "d", "e")), (("c", "d", "e"), ("e", "f", "g")), (("e", "f", "g"),)]
+    assert bench.results[0][0] is None
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_long_absent_members_and_newcomers_reach_the_newest_state_over_many_moves(seed):
+    """The set wanders over seven machines; one that was away since the first set comes back, emptied or not."""
+    model = settled(others=("d", "e", "f", "g"), seed=seed)
+    chance = model.world.chance
+    model.nodes["a"].stop(is_wiped=seed % 2 == 0)
+    members, until = SEEDS, 3.0
+    for _step in range(6):
+        spare = sorted(set("bcdefg") - set(members))
+        kept = [member for member in members if member != "a"]
+        members = tuple(sorted([*kept[-2:], chance.choice(spare)]))
+        until += 4.0
+        move(model, chance.choice(kept[-2:]), members, until=until)
+        model.call(chance.choice(members), kind="change")
+    model.nodes["a"].start()
+    model.world.run(until=until + 8.0)
+    assert model.nodes["a"].votes
+    model.call("a", kind="read")
+    model.world.run(until=until + 12.0)
+    assert model.history[-1]["ended"] is not None and linear.faults(history=model.history) == []
+    assert model.history[-1]["saw"] == max(call["made"] for call in model.history if call.get("made"))
+    assert model.lost == []
