--- a/pw/ctl/test_orders.py
+++ b/pw/ctl/test_orders.py
@@ -7,6 +7,7 @@
 
 from pw.ctl.configuration import archive
 from pw.ctl.configuration import evacuations
+from pw.ctl.configuration import models
 from pw.ctl.configuration import orders
 from pw.sim import order_world
 from pw.sim import order_history
@@ -231,6 +232,51 @@
     assert status == 307 and address in ("b", "c")
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_orders_under_way_when_a_node_leaves_are_taken_or_left(seed):
+    scene = order_world.Scene(seed=seed)
+    scene.world.delay = (0.01, 0.2)
+    told = []
+    data = order_world.encode(order_world.configuration(edition=4))
+    about = {"method": "PUT", "target": "/ploverward/configuration", "body": data, "headers": {"If-Match": "0"}}
+    scene.nodes["a"].take_call(order_world.Call(**about, on_answer=lambda status, *_about: told.append(status)))
+    scene.world.later(scene.world.chance.uniform(0.0, 0.6), scene.nodes["a"].dispatch.leave)
+    scene.world.later(0.65, scene.nodes["a"].stop)
+    scene.world.run(until=3.0)
+    assert told in ([], [200], [503])
+    scene.send(method="PUT", base=0, data=data)  # as the protocol has it: to any node, until there is a clear answer
+    scene.world.run(until=40.0)
+    assert [order.status for order in scene.sent] == [200] and scene.faults() == []
+
+
+def test_routes_are_checked_off_the_loop(monkeypatch):
+    scene = order_world.Scene(seed=1)
+    loop = scene.nodes["a"].loop
+    places = []
+    offload, check = loop.offload, models.check
+
+    def marked(*, work, done):
+        def run():
+            places.append("off")
+            try:
+                return work()
+            finally:
+                places.pop()
+
+        offload(work=run, done=done)
+
+    def watched(*, body):
+        assert places == ["off"]
+        return check(body=body)
+
+    loop.offload = marked
+    monkeypatch.setattr(models, "check", watched)
+    first = _call_node(scene, "a", data=order_world.encode(order_world.configuration(edition=4)))
+    patch = order_world.encode({"edition": 6, "upsert": {"routes": [{**ROUTE_PATCH, "expiryMs": 5}]}})
+    second = _call_node(scene, "a", method="PATCH", base=4, data=patch)
+    assert [first[0][0], second[0][0]] == [200, 200]
+
+
 def test_orders_whose_time_ran_out_in_the_queue_do_not_block_the_node():
     """docs/incidents/queue-stuck.md: eight orders meet a cut; after it, this node must take orders again."""
     scene = order_world.Scene(seed=5)
--- a/pw/ops/caller.py
+++ b/pw/ops/caller.py
@@ -8,6 +8,9 @@
 from pw.base import problems
 
 
+NO_ANSWER = (307, 408, 429)  # besides 5xx; 307 stays only where nodes send on to each other
+
+
 class Caller:
     """Tries the given core nodes in turn; names those that it can't reach."""
 
@@ -47,7 +50,7 @@
             return status, None
 
     def any(self, *, method: str, path: str) -> tuple:
-        """(status, body) of the first node that answers other than with 5xx, 408 or 429."""
+        """(status, body) of the first node that gives a clear answer."""
         last = None
         for address in self.addresses:
             try:
@@ -55,7 +58,7 @@
             except problems.Unreachable as fault:
                 last = fault
                 continue
-            if status < 500 and status not in (408, 429):
+            if status < 500 and status not in NO_ANSWER:
                 return status, body
             last = problems.Unreachable(f"answered {status}", step=f"{method} {path}", peer=address)
         raise last
