--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -2,6 +2,8 @@
 
 import collections
 import selectors
+import socket
+import struct
 
 import h11
 
@@ -28,6 +30,8 @@
     504: b"Gateway Timeout",
 }
 OUT_HIGH = 256 * 1024
+LATE_LOOK_S = 0.05  # until a connection whose time is over is looked at again, where bytes wait on it
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER
 Limits = collections.namedtuple("Limits", "head_bytes body_bytes head_s idle_s")
 
 
@@ -81,20 +85,23 @@
 
     def start(self, *, status: int, headers, is_last=False) -> None:
         self.is_started = True
-        self.door.start(request=self, status=status, headers=headers, is_last=is_last)
+        if self.door.is_answering(self):
+            self.door.start(status=status, headers=headers, is_last=is_last)
 
     def data(self, data: bytes) -> None:
-        if data:
+        if data and self.door.is_answering(self):
             self.door.send(h11.Data(data=data))
 
     def end(self) -> None:
         self.is_answered = True
-        self.door.finish(request=self)
+        if self.door.is_answering(self):
+            self.door.finish()
 
     def abort(self) -> None:
         """Ends the connection so that the answer can't look complete."""
         self.is_answered = True
-        self.door.close(is_hard=True)
+        if self.door.is_answering(self):
+            self.door.break_off()
 
 
 class Door:
@@ -118,6 +125,7 @@
         self._limits = hall.limits()
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         self._head_begun = None
+        self._ahead = 0  # bytes read behind the request that is being answered
         links.tune(sock=sock, silence_s=hall.silence_s)
         self.loop.watch(sock=sock, mask=self._mask, act=self._ready)
         self._timer = self.loop.after(delay=self._limits.idle_s, act=self._idle)
@@ -127,10 +135,32 @@
             return
         if self._request is not None and self._has_head is False:
             return
+        if self._has_waiting():
+            self._arm(delay=LATE_LOOK_S)  # this process is late, not the client: what waits is read first
+            return
         if self._head_begun is not None or self._has_head:
             self._refuse(status=408)
             return
-        self.close()
+        self.close(is_hard=True)
+
+    def _has_waiting(self) -> bool:
+        """Whether bytes wait to be read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def close_if_idle(self) -> None:
+        """Ends a rested connection, but for one with a request that was not read yet: that one is answered first."""
+        if self.is_idle() and not self._has_waiting():
+            self.close(is_hard=True)
+
+    def break_off(self) -> None:
+        """Ends an answer so that it can't look complete. To a client that knows no chunks the end is the end of the
+        body, so it gets a reset."""
+        if self._h11.their_http_version is not None and self._h11.their_http_version < b"1.1":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.close(is_hard=True)
 
     def _arm(self, *, delay: float) -> None:
         self.loop.cancel(timer=self._timer)
@@ -163,8 +193,16 @@
                 return
             if self._is_broken or self.is_ending:
                 return
+            if self._request is not None and not self._has_head and self._is_too_far_ahead(len(data)):
+                self._gone()
+                return
             self._feed(data)
 
+    def _is_too_far_ahead(self, size: int) -> bool:
+        """What a client sends before its answer waits here, up to one request of the largest size."""
+        self._ahead += size
+        return self._ahead > self._limits.head_bytes + self._limits.body_bytes
+
     def _feed(self, data: bytes) -> None:
         if self._request is None and not self._has_head and self._head_begun is None:
             self._head_begun = self.loop.now()
@@ -241,9 +279,11 @@
                 self.close()
                 return
 
-    def start(self, *, request, status: int, headers, is_last: bool) -> None:
-        if not self.is_open:
-            return
+    def is_answering(self, request) -> bool:
+        """Whether what is written now belongs to this request: not once it is answered, or its client has left."""
+        return self.is_open and self._request is request
+
+    def start(self, *, status: int, headers, is_last: bool) -> None:
         headers = [*headers]
         if is_last or self.hall.is_leaving or self.is_ending:
             headers.append((b"Connection", b"close"))
@@ -258,17 +298,18 @@
         if data:
             self._write(data)
 
-    def finish(self, *, request) -> None:
-        if not self.is_open:
-            return
+    def finish(self) -> None:
         self.send(h11.EndOfMessage())
+        if not self.is_open:
+            return  # the client left at this very write
         self.hall.let_go(door=self)
         self._request = None
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._limits = self.hall.limits()
             self._h11.start_next_cycle()
             self._arm(delay=self._limits.idle_s)
-            if self._h11.trailing_data[0]:
+            self._ahead = len(self._h11.trailing_data[0])
+            if self._ahead:
                 self._head_begun = self.loop.now()
                 self.loop.command(act=self._pump)
         else:
@@ -390,8 +431,7 @@
 
     def close_idle(self) -> None:
         for door in list(self.doors):
-            if door.is_idle():
-                door.close()
+            door.close_if_idle()
 
     def stop_listening(self) -> None:
         if self._is_listening:
--- a/pw/dat/attempts.py
+++ b/pw/dat/attempts.py
@@ -24,22 +24,28 @@
 
     NOT_RUN = "not run"  # the replica says that it did not run the request
     SUCCESS = "success"
-    SPOILED = "spoiled"  # a success that may not be passed on as one
+    SPOILED = "spoiled"  # not to be passed on: a success that lacks its marks, or one that was not run
     FAILURE = "failure"
 
 
 def meaning_of(*, status: int, table: dict, is_framed: bool) -> Meaning:
-    if status == 421 or b"x-not-run" in table:
+    is_denied = b"x-not-run" in table
+    if status == 421 or (is_denied and status >= 400):
         return Meaning.NOT_RUN
     if 200 <= status < 300:
         is_whole = b"x-postmark" in table and b"content-encoding" not in table and is_framed
-        return Meaning.SUCCESS if is_whole else Meaning.SPOILED
-    return Meaning.FAILURE
+        return Meaning.SUCCESS if is_whole and not is_denied else Meaning.SPOILED
+    return Meaning.SPOILED if is_denied else Meaning.FAILURE
 
 
-def kept_headers(headers) -> list:
-    """What of a replica's head goes back to the client."""
-    return [(name, value) for name, value in headers if name not in outlets.HOP_NAMES]
+def kept_headers(*, headers, table: dict) -> list:
+    """What of a replica's head goes back to the client. A length beside chunks is none (RFC 9112, 6.3)."""
+    has_chunks = b"transfer-encoding" in table
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in outlets.HOP_NAMES and not (has_chunks and name == b"content-length")
+    ]
 
 
 def request_head(*, request, route, replica_id: str, left_s: float, last_id) -> h11.Request:
@@ -71,6 +77,7 @@
         self.request_id = passage.request_id
         self.status = 0
         self.meaning = None
+        self.is_known_not_run = False  # by a whole answer of the replica that says so
         self.is_over = False
         self.is_read = False
         self.sent_at = now
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -9,7 +9,9 @@
 from pw.base import link as links
 
 MOST_SKIPS = 2
+RESTED_S = 0.25  # a connection that was idle for longer is looked at before it is used
 KEEP_PART = 0.85  # of the idle time that a replica states; the rest is for the way
+UNTOLD_KEEP_S = 4.0  # where it states none
 HOP_NAMES = frozenset(
     (
         b"connection",
@@ -36,6 +38,8 @@
         self.is_paused = False
         self.attempt = None
         self.served = 0
+        self.last_request_id = None
+        self.rested_at = loop.now()
         self.idle_until = 0.0
         self._on_free = on_free
         self._on_way = on_way
@@ -66,6 +70,7 @@
 
     def take(self, attempt, *, head: h11.Request, body: bytes) -> None:
         self.attempt = attempt
+        self.last_request_id = attempt.request_id
         self._request = head
         self._skips = 0
         self._is_skipping = False
@@ -84,6 +89,25 @@
         self.attempt = None
         self.close()
 
+    def is_fit(self, *, request_id: bytes) -> bool:
+        """Whether this idle connection may carry the request.
+
+        Not where its former request bore the same id: an answer too many of that one could not be told from ours. And
+        not where something waits on it (its end, or bytes of no request) that the loop has not looked at yet; one that
+        was in use a moment ago is not looked at, which spares a system call for most requests.
+        """
+        if self.served and self.last_request_id == request_id:
+            return False
+        if self.loop.now() - self.rested_at < RESTED_S:
+            return True
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     @property
     def is_unsent(self) -> bool:
         return not self._sent_any
@@ -126,7 +150,8 @@
                 self.replica.heard_at = self.loop.now()
                 self._on_way(self.replica, self.replica.heard_at - self._begun_at)
                 if self.attempt is None:
-                    self.idle_until = self.replica.heard_at + 4.0
+                    self.rested_at = self.replica.heard_at
+                    self.idle_until = self.rested_at + UNTOLD_KEEP_S
                     self._on_free(self)
             self._flush()
         if mask & selectors.EVENT_READ and self.is_open:
@@ -173,15 +198,12 @@
             if kind is h11.InformationalResponse:
                 continue
             if kind is h11.Response:
+                if not self._sent_any:
+                    self._broken("answer before its request")
+                    return
                 headers = dict(event.headers)
-                expected = self.attempt.request_id
                 told = headers.get(b"x-attempt-id")
-                is_ours = (
-                    told == expected
-                    if told is not None
-                    else (self.served == 0 and self._skips == 0 and event.status_code >= 400)
-                )
-                if not is_ours:
+                if not self._is_ours(status=event.status_code, told=told):
                     # One answer too many at the head of ours: it is read past, and the connection ends after.
                     if self._skips >= MOST_SKIPS or told is None:
                         self._broken("answer of another request")
@@ -194,7 +216,8 @@
                 self._must_close = b"close" in connection or event.http_version < b"1.1"
                 keep = headers.get(b"keep-alive", b"")
                 self._keep_s = _keep_seconds(keep)
-                is_framed = b"content-length" in headers or b"chunked" in headers.get(b"transfer-encoding", b"").lower()
+                has_chunks = b"chunked" in headers.get(b"transfer-encoding", b"").lower()
+                is_framed = (b"content-length" in headers) != has_chunks  # both: which one holds is open to doubt
                 self._is_head_seen = True
                 self.attempt.on_head(
                     status=event.status_code, headers=event.headers, table=headers, is_framed=is_framed
@@ -220,6 +243,12 @@
                 self._broken("closed")
                 return
 
+    def _is_ours(self, *, status: int, told) -> bool:
+        """An answer is paired by its id. Without one, only a failure on a connection that carried nothing but this."""
+        if told is not None:
+            return told == self.attempt.request_id
+        return self.served == 0 and self._skips == 0 and status >= 400
+
     def _body_size(self) -> int:
         for name, value in self._request.headers:
             if name == b"content-length":
@@ -245,7 +274,8 @@
         )
         if is_reusable:
             self._h11.start_next_cycle()
-            self.idle_until = self.loop.now() + (self._keep_s * KEEP_PART if self._keep_s is not None else 4.0)
+            self.rested_at = self.loop.now()
+            self.idle_until = self.rested_at + (self._keep_s * KEEP_PART if self._keep_s is not None else UNTOLD_KEEP_S)
             self._on_free(self)
         else:
             self.close()
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -19,6 +19,7 @@
 AGAIN_PART = 0.05  # of the aim, between two looks for a replica
 COME_BACK_PART = 0.3  # of the aim: the pause that a refused client is told
 LEAST_PATIENCE_S = 0.2
+LATE_PAUSE_S = 0.1  # the pause that a client is told whose time is over
 
 
 class Passage:
@@ -44,7 +45,7 @@
         self.arrivals = 0
         self.avoid = set()
         self.is_over = False
-        self.is_lost = False  # bytes of unclear fate left for a replica
+        self.unclear = 0  # attempts that may have run, or may run yet
         self.has_head = False
         self.kept_headers = []
         self.buffer = None
@@ -88,6 +89,8 @@
         if isinstance(times, filters.Refused):
             return times
         self.deadline, self.aim_s = times.deadline, times.aim_s
+        if self.loop.now() >= self.deadline:
+            return filters.Refused(status=503, after_s=LATE_PAUSE_S)  # read late, by a freeze or a slow client
         self.resolve_model()
         self.prompt = filters.read_prompt(request=self.request, model_text=self.model.text, is_sticky=route.is_sticky)
         return None
@@ -123,7 +126,7 @@
         if self.arrivals and not self.proxy.quota.try_extra(self.service):
             self.give_up()
             return
-        outlet = self.proxy.table.outlet(replica=replica)
+        outlet = self.proxy.table.outlet(replica=replica, request_id=self.request_id)
         if outlet is None:
             self.avoid.add(replica.id)
             self.wait_or_reject()
@@ -131,9 +134,11 @@
         self.begin_attempt(replica=replica, outlet=outlet, to_read=to_read)
 
     def follow_configuration(self) -> bool:
-        """A later turn stands under the configuration now in force, and the stricter homes of both."""
+        """Whether a later turn may be, under the configuration now in force, and the stricter homes of both."""
         route = filters.find_route(request=self.request, routes=self.proxy.routes)
-        if route is None:
+        if route is None or self.arrivals >= route.tries:
+            return False
+        if self.unclear and not route.is_repeatable:
             return False
         if not any(name == self.service for name, _share in route.portions):
             self.service = route.pick(random.random())
@@ -155,6 +160,7 @@
 
     def begin_attempt(self, *, replica, outlet, to_read: int) -> None:
         self.attempts += 1
+        self.unclear += 1  # until the contrary is known: a fault of ours on the way must not turn into a promise
         now = self.loop.now()
         attempt = attempts.Attempt(
             passage=self,
@@ -245,6 +251,8 @@
         attempt.replica.to_read.pop(attempt.number, None)
         if not attempt.outlet.is_unsent:
             self.arrivals += 1
+        if attempt.outlet.is_unsent or attempt.is_known_not_run:
+            self.unclear -= 1
         if kind in (sources.FAILED, sources.BROKEN):
             attempt.replica.note_failure(now=self.loop.now(), span=self.proxy.settings.bound_s(name="contactMs"))
         self.proxy.tell_send(replica=attempt.replica, kind=kind)
@@ -268,7 +276,9 @@
             return
         if attempt.meaning is attempts.Meaning.SUCCESS and self.has_head:
             return  # a resumed stream keeps the head and stamp of its first replica
-        self.kept_headers = attempts.kept_headers(headers)
+        if self.has_head:
+            return  # a failure in place of the rest of a stream: none of its bytes belong there
+        self.kept_headers = attempts.kept_headers(headers=headers, table=table)
         is_stream = self.route.is_stream or table.get(b"content-type", b"").startswith(b"text/event-stream")
         if attempt.meaning is attempts.Meaning.SUCCESS and is_stream:
             self.kept_headers = [(name, value) for name, value in self.kept_headers if name != b"content-length"]
@@ -276,6 +286,7 @@
                 self.stream = streams.Stream(last_id=self.last_id)
             self.stream.begin_run()
             return
+        self.stream = None
         self.buffer = bytearray()
 
     def take_data(self, attempt, data: bytes) -> None:
@@ -341,6 +352,7 @@
 
     def take_end(self, attempt) -> None:
         if attempt.meaning is attempts.Meaning.NOT_RUN:
+            attempt.is_known_not_run = True
             self.end_attempt(attempt, kind=sources.DONE)
             self.after_not_run(attempt)
         elif self.stream is not None and attempt.meaning is attempts.Meaning.SUCCESS:
@@ -361,7 +373,7 @@
         """A whole answer that is no stream, or a failure."""
         status = attempt.status
         self.end_attempt(attempt, kind=sources.FAILED if status >= 500 else sources.DONE)
-        if status >= 500 and self.is_repeatable and not self.has_head and self.may_try_again():
+        if status >= 500 and self.may_repeat():
             self.after_loss(attempt)
             return
         if self.has_head and self.stream is not None:
@@ -415,11 +427,16 @@
             return
         self.give_up()
 
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if not self.is_repeatable or not self.may_try_again():
+            return False
+        return not self.has_head or (self.stream is not None and self.stream.is_resumable)
+
     def after_loss(self, attempt) -> None:
         """Bytes of unclear fate."""
         self.avoid.add(attempt.replica.id)
-        self.is_lost = True
-        if self.is_repeatable and self.may_try_again() and (not self.has_head or self.stream is not None):
+        if self.may_repeat():
             if self.stream is not None:
                 self.stream.begin_run()
             self.buffer = None
@@ -441,28 +458,36 @@
     def give_up(self) -> None:
         if self.has_head:
             self.break_off()
-        elif self.is_lost:
-            self.answer(status=502)
         else:
             self.reject(after_s=max(0.05, self.come_back_s))
 
+    def cut_short(self) -> None:
+        """The process ends soon. Who was not sent to a replica is told so now; who was sent is left to what comes."""
+        if self.is_over or (self.attempt is not None and not self.attempt.outlet.is_unsent):
+            return
+        if self.attempt is not None:
+            self.drop(self.attempt, kind=sources.DONE)
+        self.give_up()
+
     def out_of_time(self) -> None:
         if self.is_over:
             return
         attempt = self.attempt
         if attempt is not None:
-            self.is_lost = self.is_lost or not attempt.outlet.is_unsent
             self.drop(attempt, kind=self.silent_kind(attempt))
         if self.has_head:
             self.break_off()
-        elif self.is_lost:
+        elif self.unclear:
             self.answer(status=504)
         else:
-            self.reject(after_s=0.1)
+            self.reject(after_s=LATE_PAUSE_S)
 
     # Final answers.
     def reject(self, *, after_s: float) -> None:
-        """It has not run and never will; the user agent is told when to come back."""
+        """It has not run and never will, and the client is told when to come back; where that is unclear, 502."""
+        if self.unclear:
+            self.answer(status=502)
+            return
         self.answer(status=503, headers=[(b"Retry-After", b"%.2f" % after_s)])
 
     def answer(self, *, status: int, headers=()) -> None:
@@ -474,6 +499,8 @@
         self.request.abort()
 
     def finish(self, *, status: int = 0) -> None:
+        if self.is_over:
+            return
         self.is_over = True
         if self.trail and self.route is not None and self.is_slow():
             ring.note("slow request", route=self.route.name, trail=self.trail)
@@ -493,7 +520,7 @@
         return sources.FAILED if not attempt.outlet.is_unsent and quiet > self.aim_s * 1.5 else sources.DONE
 
     def gone(self) -> None:
-        """The user agent left."""
+        """The client left."""
         if self.is_over:
             return
         attempt = self.attempt
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -155,15 +155,17 @@
     def has_room(self, *, replica) -> bool:
         return bool(replica.idle) or len(replica.outlets) < self._most_outlets(replica)
 
-    def outlet(self, *, replica):
+    def outlet(self, *, replica, request_id: bytes = b""):
         """An idle connection, or a new one inside this proxy's share of maxConns, or None."""
         now = self._loop.now()
         for outlet in list(replica.idle):
             if now >= outlet.idle_until:
                 outlet.close()
-        if replica.idle:
+        while replica.idle:
             outlet = replica.idle.pop()
-            return outlet
+            if outlet.is_fit(request_id=request_id):
+                return outlet
+            outlet.close()
         if len(replica.outlets) >= self._most_outlets(replica):
             return None
         return self._open(replica)
--- a/pw/dat/serving.py
+++ b/pw/dat/serving.py
@@ -10,6 +10,7 @@
 
     def start_serving(self) -> None:
         self.passages = set()
+        self.has_ended = False
         self._number = 0
         self.hall = inlet.Hall(
             loop=self.loop,
@@ -35,6 +36,9 @@
         return self._number
 
     def _on_request(self, request) -> None:
+        if self.has_ended:
+            request.reply(status=503)
+            return
         passage = passages.Passage(proxy=self, request=request)
         self.passages.add(passage)
         passage.begin()
@@ -71,6 +75,9 @@
         self.loop.after(delay=grace_s * 0.92, act=self._end)
 
     def _end(self) -> None:
+        self.has_ended = True
+        self.hall.stop_listening()
+        end_requests(self.passages)
         self.tell_trails(is_last=True)
         self.tell_adapters()
         self.loop.after(delay=grace_end_s(self.settings), act=self.loop.stop)
@@ -83,6 +90,12 @@
         self.loop.after(delay=0.05, act=self._last_calls)
 
 
+def end_requests(passages_left) -> None:
+    """At the end of leaving: a request that no replica got is refused, which is a promise that holds."""
+    for passage in list(passages_left):
+        passage.cut_short()
+
+
 def grace_end_s(settings) -> float:
     """Time for the last batch to leave."""
     return settings.bound(name="graceS") / 80
--- a/pw/dat/streams.py
+++ b/pw/dat/streams.py
@@ -31,6 +31,7 @@
 
     def __init__(self, *, last_id):
         self.last_id = last_id  # of the last event passed on; before the first one: what the client named
+        self.is_resumable = True  # until an event without an id was passed on: nothing can name what follows it
         self._buffer = b""
         self._is_begun = False
 
@@ -61,5 +62,7 @@
             if self._is_begun and self.last_id is not None and _is_not_after(number, self.last_id):
                 return False
             self.last_id = number
+        else:
+            self.is_resumable = False
         self._is_begun = True
         return True
--- /dev/null
+++ b/pw/dat/test_requests.py
@@ -0,0 +1,565 @@
+"""Who gets which answer, and what is sent twice: each cell of the table in docs/requests.md, with scripted peers."""
+
+import re
+
+import pytest
+
+from pw.dat import outlet as outlets
+from pw.dat import replicas
+from pw.dat import serving
+from pw.dat import test_way
+from pw.dat.digest import source as sources
+from pw.sim import entry
+from pw.sim import loopback
+
+END = test_way.END
+NOT_RUN = b"X-Not-Run: 1\r\n"
+
+
+def answering(body=b"ok", **about):
+    def script(number, heard):
+        return [test_way.answer(test_way.request_id(heard), body, **about)] if test_way.is_whole(heard) else None
+
+    return script
+
+
+def statuses(client) -> list:
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+)", client.got)]
+
+
+def settled(scene) -> bool:
+    return loopback.until(scene.loop, lambda: scene.client.got and not scene.entry.passages)
+
+
+# What a replica may do with a request: script, and whether it promises that the request was not run.
+def _whole(make):
+    return lambda number, heard: make(test_way.request_id(heard)) if test_way.is_whole(heard) else None
+
+
+BEHAVIOURS = {
+    "closes when it has the request": _whole(lambda which: ["close"]),
+    "resets when it has the request": _whole(lambda which: ["reset"]),
+    "closes in the middle of the request": lambda number, heard: ["close"],
+    "resets in the middle of the request": lambda number, heard: ["reset"],
+    "closes in the middle of the head": _whole(lambda which: [test_way.answer(which)[:30], "close"]),
+    "closes in the middle of the body": _whole(lambda which: [test_way.answer(which, b"long body")[:-4], "close"]),
+    "resets in the middle of the body": _whole(lambda which: [test_way.answer(which, b"long body")[:-4], "reset"]),
+    "answers for another request": _whole(lambda which: [test_way.answer(b"other")]),
+    "answers for others again and again": _whole(lambda which: [test_way.answer(b"other") * 4]),
+    "promises for another request": _whole(
+        lambda which: [test_way.answer(b"other", status=b"503 Full", more=NOT_RUN), "close"]
+    ),
+    "answers without an id": _whole(lambda which: [b"HTTP/1.1 200 OK\r\nX-Postmark: p\r\nContent-Length: 2\r\n\r\nok"]),
+    "answers nothing that is HTTP": _whole(lambda which: [b"\x00\x01\x02 what\r\n\r\n"]),
+    "answers without its stamp": _whole(lambda which: [test_way.answer(which, more=b"")]),
+    "answers an encoded body": _whole(
+        lambda which: [test_way.answer(which, more=b"X-Postmark: p\r\nContent-Encoding: gzip\r\n")]
+    ),
+    "answers without a length": _whole(
+        lambda which: [b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\n\r\nok" % which, "close"]
+    ),
+    "answers two lengths": _whole(
+        lambda which: [test_way.answer(which, more=b"X-Postmark: p\r\nContent-Length: 1\r\n")]
+    ),
+    "answers a length and chunks": _whole(
+        lambda which: [
+            test_way.answer(which, b"2\r\nok\r\n0\r\n\r\n", more=b"X-Postmark: p\r\nTransfer-Encoding: chunked\r\n")
+        ]
+    ),
+    "answers a bad chunk": _whole(
+        lambda which: [
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok"
+            % which
+        ]
+    ),
+    "says 503 without a promise": _whole(lambda which: [test_way.answer(which, status=b"503 Full", more=b"")]),
+    "says 429 without a promise": _whole(lambda which: [test_way.answer(which, status=b"429 Slow", more=b"")]),
+    "says 408 without a promise": _whole(lambda which: [test_way.answer(which, status=b"408 Late", more=b"")]),
+    "promises and breaks off": _whole(
+        lambda which: [test_way.answer(which, b"long", status=b"503 Full", more=NOT_RUN)[:-2], "close"]
+    ),
+    "says success and not run": _whole(lambda which: [test_way.answer(which, more=b"X-Postmark: p\r\n" + NOT_RUN)]),
+    "says elsewhere and not run": _whole(lambda which: [test_way.answer(which, status=b"307 There", more=NOT_RUN)]),
+    "is silent": lambda number, heard: None,
+}
+
+
+@pytest.mark.parametrize("is_reused", [False, True])
+@pytest.mark.parametrize("lead", ["unsafe", "once"])
+@pytest.mark.parametrize("name", BEHAVIOURS)
+def test_what_may_not_be_repeated_is_sent_once_and_gets_no_promise(name, lead, is_reused):
+    before = 1 if is_reused else 0
+
+    def script(number, heard):
+        if len(re.findall(rb"X-Attempt-Id", heard, re.I)) <= before:
+            return answering()(number, heard)
+        return BEHAVIOURS[name](number, heard)
+
+    scene = test_way.Scene(script, test_way.replying)
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0  # there, but the last to be chosen
+    if is_reused:
+        scene.request("unsafe")
+        assert scene.until(b"\r\n\r\nok")
+        scene.client.got = b""
+    scene.request(lead, left_ms=300)
+    assert settled(scene)
+    assert scene.arrivals() == 1 + before
+    assert scene.client.got[:13] in (b"HTTP/1.1 502 ", b"HTTP/1.1 504 "), scene.client.got
+    assert len(statuses(scene.client)) == 1 and b"ostmark" not in scene.client.got
+    if is_reused:
+        assert len([heard for heard in scene.peers[0].heard if heard]) == 1  # it was the same connection
+
+
+# After an answer too many the one that is due is waited for: silent, both, until the deadline or a suspicion.
+SILENT = ("is silent", "answers for another request")
+
+
+@pytest.mark.parametrize("name", [name for name in BEHAVIOURS if name not in SILENT])
+def test_what_may_be_repeated_is_answered_by_another_replica_once(name):
+    scene = test_way.Scene(BEHAVIOURS[name], answering(b"second"))
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0
+    scene.request("safe", left_ms=1000)
+    assert settled(scene)
+    if name.startswith(("says 429", "says 408", "says elsewhere")):
+        return  # a failure of a replica that may be passed on, or stands for one
+    assert statuses(scene.client) == [200] and scene.client.got.endswith(b"second")
+    assert scene.arrivals() == 2
+
+
+@pytest.mark.parametrize("status", [b"503 Full", b"429 Slow", b"408 Late", b"421 Another", b"400 No"])
+@pytest.mark.parametrize("lead", ["once", "unsafe"])
+def test_a_promise_of_the_replica_is_passed_on_as_one(status, lead):
+    scene = test_way.Scene(answering(b"", status=status, more=NOT_RUN))
+    scene.request(lead, left_ms=300)
+    assert settled(scene)
+    assert statuses(scene.client) == [503] and scene.arrivals() == 1
+
+
+def test_a_failure_of_a_resumed_run_leaves_no_byte_in_the_stream():
+    def cutting(number, heard):
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(1), "close"]
+
+    failing = answering(b"a failure's own text", status=b"500 Broken")
+    scene = test_way.Scene(cutting, failing)
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0
+    scene.request("resume")
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert b"data: t1" in scene.client.got and b"own text" not in scene.client.got
+    assert not scene.client.got.endswith(END)
+
+
+def test_a_resumed_run_that_fails_leaves_the_stream_to_a_third_replica():
+    def cutting(number, heard):
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(1), "close"]
+
+    def going_on(number, heard):
+        assert b"Last-Event-Id: 1" in heard
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(2) + END]
+
+    scene = test_way.Scene(cutting, answering(b"text", status=b"500 Broken"), going_on, zones=["zb"] * 3)
+    table = scene.entry.table.replicas
+    table["i1"].running, table["i2"].running = 4, 8
+    scene.request("home")  # three tries
+    assert scene.until(END)
+    assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2"] and b"text\r\n" not in scene.client.got
+    assert scene.arrivals() == 3
+
+
+def test_a_replica_that_wakes_after_its_stream_was_moved_is_not_heard():
+    def waking(number, heard):
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(1)]
+
+    def going_on(number, heard):
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(2)]
+
+    scene = test_way.Scene(waking, going_on)
+    table = scene.entry.table.replicas
+    table["i1"].away_until = scene.loop.now() + 1000.0
+    scene.request("resume", left_ms=5000)
+    assert scene.until(b"data: t1")
+    table["i0"].is_suspect = True
+    assert scene.until(b"data: t2")  # silence moved it
+    scene.peers[0].act(0, [test_way.event(2) + test_way.event(3) + END])
+    scene.peers[1].act(0, [test_way.event(3) + END])
+    assert scene.until(END)
+    assert re.findall(rb"data: t(\d)", scene.client.got) == [b"1", b"2", b"3"]
+
+
+@pytest.mark.parametrize("change", [{"kind": "retry_unsafe"}, {"tries": 1}])
+def test_a_configuration_that_forbids_a_second_attempt_binds_one_that_is_under_way(change):
+    def script(number, heard):
+        body = dict(entry.SPEC, edition=4)
+        body["routes"] = [dict(row, **(change if row["name"] == "safe" else {})) for row in entry.SPEC["routes"]]
+        scene.entry.configure(body)
+        return ["close"]
+
+    scene = test_way.Scene(script, test_way.replying)
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0
+    scene.request("safe")
+    assert settled(scene)
+    assert scene.arrivals() == 1 and statuses(scene.client) == [502]
+
+
+def test_an_id_that_comes_again_is_not_paired_with_the_answer_of_its_former_request():
+    """The former answer comes twice, late; the id can't tell it from the answer that is due."""
+
+    def script(number, heard):
+        ids = re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)
+        if len(ids) == 2:
+            return [test_way.answer(ids[0], b"first") + test_way.answer(ids[1], b"second")]
+        return [test_way.answer(ids[0], b"first" if number == 0 else b"second")]
+
+    scene = test_way.Scene(script)
+    scene.request("unsafe")
+    assert scene.until(b"first")
+    scene.client.got = b""
+    scene.number -= 1
+    scene.request("unsafe")
+    assert settled(scene)
+    assert scene.client.got.endswith(b"second")
+
+
+@pytest.mark.parametrize("end", [False, True])
+def test_an_idle_connection_that_ended_unseen_is_not_used(end):
+    """Both the end of the connection and the next request wait when the loop looks."""
+    scene = test_way.Scene(test_way.replying)
+    scene.request("unsafe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.client.got = b""
+    outlet = scene.entry.table.replicas["i0"].idle[0]
+    scene.loop.unwatch(sock=outlet.sock)  # its event stands behind the request's in the same step
+    scene.loop.skip(seconds=2.0)
+    scene.peers[0].end(0, is_reset=end)
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [200] and scene.arrivals() == 2
+
+
+def test_after_a_freeze_no_idle_connection_is_used_and_no_late_request_is_sent():
+    scene = test_way.Scene(test_way.replying)
+    scene.request("unsafe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.client.got = b""
+    scene.client.send(b"POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: late\r\nX-Time-Left-Ms: 900\r\n")
+    assert loopback.until(scene.loop, lambda: any(door._head_begun for door in scene.entry.hall.doors))
+    scene.loop.skip(seconds=4.0)
+    scene.client.send(b"Content-Length: 4\r\n\r\nbody")
+    assert loopback.until(scene.loop, lambda: scene.client.got)
+    assert statuses(scene.client) == [503] and scene.arrivals() == 1
+    scene.loop.skip(seconds=16.0)
+    scene.client = loopback.Client(loop=scene.loop, address=scene.entry.address)
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [200]
+    assert len(scene.peers[0].heard) == 2 and scene.peers[0].heard[1]  # by a new connection
+
+
+def test_an_answer_that_came_during_a_freeze_past_its_deadline_is_no_promise():
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once", left_ms=500)
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    scene.loop.skip(seconds=20.0)
+    assert settled(scene)
+    assert statuses(scene.client) == [504] and scene.arrivals() == 1
+
+
+@pytest.mark.parametrize("where", ["note_read", "kept_headers"])
+def test_a_fault_of_our_own_after_a_send_is_no_promise(where, monkeypatch):
+    """A step that raises is noted and the process goes on: the request then ends at its deadline, without a promise."""
+
+    def broken(*_args, **_about):
+        raise RuntimeError("planted")
+
+    faults = []
+    scene = test_way.Scene(
+        lambda number, heard: [test_way.head(test_way.request_id(heard)) + test_way.event(1)], faults=faults
+    )
+    if where == "note_read":
+        monkeypatch.setattr(scene.entry.chooser, "note_read", broken)
+    else:
+        monkeypatch.setattr(outlets.Outlet, "_ended", broken)
+        scene.peers[0].script = answering()
+    scene.request("once", left_ms=300)
+    assert settled(scene)
+    assert faults and statuses(scene.client) == [504] and scene.arrivals() == 1
+
+
+def test_a_fault_of_our_own_between_two_attempts_is_no_promise():
+    faults = []
+    scene = test_way.Scene(lambda number, heard: ["close"], faults=faults)
+
+    def broken(**_about):
+        raise RuntimeError("planted")
+
+    scene.entry.note_fault = broken
+    scene.request("once", left_ms=300)
+    assert settled(scene)
+    assert faults and statuses(scene.client) == [504]
+
+
+def test_a_fault_of_our_own_when_an_attempt_ends_is_no_promise():
+    faults = []
+    scene = test_way.Scene(lambda number, heard: ["close"], faults=faults)
+
+    def broken(*, kind, **_about):
+        if kind != sources.SENT:
+            raise RuntimeError("planted")
+
+    scene.entry.tell_send = broken
+    scene.request("once", left_ms=300)
+    assert settled(scene)
+    assert faults and statuses(scene.client)[0] in (502, 504) and scene.arrivals() == 1
+
+
+def test_a_stream_is_not_resumed_behind_an_event_that_has_no_id():
+    def cutting(number, heard):
+        text = b"data: nameless\n\n"
+        nameless = b"%x\r\n%s\r\n" % (len(text), text)
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(1) + nameless, "close"]
+
+    scene = test_way.Scene(cutting, test_way.replying)
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0
+    scene.request("resume")
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert scene.arrivals() == 1 and not scene.client.got.endswith(END)
+
+
+def test_a_length_beside_chunks_never_makes_a_part_look_whole():
+    body = b"x" * 700000
+
+    def script(number, heard):
+        return [
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nContent-Length: 600000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (test_way.request_id(heard), len(body), body)
+        ]
+
+    scene = test_way.Scene(script)
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [502]
+
+
+def test_each_request_leaves_one_trail_though_the_client_leaves_at_its_end():
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once")
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    passage = next(iter(scene.entry.passages))
+    passage.request.door._write = lambda data: passage.request.door._gone()
+    scene.peers[0].act(0, [test_way.head(test_way.request_id(scene.peers[0].heard[0])) + END])
+    assert loopback.until(scene.loop, lambda: not scene.entry.passages)
+    scene.loop.step()
+    assert len(scene.entry.trails()) == 1
+
+
+# The client's side.
+def test_requests_sent_ahead_are_answered_in_order_each_with_its_own():
+    def script(number, heard):
+        ids = re.findall(rb"X-Attempt-Id: (\w+)", heard, re.I)
+        return [test_way.answer(ids[-1], b"body of " + ids[-1])] if test_way.is_whole(heard) else None
+
+    scene = test_way.Scene(script)
+    for lead in ("unsafe", "safe", "once", "unsafe"):
+        scene.request(lead)
+    assert scene.until(b"body of a4") or scene.until(b"a4")
+    assert re.findall(rb"X-Attempt-Id: (\w+)", scene.client.got, re.I) == [b"a1", b"a2", b"a3", b"a4"]
+
+
+def test_what_is_sent_ahead_is_bounded():
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once", left_ms=4000)
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    for _ in range(40):
+        try:
+            scene.client.send(b"x" * 1000)
+        except OSError:
+            break
+        for _ in range(3):
+            scene.loop.command(act=lambda: None)
+            scene.loop.step()
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert not scene.entry.passages and not scene.client.got  # long before the deadline
+
+
+def test_a_request_that_is_over_cannot_touch_the_next_one_on_its_connection():
+    scene = test_way.Scene(test_way.replying)
+    scene.request("safe")
+    assert loopback.until(scene.loop, lambda: scene.entry.passages)
+    first = next(iter(scene.entry.passages)).request
+    assert scene.until(b"\r\n\r\nok")
+    scene.peers[0].script = lambda number, heard: None
+    scene.request("once", left_ms=400)
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 2)
+    scene.client.got = b""
+    first.data(b"stray")
+    first.end()
+    first.abort()
+    assert settled(scene)
+    assert statuses(scene.client) == [504] and b"stray" not in scene.client.got and not scene.client.is_closed
+
+
+def test_expect_100_continue_is_answered_here_and_not_passed_on():
+    scene = test_way.Scene(test_way.replying)
+    scene.client.send(
+        b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+    )
+    assert scene.until(b"HTTP/1.1 100")
+    assert scene.arrivals() == 0
+    scene.client.send(b"body")
+    assert scene.until(b"\r\n\r\nok")
+    assert b"xpect" not in scene.peers[0].heard[0] and statuses(scene.client) == [100, 200]
+
+
+def test_informational_answers_of_a_replica_are_not_taken_for_the_answer():
+    def script(number, heard):
+        return [b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 3 + test_way.answer(test_way.request_id(heard))]
+
+    scene = test_way.Scene(script)
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [200]
+
+
+class SlowSocket:
+    """Lets so many bytes out, then none."""
+
+    def __init__(self, sock, *, most):
+        self.sock = sock
+        self.left = most
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+    def send(self, data):
+        if not self.left:
+            raise BlockingIOError
+        count = self.sock.send(data[: self.left])
+        self.left -= count
+        return count
+
+
+def in_part(scene, monkeypatch, *, most):
+    """Connections to replicas take only so many bytes of a request."""
+    open_ = replicas.Table._open
+
+    def opened(table, replica):
+        outlet = open_(table, replica)
+        outlet.sock = SlowSocket(outlet.sock, most=most)
+        return outlet
+
+    monkeypatch.setattr(replicas.Table, "_open", opened)
+
+
+@pytest.mark.parametrize("lead", ["unsafe", "once"])
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_one_byte_that_left_is_a_request_that_may_have_run(lead, end, monkeypatch):
+    scene = test_way.Scene(lambda number, heard: [end], test_way.replying)
+    scene.entry.table.replicas["i1"].away_until = scene.loop.now() + 1000.0
+    in_part(scene, monkeypatch, most=1)
+    scene.request(lead)
+    assert settled(scene)
+    assert statuses(scene.client) == [502]
+    assert [len(heard) for peer in scene.peers for heard in peer.heard] == [1]
+
+
+def test_no_byte_that_left_is_a_request_that_has_not_run(monkeypatch):
+    scene = test_way.Scene(test_way.replying)
+    in_part(scene, monkeypatch, most=0)
+    scene.request("once", left_ms=200)
+    assert settled(scene)
+    assert statuses(scene.client) == [503] and scene.peers[0].heard == [b""]
+
+
+@pytest.mark.parametrize(
+    "early, told",
+    [(test_way.answer(b"a1", b"early"), [200]), (test_way.answer(b"a1", status=b"503 Full", more=NOT_RUN), [503])],
+)
+def test_an_early_answer_stands_and_its_connection_ends(early, told, monkeypatch):
+    """The replica answers when it has a part; the rest of the request never leaves."""
+    scene = test_way.Scene(lambda number, heard: [early])
+    in_part(scene, monkeypatch, most=100)
+    scene.request("once" if told == [503] else "unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == told and len(scene.peers[0].heard[0]) == 100
+    assert loopback.until(scene.loop, lambda: not scene.peers[0].socks)
+
+
+def test_an_answer_before_its_request_is_nobodys(monkeypatch):
+    scene = test_way.Scene(test_way.replying)
+    in_part(scene, monkeypatch, most=0)
+    scene.request("once", left_ms=1000)
+    assert loopback.until(scene.loop, lambda: scene.peers[0].socks)
+    scene.peers[0].act(0, [test_way.answer(b"a1", b"early")])
+    assert settled(scene)
+    assert statuses(scene.client) == [503]
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_a_client_that_leaves_takes_its_attempt_along_and_comes_back_as_another(is_reset):
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once", left_ms=4000)
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    scene.client.leave(is_reset=is_reset)
+    assert loopback.until(scene.loop, lambda: not scene.entry.passages and not scene.peers[0].socks)
+    scene.client = loopback.Client(loop=scene.loop, address=scene.entry.address)
+    scene.peers[0].script = test_way.replying
+    scene.request("once")
+    assert scene.until(b"0\r\n\r\n")
+    assert statuses(scene.client) == [200]
+
+
+def test_a_broken_stream_does_not_look_complete_to_a_client_that_knows_no_chunks():
+    def cutting(number, heard):
+        return [test_way.head(test_way.request_id(heard)) + test_way.event(1), "close"]
+
+    scene = test_way.Scene(cutting)
+    scene.client.send(b"GET /once/x HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: a1\r\n\r\n")
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert scene.client.is_reset
+
+
+@pytest.mark.parametrize("by", ["leaving", "idle time"])
+def test_a_request_that_waits_on_a_rested_connection_is_not_thrown_away_with_it(by):
+    scene = test_way.Scene(test_way.replying)
+    scene.request("safe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.client.got = b""
+    scene.request("unsafe")
+    door = next(iter(scene.entry.hall.doors))
+    if by == "leaving":
+        scene.entry.hall.leave()
+        scene.entry.hall.close_idle()
+    else:
+        door._idle()
+    assert settled(scene)
+    assert statuses(scene.client) == [200]
+
+
+def test_rested_connections_are_closed_when_leaving():
+    scene = test_way.Scene(test_way.replying)
+    scene.request("safe")
+    assert scene.until(b"\r\n\r\nok")
+    scene.entry.hall.leave()
+    scene.entry.hall.close_idle()
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+
+
+def test_at_the_end_of_leaving_who_waits_is_told_that_it_has_not_run_and_who_was_sent_is_not():
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once")
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    waiting = loopback.Client(loop=scene.loop, address=scene.entry.address)
+    scene.entry.table.replicas["i0"].is_suspect = True
+    waiting.send(b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: w\r\nX-Time-Left-Ms: 4000\r\n\r\n")
+    assert loopback.until(scene.loop, lambda: len(scene.entry.passages) == 2)
+    serving.end_requests(scene.entry.passages)
+    assert loopback.until(scene.loop, lambda: waiting.got)
+    assert statuses(waiting) == [503] and not statuses(scene.client)
+
+
+def test_a_request_that_comes_once_the_end_of_leaving_began_is_refused():
+    scene = test_way.Scene(test_way.replying)
+    scene.entry.has_ended = True
+    scene.entry.hall._on_request = lambda request: serving.ServeMixin._on_request(scene.entry, request)
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [503] and scene.arrivals() == 0
--- a/pw/dat/test_way.py
+++ b/pw/dat/test_way.py
@@ -36,8 +36,8 @@
 
 
 class Scene:
-    def __init__(self, *scripts, zones=None):
-        self.loop = loopback.new_loop()
+    def __init__(self, *scripts, zones=None, faults=None):
+        self.loop = loopback.new_loop(faults=faults)
         self.peers = [loopback.Peer(loop=self.loop, script=script) for script in scripts]
         zones = zones or ["za"] * len(scripts)
         self.entry = entry.Entry(loop=self.loop, peers=list(zip(self.peers, zones, strict=False)))
--- a/pw/sim/loopback.py
+++ b/pw/sim/loopback.py
@@ -8,13 +8,30 @@
 from pw.base import loop as loops
 
 PATIENCE_S = 10.0
+RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # of SO_LINGER
 
 
-def new_loop():
+class SkippingLoop(loops.Loop):
+    """A loop whose clock can skip: what a frozen process sees when it goes on. All timers of that time are due at once."""
+
+    def __init__(self, *, on_fault=None):
+        super().__init__(on_fault=on_fault)
+        self._skipped_s = 0.0
+
+    def now(self) -> float:
+        return super().now() + self._skipped_s
+
+    def skip(self, *, seconds: float) -> None:
+        self._skipped_s += seconds
+
+
+def new_loop(*, faults=None):
+    """Faults in a step are raised, or gathered in `faults`, as the programs gather them."""
+
     def raise_it(fault):
         raise fault
 
-    return loops.Loop(on_fault=raise_it)
+    return SkippingLoop(on_fault=raise_it if faults is None else faults.append)
 
 
 def until(loop, is_so) -> bool:
@@ -47,6 +64,7 @@
         self.loop = loop
         self.script = script
         self.heard = []
+        self.socks = {}  # connection number: socket, while it is open
         self.sock = socket.socket()
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(50)
@@ -59,6 +77,7 @@
         sock.setblocking(False)
         number = len(self.heard)
         self.heard.append(b"")
+        self.socks[number] = sock
         self.loop.watch(sock=sock, mask=selectors.EVENT_READ, act=lambda mask: self._read(sock, number))
 
     def _read(self, sock, number):
@@ -67,18 +86,32 @@
         except OSError:
             data = b""
         if not data:
-            self.loop.unwatch(sock=sock)
-            sock.close()
+            self.end(number)
             return
         self.heard[number] += data
-        for act in self.script(number, self.heard[number]) or ():
-            if act in ("close", "reset"):
-                self.loop.unwatch(sock=sock)
-                if act == "reset":
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-                sock.close()
+        self.act(number, self.script(number, self.heard[number]) or ())
+
+    def act(self, number: int, acts) -> None:
+        """Sends bytes, or ends the connection by "close" or "reset", on connection `number`, if it is still there."""
+        for act in acts:
+            if number not in self.socks:
                 return
-            sock.sendall(act)
+            if act in ("close", "reset"):
+                self.end(number, is_reset=act == "reset")
+                continue
+            try:
+                self.socks[number].sendall(act)
+            except OSError:
+                self.end(number)
+
+    def end(self, number: int, *, is_reset: bool = False) -> None:
+        sock = self.socks.pop(number, None)
+        if sock is None:
+            return
+        self.loop.unwatch(sock=sock)
+        if is_reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        sock.close()
 
 
 class Client:
@@ -86,6 +119,7 @@
         self.loop = loop
         self.got = b""
         self.is_closed = False
+        self.is_reset = False
         self.sock = socket.socket()
         self.sock.connect(address)
         self.sock.setblocking(False)
@@ -95,6 +129,7 @@
         try:
             data = self.sock.recv(65536)
         except OSError:
+            self.is_reset = True
             data = b""
         if not data:
             self.loop.unwatch(sock=self.sock)
@@ -104,3 +139,11 @@
 
     def send(self, data: bytes):
         self.sock.sendall(data)
+
+    def leave(self, *, is_reset: bool = False) -> None:
+        """Ends the connection, with what was asked on it still under way or not."""
+        if is_reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.loop.unwatch(sock=self.sock)
+        self.sock.close()
+        self.is_closed = True
