--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -33,7 +33,7 @@
     "chosen": (14, (TEXT, *_BALLOT, NUMBER)),
     "peek": (17, (NUMBER, TEXT, *_BALLOT)),
     "peeked": (18, (NUMBER, TEXT, FLAG, *_BALLOT, *_BALLOT, NUMBER, BLOB)),
-    "refill": (15, (NUMBER, rows(TEXT, *_BALLOT))),  # number, ballots to be promised first
+    "refill": (15, (NUMBER, rows(TEXT, *_BALLOT, *_BALLOT))),  # number; a register: ballot to promise, ballot known
     "refilled": (16, (NUMBER, FLAG, rows(TEXT, *_BALLOT, *_BALLOT, NUMBER, BLOB))),
     # news
     "offer": (20, (rows(TEXT, NUMBER, NUMBER),)),
--- a/pw/ctl/register/acceptor.py
+++ b/pw/ctl/register/acceptor.py
@@ -29,8 +29,10 @@
         promised, accepted, rev, value = self.get(name)
         return (name, *promised, *accepted, rev, value)
 
-    def rows(self) -> tuple:
-        return tuple(self.row(name) for name in sorted(self.table))
+    def rows(self, *, known=None) -> tuple:
+        """A row a register. `known`: accepted ballots whose values are left out."""
+        whole = tuple(self.row(name) for name in sorted(self.table))
+        return tuple((*row[:6], b"") if known and known.get(row[0]) == (row[3], row[4]) else row for row in whole)
 
     def prepare(self, message: tuple) -> tuple:
         """(answer, row to be made safe before the answer goes out, or None)."""
--- a/pw/ctl/register/refill.py
+++ b/pw/ctl/register/refill.py
@@ -2,7 +2,7 @@
 
 First it looks: enough voters tell their rows. Then it asks them to promise a ballot above all that they told, and to
 tell their rows again. After the second answer none of them accepts what this node may have accepted, or have promised
-to accept, before its disk was emptied.
+to accept, before its disk was emptied. A request names the values that were told already; answers leave those out.
 """
 
 from pw.ctl.register import ballots
@@ -32,24 +32,41 @@
         self._registers = registers
         self._number = 0
         self.first_set = ()
-        self.fences = ()  # (register, ballot number, ballot proposer) for each register
         self.start()
 
     def start(self) -> None:
         """From the beginning, with a number of its own so that older answers are not counted."""
         self._number += 1
         self.stage = LOOK
-        self.fences = ()
+        self.fences = {}  # register: the ballot to be promised
         self.answers = {}  # member: rows
+        self._values = {}  # register: {ballot: (rev, value)} as told since the beginning
 
     def request(self) -> tuple:
-        return ("refill", self._number, self.fences)
+        """Number, and for each register the ballot to be promised and the ballot of the value that is known."""
+        rows = []
+        for name in sorted({*self._registers, *self._values}):
+            known = max(self._values.get(name, ()), default=ballots.NONE)
+            rows.append((name, *self.fences.get(name, ballots.NONE), *known))
+        return ("refill", self._number, tuple(rows))
+
+    def _with_values(self, rows: tuple) -> tuple:
+        whole = []
+        for name, promised_n, promised_p, accepted_n, accepted_p, rev, value in rows:
+            accepted = (accepted_n, accepted_p)
+            told = self._values.setdefault(name, {})
+            if value:
+                told[accepted] = (rev, value)
+            else:
+                rev, value = told.get(accepted, (rev, value))
+            whole.append((name, promised_n, promised_p, *accepted, rev, value))
+        return tuple(whole)
 
     def take(self, *, member: str, number: int, first_set: tuple, rows: tuple) -> None:
         """A voter's answer."""
         if number != self._number or self.stage == DONE:
             return
-        self.answers[member] = rows
+        self.answers[member] = self._with_values(rows)
         self.first_set = first_set or self.first_set
         if not self.has_enough():
             return
@@ -65,7 +82,7 @@
                 highest[row[0]] = max(highest.get(row[0], 0), row[1], row[3])
         self._number += 1
         self.stage = FENCE
-        self.fences = tuple((name, number + 1, f"{self._own}/refill") for name, number in sorted(highest.items()))
+        self.fences = {name: (number + 1, f"{self._own}/refill") for name, number in highest.items()}
         self.answers = {}
 
     def has_enough(self) -> bool:
--- a/pw/ctl/register/test_learning.py
+++ b/pw/ctl/register/test_learning.py
@@ -146,7 +146,7 @@
     rows = rows_of(members)
     assert take(refill, dict.fromkeys(others[: count - 1], rows)) == refills.LOOK
     assert take(refill, {others[count - 1]: rows}) == refills.FENCE
-    assert all(number == 2 for _name, number, _proposer in refill.fences)
+    assert all(number == 2 for number, _proposer in refill.fences.values())
     assert take(refill, dict.fromkeys(others[: count - 1], rows)) == refills.FENCE
     assert take(refill, {others[-1]: rows}) == refills.DONE
 
@@ -172,6 +172,35 @@
     assert take(refill, {"a": (), "b": (), "c": ()}, first_set=()) == refills.LOOK
 
 
+def test_a_value_that_was_told_is_not_told_again():
+    model = settled()
+    told = []
+    node = model.nodes["c"]
+    check = node.check_told
+    for name in "ab":
+        model.nodes[name].check_told = lambda message: (told.append(message), check(message))
+    model.restart("c", back_s=0.5, is_wiped=True)
+    model.world.run(until=8.0)
+    assert node.votes and all(node.voting.journal.held.get(name)[3] for name in registers.REGISTERS)
+    filled = [message for message in told if message[0] == "refilled" and message[2]]
+    values = [sum(1 for row in message[3] if row[6]) for message in filled]
+    assert values.count(len(registers.REGISTERS)) <= 2 and 0 in values
+
+
+def test_a_value_left_out_is_filled_in_also_when_a_newer_one_was_told_meanwhile():
+    refill = refills.Refill(own="x", registers=("r",))
+    old, new = (("r", 5, "p", 5, "p", 1, ballots.pack(members=SEEDS, payload=payload)) for payload in (1, 2))
+    new = ("r", 9, "p", 9, "p", 2, new[6])
+    refill.take(member="a", number=1, first_set=SEEDS, rows=(old,))
+    assert refill.request()[2] == (("r", 0, "", 5, "p"),)
+    refill.take(member="d", number=1, first_set=SEEDS, rows=(new,))
+    refill.take(member="b", number=1, first_set=SEEDS, rows=((*old[:6], b""),))
+    assert refill.stage == refills.FENCE
+    assert refill.request()[2] == (("r", 10, "x/refill", 9, "p"),)
+    refill.take(member="b", number=2, first_set=SEEDS, rows=((*old[:6], b""),))
+    assert refill.answers["b"] == (old,)
+
+
 def test_old_answers_are_not_counted():
     refill = refills.Refill(own="a", registers=registers.REGISTERS)
     rows = rows_of(SEEDS)
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -166,16 +166,18 @@
     # Learning.
     def _take_refill(self, member: str, link, message: tuple) -> None:
         """A learner asks. It is told what the disk holds, and what it asks to be promised is promised first."""
-        _kind, number, fences = message
-        if fences and self.journal.held.votes and self.journal.is_hindered:
+        _kind, number, asked = message
+        fences = {row[0]: (row[1], row[2]) for row in asked if row[1]}
+        known = {row[0]: (row[3], row[4]) for row in asked}
+        if fences and self.journal.is_hindered:
             return
         if self.acceptor.votes:
-            for name, ballot_n, ballot_p in fences:
-                self.journal.note(row=self.acceptor.fence(name=name, ballot=(ballot_n, ballot_p)))
+            for name, ballot in fences.items():
+                self.journal.note(row=self.acceptor.fence(name=name, ballot=ballot))
 
         def tell() -> None:
             held = self.journal.held
-            rows = (refills.first_set_row(self.proposer.seeds), *held.rows()) if held.votes else ()
+            rows = (refills.first_set_row(self.proposer.seeds), *held.rows(known=known)) if held.votes else ()
             link.send(("refilled", number, held.votes, rows))
 
         if fences:
