--- a/pw/base/settings.py
+++ b/pw/base/settings.py
@@ -37,6 +37,12 @@
         """A bound stated in milliseconds, in seconds."""
         return self.bound(name=name, default=default) / 1000.0
 
+    @property
+    def tolerated_machines(self) -> int:
+        """How many counted machines may be lost at once; a minority of the seeds where the settings do not say."""
+        told = self.raw.get("tolerate.machines", "")
+        return int(told) if told.isdigit() else (len(self.seeds) - 1) // 2
+
     @property
     def core_port(self) -> int:
         return self.inner_ports[0]
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -43,8 +43,13 @@
     "have": (24, (rows(TEXT, NUMBER, NUMBER),)),
     # leases and grants
     "state": (30, (FLAG, FLAG)),  # is ready, is leaving
-    # share of slacks, share of rates, for how many seconds, the core node's own part, slot and slots (0: none)
-    "entry": (31, (REAL, REAL, REAL, REAL, NUMBER, NUMBER)),
+    # share of slacks, share of rates, for how many seconds, the core node's own part, slot and slots (0: none), and the
+    # number of the renewal that it answers: the seconds run from when that was sent
+    "entry": (31, (REAL, REAL, REAL, REAL, NUMBER, NUMBER, NUMBER)),
+    "renew": (32, (NUMBER,)),  # a proxy asks for its entry
+    # core to core: contact with a majority (pw/ctl/contact.py); number, version of the core set
+    "heartbeat": (33, (NUMBER, NUMBER)),
+    "heartbeat_answer": (34, (NUMBER, NUMBER)),
     # custody
     "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
     "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -3,14 +3,18 @@
 from pw.base import problems
 from pw.base import ring
 from pw.ctl import grants
+from pw.ctl import contact as contacts
+from pw.ctl import core_set as core_sets
 from pw.ctl import interfaces
 from pw.ctl import membership
 from pw.ctl import platform
 from pw.ctl import registers
 from pw.ctl import runtime as runtimes
 from pw.ctl import voting
+from pw.ctl import watch_duty as watch_duties
 from pw.ctl.news import desk as desks
 
+LEAVE_SHARE = 0.85  # of graceS: a leaving node ends by then, whatever is under way
 RATE_WINDOW_S = 1.5  # the cold bound is stated for one second
 
 
@@ -42,34 +46,64 @@
         self.desk = desks.Desk()
         self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
         self.roll = platform.Roll()
-        self.duties = {}
         self.spec = None
         self._beats = 0
         self.file_watch = self.runtime.file_watch()
         self._behind = {}
         self._reading = set()
-        self._is_taking = False
-        self._is_moving = False
-        self._members_changed = True
         self.watch = self.runtime.watch(
             loop=self.loop,
             address=settings.cloud_address,
             gap_s=max(settings.bound_s(name="drainMs") / 8, 4 / settings.cloud_per_s),
             limit_s=self.contact_s / 4,
-            on_list=self._on_list,
+            on_list=lambda rows, at: self.watch_duty.take_list(rows, at),
+        )
+        self.is_leaving = False
+        self.wanted_voters = 2 * settings.tolerated_machines + 1
+        self.core_members = ()  # the newest core set that was chosen, once there is one
+        self._start_membership_objects(window_s=window_s)
+
+    def _start_membership_objects(self, *, window_s: float) -> None:
+        self.contact = contacts.Contact(own=self.own, now=self.loop.now, lease_s=self.lease_s)
+        seeds = {host for host, _port in self.settings.seeds}
+        first_part = 1.0 / len(seeds) if self.settings.first_start and self.own in seeds else 0.0
+        # An evicted member may hand out entries until its contact ends; each counts for its life and its window.
+        outlived_s = 2 * self.lease_s
+        self.slack_parts = grants.Parts(now=self.loop.now, wait_s=outlived_s + window_s, first_part=first_part)
+        self.rate_parts = grants.Parts(now=self.loop.now, wait_s=outlived_s + RATE_WINDOW_S, first_part=first_part)
+        self.mover = core_sets.Mover(
+            change=lambda **about: self.proposer.change(**about), known_set=lambda name: self.proposer.members(name)
+        )
+        self.duty_table = watch_duties.Duties(change=lambda **about: self.proposer.change(**about))
+        self.watch_duty = watch_duties.WatchDuty(
+            own=self.own,
+            life=self.life,
+            now=self.loop.now,
+            duty_table=self.duty_table,
+            desk=self.desk,
+            watch=self.watch,
+            differs=self.roll.differs,
+            take_after_s=self.silence_s / 4,
+            stale_after_s=self.contact_s,
         )
 
     def _apply(self, name: str, payload, members: tuple) -> None:
         if name == "duty":
-            self.duties = payload or {}
+            self.duty_table.install(payload=payload)
             self.loop.command(act=self._watch_over)
         elif name == "spec":
             self.spec = payload["body"] if payload else None
         elif name == registers.ARCHIVE:
             self.interfaces.dispatch.learn_archive(payload)
         elif name == "cores":
+            self.core_members = members
             self._dial_cores()
 
+    @property
+    def duties(self) -> dict:
+        """Duty: [epoch, holder, the holder's life], as far as this node knows."""
+        return self.duty_table.table
+
     def start(self) -> None:
         self.start_members()
         self._make_interfaces()
@@ -110,9 +144,25 @@
         return 0
 
     def _leave(self) -> None:
+        """SIGTERM: no calls any more, duties are handed over, and voting stops last."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
         self.interfaces.leave()
-        self.watch.stop()
-        self.loop.after(delay=self.receipt_s / 6, act=self.loop.stop)
+        for dialer in self.dialers.values():
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(("state", False, True))
+        self._watch_over()
+        now = self.loop.now()
+        latest = now + self.settings.bound(name="graceS") * LEAVE_SHARE
+        self.loop.after(delay=self.receipt_s / 6, act=lambda: self._end_when_free(latest))
+
+    def _end_when_free(self, latest: float) -> None:
+        if self.may_end() or self.loop.now() >= latest:
+            self.watch.stop()
+            self.loop.stop()
+            return
+        self.loop.after(delay=self.silence_s / 20, act=lambda: self._end_when_free(latest))
 
     def _reread(self) -> None:
         try:
--- /dev/null
+++ b/pw/ctl/core_set.py
@@ -0,0 +1,88 @@
+"""The core set: which machines vote, and how the set is changed by agreement (docs/control.md 1).
+
+A newcomer is a learner until it holds every register on its disk. It is then swapped in for a member that is out of
+touch, or added, in one change of each register. The first register that was moved and the last one may stand under
+different sets for a moment, which is safe: each register is written at a majority of its old and of its new set. The
+holder of the watch duty makes the changes; a change that its former holder left half done is finished by the next one.
+"""
+
+import dataclasses
+
+from pw.base import ring
+from pw.ctl import registers
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class View:
+    """What the holder of the watch duty sees of the core machines."""
+
+    members: tuple  # the agreed set
+    learners: tuple  # machines in touch outside the set that hold every register, longest in touch first
+    lost: tuple  # members out of touch long enough to be swapped for a learner, longest first
+    gone: tuple  # members out of touch long enough to be dropped without a successor, longest first
+    leaving: tuple  # members that are ending in order
+
+
+def next_set(*, view: View, wanted: int) -> tuple:
+    """The set that should stand next, sorted; the present one where nothing is to be done.
+
+    `wanted` is 2 t + 1 voters, where t machines may be lost at once: the set never shrinks below that by choice.
+    """
+    replaceable = [member for member in (*view.leaving, *view.lost) if member in view.members]
+    replaceable = list(dict.fromkeys(replaceable))
+    swapped_out = replaceable[: len(view.learners)]
+    target = (set(view.members) - set(swapped_out)) | set(view.learners)
+    droppable = dict.fromkeys((*view.leaving, *view.gone))
+    for member in droppable:
+        if len(target) > wanted:
+            target.discard(member)
+    return tuple(sorted(target))
+
+
+def losses_borne(*, members: tuple, in_touch) -> int:
+    """How many further members may be lost now with a majority left; -1 where there is none."""
+    live = sum(1 for member in members if member in in_touch)
+    return live - (len(members) // 2 + 1)
+
+
+class Mover:
+    """Moves every register to a set, one after the other, the core set's own register last."""
+
+    def __init__(self, *, change, known_set):
+        self._change = change  # (name, edit, done, next_set): a round of the register
+        self._known_set = known_set  # (name) -> the set that the register is known to stand under
+        self.is_moving = False
+
+    def needs_move(self, *, target: tuple) -> bool:
+        """Whether any register is known to stand under another set than this one."""
+        return any(tuple(self._known_set(name)) != target for name in registers.REGISTERS)
+
+    def move(self, *, target: tuple) -> None:
+        """Starts to move all registers to `target`. A failed round ends it; the next heartbeat begins again."""
+        if self.is_moving:
+            return
+        self.is_moving = True
+        ring.note("core set moves", to=list(target))
+        names = [name for name in registers.REGISTERS if name != registers.CORE_SET] + [registers.CORE_SET]
+        self._step(names, target)
+
+    def _step(self, names: list, target: tuple) -> None:
+        if not names:
+            self.is_moving = False
+            ring.note("core set moved", to=list(target))
+            return
+        name, *following = names
+
+        def done(failure, _revision=0, _payload=None, _result=None):
+            if failure is not None:
+                self.is_moving = False
+                return
+            self._step(following, target)
+
+        self._change(name=name, edit=_edit_for(name), done=done, next_set=target)
+
+
+def _edit_for(name: str):
+    if name == registers.CORE_SET:
+        return lambda payload: ((payload or 0) + 1, None)
+    return lambda payload: (payload, None)
--- a/pw/ctl/grants.py
+++ b/pw/ctl/grants.py
@@ -40,6 +40,35 @@
         return share
 
 
+class Parts:
+    """The part of every bound that this core node owns, while the core set changes (docs/control.md 2).
+
+    A part that shrinks counts at once. One that grows counts `wait_s` after this node learned of it: until then a
+    member that was evicted, or that does not know of the change yet, may still have handed out what is now this node's.
+    """
+
+    def __init__(self, *, now, wait_s: float, first_part: float = 0.0):
+        self._now = now
+        self._wait_s = wait_s
+        self._part = first_part
+        self._version = 0
+        self._older = []  # (part, until): smaller parts that still bind
+
+    def install(self, *, part: float, version: int) -> None:
+        """This node's part under the newest core set that it knows. Under a version that it missed it may have had none."""
+        least = self._part if version <= self._version + 1 else 0.0
+        self._version = version
+        if part > least:
+            self._older.append((least, self._now() + self._wait_s))
+        self._part = part
+
+    def value(self) -> float:
+        """What may be handed out now, from 0 to 1."""
+        now = self._now()
+        self._older = [(part, until) for part, until in self._older if until > now]
+        return min([self._part, *(part for part, _until in self._older)])
+
+
 class Slots:
     """Numbers for rates of which a node's even part is less than one request a second (design 8).
 
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -1,12 +1,10 @@
 """Links to proxies and core nodes, leases, duties and the core set (design 4, 5)."""
 
-import json
-
-
 from pw.base import ring
-from pw.ctl import duties
-from pw.ctl.register import ballots
+from pw.ctl import contact as contacts
+from pw.ctl import core_set as core_sets
 from pw.ctl import registers
+from pw.ctl.register import ballots
 
 
 class Peer:
@@ -63,6 +61,8 @@
 
     def _hail(self, link) -> None:
         link.send(("hello", "core", self.own, self.settings.zone, self.settings.region, self.life, ""))
+        if self.is_leaving:
+            link.send(("state", False, True))
 
     def _ended(self, link, reason) -> None:
         peer = self.peers.pop(link, None)
@@ -70,7 +70,7 @@
         self.follower.drop(link)
         if peer is not None and peer.role == "proxy":
             ring.note("proxy gone", peer=peer.address, reason=reason)
-            self._members_changed = True
+            self.watch_duty.is_members_changed = True
             self.interfaces.applying.check()
 
     def _take(self, link, message: tuple) -> None:
@@ -89,7 +89,7 @@
             if role == "core" and self.acceptor.votes:
                 self._read_unknown()
             if role == "proxy":
-                self._members_changed = True
+                self.watch_duty.is_members_changed = True
             if role in ("core", "proxy"):
                 self.desk.join(link)
                 if role == "proxy":
@@ -115,11 +115,17 @@
                 )
         elif kind == "kept":
             self.interfaces.custody.take_kept(number=message[1], rows=message[2])
+        elif kind == "renew":
+            self._renew(link, message)
+        elif kind == "heartbeat":
+            self._answer_heartbeat(link, message)
+        elif kind == "heartbeat_answer":
+            self._take_heartbeat_answer(link, message)
         elif kind == "state":
             peer = self.peers.get(link)
             if peer is not None:
                 if (peer.is_ready, peer.is_leaving) != (message[1], message[2]):
-                    self._members_changed = True
+                    self.watch_duty.is_members_changed = True
                 peer.is_ready, peer.is_leaving = message[1], message[2]
         else:
             member = self._member_of(link)
@@ -153,23 +159,48 @@
         return dialer is not None and dialer.link is not None and dialer.link.is_up
 
     def has_majority_contact(self) -> bool:
-        """Whether this node has links to a majority of the core set."""
-        members = self.members()
-        return ballots.has_majority(of=members, among={host for host in members if self.is_core_live(host)})
+        """Whether a majority of the agreed core set confirmed it to this node within the lease (docs/control.md 2)."""
+        members, version = self.agreed_set()
+        is_supporting = self.acceptor.votes and self._accepted_version() <= version  # as any other voter's answer
+        return self.contact.has_majority(members=members, version=version, is_supporting=is_supporting)
+
+    def agreed_set(self) -> tuple:
+        """(members, version) of the newest core set that this node knows as chosen; version 0: the first start's."""
+        version = self.desk.serial(registers.CORE_SET)[1]
+        return (self.core_members if version else self.members()), version
+
+    def _accepted_version(self) -> int:
+        """The newest version of the core set that this node accepted, chosen or not."""
+        return max(self.acceptor.get(registers.CORE_SET)[2], self.desk.serial(registers.CORE_SET)[1])
+
+    def _answer_heartbeat(self, link, message: tuple) -> None:
+        _kind, number, version = message
+        if self.acceptor.votes:
+            link.send(("heartbeat_answer", number, self._accepted_version()))
+        self._catch_up(version)
+
+    def _take_heartbeat_answer(self, link, message: tuple) -> None:
+        _kind, number, version = message
+        member = self._member_of(link)
+        if member:
+            self.contact.take_answer(member=member, answer=contacts.Answer(number=number, version=version))
+        self._catch_up(version)
+
+    def _catch_up(self, version: int) -> None:
+        """Reads the core set where another node knows a newer version of it."""
+        is_behind = version > self.desk.serial(registers.CORE_SET)[1]
+        if is_behind and self.acceptor.votes and registers.CORE_SET not in self._reading:
+            self._repair(registers.CORE_SET)
 
     def _beat(self) -> None:
-        message = ("beat", 0)
         for link, peer in list(self.peers.items()):
-            if peer.role == "proxy":
-                # A leaving proxy spends what it holds until that runs out.
-                link.send(("beat", 0) if peer.is_leaving else ("entry", *self._grant(peer)))
-                if not peer.is_ready:
-                    self._tell_floor(link)
-            else:
-                link.send(message)
+            link.send(("beat", 0))
+            if peer.role == "proxy" and not peer.is_ready:
+                self._tell_floor(link)
+        heartbeat = self.contact.next_heartbeat(version=self.agreed_set()[1])
         for dialer in self.dialers.values():
             if dialer.link is not None and dialer.link.is_up:
-                dialer.link.send(message)
+                dialer.link.send(("heartbeat", heartbeat.number, heartbeat.version))
         self._beats += 1
         if self._beats % 4 == 0 and self.file_watch.is_changed():
             self._reread()
@@ -178,25 +209,33 @@
         self._mend()
         self._watch_over()
 
+    def _renew(self, link, message: tuple) -> None:
+        """A proxy asks for its entry. A leaving one gets none: it spends what it holds until that runs out."""
+        peer = self.peers.get(link)
+        if peer is not None and peer.role == "proxy" and not peer.is_leaving:
+            link.send(("entry", *self._grant(peer), message[1]))
+
     def _grant(self, peer) -> tuple:
-        members = self.members()
-        if self.own not in members:
+        """Shares of the bounds for one proxy: nothing without contact with a majority of the agreed core set."""
+        members, version = self.agreed_set()
+        own_part = 1.0 / len(members) if self.own in members else 0.0
+        self.slack_parts.install(part=own_part, version=version)
+        self.rate_parts.install(part=own_part, version=version)
+        if not self.has_majority_contact():
             return 0.0, 0.0, self.lease_s, 0.0, 0, 0
         live = len(self.proxies(is_listed=False))
-        part = 1.0 / len(members)
+        rate_part = self.rate_parts.value()
+        slot = (0, 0)
+        if rate_part > 0 and self.loop.now() >= self.rates_from:
+            slot = self.slots.renew(node=peer.address)
         return (
-            self.slacks.renew(node=peer.address, part=part, live=live),
-            self.rates.renew(node=peer.address, part=part, live=live),
+            self.slacks.renew(node=peer.address, part=self.slack_parts.value(), live=live),
+            self.rates.renew(node=peer.address, part=rate_part, live=live),
             self.lease_s,
-            part,
-            *(self.slots.renew(node=peer.address) if self.loop.now() >= self.rates_from else (0, 0)),
+            rate_part,
+            *slot,
         )
 
-    def duty(self, name: str) -> tuple:
-        """(epoch, holder, the holder's life): a new life of the same node needs a new epoch."""
-        held = self.duties.get(name)
-        return tuple(held) if held else (0, "", "")
-
     def _watch_over(self) -> None:
         """The first live core node in the agreed order watches the platform and names the relays."""
         members = self.members()
@@ -206,128 +245,88 @@
                 self.core_lost.pop(host, None)
             else:
                 self.core_lost.setdefault(host, now)
-        live = [host for host in members if self.is_core_live(host)]
-        has_most = len(live) >= ballots.majority(members)
-        epoch, holder, life = self.duty("watch")
-        if holder == self.own and life == self.life:
-            if not has_most or self.own not in members:
-                self.watch.stop()
-                return
-            self.watch.start()
-            self._name_holders()
-            self._tend_core_set(members, now)
-            self._tell_members()
-            return
-        if "list" in self.desk.topics:
-            self.watch.stop()
-        if not self.acceptor.votes or self.own not in members or not has_most:
+        is_acting = self.watch_duty.tend(
+            members=members,
+            live=[host for host in members if self.is_core_live(host)],
+            lost_since=self.core_lost,
+            has_majority=self.has_majority_contact(),
+            may_take=self.acceptor.votes and not self.is_leaving,
+        )
+        if not is_acting:
             return
-        if holder != self.own and live[0] != self.own:
+        if self.is_leaving:
+            self._hand_over()
             return
-        is_lost = (
-            holder not in members
-            or holder == self.own
-            or (not self.is_core_live(holder) and now - self.core_lost.get(holder, now) >= self.silence_s / 4)
+        listed = self.proxies()
+        self.watch_duty.name_holders(proxies=[(peer.address, peer.life, peer.zone, peer.region) for peer in listed])
+        self._tend_core_set()
+        self.watch_duty.tell_members(
+            rows=[(peer.address, peer.public, peer.zone, peer.region) for peer in self.proxies(is_listed=False)]
         )
-        if is_lost and not self._is_taking:
-            self._take_duties({"watch": (epoch, self.own, self.life)})
-
-    def _take_duties(self, rows: dict) -> None:
-        """rows: duty -> (epoch seen, holder, life). One change for all that are open."""
-
-        def edit(payload):
-            payload = payload or {}
-            new = {
-                name: [seen + 1, holder, life]
-                for name, (seen, holder, life) in rows.items()
-                if payload.get(name, [0])[0] == seen
-            }
-            return ({**payload, **new} if new else payload), None
 
-        def done(_fault, _rev, _payload, _result):
-            self._is_taking = False
-
-        self._is_taking = True
-        self.proposer.change(name="duty", edit=edit, done=done)
+    def core_view(self) -> core_sets.View:
+        """What this node sees of the core machines."""
+        members = self.members()
+        now = self.loop.now()
 
-    def _name_holders(self) -> None:
-        if self._is_taking:
-            return
-        rows = duties.named(
-            proxies=[(peer.address, peer.life, peer.zone, peer.region) for peer in self.proxies()], duty=self.duty
-        )
-        if rows:
-            self._take_duties(rows)
+        def lost_for(span_s: float) -> tuple:
+            lost = [host for host in members if now - self.core_lost.get(host, now) > span_s]
+            return tuple(sorted(lost, key=lambda host: self.core_lost[host]))
 
-    def _tend_core_set(self, members: tuple, now: float) -> None:
-        """One machine at a time: a newcomer is added; a member long gone leaves once one can spare it."""
-        if self._is_moving:
-            return
-        fresh = sorted(
-            peer.address
-            for peer in self.peers.values()
-            if peer.role == "core"
-            and peer.address not in members
-            and self.is_core_live(peer.address)
+        core_peers = [peer for peer in self.peers.values() if peer.role == "core"]
+        learners = sorted(
+            (peer.link.opened_at, peer.address)
+            for peer in core_peers
+            if peer.address not in members
+            and not peer.is_leaving
             and now - peer.link.opened_at > self.silence_s / 2
+            and self.contact.answered_within(member=peer.address, span_s=self.silence_s)
+        )
+        return core_sets.View(
+            members=tuple(members),
+            learners=tuple(address for _opened_at, address in learners),
+            lost=lost_for(self.silence_s),
+            gone=lost_for(self.contact_s),
+            leaving=tuple(sorted(peer.address for peer in core_peers if peer.is_leaving)),
         )
-        gone = [host for host in members if now - self.core_lost.get(host, now) > self.contact_s]
-        size = max(len(self.proposer.seeds), 1)
-        if fresh and len(members) <= size:
-            self._move(tuple(sorted({*members, fresh[0]})))
-        elif gone and len(members) > size:
-            self._move(tuple(host for host in members if host != gone[0]))
-
-    def _move(self, new_set: tuple) -> None:
-        """Each register moves to the new set on its own; the set itself last (design 4)."""
-        self._is_moving = True
-        names = list(registers.REGISTERS)
-        ring.note("core set moves", to=list(new_set))
-
-        def step(fault=None, _rev=0, _payload=None, _result=None):
-            if fault is not None or not names:
-                self._is_moving = False
-                return
-            name = names.pop(0)
-            edit = (
-                (lambda payload: ((payload or 0) + 1, None)) if name == "cores" else (lambda payload: (payload, None))
-            )
-            self.proposer.change(name=name, edit=edit, done=step, next_set=new_set)
-
-        step()
 
-    def _tell_members(self) -> None:
-        if not self._members_changed:
-            return
-        self._members_changed = False
-        rows = sorted((peer.address, peer.public, peer.zone, peer.region) for peer in self.proxies(is_listed=False))
-        epoch = self.duty("watch")[0]
-        data = json.dumps(rows, separators=(",", ":")).encode()
-        held = self.desk.get("members")
-        if held is None or held[2] != data:
-            number = held[1] + 1 if held and held[0] == epoch else 1
-            self.desk.publish(topic="members", epoch=epoch, number=number, data=data)
-
-    def _on_list(self, rows: list, at: float) -> None:
-        epoch, holder, life = self.duty("watch")
-        if holder != self.own or life != self.life:
-            # A core node that has just started reads once by itself. Epoch 0 is below every holder's:
-            # it serves only those that have no list at all.
-            self.desk.publish(
-                topic="list", epoch=0, number=1, data=json.dumps({"replicas": rows}, separators=(",", ":")).encode()
-            )
-            self.watch.stop()
+    def _tend_core_set(self) -> None:
+        """Moves the registers to the set that should stand next, and finishes what another holder left half done."""
+        view = self.core_view()
+        if not view.members or self.mover.is_moving:
             return
-        held = self.desk.get("list")
-        if self.roll.differs(rows=rows, at=at) or held is None or held[0] != epoch:
-            data = json.dumps({"replicas": rows}, separators=(",", ":")).encode()
-            number = held[1] + 1 if held and held[0] == epoch else 1
-            self.desk.publish(topic="list", epoch=epoch, number=number, data=data)
-            ring.note("list", epoch=epoch, number=number)
+        target = core_sets.next_set(view=view, wanted=self.wanted_voters)
+        is_agreed = self.desk.serial(registers.CORE_SET)[1] > 0
+        if not is_agreed or target != tuple(sorted(view.members)) or self.mover.needs_move(target=target):
+            self.mover.move(target=target)
+
+    # Leaving in order.
+    def _hand_over(self) -> None:
+        """Gives the watch duty to another live member."""
+        members = self.members()
+        for peer in sorted(self.peers.values(), key=lambda peer: peer.address):
+            if peer.role == "core" and not peer.is_leaving and peer.address in members:
+                if self.is_core_live(peer.address):
+                    self.watch_duty.hand_over(successor=peer.address, life=peer.life)
+                    return
+
+    def may_end(self) -> bool:
+        """Whether the others go on without this node: no duty here, no successor waiting, a majority beside it."""
+        members = self.members()
+        if self.own not in members:
+            return True
+        if self.watch_duty.is_held and self.has_majority_contact():
+            return False
+        view = self.core_view()
+        if view.learners or len(members) > self.wanted_voters:
+            return not self.has_majority_contact()  # the holder of the watch takes this node out of the set first
+        leaving = set(view.leaving)
+        staying = [host for host in members if host != self.own and host not in leaving and self.is_core_live(host)]
+        return len(staying) >= ballots.majority(members)
 
     def _on_image(self, topic: str, epoch: int, number: int, data: bytes) -> None:
         """News from another core node."""
         if topic in registers.REGISTERS:
             self._publish(topic, number, data)
-        elif epoch >= self.duty("watch")[0] or not epoch:
+        elif self.watch_duty.may_follow(epoch=epoch):
             self.desk.publish(topic=topic, epoch=epoch, number=number, data=data)
--- /dev/null
+++ b/pw/ctl/test_core_set.py
@@ -0,0 +1,271 @@
+"""Which machines vote next, contact with a majority, and the parts of the bounds while the core set changes."""
+
+import random
+
+import pytest
+
+from pw.ctl import contact as contacts
+from pw.ctl import core_set as core_sets
+from pw.ctl import grants
+
+LEASE_S = 1.5
+LIFE_S = 1.5
+WINDOW_S = 10.0
+
+
+def view(members, *, learners="", lost="", gone="", leaving=""):
+    return core_sets.View(
+        members=tuple(members), learners=tuple(learners), lost=tuple(lost), gone=tuple(gone), leaving=tuple(leaving)
+    )
+
+
+def following(members, *, wanted=3, **about) -> str:
+    return "".join(core_sets.next_set(view=view(members, **about), wanted=wanted))
+
+
+def test_all_machines_in_touch_vote():
+    assert following("abc", learners="de", wanted=5) == "abcde"
+    assert following("abcde", wanted=5) == "abcde"
+
+
+def test_a_learner_is_swapped_in_for_a_lost_member_in_one_change():
+    assert following("abc", learners="d", lost="a") == "bcd"
+    assert following("abcde", learners="fg", lost="ab", wanted=5) == "cdefg"
+    assert following("abc", learners="d", lost="ab") == "bcd"  # one learner takes one place
+    assert following("abc", learners="d", leaving="c") == "abd"
+
+
+def test_the_set_never_shrinks_below_what_the_tolerated_losses_need():
+    assert following("abc", lost="a", gone="a") == "abc"
+    assert following("abc", leaving="a") == "abc"
+    assert following("abcd", lost="a", gone="a") == "bcd"
+    assert following("abcd", lost="a") == "abcd"  # not yet out of touch for long
+    assert following("abcd", leaving="b") == "acd"
+    assert following("abcdefg", gone="abc", wanted=5) == "cdefg"
+
+
+def test_losses_borne_are_told():
+    assert core_sets.losses_borne(members=tuple("abcde"), in_touch="abcde") == 2
+    assert core_sets.losses_borne(members=tuple("abcde"), in_touch="abc") == 0
+    assert core_sets.losses_borne(members=tuple("abc"), in_touch="a") == -1
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_a_next_set_keeps_those_in_touch_and_settles(seed):
+    chance = random.Random(seed)
+    wanted = chance.choice((3, 5, 7))
+    machines = [chr(97 + number) for number in range(12)]
+    members = sorted(chance.sample(machines, chance.randint(wanted, wanted + 2)))
+    learners = [name for name in machines if name not in members and chance.random() < 0.4]
+    lost = [name for name in members if chance.random() < 0.3]
+    gone = [name for name in lost if chance.random() < 0.5]
+    leaving = [name for name in members if chance.random() < 0.1]
+    found = core_sets.next_set(
+        view=core_sets.View(
+            members=tuple(members), learners=tuple(learners), lost=tuple(lost), gone=tuple(gone), leaving=tuple(leaving)
+        ),
+        wanted=wanted,
+    )
+    assert set(learners) <= set(found)
+    assert {name for name in members if name not in lost and name not in leaving} <= set(found)
+    assert len(found) >= wanted
+    again = core_sets.next_set(
+        view=core_sets.View(
+            members=found,
+            learners=(),
+            lost=tuple(name for name in lost if name in found),
+            gone=tuple(name for name in gone if name in found),
+            leaving=tuple(name for name in leaving if name in found),
+        ),
+        wanted=wanted,
+    )
+    assert set(again) <= set(found) and len(again) >= wanted
+
+
+class Rounds:
+    """Answers changes of registers, fails some, and keeps the sets."""
+
+    def __init__(self):
+        self.sets = {}
+        self.failing = ""
+        self.names = []
+
+    def change(self, *, name, edit, done, next_set):
+        self.names.append(name)
+        if name == self.failing:
+            done("no majority")
+            return
+        self.sets[name] = next_set
+        done(None, 1, edit(None)[0], None)
+
+    def known_set(self, name):
+        return self.sets.get(name, ("a", "b", "c"))
+
+
+def test_a_half_done_move_is_finished_by_the_next_holder():
+    rounds = Rounds()
+    target = ("b", "c", "d")
+    first = core_sets.Mover(change=rounds.change, known_set=rounds.known_set)
+    rounds.failing = "evac"
+    first.move(target=target)
+    assert not first.is_moving and rounds.sets["spec"] == target and "cores" not in rounds.sets
+    rounds.failing = ""
+    following_holder = core_sets.Mover(change=rounds.change, known_set=rounds.known_set)
+    assert following_holder.needs_move(target=target)
+    following_holder.move(target=target)
+    assert not following_holder.needs_move(target=target)
+    assert rounds.names[-1] == "cores"  # the set's own register comes last
+
+
+def test_an_answer_counts_from_when_its_heartbeat_was_sent():
+    clock = [10.0]
+    contact = contacts.Contact(own="a", now=lambda: clock[0], lease_s=LEASE_S)
+    heartbeat = contact.next_heartbeat(version=1)
+    clock[0] = 10.5
+    contact.take_answer(member="b", answer=contacts.Answer(number=heartbeat.number, version=1))
+    assert contact.lease_until(members=("a", "b", "c"), version=1) == 10.0 + LEASE_S
+    clock[0] = 10.0 + LEASE_S
+    assert not contact.has_majority(members=("a", "b", "c"), version=1)  # also after a freeze: nothing was extended
+
+
+def test_an_answer_from_a_voter_that_accepted_a_newer_set_does_not_count():
+    clock = [10.0]
+    contact = contacts.Contact(own="a", now=lambda: clock[0], lease_s=LEASE_S)
+    heartbeat = contact.next_heartbeat(version=1)
+    contact.take_answer(member="b", answer=contacts.Answer(number=heartbeat.number, version=2))
+    assert not contact.has_majority(members=("a", "b", "c"), version=1)
+    assert contact.newest_version == 2
+    contact.take_answer(member="c", answer=contacts.Answer(number=heartbeat.number, version=1))
+    assert contact.has_majority(members=("a", "b", "c"), version=1)
+    assert not contact.has_majority(members=("a", "b", "c"), version=1, is_supporting=False)
+    assert not contact.has_majority(members=("x", "y", "z"), version=1)
+    assert not contact.has_majority(members=(), version=1)
+
+
+def test_answers_to_unknown_numbers_are_ignored():
+    contact = contacts.Contact(own="a", now=lambda: 1.0, lease_s=LEASE_S)
+    contact.take_answer(member="b", answer=contacts.Answer(number=9, version=1))
+    assert not contact.answered_within(member="b", span_s=100.0)
+
+
+class Node:
+    """A core node as far as its grants need it: heartbeats, the set that it knows, and the books."""
+
+    def __init__(self, *, world, name, members, part):
+        self.world = world
+        self.name = name
+        self.members, self.version = members, 0
+        self.accepted = 0
+        self.contact = contacts.Contact(own=name, now=world.now, lease_s=LEASE_S)
+        self.parts = grants.Parts(now=world.now, wait_s=LEASE_S + LIFE_S + WINDOW_S, first_part=part)
+        self.book = grants.Book(now=world.now, life_s=LIFE_S, window_s=WINDOW_S, quiet_until=0.0)
+
+    def grant(self, *, proxy, live):
+        is_leased = self.contact.has_majority(
+            members=self.members, version=self.version, is_supporting=self.accepted <= self.version
+        )
+        if self.world.is_fenced and not is_leased:
+            return 0.0
+        return self.book.renew(node=proxy, part=self.parts.value(), live=live)
+
+    def learn(self, *, members, version):
+        self.members, self.version = members, version
+        self.accepted = max(self.accepted, version)
+        part = 1.0 / len(members) if self.name in members else 0.0
+        if self.world.is_fenced:
+            self.parts.install(part=part, version=version)
+        else:
+            self.parts = grants.Parts(now=self.world.now, wait_s=0.0, first_part=part)
+
+
+class World:
+    """Core nodes under changes of the set, cuts and freezes; the sum of what counts is checked at each step."""
+
+    def __init__(self, *, seed, is_fenced=True):
+        self.chance = random.Random(seed)
+        self.time = 100.0
+        self.is_fenced = is_fenced
+        self.names = [f"n{number}" for number in range(7)]
+        self.members, self.version = tuple(self.names[:3]), 0
+        self.nodes = {
+            name: Node(world=self, name=name, members=self.members, part=1 / 3 if name in self.members else 0.0)
+            for name in self.names
+        }
+        self.side = dict.fromkeys(self.names, 0)
+        self.used = []  # (core node, proxy, share, counts until)
+        self.most = 0.0
+
+    def now(self):
+        return self.time
+
+    def are_joined(self, one, other):
+        return self.side[one] == self.side[other]
+
+    def heartbeat(self, name):
+        node = self.nodes[name]
+        sent = node.contact.next_heartbeat(version=node.version)
+        for other in self.names:
+            if other != name and self.are_joined(name, other):
+                answer = contacts.Answer(number=sent.number, version=self.nodes[other].accepted)
+                node.contact.take_answer(member=other, answer=answer)
+
+    def change_set(self):
+        """Accepted by a majority of the older and of the new set, as the register's rounds see to."""
+        target = tuple(sorted(self.chance.sample(self.names, self.chance.choice((3, 4, 5)))))
+        leader_side = self.side[self.chance.choice(self.members)]
+        reached = {name for name in self.names if self.side[name] == leader_side}
+        for members in (self.members, target):
+            if sum(1 for name in members if name in reached) * 2 <= len(members):
+                return
+        self.version += 1
+        self.members = target
+        for name in reached:
+            self.nodes[name].accepted = self.version
+        self.nodes[self.chance.choice(sorted(reached))].learn(members=target, version=self.version)
+
+    def spread(self):
+        """News of the set reaches some nodes late."""
+        for name in self.names:
+            newest = max(self.nodes.values(), key=lambda node: node.version)
+            if self.chance.random() < 0.3 and self.are_joined(name, newest.name):
+                if self.nodes[name].version < newest.version:
+                    self.nodes[name].learn(members=newest.members, version=newest.version)
+
+    def step(self):
+        self.time += self.chance.uniform(0.1, 0.5)
+        if self.chance.random() < 0.08:
+            cut = self.chance.sample(self.names, self.chance.randint(0, 3))
+            self.side = {name: 1 if name in cut else 0 for name in self.names}
+        if self.chance.random() < 0.05:
+            self.change_set()
+        self.spread()
+        for name in self.names:
+            self.heartbeat(name)
+        for name in self.names:
+            for proxy in range(3):
+                share = self.nodes[name].grant(proxy=proxy, live=3)
+                if share:
+                    self.used.append((name, proxy, share, self.time + LIFE_S + WINDOW_S))
+        self.used = [row for row in self.used if row[3] > self.time]
+        largest = {}
+        for name, proxy, share, _until in self.used:
+            largest[name, proxy] = max(largest.get((name, proxy), 0.0), share)
+        self.most = max(self.most, sum(largest.values()))
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_the_parts_of_all_core_nodes_never_pass_the_bound_while_the_set_changes(seed):
+    world = World(seed=seed)
+    for _ in range(300):
+        world.step()
+    assert 0.0 < world.most <= 1.0 + 1e-9
+
+
+def test_without_the_lease_and_the_wait_the_sum_passes_the_bound():
+    most = 0.0
+    for seed in range(10):
+        world = World(seed=seed, is_fenced=False)
+        for _ in range(300):
+            world.step()
+        most = max(most, world.most)
+    assert most > 1.2
--- a/pw/ctl/test_duties.py
+++ b/pw/ctl/test_duties.py
@@ -1,18 +1,14 @@
 """Duties under epochs."""
 
-import types
-
-from pw.ctl import membership
+from pw.ctl import watch_duty
 
 
 def take(payload, rows):
-    """What `_take_duties` makes of a payload."""
+    """What taking these duties makes of a payload."""
     made = []
-    node = types.SimpleNamespace(
-        proposer=types.SimpleNamespace(change=lambda *, name, edit, done: made.append((name, edit(payload)[0])))
-    )
-    membership.MembersMixin._take_duties(node, rows)
-    assert node._is_taking
+    table = watch_duty.Duties(change=lambda *, name, edit, done: made.append((name, edit(payload)[0])))
+    table.take(rows=rows)
+    assert table.is_taking
     return made[0]
 
 
--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -99,7 +99,7 @@
         ("offer", (("spec", 0, 3), ("list", 2, 9))),
         ("beat", 0),
         ("image", "list", 2, 9, b"x" * 3000),
-        ("entry", 0.25, 0.5, 2.5, 0.2, 3, 16),
+        ("entry", 0.25, 0.5, 2.5, 0.2, 3, 16, 7),
         ("promise", 3, "spec", True, "abc", 1, "a", 2, "b", 7, b"v"),
     ]
     data = b"".join(wire.pack(message) for message in messages)
--- /dev/null
+++ b/pw/ctl/watch_duty.py
@@ -0,0 +1,153 @@
+"""The watch duty: one core node reads the platform's list, names holders and tends the core set (design 4, 5).
+
+The duty stands in a register under an epoch that is bound to one life of its holder. Everything that the holder
+publishes carries that epoch, and followers never go back from a newer one, so a deposed holder is not listened to once
+its successor was heard. It acts only while it is in contact with a majority of the core set.
+"""
+
+import json
+
+from pw.base import ring
+from pw.ctl import duties
+from pw.ctl import registers
+
+WATCH = "watch"
+NOBODY = (0, "", "")
+READ_BY_ITSELF = 0  # epoch of a list that a core node read before any holder told one
+
+
+class Duties:
+    """What the duties' register says, as far as this node knows."""
+
+    def __init__(self, *, change):
+        self._change = change  # (name, edit, done): a round of the register
+        self.table = {}  # duty: [epoch, holder, the holder's life]
+        self.is_taking = False
+
+    def install(self, *, payload) -> None:
+        self.table = payload or {}
+
+    def holder(self, name: str) -> tuple:
+        """(epoch, holder, the holder's life): a new life of the same node needs a new epoch."""
+        held = self.table.get(name)
+        return tuple(held) if held else NOBODY
+
+    def take(self, *, rows: dict) -> None:
+        """Duty -> (epoch seen, holder, life): one change for all that still stand under the epoch seen."""
+        self.is_taking = True
+
+        def done(_failure, _revision, _payload, _result):
+            self.is_taking = False
+
+        self._change(name=registers.DUTIES, edit=lambda payload: (_with_duties(payload or {}, rows), None), done=done)
+
+
+def _with_duties(payload: dict, rows: dict) -> dict:
+    new = {
+        name: [seen + 1, holder, life]
+        for name, (seen, holder, life) in rows.items()
+        if payload.get(name, [0])[0] == seen
+    }
+    return {**payload, **new} if new else payload
+
+
+class WatchDuty:
+    """Takes the duty when its holder is lost, and does its work while this node holds it."""
+
+    def __init__(
+        self, *, own: str, life: str, now, duty_table, desk, watch, differs, take_after_s: float, stale_after_s: float
+    ):
+        self._own = own
+        self._life = life
+        self._now = now
+        self._duties = duty_table
+        self._desk = desk
+        self._watch = watch  # reads the platform's list (pw.ctl.platform.Watch)
+        self._differs = differs  # (rows, at): whether a list differs from the one told last
+        self._take_after_s = take_after_s
+        self._stale_after_s = stale_after_s
+        self.is_members_changed = True
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this life of this node holds the duty, as far as it knows."""
+        _epoch, holder, life = self._duties.holder(WATCH)
+        return (holder, life) == (self._own, self._life)
+
+    @property
+    def epoch(self) -> int:
+        return self._duties.holder(WATCH)[0]
+
+    def tend(self, *, members: tuple, live: list, lost_since: dict, has_majority: bool, may_take: bool) -> bool:
+        """One look, at each heartbeat. True where this node holds the duty and may act on it."""
+        if self.is_held:
+            if not has_majority or self._own not in members:
+                self._watch.stop()
+                return False
+            self._watch.start()
+            return True
+        if "list" in self._desk.topics:
+            self._watch.stop()
+        if may_take and self._own in members and self._is_open(members=members, live=live, lost_since=lost_since):
+            self._duties.take(rows={WATCH: (self.epoch, self._own, self._life)})
+        return False
+
+    def _is_open(self, *, members: tuple, live: list, lost_since: dict) -> bool:
+        """Whether the duty's holder is lost and this node is the first that may take it."""
+        _epoch, holder, _life = self._duties.holder(WATCH)
+        if self._duties.is_taking or len(live) < len(members) // 2 + 1:
+            return False
+        if holder == self._own:
+            return True  # of an earlier life
+        if live[0] != self._own:
+            return False
+        if holder not in members:
+            return True
+        return holder in lost_since and self._now() - lost_since[holder] >= self._take_after_s
+
+    def hand_over(self, *, successor: str, life: str) -> None:
+        """Gives the duty to another member; used by a node that ends in order."""
+        if self.is_held and not self._duties.is_taking:
+            self._duties.take(rows={WATCH: (self.epoch, successor, life)})
+
+    def name_holders(self, *, proxies: list) -> None:
+        """Duties of regions and zones whose holder is gone. `proxies`: (address, life, zone, region)."""
+        if self._duties.is_taking:
+            return
+        rows = duties.named(proxies=proxies, duty=self._duties.holder)
+        if rows:
+            self._duties.take(rows=rows)
+
+    def tell_members(self, *, rows: list) -> None:
+        """The proxies in touch, as a topic: (address, public address, zone, region)."""
+        if not self.is_members_changed:
+            return
+        self.is_members_changed = False
+        self._publish_under_epoch("members", json.dumps(sorted(rows), separators=(",", ":")).encode())
+
+    def take_list(self, rows: list, at: float) -> None:
+        """A whole list of the platform, read at `at`. One that a frozen process finds long after is not told."""
+        if self._now() - at > self._stale_after_s:
+            return
+        data = json.dumps({"replicas": rows}, separators=(",", ":")).encode()
+        if not self.is_held:
+            # A core node that has just started reads once by itself. Its epoch is below every holder's: it serves
+            # only those that have no list at all.
+            self._desk.publish(topic="list", epoch=READ_BY_ITSELF, number=1, data=data)
+            self._watch.stop()
+            return
+        held = self._desk.get("list")
+        if self._differs(rows=rows, at=at) or held is None or held[0] != self.epoch:
+            self._publish_under_epoch("list", data)
+            ring.note("list", epoch=self.epoch, replicas=len(rows))
+
+    def _publish_under_epoch(self, topic: str, data: bytes) -> None:
+        held = self._desk.get(topic)
+        if held is not None and held[0] == self.epoch and held[2] == data:
+            return
+        number = held[1] + 1 if held is not None and held[0] == self.epoch else 1
+        self._desk.publish(topic=topic, epoch=self.epoch, number=number, data=data)
+
+    def may_follow(self, *, epoch: int) -> bool:
+        """Whether news of the watch under this epoch may be passed on: not from a holder known to be deposed."""
+        return epoch >= self.epoch or epoch == READ_BY_ITSELF
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -16,8 +16,10 @@
         self._asks = {}  # service: deque of times
         self._extras = {}
 
-    def take_entry(self, link, message: tuple) -> None:
-        self._entries[link] = (message[1], message[2], self._now() + message[3], *message[4:])
+    def take_entry(self, link, message: tuple, *, sent_at: float | None = None) -> None:
+        """An entry counts from when its renewal was sent, so that neither a slow link nor a frozen process stretches it."""
+        begun_at = self._now() if sent_at is None else sent_at
+        self._entries[link] = (message[1], message[2], begun_at + message[3], *message[4:])
 
     def _shares(self, kind: int) -> float:
         now = self._now()
--- a/pw/sim/capacity.py
+++ b/pw/sim/capacity.py
@@ -252,7 +252,7 @@
 
     def beat():
         for name in names:
-            wire.pack(("entry", book.renew(node=name, part=0.2, live=count), 0.0, 1.5, 0.2, *slots.renew(node=name)))
+            wire.pack(("entry", book.renew(node=name, part=0.2, live=count), 0.0, 1.5, 0.2, *slots.renew(node=name), 0))
 
     return clocked(beat, repeats=1)
 
