--- a/pw/ctl/core_set.py
+++ b/pw/ctl/core_set.py
@@ -18,6 +18,7 @@
 
     members: tuple  # the agreed set
     learners: tuple  # machines in touch outside the set that hold every register, longest in touch first
+    silent: tuple  # members out of touch for less than that: a learner waits for their place
     lost: tuple  # members out of touch long enough to be swapped for a learner, longest first
     gone: tuple  # members out of touch long enough to be dropped without a successor, longest first
     leaving: tuple  # members that are ending in order
@@ -28,12 +29,12 @@
 
     `wanted` is 2 t + 1 voters, where t machines may be lost at once: the set never shrinks below that by choice.
     """
-    replaceable = [member for member in (*view.leaving, *view.lost) if member in view.members]
-    replaceable = list(dict.fromkeys(replaceable))
+    replaceable = list(dict.fromkeys(member for member in (*view.leaving, *view.lost) if member in view.members))
     swapped_out = replaceable[: len(view.learners)]
-    target = (set(view.members) - set(swapped_out)) | set(view.learners)
-    droppable = dict.fromkeys((*view.leaving, *view.gone))
-    for member in droppable:
+    swapped_in = view.learners[: len(swapped_out)]
+    added = view.learners[len(swapped_out) + len(view.silent) :]
+    target = (set(view.members) - set(swapped_out)) | {*swapped_in, *added}
+    for member in dict.fromkeys((*view.leaving, *view.gone)):
         if len(target) > wanted:
             target.discard(member)
     return tuple(sorted(target))
@@ -46,12 +47,20 @@
 
 
 class Mover:
-    """Moves every register to a set, one after the other, the core set's own register last."""
+    """Moves every register to a set: all at once, and the core set's own register when the others stand under it.
+
+    A member that leaves in order watches the core set's register, so it votes until no register needs it.
+    """
 
     def __init__(self, *, change, known_set):
         self._change = change  # (name, edit, done, next_set): a round of the register
         self._known_set = known_set  # (name) -> the set that the register is known to stand under
-        self.is_moving = False
+        self._under_way = set()  # registers
+        self._has_failed = False
+
+    @property
+    def is_moving(self) -> bool:
+        return bool(self._under_way)
 
     def needs_move(self, *, target: tuple) -> bool:
         """Whether any register is known to stand under another set than this one."""
@@ -61,23 +70,23 @@
         """Starts to move all registers to `target`. A failed round ends it; the next heartbeat begins again."""
         if self.is_moving:
             return
-        self.is_moving = True
         ring.note("core set moves", to=list(target))
-        names = [name for name in registers.REGISTERS if name != registers.CORE_SET] + [registers.CORE_SET]
-        self._step(names, target)
-
-    def _step(self, names: list, target: tuple) -> None:
-        if not names:
-            self.is_moving = False
-            ring.note("core set moved", to=list(target))
-            return
-        name, *following = names
+        self._has_failed = False
+        self._under_way = set(registers.REGISTERS)
+        for name in registers.REGISTERS:
+            if name != registers.CORE_SET:
+                self._move_one(name, target)
 
+    def _move_one(self, name: str, target: tuple) -> None:
         def done(failure, _revision=0, _payload=None, _result=None):
-            if failure is not None:
-                self.is_moving = False
+            self._has_failed = self._has_failed or failure is not None
+            self._under_way.discard(name)
+            if self._under_way != {registers.CORE_SET}:
                 return
-            self._step(following, target)
+            if self._has_failed:
+                self._under_way.clear()
+            else:
+                self._move_one(registers.CORE_SET, target)
 
         self._change(name=name, edit=_edit_for(name), done=done, next_set=target)
 
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -273,6 +273,7 @@
             lost = [host for host in members if now - self.core_lost.get(host, now) > span_s]
             return tuple(sorted(lost, key=lambda host: self.core_lost[host]))
 
+        lost = lost_for(self.silence_s / 2)
         core_peers = [peer for peer in self.peers.values() if peer.role == "core"]
         learners = sorted(
             (peer.link.opened_at, peer.address)
@@ -285,8 +286,9 @@
         return core_sets.View(
             members=tuple(members),
             learners=tuple(address for _opened_at, address in learners),
-            lost=lost_for(self.silence_s),
-            gone=lost_for(self.contact_s),
+            silent=tuple(host for host in members if host in self.core_lost and host not in lost),
+            lost=lost,
+            gone=lost_for(self.silence_s * 2),
             leaving=tuple(sorted(peer.address for peer in core_peers if peer.is_leaving)),
         )
 
--- a/pw/ctl/test_core_set.py
+++ b/pw/ctl/test_core_set.py
@@ -13,9 +13,14 @@
 WINDOW_S = 10.0
 
 
-def view(members, *, learners="", lost="", gone="", leaving=""):
+def view(members, *, learners="", silent="", lost="", gone="", leaving=""):
     return core_sets.View(
-        members=tuple(members), learners=tuple(learners), lost=tuple(lost), gone=tuple(gone), leaving=tuple(leaving)
+        members=tuple(members),
+        learners=tuple(learners),
+        silent=tuple(silent),
+        lost=tuple(lost),
+        gone=tuple(gone),
+        leaving=tuple(leaving),
     )
 
 
@@ -33,6 +38,8 @@
     assert following("abcde", learners="fg", lost="ab", wanted=5) == "cdefg"
     assert following("abc", learners="d", lost="ab") == "bcd"  # one learner takes one place
     assert following("abc", learners="d", leaving="c") == "abd"
+    assert following("abc", learners="d", silent="a") == "abc"  # it waits for the place of the silent one
+    assert following("abc", learners="de", silent="a") == "abce"
 
 
 def test_the_set_never_shrinks_below_what_the_tolerated_losses_need():
@@ -61,24 +68,17 @@
     gone = [name for name in lost if chance.random() < 0.5]
     leaving = [name for name in members if chance.random() < 0.1]
     found = core_sets.next_set(
-        view=core_sets.View(
-            members=tuple(members), learners=tuple(learners), lost=tuple(lost), gone=tuple(gone), leaving=tuple(leaving)
-        ),
-        wanted=wanted,
+        view=view(members, learners=learners, lost=lost, gone=gone, leaving=leaving), wanted=wanted
     )
     assert set(learners) <= set(found)
     assert {name for name in members if name not in lost and name not in leaving} <= set(found)
     assert len(found) >= wanted
-    again = core_sets.next_set(
-        view=core_sets.View(
-            members=found,
-            learners=(),
-            lost=tuple(name for name in lost if name in found),
-            gone=tuple(name for name in gone if name in found),
-            leaving=tuple(name for name in leaving if name in found),
-        ),
-        wanted=wanted,
-    )
+    remaining = {
+        "lost": [name for name in lost if name in found],
+        "gone": [name for name in gone if name in found],
+        "leaving": [name for name in leaving if name in found],
+    }
+    again = core_sets.next_set(view=view(found, **remaining), wanted=wanted)
     assert set(again) <= set(found) and len(again) >= wanted
 
 
@@ -89,9 +89,17 @@
         self.sets = {}
         self.failing = ""
         self.names = []
+        self.waiting = []
 
     def change(self, *, name, edit, done, next_set):
         self.names.append(name)
+        self.waiting.append((name, edit, done, next_set))
+
+    def answer_all(self):
+        while self.waiting:
+            self.answer(*self.waiting.pop())
+
+    def answer(self, name, edit, done, next_set):
         if name == self.failing:
             done("no majority")
             return
@@ -108,11 +116,14 @@
     first = core_sets.Mover(change=rounds.change, known_set=rounds.known_set)
     rounds.failing = "evac"
     first.move(target=target)
+    assert first.is_moving
+    rounds.answer_all()
     assert not first.is_moving and rounds.sets["spec"] == target and "cores" not in rounds.sets
     rounds.failing = ""
     following_holder = core_sets.Mover(change=rounds.change, known_set=rounds.known_set)
     assert following_holder.needs_move(target=target)
     following_holder.move(target=target)
+    rounds.answer_all()
     assert not following_holder.needs_move(target=target)
     assert rounds.names[-1] == "cores"  # the set's own register comes last
 
--- a/pw/dat/follow.py
+++ b/pw/dat/follow.py
@@ -98,7 +98,8 @@
     def _take_entry(self, link, message: tuple) -> None:
         sent_at = self._renewed_at.get(message[-1])
         if sent_at is not None:
-            self.quota.take_entry(link, message[:-1], sent_at=sent_at)
+            # By the core node's address: the entry of an ended link and that of its successor are one.
+            self.quota.take_entry(link.peer, message[:-1], sent_at=sent_at)
 
     def _keepers(self, service: str, model: str, hashes) -> tuple:
         """Replicas that, by the mirrors, still keep any of these parts."""
--- a/pw/dat/quota.py
+++ b/pw/dat/quota.py
@@ -12,19 +12,25 @@
         self._slack = settings.bound(name="retrySlack")
         self._excess = settings.bound(name="warmupExcess", default=1.0)
         self._cold_slack = settings.bound(name="warmupSlack")
-        self._entries = {}  # core link: (share, until)
+        self._entries = {}  # core node: (share of slacks, share of rates, until, part, slot, slots)
         self._asks = {}  # service: deque of times
         self._extras = {}
 
-    def take_entry(self, link, message: tuple, *, sent_at: float | None = None) -> None:
-        """An entry counts from when its renewal was sent, so that neither a slow link nor a frozen process stretches it."""
+    def take_entry(self, core: str, message: tuple, *, sent_at: float | None = None) -> None:
+        """An entry counts from when its renewal was sent: neither a slow link nor a frozen process stretches it.
+
+        One core node has one entry here, whichever link it came by; the newest stands.
+        """
         begun_at = self._now() if sent_at is None else sent_at
-        self._entries[link] = (message[1], message[2], begun_at + message[3], *message[4:])
+        until = begun_at + message[3]
+        held = self._entries.get(core)
+        if held is None or until >= held[2]:
+            self._entries[core] = (message[1], message[2], until, *message[4:])
 
     def _shares(self, kind: int) -> float:
         now = self._now()
-        for link in [link for link, entry in self._entries.items() if entry[2] <= now]:
-            del self._entries[link]
+        for core in [core for core, entry in self._entries.items() if entry[2] <= now]:
+            del self._entries[core]
         return sum(entry[kind] for entry in self._entries.values())
 
     def share(self) -> float:
@@ -66,9 +72,9 @@
         """Requests a second that this node's slots at the core nodes allow for this replica."""
         now = self._now()
         found = 0
-        for link, (_slack, _rate, until, part, slot, size) in self._entries.items():
+        for core, (_slack, _rate, until, part, slot, size) in self._entries.items():
             if until > now and size:
-                turn = zlib.crc32(f"{replica.id} {getattr(link, 'peer', link)}".encode())
+                turn = zlib.crc32(f"{replica.id} {getattr(core, 'peer', core)}".encode())
                 found += (slot + turn) % size < int(bound * 0.9 * part)
         return found
 
--- a/pw/dat/test_quota.py
+++ b/pw/dat/test_quota.py
@@ -72,6 +72,20 @@
     assert replica.sends[-1] == sends[-1]
 
 
+def test_an_entry_counts_from_its_renewal_and_once_for_each_core_node():
+    quota, clock = make(share=0)
+    message = ("entry", 0.25, 0.25, 1.5, 0.25, 0, 8)
+    quota.take_entry("10.0.0.1:1", message, sent_at=99.0)
+    quota.take_entry("10.0.0.1:1", message, sent_at=99.8)  # by a link that was opened again
+    assert quota.share() == 0.25
+    quota.take_entry("10.0.0.1:1", ("entry", 0.5, 0.5, 1.5, 0.25, 0, 8), sent_at=99.4)  # late
+    assert quota.share() == 0.25
+    quota.take_entry("10.0.0.2:1", message, sent_at=98.0)  # found by a thawed process: it has run out
+    assert quota.share() == 0.25
+    clock[0] = 101.31
+    assert quota.share() == 0.0
+
+
 class Held:
     """A core node's end of a link, as far as an entry needs it."""
 
