--- a/pw/ctl/register/journal.py
+++ b/pw/ctl/register/journal.py
@@ -30,6 +30,7 @@
         self._waiting = {}  # key: (change that must be safe, act)
         self._writing_since = None
         self._is_failing = False
+        self._on_safe = None
 
     @property
     def is_hindered(self) -> bool:
@@ -37,8 +38,9 @@
         is_hanging = self._writing_since is not None and self._loop.now() - self._writing_since > self._hang_s
         return self._is_failing or is_hanging
 
-    def begin(self, *, acceptor, first_set: tuple) -> None:
-        """Starts with this acceptor, of which nothing is known to be safe."""
+    def begin(self, *, acceptor, first_set: tuple, on_safe) -> None:
+        """Starts with this acceptor, of which nothing is known to be safe. `on_safe` runs once, however late, when it is."""
+        self._on_safe = on_safe
         self._acceptor = acceptor
         self._first_set = first_set
         self._change += 1
@@ -83,6 +85,9 @@
         self._is_failing = False
         self._safe = change
         self.held = acceptors.Acceptor(incarnation=image.incarnation, rows={row[0]: row for row in image.rows})
+        on_safe, self._on_safe = self._on_safe, None
+        if on_safe is not None:
+            on_safe()
         ready = [(key, act) for key, (needed, act) in self._waiting.items() if needed <= change]
         for key, _act in ready:
             del self._waiting[key]
--- a/pw/ctl/register/store.py
+++ b/pw/ctl/register/store.py
@@ -69,6 +69,22 @@
     return False
 
 
+def newest_rows(rows) -> dict:
+    """Register: its newest row. A row that only promises leaves out the value: that is the earlier row's."""
+    table = {}
+    for row in rows:
+        held = table.get(row[0])
+        if held is not None and not row[6] and accepted_of(row) == accepted_of(held):
+            row = (*row[:6], held[6])
+        table[row[0]] = row
+    return table
+
+
+def accepted_of(row: tuple) -> tuple:
+    """The ballot that the row's value was accepted under."""
+    return row[3], row[4]
+
+
 class Disk:
     """The real disk. Tests put a simulated `system` in the place of `os`."""
 
@@ -149,6 +165,7 @@
         self._limit = limit_bytes
         self._size = 0
         self._live_size = 0
+        self._accepted = {}  # register: the ballot whose value the file holds
         self._needs_whole = True
         self.rewrites = 0
 
@@ -160,20 +177,19 @@
         rows, _size = read_rows(data)
         incarnation = ""
         first_set = ()
-        table = {}
-        for row in rows:
-            if row[0] == IDENTITY:
-                incarnation = row[2]
-                first_set = tuple(row[4].split()) or first_set
-            else:
-                table[row[0]] = row
+        table = newest_rows(rows)
+        identity = table.pop(IDENTITY, None)
+        if identity is not None:
+            incarnation = identity[2]
+            first_set = tuple(identity[4].split())
         if not incarnation:
             return Image()
         return Image(incarnation=incarnation, first_set=first_set, rows=tuple(table.values()))
 
     def write(self, *, rows: tuple, image: Image) -> None:
         """Appends the rows, or writes the whole image anew. Once it returns, the disk holds the image."""
-        data = pack_rows(rows) if rows else b""
+        shortened = tuple(self._without_known_value(row) for row in rows)
+        data = pack_rows(shortened) if rows else b""
         is_long = self._size + len(data) > max(self._limit, LONG_FACTOR * self._live_size)
         if self._needs_whole or is_long:
             self._rewrite(image)
@@ -184,6 +200,10 @@
         self._disk.append(name=FILE_NAME, data=data, size_before=self._size)
         self._needs_whole = False
         self._size += len(data)
+        self._accepted |= {row[0]: accepted_of(row) for row in rows}
+
+    def _without_known_value(self, row: tuple) -> tuple:
+        return (*row[:6], b"") if self._accepted.get(row[0]) == accepted_of(row) else row
 
     def _rewrite(self, image: Image) -> None:
         identity = (IDENTITY, 0, image.incarnation, 0, " ".join(image.first_set), 0, b"")
@@ -192,4 +212,5 @@
         self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=whole)
         self._needs_whole = False
         self._size = self._live_size = len(whole)
+        self._accepted = {row[0]: accepted_of(row) for row in image.rows}
         self.rewrites += 1
--- a/pw/ctl/register/test_durable.py
+++ b/pw/ctl/register/test_durable.py
@@ -104,6 +104,19 @@
     assert model.lost == [] and linear.faults(history=model.history) == []
 
 
+def test_a_refill_that_the_disk_refuses_at_first_ends_once_it_can_be_written():
+    model = voters.Model(seed=9, seeds=SEEDS)
+    model.call("a", kind="change")
+    model.world.run(until=2.0)
+    model.restart("c", back_s=0.5, is_wiped=True)
+    model.fault("c", "refuse", lasts_s=4.0)
+    model.world.run(until=5.0)
+    node = model.nodes["c"]
+    assert node.voting.acceptor.votes and not node.votes and node.voting.proposer.is_learner
+    model.world.run(until=8.0)
+    assert node.votes and model.lost == []
+
+
 def test_answers_that_wait_for_a_hanging_disk_are_bounded():
     model = voters.Model(seed=8, seeds=SEEDS)
     model.world.run(until=1.0)
@@ -232,8 +245,8 @@
 
     begin = journals.Journal.begin
 
-    def telling(self, *, acceptor, first_set):
-        begin(self, acceptor=acceptor, first_set=first_set)
+    def telling(self, *, acceptor, first_set, on_safe):
+        begin(self, acceptor=acceptor, first_set=first_set, on_safe=on_safe)
         self._safe = self._change
         self.held = acceptors.Acceptor(incarnation=acceptor.incarnation, rows={row[0]: row for row in acceptor.rows()})
 
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -92,12 +92,12 @@
             # All start at once with empty disks, and all are told the same seeds: only then are they the first set.
             image = stores.Image(incarnation=self._unique_id(), first_set=tuple(sorted(seeds)))
         if image.incarnation:
-            self._begin(image)
+            self._begin(image, on_safe=None)
         else:
             self.proposer.is_learner = True
             self._look()
 
-    def _begin(self, image) -> None:
+    def _begin(self, image, *, on_safe) -> None:
         """Goes on with these rows; nothing of them is told before they are written once more."""
         self.acceptor = acceptors.Acceptor(incarnation=image.incarnation, rows={row[0]: row for row in image.rows})
         self.proposer.seeds = image.first_set
@@ -106,7 +106,7 @@
             self.proposer.note_top(name=name, number=number)
             if value:
                 self.proposer.learn_accepted(name=name, value=value)
-        self.journal.begin(acceptor=self.acceptor, first_set=image.first_set)
+        self.journal.begin(acceptor=self.acceptor, first_set=image.first_set, on_safe=on_safe)
 
     # Messages.
     def send(self, member: str, message: tuple) -> None:
@@ -211,8 +211,8 @@
     def _end_refill(self) -> None:
         gathered = acceptors.Acceptor()
         rows = gathered.refill(incarnation="", states=tuple(self._refill.answers.values()))
-        self._begin(stores.Image(incarnation=self._unique_id(), first_set=self._refill.first_set, rows=rows))
-        self.journal.tell(key=(self.own, "refill", ""), act=self._refill_over)
+        image = stores.Image(incarnation=self._unique_id(), first_set=self._refill.first_set, rows=rows)
+        self._begin(image, on_safe=self._refill_over)
 
     def _refill_over(self) -> None:
         ring.note("refilled", incarnation=self.acceptor.incarnation)
--- a/pw/sim/voters.py
+++ b/pw/sim/voters.py
@@ -17,6 +17,7 @@
 CONTACT_S = 4.0
 LIMIT_BYTES = 1500
 NAME = registers.CONFIGURATION
+NO_ROW = ("", 0, "", 0, "", 0, b"")
 
 
 class Ended:
@@ -197,8 +198,9 @@
     # What is told has to be on the disk.
     def check_told(self, message: tuple) -> None:
         for name, promised, accepted in claims(message):
-            kept = self._surely_kept().get(name, (("", 0, "", 0, "", 0, b"")))
-            if (kept[1], kept[2]) < promised or (kept[3], kept[4]) < accepted:
+            kept = self._surely_kept().get(name, NO_ROW)
+            is_bare = accepted[0] > 0 and not kept[6]
+            if (kept[1], kept[2]) < promised or (kept[3], kept[4]) < accepted or is_bare:
                 self.lost.append(
                     (round(self.world.now(), 4), self.name, message[0], name, promised, accepted, kept[:6])
                 )
@@ -209,7 +211,7 @@
             rows, _size = stores.read_rows(self.files.surely_kept(path))
         except problems.StoreProblem:
             return {}
-        return {row[0]: row for row in rows}
+        return stores.newest_rows(rows)
 
 
 def claims(message: tuple) -> list:
