--- /dev/null
+++ b/pw/ctl/register/test_cost.py
@@ -0,0 +1,36 @@
+"""What a change costs does not grow with the changes made before, and only once with the size of the value (docs/register.md 5)."""
+
+import pytest
+
+from pw.sim import register_cost
+
+
+def test_bytes_and_disk_of_a_change_do_not_grow_with_the_changes_made_before():
+    few, many = (register_cost.cost(routes=20, changes=count, measured=5) for count in (100, 4100))
+    for name in ("wire_bytes", "disk_bytes", "value_bytes"):
+        assert many[name] < few[name] * 1.05
+
+
+def test_only_accepts_carry_the_value_and_the_disk_takes_it_once():
+    small, large = (register_cost.cost(routes=count, changes=10, measured=5) for count in (10, 300))
+    assert large["promise_bytes"] == small["promise_bytes"] < 300
+    others = large["members"] - 1
+    assert large["accept_bytes"] < others * (large["value_bytes"] + 100)
+    assert large["disk_bytes"] < large["value_bytes"] + 300
+
+
+def test_that_test_sees_values_in_promises():
+    whole = register_cost.cost(routes=300, changes=10, measured=5, names_held=False)
+    assert whole["promise_bytes"] > 3 * whole["value_bytes"]
+
+
+def test_the_file_stays_within_its_limit():
+    grown = register_cost.file_growth(routes=200, changes=3000)
+    assert grown["rewrites"] > 1
+    assert grown["largest_file_bytes"] <= register_cost.LIMIT_BYTES
+
+
+@pytest.mark.parametrize("how", ["restarted", "absent", "emptied", "new"])
+def test_a_late_member_reaches_the_newest_version_and_does_not_vote_before(how):
+    told = register_cost.catch_up(changes=40, how=how)
+    assert told["versions"] == 40 and told["caught_up_s"] < 2.0 and not told["voted_early"]
--- a/pw/sim/voters.py
+++ b/pw/sim/voters.py
@@ -13,6 +13,7 @@
 
 WRITE_S = (0.001, 0.01)
 BEAT_S = 0.3
+HELLO_S = 0.1  # until the other core nodes are in touch with a node that starts
 RECEIPT_S = 5.0
 CONTACT_S = 4.0
 LIMIT_BYTES = 1500
@@ -136,8 +137,14 @@
             answer(member, link, message)
 
         self.voting._answer = checked
+        self.loop.after(delay=HELLO_S, act=self._hear_hello)
         self._beat()
 
+    def _hear_hello(self) -> None:
+        """As the core does when another core node says hello."""
+        if self.voting.acceptor.votes:
+            self.voting.read_unknown()
+
     @property
     def is_up(self) -> bool:
         return self.voting is not None
