--- a/ploverward.py
+++ b/ploverward.py
@@ -27,6 +27,14 @@
 flags.DEFINE_string("zone", "", "pins: only replicas of this zone")
 flags.DEFINE_string("replica", "", "pins: only this replica")
 flags.DEFINE_float("watch_s", 10.0, "drill: how long the zone stays out after evacuateMs")
+flags.DEFINE_integer("seeds", 100, "simulate: how many days are played")
+flags.DEFINE_integer("first", 0, "simulate: the first day's seed")
+flags.DEFINE_integer("machines", 0, "simulate: core machines, 3, 5, 6 or 7; 0: drawn by the seed")
+flags.DEFINE_integer("tolerate", 0, "simulate: machines that may be lost at once; 0: drawn by the seed")
+flags.DEFINE_string("troubles", "", "simulate: only these kinds, by commas")
+flags.DEFINE_integer("jobs", 1, "simulate: processes that play at the same time")
+flags.DEFINE_integer("history", -1, "simulate: prints all that happens on the day of this seed")
+flags.DEFINE_bool("planted", False, "simulate: shows that the checks find each planted fault")
 USAGE = """usage: python3 ploverward.py VERB [flags]
 
 Nodes, started with a settings file named by PLOVERWARD_NODE_FILE:
@@ -40,8 +48,10 @@
   drill ZONE         takes a zone out, watches the promises, takes it back
   evacuate ZONE      takes a zone out; restore ZONE takes it back
   nodes              the nodes in touch with each core node
+  core-set           who votes, who learns, how far each core node is, and how many further losses are borne
   pins               which adapters keep arriving cold, and which each replica should keep pinned
   keep FOLDER        keeps the configuration in force in a Git repository; keep FOLDER EDITION prints a kept one
+  simulate           plays days of a simulated control plane and checks their histories (docs/simulate.md)
 
 Exit codes: 0 well; 1 a promise or rule broken, or nothing found; 2 usage or settings;
 3 well as far as seen, with parts missing; 4 a zone could not be taken back; 5 interrupted.
@@ -144,6 +154,25 @@
     return 0
 
 
+def _simulate() -> int:
+    from pw.ops import simulate
+
+    simulate.fix_hash_seed()
+    if FLAGS.planted:
+        return simulate.run_planted(jobs=FLAGS.jobs, out=print)
+    is_one = FLAGS.history >= 0
+    plans = simulate.plans(
+        first=FLAGS.history if is_one else FLAGS.first,
+        seeds=1 if is_one else FLAGS.seeds,
+        machines=FLAGS.machines,
+        tolerated=FLAGS.tolerate,
+        troubles=FLAGS.troubles,
+    )
+    if is_one:
+        return simulate.show(plan=plans[0], out=print)
+    return simulate.run(plans=plans, jobs=FLAGS.jobs, out=print)
+
+
 def main(argv) -> int:
     verb, rest = (argv[1], argv[2:]) if len(argv) > 1 else ("", [])
     if verb in ("core", "proxy") and not rest:
@@ -175,8 +204,14 @@
             previous=FLAGS.previous,
             wanted=pins.Filter(service=FLAGS.service, model=FLAGS.model, zone=FLAGS.zone, replica=FLAGS.replica),
         )
+    if verb == "core-set" and not rest:
+        from pw.ops import core_set
+
+        return core_set.run(caller=_caller(), as_json=FLAGS.json, out=print)
     if verb == "nodes" and not rest:
         return _nodes()
+    if verb == "simulate" and not rest:
+        return _simulate()
     print(USAGE, file=sys.stderr)
     return 2
 
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -129,6 +129,7 @@
             is_core_live=self.is_core_live,
             is_learned=lambda: self.acceptor.votes,
             has_majority_contact=self.has_majority_contact,
+            core_set=self.core_set_status,
             proxies=self.proxies,
             configuration=lambda: self.spec,
             duties=lambda: self.duties,
--- a/pw/ctl/directory.py
+++ b/pw/ctl/directory.py
@@ -35,7 +35,9 @@
             return
         listed = self._proxies()
         regions = {peer.region for peer in listed}
-        allowed = residency.lookup_regions(spec=self._configuration(), host=host, region=region, serving=regions)
+        # Cut off for long, this node may know older homes: it names proxies of the client's own region alone.
+        configuration = None if self._aside_since is not None else self._configuration()
+        allowed = residency.lookup_regions(spec=configuration, host=host, region=region, serving=regions)
         chosen = [peer for peer in listed if peer.region in allowed]
         if not chosen:
             call.answer(status=503, body={"error": "no node may serve this now"}, headers=RETRY_LATER)
@@ -60,8 +62,9 @@
 class Views:
     """What operator tools read of this node."""
 
-    def __init__(self, *, desk, proxies, settings, votes, members, duties):
+    def __init__(self, *, desk, proxies, settings, votes, members, duties, core_set):
         self._desk = desk
+        self._core_set = core_set
         self._proxies = proxies
         self._settings = settings
         self._votes = votes
@@ -72,6 +75,7 @@
         return [
             router.Rule("GET", "/ploverward/replicas", self._get_replicas),
             router.Rule("GET", "/ploverward/nodes", self._get_nodes),
+            router.Rule("GET", "/ploverward/core-set", lambda call: call.answer(status=200, body=self._core_set())),
         ]
 
     def _get_replicas(self, call) -> None:
--- a/pw/ctl/interfaces.py
+++ b/pw/ctl/interfaces.py
@@ -49,6 +49,7 @@
         configuration,
         duties,
         votes,
+        core_set,
         ttl_s: int,
         contact_s: float,
         receipt_s: float,
@@ -76,7 +77,13 @@
             contact_s=contact_s,
         )
         self.views = directory.Views(
-            desk=desk, proxies=proxies, settings=settings, votes=votes, members=members, duties=duties
+            desk=desk,
+            proxies=proxies,
+            settings=settings,
+            votes=votes,
+            members=members,
+            duties=duties,
+            core_set=core_set,
         )
         self.adapters = reports.Adapters(loop=loop, desk=desk, proxies=proxies, settings=settings, contact_s=contact_s)
         self.custody = reports.Custody(
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -4,6 +4,7 @@
 from pw.ctl import contact as contacts
 from pw.ctl import core_set as core_sets
 from pw.ctl import registers
+from pw.ctl import watch_duty
 from pw.ctl.register import ballots
 
 
@@ -210,19 +211,21 @@
         self._watch_over()
 
     def _renew(self, link, message: tuple) -> None:
-        """A proxy asks for its entry. A leaving one gets none: it spends what it holds until that runs out."""
+        """A proxy asks for its entry. A leaving one gets none: it spends what it holds until that runs out.
+
+        None is told without contact with a majority of the agreed core set; older ones run out by themselves.
+        """
         peer = self.peers.get(link)
-        if peer is not None and peer.role == "proxy" and not peer.is_leaving:
-            link.send(("entry", *self._grant(peer), message[1]))
+        if peer is None or peer.role != "proxy" or peer.is_leaving or not self.has_majority_contact():
+            return
+        link.send(("entry", *self._grant(peer), message[1]))
 
     def _grant(self, peer) -> tuple:
-        """Shares of the bounds for one proxy: nothing without contact with a majority of the agreed core set."""
+        """Shares of the bounds for one proxy."""
         members, version = self.agreed_set()
         own_part = 1.0 / len(members) if self.own in members else 0.0
         self.slack_parts.install(part=own_part, version=version)
         self.rate_parts.install(part=own_part, version=version)
-        if not self.has_majority_contact():
-            return 0.0, 0.0, self.lease_s, 0.0, 0, 0
         live = len(self.proxies(is_listed=False))
         rate_part = self.rate_parts.value()
         slot = (0, 0)
@@ -302,6 +305,38 @@
         if not is_agreed or target != tuple(sorted(view.members)) or self.mover.needs_move(target=target):
             self.mover.move(target=target)
 
+    def core_set_status(self) -> dict:
+        """For operators: who votes, who learns, how far this node is, and what may still be lost."""
+        view = self.core_view()
+        agreed, version = self.agreed_set()
+        known = set(self.members()) | self.known_cores() | {self.own}
+        in_touch = sorted(host for host in known if self.is_core_live(host))
+        held = dict(self.voting.floor())
+        _epoch, holder, _life = self.duty_table.holder(watch_duty.WATCH)
+        return {
+            "node": self.settings.node,
+            "address": self.own,
+            "votes": self.acceptor.votes,
+            "members": list(agreed),
+            "version": version,
+            "has_majority_contact": self.has_majority_contact(),
+            "wanted_voters": self.wanted_voters,
+            "losses_borne": core_sets.losses_borne(members=agreed, in_touch=in_touch),
+            "in_touch": in_touch,
+            "learners": list(view.learners),
+            "leaving": list(view.leaving),
+            "is_moving": self.mover.is_moving,
+            "watch": holder,
+            "registers": {
+                name: {
+                    "known": self.desk.serial(name)[1],
+                    "on_disk": held.get(name, 0),
+                    "members": list(self.proposer.members(name)),
+                }
+                for name in registers.REGISTERS
+            },
+        }
+
     # Leaving in order.
     def _hand_over(self) -> None:
         """Gives the watch duty to another live member."""
--- /dev/null
+++ b/pw/ops/test_core_set.py
@@ -0,0 +1,81 @@
+"""The operators' view of the core set, from what nodes answer."""
+
+import json
+
+import pytest
+
+from pw.ops import core_set
+
+
+def node(address, *, members="abc", version=4, votes=True, contact=True, borne=1, **sets):
+    names = ("spec", "evac", "duty", "cores")
+    return {
+        "address": address,
+        "votes": votes,
+        "members": list(members),
+        "version": version,
+        "has_majority_contact": contact,
+        "wanted_voters": 3,
+        "losses_borne": borne,
+        "in_touch": list(members),
+        "watch": members[0],
+        "registers": {name: {"known": 7, "on_disk": 7, "members": list(sets.get(name, members))} for name in names},
+    }
+
+
+class Caller:
+    """Nodes by address; the others are out of reach."""
+
+    nodes = {}
+
+    def __init__(self, *, addresses):
+        self.addresses = addresses
+
+    def all(self, *, path):
+        assert path == "/ploverward/core-set"
+        told = {one: (200, self.nodes[one]) for one in self.addresses if one in self.nodes}
+        return told, {one: "no answer" for one in self.addresses if one not in self.nodes}
+
+
+def run(nodes, *, as_json=False):
+    Caller.nodes = {f"{body['address']}:8166": body for body in nodes}
+    lines = []
+    code = core_set.run(caller=Caller(addresses=("a:8166",)), as_json=as_json, out=lines.append)
+    return code, "\n".join(lines)
+
+
+def test_a_whole_set_is_well_and_members_are_found_by_one_address():
+    code, text = run([node("a"), node("b"), node("c")])
+    assert code == core_set.WELL and text.count("votes") == 3
+    assert "version 4: a, b, c" in text and "further losses borne now: 1" in text
+
+
+def test_a_member_out_of_reach_is_named():
+    code, text = run([node("a"), node("b")])
+    assert code == core_set.PARTS_MISSING and "c:8166  unreachable" in text
+
+
+@pytest.mark.parametrize(
+    "nodes, said",
+    [
+        ([node("a", contact=False)], "no node is in contact with a majority"),
+        ([node("a", borne=0), node("b"), node("c")], "0 further losses are borne now, 1 are wanted"),
+        ([node("a", spec="bcd"), node("b"), node("c")], "register 'spec' stands under b, c, d"),
+        ([node("a"), node("b"), node("c", votes=False, contact=False)], "c is a member and does not vote yet"),
+    ],
+)
+def test_what_is_not_as_it_should_be_is_said_and_exits_1(nodes, said):
+    code, text = run(nodes)
+    assert code == core_set.SHORT and said in text
+
+
+def test_an_evicted_member_with_an_older_version_does_not_speak_for_the_set():
+    code, text = run([node("a", members="abx", version=2, contact=False), node("b"), node("c")])
+    assert "version 4: a, b, c" in text
+    assert code == core_set.PARTS_MISSING
+
+
+def test_json_holds_all_that_was_told():
+    _code, text = run([node("a"), node("b"), node("c")], as_json=True)
+    found = json.loads(text)
+    assert set(found["told"]) == {"a:8166", "b:8166", "c:8166"} and found["faults"] == []
