--- /dev/null
+++ b/pw/ops/simulate.py
@@ -0,0 +1,97 @@
+"""`ploverward.py simulate`: plays days of the model world and says which checks broke (docs/simulate.md)."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import os
+import sys
+import time
+
+from pw.base import problems
+from pw.sim.control import day as days
+from pw.sim.control import planted as planted_faults
+from pw.sim.control import troubles as model_troubles
+
+HASH_SEED = "0"
+TOLD_SEEDS = 20  # broken seeds that are told with their findings
+CHUNK = 4  # days handed to a process at a time
+
+
+def fix_hash_seed() -> None:
+    """A seed names one history only where sets of strings have one order: starts this program anew where they have not."""
+    if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
+        environment = {**os.environ, "PYTHONHASHSEED": HASH_SEED}
+        os.execve(sys.executable, [sys.executable, *sys.argv], environment)
+
+
+def troubles_of(*, text: str) -> tuple:
+    """Kinds by commas; none: all of them."""
+    kinds = tuple(kind for kind in text.split(",") if kind)
+    for kind in kinds:
+        if kind not in model_troubles.WEIGHTS:
+            known = ", ".join(model_troubles.WEIGHTS)
+            raise problems.Problem(f"'{kind}' is no trouble; there are {known}", step="simulate")
+    return kinds or tuple(model_troubles.WEIGHTS)
+
+
+def plans(*, first: int, seeds: int, machines: int, tolerated: int, troubles: str) -> list:
+    kinds = troubles_of(text=troubles)
+    return [
+        days.Plan(seed=seed, machines=machines, tolerated=tolerated, troubles=kinds)
+        for seed in range(first, first + seeds)
+    ]
+
+
+def run(*, plans: list, jobs: int, out) -> int:
+    """Plays all days; 1 where a check broke."""
+    begun = time.monotonic()
+    broken = []
+    sums = collections.Counter()
+    with concurrent.futures.ProcessPoolExecutor(max_workers=max(1, jobs)) as pool:
+        for report in pool.map(days.play, plans, chunksize=CHUNK):
+            sums.update(days=1, orders=report.orders, chosen=report.chosen, troubles=report.troubles)
+            if report.findings:
+                broken.append(report)
+    for report in broken[:TOLD_SEEDS]:
+        out(_broken_line(report))
+    out(
+        f"{sums['days']} days, {sums['orders']} orders, {sums['chosen']} versions, {sums['troubles']} moments of trouble, "
+        f"{len(broken)} days broke a check, {time.monotonic() - begun:.0f} s"
+    )
+    return 1 if broken else 0
+
+
+def _broken_line(report) -> str:
+    first = report.findings[0]
+    checks = ", ".join(sorted({finding.check for finding in report.findings}))
+    return (
+        f"seed {report.plan.seed} ({report.machines} machines, {report.tolerated} tolerated): {checks}; "
+        f"first at {first.when:.3f}: {first.check}: {first.text}"
+    )
+
+
+def show(*, plan, out) -> int:
+    """One day with all that happened."""
+    report = days.play(dataclasses.replace(plan, keeps_history=True))
+    for when, text in report.history:
+        out(f"{when:9.3f} {text}")
+    for finding in report.findings:
+        out(f"BROKEN {finding.check} at {finding.when:.3f}: {finding.text}")
+    out(f"{report.machines} machines, {report.tolerated} tolerated, {len(report.findings)} findings")
+    return 1 if report.findings else 0
+
+
+def run_planted(*, jobs: int, out) -> int:
+    """Plays each planted fault until a check finds it; 1 where one is not found in its stated number of days."""
+    missed = 0
+    with concurrent.futures.ProcessPoolExecutor(max_workers=max(1, jobs)) as pool:
+        for name, found in zip(
+            planted_faults.FAULTS, pool.map(planted_faults.search, planted_faults.FAULTS), strict=True
+        ):
+            if found is None:
+                missed += 1
+                out(f"{name}: NOT FOUND in {planted_faults.FAULTS[name].most_seeds} days")
+            else:
+                out(f"{name}: found on day {found.day_number} (seed {found.seed}): {found.check}")
+    out(f"{len(planted_faults.FAULTS) - missed} of {len(planted_faults.FAULTS)} planted faults were found")
+    return 1 if missed else 0
--- a/pw/sim/control/clock.py
+++ b/pw/sim/control/clock.py
@@ -23,9 +23,6 @@
         self.act = act
         self.is_over = False
 
-    def __lt__(self, other) -> bool:
-        return (self.when, self.order) < (other.when, other.order)
-
 
 class Clock:
     """The time of a world and what is to happen in it."""
@@ -40,7 +37,7 @@
     def schedule(self, *, when: float, act, process=None, kind: int = TIMER) -> Event:
         self._order += 1
         event = Event(when=max(when, self.time), order=self._order, process=process, kind=kind, act=act)
-        heapq.heappush(self._events, event)
+        heapq.heappush(self._events, (event.when, event.order, event))
         return event
 
     def later(self, *, delay: float, act, process=None, kind: int = TIMER) -> Event:
@@ -48,11 +45,11 @@
 
     def run(self, *, until: float) -> None:
         events = self._events
-        while events and events[0].when <= until:
-            event = heapq.heappop(events)
+        while events and events[0][0] <= until:
+            when, _order, event = heapq.heappop(events)
             if event.is_over:
                 continue
-            self.time = event.when
+            self.time = when
             self.steps += 1
             if event.process is None:
                 event.is_over = True
--- a/pw/sim/control/day.py
+++ b/pw/sim/control/day.py
@@ -7,6 +7,7 @@
 
 from pw.sim.control import checks
 from pw.sim.control import clock as clocks
+from pw.sim.control import disk as disks
 from pw.sim.control import machines as model_machines
 from pw.sim.control import network as networks
 from pw.sim.control import operators as model_operators
@@ -32,6 +33,7 @@
     troubles: tuple = tuple(model_troubles.WEIGHTS)
     closing: tuple = model_troubles.CLOSING
     span_s: float = 0.0
+    disk: int = -1  # index of the disks' speed; -1: drawn, but never the last one
     keeps_history: bool = False
 
 
@@ -81,6 +83,8 @@
             clock=self.clock, window_s=self.bounds["retryWindowS"], keeps_history=plan.keeps_history
         )
         self.platform = model_machines.Platform(network=self.network)
+        speed = plan.disk if plan.disk >= 0 else chance.choices((0, 1, 2), (2, 1, 1))[0]
+        self._speed_s = disks.SPEEDS_S[speed]
         self.slots = []
         self.edges = [START_SPREAD_S]  # moments at which a trouble of the core begins or ends
         self.isolated_since = {}
@@ -108,7 +112,9 @@
     def _new_machine(self):
         self._number += 1
         region = model_machines.REGIONS[self._number % len(model_machines.REGIONS)]
-        machine = model_machines.Machine(clock=self.clock, host=f"10.0.0.{self._number}", region=region)
+        machine = model_machines.Machine(
+            clock=self.clock, host=f"10.0.0.{self._number}", region=region, speed_s=self._speed_s
+        )
         self.network.machines[machine.host] = machine
         return machine
 
@@ -297,7 +303,9 @@
         troubles_until = TROUBLES_FROM_S + self.span_s
         self.troubles.start(begin=TROUBLES_FROM_S, until=troubles_until)
         self.clock.run(until=troubles_until)
+        self.operators.moments.clear()
         self._close()
+        self.operators.moments.clear()
         healed_at = self.clock.time
         self.operators.is_stopped = True
         settled = healed_at + 2 * self.contact_s + self.catch_up_s
@@ -308,25 +316,29 @@
         return self._report(time.process_time() - begun)
 
     def _close(self) -> None:
-        """At times a closing fault right after the next acknowledgement."""
+        """At times a closing fault, at a moment that matters."""
         kind = self.clock.chance.choice(self.plan.closing) if self.plan.closing else ""
         if not kind:
             return
 
-        def acknowledged(_order):
-            if not self._is_closed:
-                self._is_closed = True
-                self.clock.later(
-                    delay=self.clock.chance.choice((0.0, 0.0, 0.01, 0.3)), act=lambda: self.troubles.close(kind)
-                )
+        def close():
+            self._is_closed = True
+            self.troubles.close(kind)
 
-        self.operators.on_acknowledged = acknowledged
+        self.at_moment(close)
         limit = self.clock.time + self.receipt_s + self.contact_s
         while not self._is_closed and self.clock.time < limit:
             self.clock.run(until=self.clock.time + 0.25)
         self.operators.is_stopped = True
         self.clock.run(until=self.clock.time + 4.0)
 
+    def at_moment(self, act) -> None:
+        """Acts right after the next acknowledgement or read, or soon after the next order was sent."""
+        chance = self.clock.chance
+        kind = chance.choice((model_operators.ACKNOWLEDGED, model_operators.SENT, model_operators.READ))
+        delay = chance.uniform(0.0, 0.25) if kind == model_operators.SENT else chance.choice((0.0, 0.0, 0.01, 0.3))
+        self.operators.moments[kind] = lambda: self.clock.later(delay=delay, act=act)
+
     def _read_back(self) -> list:
         rows = []
         left = []
--- a/pw/sim/control/disk.py
+++ b/pw/sim/control/disk.py
@@ -2,7 +2,7 @@
 
 import errno
 
-FAST_S = (0.0005, 0.004)
+SPEEDS_S = ((0.0005, 0.004), (0.002, 0.03), (0.02, 0.15), (0.15, 0.35))  # how long a sync takes, for each day
 SLOW_S = (0.05, 0.4)
 
 
@@ -13,8 +13,9 @@
     either content, or a torn one. A write under way when its process is killed may have got to any stage.
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, speed_s: tuple = SPEEDS_S[0]):
         self._clock = clock
+        self._speed_s = speed_s
         self.files = {}
         self.durable = {}
         self.trouble = ""  # "", slow, stall, refuse, refuse_late, full
@@ -61,7 +62,7 @@
         self._batch.append((name, self.files.get(name), self.files.get(name), False))
 
     def _wait(self) -> None:
-        span = SLOW_S if self.trouble == "slow" else FAST_S
+        span = SLOW_S if self.trouble == "slow" else self._speed_s
         self._took_s += self._clock.chance.uniform(*span)
 
     def finish_batch(self) -> float:
--- a/pw/sim/control/machines.py
+++ b/pw/sim/control/machines.py
@@ -61,10 +61,10 @@
 class Machine:
     """A machine with a disk, and the program that runs on it now."""
 
-    def __init__(self, *, clock, host: str, region: str):
+    def __init__(self, *, clock, host: str, region: str, speed_s: tuple = disks.SPEEDS_S[0]):
         self.host = host
         self.region = region
-        self.disk = disks.Disk(clock=clock)
+        self.disk = disks.Disk(clock=clock, speed_s=speed_s)
         self.ports = {}
         self.is_powered = True
         self.is_removed = False
--- a/pw/sim/control/network.py
+++ b/pw/sim/control/network.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 
 from pw.base import wire
 from pw.sim.control import clock as clocks
@@ -13,6 +14,7 @@
 OPEN, OPENED, END, RESET = "open", "opened", "end", "reset"
 NEAR_S = (0.0005, 0.004)
 FAR_S = (0.01, 0.05)
+GRAIN_S = 1e-6
 AGAIN_S = (0.0, 0.2)  # what a cut held back is sent again
 pack = functools.lru_cache(maxsize=8192)(wire.pack)
 unpack = functools.lru_cache(maxsize=8192)(wire.unpack)
@@ -94,6 +96,8 @@
         clock = self.network.clock
         source, target = self.hosts if direction == 0 else self.hosts[::-1]
         if self._stuck[direction] or self.network.is_cut(source, target):
+            if not self._stuck[direction] and self.ends[direction] is not None:
+                self.ends[direction].watch_stuck()
             self._stuck[direction].append((clock.time, item))
             return
         when = max(clock.time + self.network.delay(source, target), self._last[direction])
@@ -197,10 +201,22 @@
         if self.loop.now() - self.heard_at > self.silence_s:
             self.close(reason="silent")
             return
-        if self.connection.stuck_for(self._direction) > self.silence_s:
+        # The real one looks each quarter; the looks that can find nothing are left out.
+        quarter = self.silence_s / 4
+        left = self.silence_s - (self.loop.now() - self.heard_at)
+        self._check = self.loop.after(delay=quarter * max(1, math.ceil(left / quarter)), act=self._check_silence)
+
+    def watch_stuck(self) -> None:
+        """What was sent does not arrive: TCP_USER_TIMEOUT ends the connection unless it does in time."""
+        if self.is_open:
+            self.loop.after(delay=self.silence_s, act=self._check_stuck)
+
+    def _check_stuck(self) -> None:
+        stuck_s = self.connection.stuck_for(self._direction)
+        if self.is_open and stuck_s >= self.silence_s - GRAIN_S:
             self.close(reason="ETIMEDOUT")
-            return
-        self._check = self.loop.after(delay=self.silence_s / 4, act=self._check_silence)
+        elif self.is_open and stuck_s:
+            self.loop.after(delay=self.silence_s - stuck_s, act=self._check_stuck)
 
     def queued(self) -> int:
         return sum(len(frame) for frame in self._unsent)
--- a/pw/sim/control/operators.py
+++ b/pw/sim/control/operators.py
@@ -13,6 +13,7 @@
 CLEAR = (400, 409, 412, 413, 422)
 PATH = "/ploverward/configuration"
 PUT, PATCH, EVACUATE, RESTORE = "put", "patch", "evacuate", "restore"
+SENT, READ = "sent", "read"  # moments, with ACKNOWLEDGED
 ACKNOWLEDGED, REFUSED, GIVEN_UP = "acknowledged", "refused", "given up"
 
 
@@ -86,7 +87,7 @@
         self.taken = []  # acknowledged configuration orders
         self.edition = 0  # newest acknowledged or read
         self.zones = {}  # zone: the evacuation order under way or the last one
-        self.on_acknowledged = None
+        self.moments = {}  # SENT, ACKNOWLEDGED, READ: what is to be called at the next such moment
         self.loses_answers = False
         self.is_stopped = False
         self._clock = network.clock
@@ -96,7 +97,6 @@
         self._gap_s = gap_s
         self._receipt_s = receipt_s
         self._caller = networks.Caller(network=network, host="operators")
-        self._under_way = 0
         self._top = 0  # highest edition used in any order
 
     def start(self) -> None:
@@ -206,7 +206,7 @@
         if self.is_stopped:
             return
         self.read(what=self._chance.choice(("configuration", "evacuation")), then=lambda _read: None, most=1)
-        self._clock.later(delay=self._chance.uniform(0.3, 1.5), act=self._next_read)
+        self._clock.later(delay=self._chance.uniform(0.05, 1.0), act=self._next_read)
 
     def read(self, *, what: str, then, most: int = 60, host: str = "") -> None:
         """Reads until it is answered, at most so many times."""
@@ -235,6 +235,7 @@
         self._recorder.note("read", what=what, host=host, value=value)
         read = Read(what=what, host=host, begun_at=begun_at, ended_at=self._clock.time, value=value)
         self.reads.append(read)
+        self._moment(READ)
         if what == "configuration":
             self.edition = max(self.edition, value)
 
@@ -248,13 +249,12 @@
         order.begun_at = self._clock.time
         self.orders.append(order)
         self._recorder.note("order", name=order.name, kind=order.kind, base=order.base, edition=order.edition)
-        self._under_way += 1
+        self._moment(SENT)
         state = {"pause": 0.05, "hosts": self._shuffled(), "number": 0, "refusals": 0}
 
         def end(outcome):
             order.outcome = outcome
             order.ended_at = self._clock.time
-            self._under_way -= 1
             self._recorder.note("order ended", name=order.name, outcome=outcome, zone=order.zone)
             if outcome == ACKNOWLEDGED:
                 self._acknowledged(order)
@@ -339,5 +339,9 @@
         if order.kind in (PUT, PATCH) and not order.is_repeat and order.is_valid:
             self.edition = max(self.edition, order.edition)
             self.taken.append(order)
-        if self.on_acknowledged is not None:
-            self.on_acknowledged(order)
+        self._moment(ACKNOWLEDGED)
+
+    def _moment(self, kind: str) -> None:
+        act = self.moments.pop(kind, None)
+        if act is not None:
+            act()
--- /dev/null
+++ b/pw/sim/control/planted.py
@@ -0,0 +1,278 @@
+"""Faults planted in the product's code, to show that the checks of the model world see them (docs/simulate.md).
+
+Each is a patch for the time of one day, in this process alone. A patch whose place is gone raises: then it has to be
+brought to where the code is now.
+"""
+
+import contextlib
+import dataclasses
+import typing
+from unittest import mock
+
+from pw.ctl import contact
+from pw.ctl import core_set
+from pw.ctl import membership
+from pw.ctl import voting
+from pw.ctl import watch_duty
+from pw.ctl.configuration import archive
+from pw.ctl.configuration import orders
+from pw.ctl.news import desk
+from pw.ctl.register import acceptor
+from pw.ctl.register import ballots
+from pw.ctl.register import journal
+from pw.ctl.register import proposer
+from pw.ctl.register import store as stores
+from pw.sim.control import day as days
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """A planted fault, the days that are to show it within how many of them, and the checks that are to see it."""
+
+    patches: typing.Callable  # () -> context managers
+    checks: tuple
+    plan: dict = dataclasses.field(default_factory=dict)
+    first_seed: int = 0
+    most_seeds: int = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Found:
+    """The day that showed a planted fault."""
+
+    day_number: int
+    seed: int
+    check: str
+
+
+def _seeds_as_default_set() -> list:
+    """A node with an empty disk takes the seeds of its settings for the set in force, whenever it starts."""
+    load = voting.Voting._load
+
+    def _load(self, store, seeds, is_first_start):
+        load(self, store, seeds, True)
+
+    return [mock.patch.object(voting.Voting, "_load", _load)]
+
+
+def _votes_before_refill() -> list:
+    """An emptied node takes a new name and votes at once, with nothing that it had promised or accepted."""
+
+    def _look(self):
+        self._begin(stores.Image(incarnation=self._unique_id(), first_set=self.own_set))
+
+    load = voting.Voting._load
+
+    def _load(self, store, seeds, is_first_start):
+        self.own_set = tuple(sorted(seeds))
+        load(self, store, seeds, is_first_start)
+        self.proposer.is_learner = False
+
+    return [mock.patch.object(voting.Voting, "_look", _look), mock.patch.object(voting.Voting, "_load", _load)]
+
+
+def _grant_without_lease() -> list:
+    """Entries are handed out without contact with a majority."""
+    grant = membership.MembersMixin._grant
+
+    def _grant(self, peer):
+        self.has_majority_contact = lambda: True
+        try:
+            return grant(self, peer)
+        finally:
+            del self.has_majority_contact
+
+    return [mock.patch.object(membership.MembersMixin, "_grant", _grant)]
+
+
+def _moved_part_at_once() -> list:
+    """A node whose part of the bounds grew hands it out without waiting for the older entries to run out."""
+    from pw.ctl import grants
+
+    return [mock.patch.object(grants.Parts, "value", lambda self: self._part)]
+
+
+def _peek_ahead_of_disk() -> list:
+    """What is told without a wait is read from memory, whether or not the disk holds it."""
+
+    def get(self):
+        return self._acceptor if self._acceptor is not None else acceptor.Acceptor()
+
+    held = property(get, lambda self, _value: None)
+    return [mock.patch.object(journal.Journal, "held", held, create=True)]
+
+
+def _told_before_durable() -> list:
+    """Answers go out before the disk holds what they tell."""
+    tell = journal.Journal.tell
+
+    def early(self, *, key, act):
+        act()
+        tell(self, key=key, act=lambda: None)
+
+    return [mock.patch.object(journal.Journal, "tell", early)]
+
+
+def _few_marks() -> list:
+    """Marks of taken orders are kept for the last few only."""
+    return [
+        mock.patch.object(orders, "trimmed", lambda *, rows, archived: rows[-4:]),
+        mock.patch.object(archive, "has", lambda *, payload, mark: False),
+    ]
+
+
+def _set_stops_at_four() -> list:
+    """The set takes machines one by one and stops at one more than the seeds were."""
+    choose = core_set.next_set
+
+    def next_set(*, view, wanted):
+        target = choose(view=view, wanted=wanted)
+        added = sorted(set(target) - set(view.members))
+        if not added:
+            return target
+        if len(view.members) > 3:
+            return tuple(sorted(view.members))
+        return tuple(sorted({*view.members, added[0]}))
+
+    return [mock.patch.object(core_set, "next_set", next_set)]
+
+
+def _acknowledged_by_one() -> list:
+    """A change counts as chosen once a single member has accepted it."""
+    take = proposer.Proposer.take_accepted
+
+    def take_accepted(self, member, message):
+        with mock.patch.object(ballots, "has_majority", lambda *, of, among: any(one in among for one in of)):
+            take(self, member, message)
+
+    return [mock.patch.object(proposer.Proposer, "take_accepted", take_accepted)]
+
+
+def _restarted_leader() -> list:
+    """A node that held the watch duty goes on under the old epoch after a restart."""
+
+    def is_held(self):
+        return self._duties.holder(watch_duty.WATCH)[1] == self._own
+
+    return [mock.patch.object(watch_duty.WatchDuty, "is_held", property(is_held))]
+
+
+def _contact_from_answers() -> list:
+    """Contact counts from when an answer came, not from when its heartbeat was sent; newer sets told are ignored."""
+
+    def lease_until(self, *, members, version, is_voter=True):
+        return self._now() + self._lease_s
+
+    return [mock.patch.object(contact.Contact, "lease_until", lease_until)]
+
+
+def _news_go_back() -> list:
+    """A follower takes on any image that it is told."""
+
+    def take_image(self, link, message):
+        _kind, topic, epoch, number, data = message
+        self._on_image(topic, epoch, number, data)
+        self.serials[topic] = (epoch, number)
+        self._asked.pop(topic, None)
+        return True
+
+    def take_offer(self, link, message):
+        for topic, epoch, number in message[1]:
+            self._offered.setdefault(topic, {})[link] = (epoch, number)
+            link.send(("want", topic))
+
+    return [
+        mock.patch.object(desk.Follower, "take_image", take_image),
+        mock.patch.object(desk.Follower, "take_offer", take_offer),
+    ]
+
+
+def _race_lost_and_taken() -> list:
+    """An order is taken whatever version it builds on."""
+    edit_for = orders.edit_for
+
+    def careless(*, order, archived):
+        edit = edit_for(order=order, archived=archived)
+
+        def taken(payload):
+            base = orders.edition_of(payload)
+            if order.candidate is not None and order.base != base and order.candidate.edition > base:
+                return edit_for(order=dataclasses.replace(order, base=base), archived=archived)(payload)
+            return edit(payload)
+
+        return taken
+
+    return [mock.patch.object(orders, "edit_for", careless)]
+
+
+HISTORY = (
+    "agreement",
+    "configurations",
+    "one base",
+    "acknowledged",
+    "refused orders",
+    "reads",
+    "evacuations",
+    "duties",
+    "the end",
+)
+POWER = {"troubles": ("all_power", "power"), "closing": ("all_power",), "disk": 3}
+FAULTS = {
+    "seeds as the default set": Fault(
+        patches=_seeds_as_default_set, checks=HISTORY, plan={"troubles": ("empty", "replace", "cut")}, most_seeds=200
+    ),
+    "votes before refill": Fault(
+        patches=_votes_before_refill,
+        checks=HISTORY,
+        plan={"troubles": ("empty", "cut", "freeze"), "closing": ("disks_lost", "disks_lost_others_power")},
+        most_seeds=200,
+    ),
+    "grants without contact": Fault(
+        patches=_grant_without_lease, checks=("grants",), plan={"troubles": ("cut", "replace", "replace_at_once")}
+    ),
+    "a moved part at once": Fault(
+        patches=_moved_part_at_once, checks=("grants",), plan={"troubles": ("replace", "replace_at_once", "cut")}
+    ),
+    "peek ahead of the disk": Fault(patches=_peek_ahead_of_disk, checks=HISTORY, plan=POWER, most_seeds=200),
+    "told before durable": Fault(patches=_told_before_durable, checks=HISTORY, plan=POWER),
+    "few marks of orders": Fault(patches=_few_marks, checks=("resent orders", "refused orders")),
+    "the set stops at four": Fault(
+        patches=_set_stops_at_four, checks=("core set",), plan={"machines": 5, "tolerated": 2}
+    ),
+    "acknowledged by one": Fault(patches=_acknowledged_by_one, checks=HISTORY),
+    "a restarted node leads": Fault(
+        patches=_restarted_leader, checks=("topics",), plan={"troubles": ("kill", "all_killed")}
+    ),
+    "contact without an end": Fault(
+        patches=_contact_from_answers,
+        checks=("grants", "cut off", "topics"),
+        plan={"troubles": ("cut", "freeze", "replace", "probe")},
+    ),
+    "news go back": Fault(patches=_news_go_back, checks=("back",)),
+    "a lost race is taken": Fault(patches=_race_lost_and_taken, checks=("one base", "refused orders")),
+}
+
+
+def play(*, name: str, seed: int):
+    """One day with this fault."""
+    fault = FAULTS[name]
+    with contextlib.ExitStack() as stack:
+        for patch in fault.patches():
+            stack.enter_context(patch)
+        return days.play(days.Plan(seed=seed, **fault.plan))
+
+
+def search(name: str):
+    """The first day that shows this fault, or None."""
+    fault = FAULTS[name]
+    for number in range(fault.most_seeds):
+        report = play(name=name, seed=fault.first_seed + number)
+        seen = [finding.check for finding in report.findings if finding.check in fault.checks]
+        if seen and not _is_seen_without(report.plan, seen[0]):
+            return Found(day_number=number + 1, seed=report.plan.seed, check=seen[0])
+    return None
+
+
+def _is_seen_without(plan, check: str) -> bool:
+    """Whether the same day shows the same without the planted fault: then it is no proof."""
+    return any(finding.check == check for finding in days.play(plan).findings)
--- a/pw/sim/control/recorder.py
+++ b/pw/sim/control/recorder.py
@@ -8,7 +8,7 @@
 from pw.ctl.register import ballots
 
 EPSILON = 1e-6
-MOST_FINDINGS = 20
+MOST_FINDINGS = 3  # of one check on one day
 SLACKS, RATES = "slacks", "rates"
 RATE_WINDOW_S = 1.05  # the span over which a proxy counts what it sends to a cold replica
 unpack = functools.lru_cache(maxsize=4096)(ballots.unpack)
@@ -64,7 +64,7 @@
             self.history.append((self._clock.time, f"{text} {told}"))
 
     def find(self, check: str, text: str) -> None:
-        if len(self.findings) < MOST_FINDINGS:
+        if sum(1 for finding in self.findings if finding.check == check) < MOST_FINDINGS:
             self.findings.append(Finding(when=self._clock.time, check=check, text=text))
         self.note(f"FINDING {check}: {text}")
 
@@ -161,16 +161,26 @@
             self.note("applied", proxy=proxy.host, evacuations=json.dumps(payload))
 
     def shares(self, proxy) -> None:
-        """A proxy took an entry: what it may use now, and what all may have used within the window of each bound."""
-        now = self._clock.time
+        """A proxy took an entry: what it may use from now on, and what all may have used within a bound's window."""
+        now, offset = self._clock.time, proxy.process.offset
         rows = self._shares.setdefault(proxy.life, {SLACKS: [], RATES: []})
         self._proxies[proxy.life] = proxy
-        for kind, share in ((SLACKS, proxy.quota.share()), (RATES, proxy.quota.rate_share())):
+        entries = [entry for entry in proxy.quota._entries.values() if entry[2] - offset > now]
+        ends = sorted({entry[2] for entry in entries})
+        for place, kind in enumerate((SLACKS, RATES)):
+            since = now - self._windows[kind]
             held = rows[kind]
-            if held and held[-1][1] == share:
-                continue
-            held.append((now, share))
-            self._check_sum(kind, now)
+            before = max((row for row in held if row[0] <= now), default=(0.0, 0.0))[1]
+            held = [row for row, after in zip(held, [*held[1:], (now, 0.0)], strict=False) if after[0] > since]
+            held = [row for row in held if row[0] < now]
+            # Without a further entry the share falls as those held run out.
+            for begin in (now + offset, *ends):
+                share = sum(entry[place] for entry in entries if entry[2] > begin)
+                if not held or held[-1][1] != share:
+                    held.append((begin - offset, share))
+            rows[kind] = held
+            if rows[kind] and sum(entry[place] for entry in entries) > before:
+                self._check_sum(kind, now)
 
     def _check_sum(self, kind: str, now: float) -> None:
         since = now - self._windows[kind]
@@ -183,11 +193,7 @@
             held = rows[kind]
             while len(held) > 1 and held[1][0] <= since:
                 held.pop(0)
-            # An entry that has run out counts no more, whether or not the proxy has looked since.
-            current = proxy.quota.share() if kind == SLACKS else proxy.quota.rate_share()
-            if held and held[-1][1] != current:
-                held.append((now, current))
-            parts[proxy.host] = max((share for _from, share in held), default=0.0)
+            parts[proxy.host] = max((share for begin, share in held if begin <= now), default=0.0)
             total += parts[proxy.host]
         self.most[kind] = max(self.most[kind], total)
         if total > 1.0 + EPSILON:
--- a/pw/sim/control/troubles.py
+++ b/pw/sim/control/troubles.py
@@ -1,8 +1,6 @@
 """Troubles of the model world, each a method that begins one and says when it ends. No more than the tolerated number of
 counted machines are lost at once; what would lose more waits its turn (docs/simulate.md)."""
 
-from pw.sim.control import machines as model_machines
-
 FREEZE_S = (0.3, 12.0)
 DOWN_S = (0.3, 8.0)
 CUT_S = (1.0, 14.0)
@@ -73,7 +71,7 @@
         count = min(len(healthy), self._chance.randint(1, free))
         return self._chance.sample(healthy, count)
 
-    def _lose(self, name: str, slots, span: float) -> None:
+    def _lose(self, name: str, slots) -> None:
         for slot in slots:
             self._day.lose(slot)
         self._day.edge(f"{name} begins", slots)
@@ -97,7 +95,7 @@
         if not slots:
             return
         span = self._span(DOWN_S)
-        self._lose(name, slots, span)
+        self._lose(name, slots)
         for slot in slots:
             self._day.stop(slot, is_power_lost=is_power_lost)
             if is_emptied:
@@ -115,7 +113,7 @@
         if not slots:
             return
         span = self._span(FREEZE_S)
-        self._lose("freeze", slots, span)
+        self._lose("freeze", slots)
         processes = [slot.machine.process for slot in slots]
         for process in processes:
             process.is_frozen = True
@@ -153,7 +151,7 @@
             return
         span = self._span(CUT_S)
         pairs = self._pairs(slots, is_out=is_out, is_in=is_in)
-        self._lose(name, slots, span)
+        self._lose(name, slots)
         self._day.network.cut(pairs=pairs, is_reset=self._chance.random() < 0.3)
         for slot in slots:
             self._day.isolated_since[slot.machine.host] = self._clock.time
@@ -178,7 +176,7 @@
         if not slots:
             return
         span = self._span(CUT_S)
-        self._lose("slow", slots, span)
+        self._lose("slow", slots)
         hosts = [slot.machine.host for slot in slots]
         for host in hosts:
             self._day.network.slow[host] = self._chance.uniform(0.05, 0.6)
@@ -196,7 +194,7 @@
             return
         span = self._span(DISK_S)
         kind = self._chance.choice(DISK_TROUBLES)
-        self._lose(f"disk {kind}", slots, span)
+        self._lose(f"disk {kind}", slots)
         disks = [slot.machine.disk for slot in slots]
         for disk in disks:
             disk.trouble = kind
@@ -225,7 +223,7 @@
         slots = self._pick()
         if not slots:
             return
-        self._lose(name, slots, 0.0)
+        self._lose(name, slots)
         for slot in slots:
             before = slot.machine
             if pause < 0:
@@ -285,47 +283,29 @@
 
     # All at once: disks stay, but for the closing faults that say so.
     def _all_killed(self) -> None:
-        self._all("all killed", is_power_lost=False)
+        self._day.at_moment(lambda: self._all("all_killed", emptied=[]))
 
     def _all_power(self) -> None:
-        self._all("all power lost", is_power_lost=True)
-
-    def _all(self, name: str, *, is_power_lost: bool, emptied=()) -> None:
-        if self._day.lost_slots():
-            return
-        span = self._span((0.3, 3.0))
-        slots = list(self._day.slots)
-        self._lose(name, slots, span)
-        for slot in slots:
-            self._day.stop(slot, is_power_lost=is_power_lost)
-            if slot in emptied:
-                slot.machine.disk.empty()
-
-        def end():
-            for slot in slots:
-                self._day.restart(slot, is_emptied=slot in emptied)
-            self._back(name, slots)
-
-        self._clock.later(delay=span, act=end)
+        self._day.at_moment(lambda: self._all("all_power", emptied=[]))
 
     def close(self, kind: str) -> None:
         """The closing fault, right after an acknowledgement. Those still lost stay within what is tolerated."""
         day = self._day
         self._until = self._clock.time + 5.0
         if kind in ("all_killed", "all_power"):
-            self._close_all(kind, emptied=[])
+            self._all(kind, emptied=[])
             return
         free = day.tolerated - len(day.lost_slots())
         healthy = [slot for slot in day.slots if not day.is_lost(slot)]
         emptied = self._chance.sample(healthy, min(free, len(healthy))) if free > 0 else []
         if kind == "disks_lost_others_power":
-            self._close_all("all_power", emptied=emptied)
+            self._all("all_power", emptied=emptied)
         elif emptied:
             self._down("disks lost", is_power_lost=True, is_emptied=True, slots=emptied)
 
-    def _close_all(self, kind: str, *, emptied) -> None:
+    def _all(self, kind: str, *, emptied) -> None:
         slots = [slot for slot in self._day.slots if not slot.is_down]
-        self._lose(f"closing fault, {kind}", slots, 0.0)
+        self._lose(kind, slots)
         for slot in slots:
             self._day.stop(slot, is_power_lost=kind == "all_power")
             if slot in emptied:
@@ -334,10 +314,6 @@
         def end():
             for slot in slots:
                 self._day.restart(slot, is_emptied=slot in emptied)
-            self._back("closing fault", slots)
+            self._back(kind, slots)
 
         self._clock.later(delay=self._chance.uniform(0.3, 3.0), act=end)
-
-
-def stop_machine(machine, *, is_power_lost: bool) -> None:
-    model_machines.stop(machine=machine, is_power_lost=is_power_lost)
