--- a/pw/sim/control/proxies.py
+++ b/pw/sim/control/proxies.py
@@ -98,19 +98,19 @@
             self._floors[host] = dict(message[1])
             self._check_serving()
         elif kind == "entry":
-            self._take_entry(link, message)
+            self._take_entry(host, message)
 
-    def _take_entry(self, link, message: tuple) -> None:
+    def _take_entry(self, host: str, message: tuple) -> None:
         if not _HAS_RENEWALS:
-            self.quota.take_entry(link, message)
+            self.quota.take_entry(host, message)
         else:
             sent_at = self._renewed_at.get(message[-1])
             if sent_at is None:
                 return
             if _COUNTS_FROM_SENDING:
-                self.quota.take_entry(link, message[:-1], sent_at=sent_at)
+                self.quota.take_entry(host, message[:-1], sent_at=sent_at)
             else:
-                self.quota.take_entry(link, message[:-1])
+                self.quota.take_entry(host, message[:-1])
         self._recorder.shares(self)
 
     def _check_serving(self) -> None:
