--- a/pw/sim/control/proxies.py
+++ b/pw/sim/control/proxies.py
@@ -3,10 +3,8 @@
 It follows pw/dat/follow.py, without the traffic. What it holds is what the checks of news and grants look at.
 """
 
-import inspect
 import json
 
-from pw.base import wire
 from pw.ctl.news import desk as desks
 from pw.ctl.register import ballots
 from pw.dat import quota as quotas
@@ -15,8 +13,6 @@
 from pw.sim.control import network as networks
 
 RENEWALS_KEPT = 16
-_HAS_RENEWALS = "renew" in wire.KINDS
-_COUNTS_FROM_SENDING = "sent_at" in inspect.signature(quotas.Quota.take_entry).parameters
 
 
 class Proxy:
@@ -77,13 +73,10 @@
                 dialer.link.send(message)
 
     def _tick(self) -> None:
-        if _HAS_RENEWALS:
-            self._renewal += 1
-            self._renewed_at[self._renewal] = self.loop.now()
-            self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
-            self._tell(("renew", self._renewal))
-        else:
-            self._tell(("beat", 0))
+        self._renewal += 1
+        self._renewed_at[self._renewal] = self.loop.now()
+        self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
+        self._tell(("renew", self._renewal))
         self.follower.tick()
 
     def _take(self, host: str, link, message: tuple) -> None:
@@ -101,17 +94,10 @@
             self._take_entry(host, message)
 
     def _take_entry(self, host: str, message: tuple) -> None:
-        if not _HAS_RENEWALS:
-            self.quota.take_entry(host, message)
-        else:
-            sent_at = self._renewed_at.get(message[-1])
-            if sent_at is None:
-                return
-            if _COUNTS_FROM_SENDING:
-                self.quota.take_entry(host, message[:-1], sent_at=sent_at)
-            else:
-                self.quota.take_entry(host, message[:-1])
-        self._recorder.shares(self)
+        sent_at = self._renewed_at.get(message[-1])
+        if sent_at is not None:
+            self.quota.take_entry(host, message[:-1], sent_at=sent_at)
+            self._recorder.shares(self)
 
     def _check_serving(self) -> None:
         if self.is_serving or not ballots.has_majority(of=self.members, among=self._floors):
