--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -385,8 +385,7 @@
         address,
         limits,
         silence_s,
-        on_request=None,
-        on_ask=None,  # the former name of on_request, until all callers use the new one
+        on_request,
         most_doors=3000,
         most_bytes=64 * 1024 * 1024,
     ):
@@ -399,7 +398,7 @@
         self._most_bytes = most_bytes
         self._held = {}
         self._held_bytes = 0
-        self._on_request = on_request or on_ask
+        self._on_request = on_request
         self._sock = links.listen(address=address)
         self._is_listening = True
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, act=self._ready)
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -397,7 +397,10 @@
         kind = sources.DONE
         if not was_up:
             kind = sources.BROKEN
-        elif was_sent and not self.is_stale(attempt):
+        elif self.is_stale(attempt):
+            rested_s = attempt.sent_at - attempt.outlet.rested_at
+            self.proxy.table.note_forgotten(replica=attempt.replica, rested_s=rested_s)
+        elif was_sent:
             kind = sources.FAILED
         self.end_attempt(attempt, kind=kind)
         if was_sent:
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -87,6 +87,7 @@
         self.services = {}
         self.adapters = {}  # service: {adapter: models}, as the list or the configuration ever named them
         self._has_list = False
+        self._idle_trust = {}  # service: (seconds of rest that its connections bear, until when this is believed)
 
     def install_services(self, services: dict) -> None:
         self.services = services
@@ -161,15 +162,38 @@
         for outlet in list(replica.idle):
             if now >= outlet.idle_until:
                 outlet.close()
+        trusted_s = self._trusted_s(service=replica.service, now=now) if self._idle_trust else None
         while replica.idle:
             outlet = replica.idle.pop()
-            if outlet.is_fit(request_id=request_id):
+            is_trusted = trusted_s is None or now - outlet.rested_at <= trusted_s
+            if is_trusted and outlet.is_fit(request_id=request_id):
                 return outlet
             outlet.close()
         if len(replica.outlets) >= self._most_outlets(replica):
             return None
         return self._open(replica)
 
+    def note_forgotten(self, *, replica, rested_s: float) -> None:
+        """An idle connection was gone without a word: for a while, none of its service that rested half as long is used.
+
+        The request that found it is lost where it may not be repeated; this keeps it at one for each service.
+        """
+        if rested_s < outlets.RESTED_S:
+            return  # it had not rested: its end says nothing of the others
+        now = self._loop.now()
+        trusted_s = max(outlets.RESTED_S, rested_s / 2)
+        known_s = self._trusted_s(service=replica.service, now=now)
+        if known_s is not None:
+            trusted_s = min(trusted_s, known_s)
+        self._idle_trust[replica.service] = (trusted_s, now + self._settings.bound_s(name="contactMs"))
+
+    def _trusted_s(self, *, service: str, now: float):
+        trusted_s, until = self._idle_trust.get(service, (None, 0.0))
+        if until <= now:
+            self._idle_trust.pop(service, None)
+            return None
+        return trusted_s
+
     def _open(self, replica):
         contact_s = self._settings.bound_s(name="contactMs")
         known = self.way(replica)
--- a/pw/dat/test_requests.py
+++ b/pw/dat/test_requests.py
@@ -254,6 +254,24 @@
     assert len(scene.peers[0].heard) == 2 and scene.peers[0].heard[1]  # by a new connection
 
 
+def test_connections_that_a_replica_forgets_without_a_word_cost_one_request_not_many():
+    def script(number, heard):
+        is_rested = heard.lower().count(b"x-attempt-id") > 1
+        return ["reset"] if is_rested else answering()(number, heard)
+
+    scene = test_way.Scene(script)
+    told = []
+    for _ in range(5):
+        scene.client.got = b""
+        scene.request("unsafe")
+        assert settled(scene)
+        told += statuses(scene.client)
+        scene.loop.skip(seconds=0.7)
+    assert told == [200, 502, 200, 200, 200]
+    scene.loop.skip(seconds=4.0)  # contactMs later it is tried again
+    assert scene.entry.table._trusted_s(service="llm", now=scene.loop.now()) is None
+
+
 def test_an_answer_that_came_during_a_freeze_past_its_deadline_is_no_promise():
     scene = test_way.Scene(lambda number, heard: None)
     scene.request("once", left_ms=500)
