--- a/pw/ctl/dispatch.py
+++ b/pw/ctl/dispatch.py
@@ -301,6 +301,7 @@
             name=registers.CONFIGURATION,
             edit=orders.edit_for(order=order, archived=self._archived),
             done=lambda error, version, payload, _result: self._round_ended(order, error, version, payload),
+            is_wanted=lambda: any(not reply.is_over for reply in self._under_way.get(order.mark, ())),
         )
 
     def _round_ended(self, order, error, version: int, payload) -> None:
@@ -377,7 +378,7 @@
                 self._acknowledge(reply, registers.EVACUATIONS, version)
 
         edit = evacuations.edit_for(zone=zone, is_out=is_out, is_late=lambda: reply.is_over)
-        self._registers.change(name=registers.EVACUATIONS, edit=edit, done=done)
+        self._registers.change(name=registers.EVACUATIONS, edit=edit, done=done, is_wanted=lambda: not reply.is_over)
 
 
 def _version_of(text) -> int | None:
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -12,6 +12,9 @@
 from pw.ctl.register import ballots
 
 MOST_ATTEMPTS = 12
+LEAST_PAUSE = 0.1  # of the patience, before an attempt is made again
+PAUSE_STEP = 0.4  # of the patience: the random part of the first pause
+MOST_STEPS_BACK = 8  # how many times longer the random part gets
 
 
 class Round:
@@ -40,6 +43,7 @@
         "held",
         "is_settling",
         "outcome",
+        "is_wanted",
     )
 
 
@@ -88,8 +92,8 @@
         """This value was found accepted; only the set before a change is known to be chosen."""
         self.known[name] = ballots.way(value)[0]
 
-    def change(self, *, name: str, edit, done, next_set=None) -> None:
-        """`done(problem, rev, payload, result)` is called once.
+    def change(self, *, name: str, edit, done, next_set=None, is_wanted=None) -> None:
+        """`done(problem, rev, payload, result)` is called once. A round that `is_wanted()` denies is not tried again.
 
         A further attempt may find what an earlier attempt of the same change has written, so an edit must know
         its own work again.
@@ -108,6 +112,7 @@
         work.held = (ballots.NONE, 0, b"")
         work.is_settling = False
         work.outcome = None
+        work.is_wanted = is_wanted
         queue = self._queues.setdefault(name, collections.deque())
         queue.append(work)
         if len(queue) == 1:
@@ -210,7 +215,8 @@
         if work.stage == "over":
             return
         work.attempts += 1
-        if self._now() >= work.deadline or work.attempts > MOST_ATTEMPTS:
+        is_given_up = work.is_wanted is not None and not work.is_wanted()
+        if is_given_up or self._now() >= work.deadline or work.attempts > MOST_ATTEMPTS:
             self._finish(work, problems.Unreachable("no majority", step=work.stage or "prepare", peer=work.name))
             return
         top = self._top.get(work.name, 0) + 1
@@ -241,8 +247,10 @@
         if work.stage in ("over", "wait"):
             return
         work.stage = "wait"
-        # A round takes about half of the patience: two that meet must come apart by more than that.
-        pause = self._chance() * self._patience_s * 0.4 * min(2 ** (work.attempts - 1), 8)
+        # A round takes about half of the patience: two that meet must come apart by more than that. A move of the set
+        # does not step back further and further, so that it comes through where orders press.
+        steps = 1 if work.next_set is not None else min(2 ** (work.attempts - 1), MOST_STEPS_BACK)
+        pause = self._patience_s * (LEAST_PAUSE + self._chance() * PAUSE_STEP * steps)
         self._later(pause, lambda: self._prepare(work) if work.stage == "wait" else None)
 
     def note_top(self, *, name: str, number: int) -> None:
--- a/pw/ctl/test_orders.py
+++ b/pw/ctl/test_orders.py
@@ -9,6 +9,7 @@
 from pw.ctl.configuration import evacuations
 from pw.ctl.configuration import models
 from pw.ctl.configuration import orders
+from pw.ctl.register import proposer as proposers
 from pw.sim import order_world
 from pw.sim import order_history
 
@@ -310,7 +311,13 @@
 
         return edit
 
+    change = proposers.Proposer.change
+
+    def change_to_the_end(self, *, is_wanted=None, **about):
+        change(self, **about)  # the former rounds went on when their callers had been left
+
     monkeypatch.setattr(evacuations, "edit_for", edit_for)
+    monkeypatch.setattr(proposers.Proposer, "change", change_to_the_end)
     assert any(order_world.play_evacuations(seed=seed).wrong for seed in range(60))
 
 
