--- /dev/null
+++ b/pw/dat/test_broken_mirror.py
@@ -0,0 +1,85 @@
+"""What a mirror that is broken, stale or plainly false may do to a request: cost, and nothing that a rule forbids."""
+
+import random
+import types
+
+import pytest
+
+from pw.base import records
+from pw.dat import mirror
+from pw.dat.relay import ckf
+from pw.sim import entry
+from pw.sim import loopback
+
+ZONES = ("za", "za", "zb", "zb", "za")
+CHAIN = ckf.chain(model="m", parts=(("aa", 100), ("bb", 200)))
+
+
+class FalseRegion:
+    """A mirror that says what it likes, and never says that it is broken."""
+
+    is_fresh = True
+
+    def __init__(self, *, chance, replicas):
+        self.chance = chance
+        self.load = {
+            replica.key: (chance.randrange(20), chance.randrange(9000), chance.randrange(2), chance.randrange(2))
+            for replica in replicas
+        }
+
+    def kept(self, *, service, model, chain, replicas):
+        return {name: self.chance.choice((0, 100, 300, 10**6)) for name in replicas}
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_a_false_mirror_names_no_replica_that_may_not_be_used(seed):
+    chance = random.Random(seed)
+    loop = loopback.new_loop()
+    peers = [(types.SimpleNamespace(address=("127.0.0.1", 9)), zone) for zone in ZONES]
+    node = entry.Entry(loop=loop, peers=peers)
+    rows = [dict(row, is_clearing=chance.random() < 0.2) for row in node.rows]
+    node.table.install_list(rows)
+    replicas = list(node.table.replicas.values())
+    for replica in replicas:
+        replica.is_suspect = chance.random() < 0.2
+    node.table.out_zones = frozenset(chance.sample(("za", "zb"), chance.randint(0, 1)))
+    node.chooser._regions.update({name: FalseRegion(chance=chance, replicas=replicas) for name in ("north", "south")})
+    permitted = chance.choice((None, {"north"}, {"south"}, set()))
+    avoid = set(chance.sample([row["id"] for row in rows], 2))
+    usable = {
+        replica.id
+        for replica in replicas
+        if not replica.is_clearing
+        and not replica.is_suspect
+        and replica.zone not in node.table.out_zones
+        and replica.id not in avoid
+        and (permitted is None or replica.region in permitted)
+    }
+    chosen, to_read, is_any = node.chooser.choose(
+        service="llm", permitted=permitted, model="m", chain=CHAIN, prompt_tokens=300, avoid=avoid
+    )
+    assert is_any == bool(usable)
+    assert (chosen is None) == (not usable) and (chosen is None or chosen.id in usable)
+    assert 0 <= to_read <= 300
+    node.hall.stop_listening()
+
+
+def test_a_broken_mirror_is_trusted_for_what_is_kept_ten_times_as_long_as_for_load():
+    clock = [0.0]
+    region = mirror.Region(now=lambda: clock[0], trust_s=5.0)
+    region.take(("catalogue", 1, ()))
+    region.take(("load", 1, True, records.LOAD.pack(records.key_of("i0"), 1, 10, 0, 0)))
+    assert region.is_trusted and region.is_fresh
+    clock[0] = 100.0
+    assert region.is_trusted and region.is_fresh  # it is told of each change: silence alone is no break
+    region.fail()
+    for when, is_trusted, is_fresh in (
+        (100.4, True, True),
+        (100.6, True, False),
+        (104.9, True, False),
+        (105.1, False, False),
+    ):
+        clock[0] = when
+        assert (region.is_trusted, region.is_fresh) == (is_trusted, is_fresh)
+    region.fail()  # a second end does not begin the time anew
+    assert not region.is_trusted
--- a/pw/dat/test_requests.py
+++ b/pw/dat/test_requests.py
@@ -1,6 +1,7 @@
 """Who gets which answer, and what is sent twice: each cell of the table in docs/requests.md, with scripted peers."""
 
 import re
+import socket
 
 import pytest
 
@@ -281,7 +282,31 @@
     assert statuses(scene.client) == [504] and scene.arrivals() == 1
 
 
-@pytest.mark.parametrize("where", ["note_read", "kept_headers"])
+def test_an_answer_after_the_deadline_reaches_nobody():
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once", left_ms=300)
+    assert settled(scene)
+    scene.peers[0].act(0, [test_way.answer(b"a1", b"late")])
+    scene.peers[0].script = answering(b"own")
+    scene.request("unsafe")
+    assert scene.until(b"own")
+    assert statuses(scene.client) == [504, 200] and b"late" not in scene.client.got
+    assert len(scene.peers[0].heard) == 2  # the connection of the first one ended with it
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_a_connection_that_does_not_come_up_carried_nothing(others):
+    scene = test_way.Scene(test_way.replying, *[test_way.replying] * others)
+    for place in range(others):
+        scene.entry.table.replicas[f"i{place + 1}"].away_until = scene.loop.now() + 1000.0
+    scene.loop.unwatch(sock=scene.peers[0].sock)
+    scene.peers[0].sock.close()
+    scene.request("unsafe")
+    assert settled(scene)
+    assert statuses(scene.client) == [200 if others else 503] and scene.arrivals() == others
+
+
+@pytest.mark.parametrize("where", ["first event", "end"])
 def test_a_fault_of_our_own_after_a_send_is_no_promise(where, monkeypatch):
     """A step that raises is noted and the process goes on: the request then ends at its deadline, without a promise."""
 
@@ -292,7 +317,7 @@
     scene = test_way.Scene(
         lambda number, heard: [test_way.head(test_way.request_id(heard)) + test_way.event(1)], faults=faults
     )
-    if where == "note_read":
+    if where == "first event":
         monkeypatch.setattr(scene.entry.chooser, "note_read", broken)
     else:
         monkeypatch.setattr(outlets.Outlet, "_ended", broken)
@@ -525,6 +550,64 @@
     assert statuses(scene.client) == [200]
 
 
+def test_a_client_that_closes_its_half_is_taken_to_have_left():
+    """The protocol's clients keep both halves open; one that closes its own can't be told from one that is gone."""
+    scene = test_way.Scene(lambda number, heard: None)
+    scene.request("once", left_ms=4000)
+    assert loopback.until(scene.loop, lambda: scene.arrivals() == 1)
+    scene.client.sock.shutdown(socket.SHUT_WR)
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed and not scene.peers[0].socks)
+    assert not scene.client.got and not scene.entry.passages
+
+
+@pytest.mark.parametrize("more", [b"Connection: upgrade\r\nUpgrade: other\r\n", b"Expect: something\r\n"])
+def test_an_upgrade_is_not_passed_on_and_the_answer_is_a_plain_one(more):
+    scene = test_way.Scene(test_way.replying)
+    scene.request("unsafe", more=more)
+    assert scene.until(b"\r\n\r\nok")
+    assert b"pgrade" not in scene.peers[0].heard[0]
+    scene.request("unsafe")
+    assert loopback.until(scene.loop, lambda: statuses(scene.client) == [200, 200])
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        b"Content-Length: 4\r\nContent-Length: 5\r\n",
+        b"Content-Length: 4, 5\r\n",
+        b"Content-Length: +4\r\n",
+        b"Transfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: chunked, chunked\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"X: a\rTransfer-Encoding: chunked\r\n",
+    ],
+)
+def test_no_request_is_smuggled_inside_another(head):
+    """A doubtful length ends the connection: what stands behind it is never read as a request."""
+    scene = test_way.Scene(test_way.replying)
+    inner = b"POST /unsafe/inner HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: inner\r\nContent-Length: 0\r\n\r\n"
+    scene.client.send(
+        b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: outer\r\n%s\r\n4\r\nbody\r\n0\r\n\r\n%s" % (head, inner)
+    )
+    assert loopback.until(scene.loop, lambda: scene.client.is_closed)
+    assert scene.arrivals() == 0 and len(statuses(scene.client)) == 1
+
+
+def test_a_body_that_looks_like_a_request_stays_a_body():
+    inner = b"POST /unsafe/inner HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: inner\r\nContent-Length: 0\r\n\r\n"
+    scene = test_way.Scene(lambda number, heard: [test_way.answer(b"outer")] if heard.endswith(inner) else None)
+    scene.client.send(
+        b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: outer\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%s\r\n0\r\nX-Attempt-Id: trailer\r\n\r\n" % (len(inner), inner)
+    )
+    assert settled(scene)
+    heard = scene.peers[0].heard[0]
+    assert heard.count(b"HTTP/1.1") == 2 and b"trailer" not in heard
+    assert b"content-length: %d\r\n" % len(inner) in heard.lower()
+
+
 def test_a_broken_stream_does_not_look_complete_to_a_client_that_knows_no_chunks():
     def cutting(number, heard):
         return [test_way.head(test_way.request_id(heard)) + test_way.event(1), "close"]
