--- /dev/null
+++ b/pw/sim/exhaustive.py
@@ -0,0 +1,1151 @@
+"""Exhaustive exploration of the register and of one move of its core set, at small size.
+
+The real `Acceptor` and `Proposer` take every step here. What is around them (links, timers, disks, the refill of an
+emptied node) is an explicit state, so that each state can be copied, compared and gone on from in every way:
+
+- a request is delivered at any moment, in any order, or never; so a loss needs no step of its own;
+- a timer fires at any moment, as long as the writer has attempts left;
+- news of a chosen value reaches a proposer at any moment, or never;
+- a disk is emptied, a refill takes one more answer, a process starts again, at any moment within the budget.
+
+States are compared by a canonical form of all that can still matter; breadth first, so the first history that breaks
+a rule is a shortest one. Three things are left out since they can only refuse, which a silent link does as well: a
+prepare of an attempt that is over, an accept that can't be taken any more and whose attempt is over, an answer to an
+attempt that is over. Where `is_split` is not set, a request and its answer are one step.
+
+Command: python3 -m pw.sim.exhaustive [--budget small|large] [--scenario NAME] [--states N]
+"""
+
+import argparse
+import collections
+import contextlib
+import dataclasses
+import sys
+import time
+import types
+
+from pw.ctl.register import acceptor as acceptors
+from pw.ctl.register import ballots
+from pw.ctl.register import proposer as proposers
+from pw.ctl.register import refill as refills
+
+REGISTER = "r"
+FIRST_TAG = "v"
+FIRST_BALLOT = (1, "first")
+NOBODY = ""  # in place of a proposer whose life is over
+OVER = -1  # in place of the revision at which a call began
+
+
+# --- Adapter: all that is known here of the product's messages and values -------------------------------------------
+
+
+def make_value(*, members: tuple, tags: tuple, previous: tuple = ()) -> bytes:
+    return ballots.pack(members=members, payload=list(tags), previous=previous)
+
+
+def tags_of(value: bytes) -> tuple:
+    return tuple(ballots.unpack(value)[1])
+
+
+def set_of(value: bytes) -> tuple:
+    return ballots.unpack(value)[0]
+
+
+def learn_chosen(proposer, value: bytes) -> None:
+    """What `Voting.publish` does with a chosen value."""
+    proposer.learn_chosen(name=REGISTER, value=value)
+
+
+def learn_accepted(proposer, value: bytes) -> None:
+    """What `Voting` does at a start with a value found accepted on its own disk."""
+    proposer.learn_accepted(name=REGISTER, value=value)
+
+
+def make_refill(*, own: str, kind: str):
+    return REFILLS[kind](own=own, registers=(REGISTER,))
+
+
+def answer_refill(acceptor, request: tuple) -> tuple:
+    """What `Voting._take_refill` tells: what is asked to be promised is promised first. All rows are told whole."""
+    for name, ballot_n, ballot_p, *_known in request[2]:
+        if ballot_n:
+            acceptor.fence(name=name, ballot=(ballot_n, ballot_p))
+    return acceptor.rows()
+
+
+def number_of(message: tuple) -> int:
+    return message[1]
+
+
+def request_ballot(message: tuple) -> tuple:
+    """Ballot of a prepare or accept."""
+    return tuple(message[3:5])
+
+
+def named_incarnation(message: tuple) -> str:
+    return message[5]
+
+
+def with_incarnation(message: tuple, incarnation: str) -> tuple:
+    return (*message[:5], incarnation, *message[6:])
+
+
+def hand_answer(proposer, member: str, answer: tuple) -> None:
+    if answer[0] == "promise":
+        proposer.take_promise(member, answer)
+    elif answer[0] == "peeked":
+        proposer.take_peeked(member, answer)
+    else:
+        proposer.take_accepted(member, answer)
+
+
+def make_proposer(*, own: str, port, seeds: tuple, is_naming: bool):
+    return proposers.Proposer(
+        own=own,
+        seeds=seeds,
+        send=port.send,
+        later=port.later,
+        now=port.now,
+        chance=port.chance,
+        on_chosen=port.on_chosen,
+        held=port.held if is_naming else None,
+        limit_s=1.0,
+        patience_s=0.5,
+    )
+
+
+def copy_acceptor(old):
+    new = acceptors.Acceptor(incarnation=old.incarnation)
+    new.table = dict(old.table)
+    return new
+
+
+def acceptor_form(held) -> tuple:
+    return (held.incarnation, tuple(sorted(held.table.items())))
+
+
+# --- Copying and comparing live proposers ---------------------------------------------------------------------------
+
+
+class Fixed:
+    """Never copied; compared by name. Everything of this module that a proposer holds on to."""
+
+    name = ""
+
+
+def _is_plain(item) -> bool:
+    return item is None or isinstance(item, str | bytes | int | float | types.CodeType | types.ModuleType | type)
+
+
+def _fields(item) -> list:
+    names = list(getattr(type(item), "__slots__", ())) + list(getattr(item, "__dict__", ()))
+    return [(name, getattr(item, name)) for name in names if hasattr(item, name)]
+
+
+def clone(item, memo: dict):
+    """A deep copy that also copies closures, with their cells bound to the copies."""
+    if _is_plain(item) or isinstance(item, Fixed):
+        return item
+    if isinstance(item, types.MethodType):
+        return item if isinstance(item.__self__, Fixed) else types.MethodType(item.__func__, clone(item.__self__, memo))
+    if isinstance(item, types.FunctionType) and not item.__closure__ and not item.__defaults__:
+        return item
+    known = memo.get(id(item))
+    if known is not None:
+        return known
+    if isinstance(item, tuple | frozenset):
+        return type(item)(clone(part, memo) for part in item)
+    if isinstance(item, dict):
+        new = memo[id(item)] = type(item)()
+        for key, part in item.items():
+            new[key] = clone(part, memo)
+        return new
+    if isinstance(item, list | collections.deque):
+        new = memo[id(item)] = type(item)()
+        new.extend(clone(part, memo) for part in item)
+        return new
+    if isinstance(item, set):
+        return set(item)
+    if isinstance(item, types.FunctionType):
+        cells = tuple(types.CellType(clone(cell.cell_contents, memo)) for cell in item.__closure__ or ())
+        defaults = clone(item.__defaults__, memo)
+        return types.FunctionType(item.__code__, item.__globals__, item.__name__, defaults, cells)
+    new = memo[id(item)] = object.__new__(type(item))
+    for name, part in _fields(item):
+        object.__setattr__(new, name, clone(part, memo))
+    return new
+
+
+def form(item, memo: dict):
+    """A hashable canonical form; an object met again is told by its place."""
+    if item is None or isinstance(item, str | bytes | int | float):
+        return item
+    if isinstance(item, Fixed):
+        return item.name
+    if isinstance(item, types.MethodType):
+        return (item.__name__, form(item.__self__, memo))
+    if isinstance(item, types.FunctionType):
+        cells = tuple(form(cell.cell_contents, memo) for cell in item.__closure__ or ())
+        return (item.__code__.co_firstlineno, cells, form(item.__defaults__, memo))
+    if isinstance(item, tuple):
+        return tuple(form(part, memo) for part in item)
+    if isinstance(item, set | frozenset):
+        return tuple(sorted(item))
+    if id(item) in memo:
+        return ("again", memo[id(item)])
+    memo[id(item)] = len(memo)
+    if isinstance(item, dict):
+        return tuple((key, form(item[key], memo)) for key in sorted(item))
+    if isinstance(item, list | collections.deque):
+        return tuple(form(part, memo) for part in item)
+    return (type(item).__name__, tuple((name, form(part, memo)) for name, part in _fields(item)))
+
+
+def _cells(act) -> dict:
+    if not isinstance(act, types.FunctionType):
+        return {}
+    return dict(zip(act.__code__.co_freevars, [cell.cell_contents for cell in act.__closure__ or ()], strict=True))
+
+
+def is_stale(act) -> bool:
+    """A timer of an attempt that is over does nothing."""
+    held = _cells(act)
+    work = held.get("work")
+    return work is not None and (work.stage == "over" or work.number != held.get("number", work.number))
+
+
+def is_pause(act) -> bool:
+    """The wait before a further attempt. It is left out: requests may be delayed as long, so it tells nothing new."""
+    work = _cells(act).get("work")
+    return work is not None and work.stage == "wait"
+
+
+class Port(Fixed):
+    """The outside of one proposer: what it sends, sets and tells is gathered here and taken after each step."""
+
+    def __init__(self, *, name: str):
+        self.name = name
+        self.sent = []
+        self.timers = []
+        self.facts = []
+        self.row = acceptors.EMPTY
+
+    def held(self, _name: str) -> tuple:
+        """Accepted ballot, revision and value on the disk of the proposer's own node."""
+        return self.row[1:]
+
+    def send(self, member: str, message: tuple) -> None:
+        self.sent.append((member, message))
+
+    def later(self, delay: float, act) -> None:
+        self.timers.append((delay, act))
+
+    def now(self) -> float:
+        return 0.0
+
+    def chance(self) -> float:
+        return 0.0
+
+    def on_chosen(self, _name, _ballot, rev, value, _is_news) -> None:
+        self.facts.append(("chosen", rev, value))
+
+
+class Edit(Fixed):
+    """Adds its tag, and knows its own work again."""
+
+    def __init__(self, *, tag: str):
+        self.name = tag
+
+    def __call__(self, payload):
+        payload = payload or []
+        if self.name in payload:
+            return payload, None
+        return [*payload, self.name], None
+
+
+class Done(Fixed):
+    def __init__(self, *, port: Port, call: str):
+        self.name = call
+        self._port = port
+
+    def __call__(self, fault, rev, payload, _result) -> None:
+        if fault is None:
+            self._port.facts.append(("done", self.name, rev, tuple(payload or ())))
+        else:
+            self._port.facts.append(("failed", self.name, 0, ()))
+
+
+# --- Scenarios ------------------------------------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call:
+    """One call at one proposer. kind: write, move (writes its tag under the set `to`), read."""
+
+    name: str
+    kind: str
+    to: tuple = ()
+    attempts: int = 1
+    is_first: bool = True  # begun at the start; otherwise at any moment
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Writer:
+    """One proposer. `known` is the set it knows at the start, () for none: then its seeds count."""
+
+    name: str
+    calls: tuple
+    known: tuple = ()
+    seeds: tuple = ()
+    home: str = ""  # the node whose disk tells it the set after a restart
+    is_naming: bool = False  # names the value that its node holds already; answers leave that out
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Row:
+    """What one node holds at the start: promised at and accepted under `ballot`."""
+
+    node: str
+    ballot: tuple
+    members: tuple
+    tags: tuple
+    previous: tuple = ()
+    is_safe: bool = True  # False: in memory, not yet on the disk
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scenario:
+    name: str
+    members: tuple  # the first set
+    nodes: tuple
+    writers: tuple
+    holders: tuple = ()  # hold the first value; () for all members
+    rows: tuple = ()  # in place of the first value: a start in the middle of a history
+    chosen: tuple = (FIRST_TAG,)  # the newest chosen value at the start
+    chosen_set: tuple = ()  # its set; () for `members`
+    refill: str = "real"  # or a planted fault, see REFILLS
+    wipes: tuple = ()  # one of these may lose its disk once
+    restarts: tuple = ()  # one of these proposers may start again once
+    is_told: tuple = ()  # proposers that may hear of chosen values
+    repeats: int = 0  # requests that may arrive twice
+    is_split: bool = False
+    crashes: tuple = ()  # their disks are slow, and one of them may lose what was not yet on its disk
+    is_peek_early: bool = False  # planted fault: a peek is answered from memory
+    learners: tuple = ()  # start without anything, and refill
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    rule: str
+    events: tuple
+    states: int
+
+    def text(self) -> str:
+        return "\n".join([f"{self.rule} ({len(self.events)} steps, {self.states} states)", *map(str, self.events)])
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    scenario: str
+    states: int
+    seconds: float
+    finding: Finding | None
+    is_whole: bool
+
+
+class Broken(Exception):
+    """A rule is broken in this history."""
+
+
+class Part:
+    """A live object with its canonical form; never changed once it stands in a state."""
+
+    __slots__ = ("live", "key")
+
+    def __init__(self, live, key):
+        self.live = live
+        self.key = key
+
+
+class State:
+    """Everything that can still matter. Copied shallowly; a step puts new parts in place of those it changes."""
+
+    __slots__ = (
+        "nodes",
+        "writers",
+        "pool",
+        "begun",
+        "latest",
+        "left",
+        "longest",
+        "news",
+        "budget",
+        "gathered",
+        "waits",
+    )
+
+    def copy(self):
+        new = State()
+        for name in State.__slots__:
+            held = getattr(self, name)
+            setattr(new, name, dict(held) if isinstance(held, dict) else held)
+        return new
+
+    def key(self) -> tuple:
+        """The first five have the same keys in the same order in each state of a scenario."""
+        return (
+            tuple([part.key for part in self.nodes.values()]),
+            tuple([part.key for part in self.writers.values()]),
+            tuple(self.latest.values()),
+            tuple(self.left.values()),
+            tuple(self.budget.values()),
+            self.pool,
+            self.longest,
+            self.news,
+            tuple(sorted(self.begun.items())),
+            tuple(sorted((name, part.key) for name, part in self.gathered.items())),
+            tuple(sorted(self.waits.items())),
+        )
+
+
+class Explorer:
+    """Breadth-first over all states of one scenario."""
+
+    def __init__(self, *, scenario: Scenario, acceptor_type=acceptors.Acceptor):
+        self.scenario = scenario
+        self._acceptor_type = acceptor_type
+        self._ids = {}
+        self._items = []  # requests (and answers, where split) by their number; a pool is a set of numbers
+        self._item_numbers = {}
+        self._asked = {}  # (part, request): the node after it, and its answer
+        self._moves = {}  # (part, step): what comes of it; parts are never changed, so each step is taken once
+        self.ports = {writer.name: Port(name=writer.name) for writer in scenario.writers}
+        self._writers = {writer.name: writer for writer in scenario.writers}
+        self._calls = {call.name: (writer.name, call) for writer in scenario.writers for call in writer.calls}
+
+    # -- building parts
+
+    def _intern(self, key) -> int:
+        return self._ids.setdefault(key, len(self._ids))
+
+    def _node(self, held, safe=None) -> Part:
+        """`safe` is what the disk holds where that is older than what the node knows."""
+        safe = safe or held
+        return Part((held, safe), self._intern((acceptor_form(held), acceptor_form(safe))))
+
+    def _writer(self, proposer, timers) -> Part:
+        timers = [act for act in timers if not is_stale(act)]
+        memo = {}
+        return Part((proposer, timers), self._intern((form(proposer, memo), form(timers, memo))))
+
+    def _silence(self, state: State, name: str) -> None:
+        """A writer without attempts left does nothing more: what it knows no longer tells states apart."""
+        state.left[name] = -1
+        state.latest[name] = (-1, ())
+        state.writers[name] = Part((state.writers[name].live[0], []), -1)
+
+    def _make_acceptor(self, incarnation: str):
+        return self._acceptor_type(incarnation=incarnation)
+
+    def _copy_acceptor(self, old):
+        new = copy_acceptor(old)
+        new.__class__ = self._acceptor_type
+        return new
+
+    def _make_proposer(self, writer: Writer, own: str = ""):
+        return make_proposer(
+            own=own or writer.name,
+            port=self.ports[writer.name],
+            seeds=writer.seeds or self.scenario.members,
+            is_naming=writer.is_naming,
+        )
+
+    def start(self) -> State:
+        scenario = self.scenario
+        state = State()
+        state.nodes = {}
+        value = make_value(members=scenario.members, tags=(FIRST_TAG,))
+        for name in scenario.nodes:
+            held = self._make_acceptor(f"{name}1")
+            if name in (scenario.holders or scenario.members):
+                held.table[REGISTER] = (FIRST_BALLOT, FIRST_BALLOT, 1, value)
+            state.nodes[name] = self._node(held)
+        state.waits = {}
+        for row in scenario.rows:
+            safe = state.nodes[row.node].live[1]
+            held = self._copy_acceptor(safe)
+            found = make_value(members=row.members, tags=row.tags, previous=row.previous)
+            held.table[REGISTER] = (row.ballot, row.ballot, len(row.tags), found)
+            state.nodes[row.node] = self._node(held, None if row.is_safe else safe)
+            if not row.is_safe:
+                state.waits[row.node] = ()
+        top = max([FIRST_BALLOT[0], *[row.ballot[0] for row in scenario.rows]])
+        state.writers = {}
+        state.pool = frozenset()
+        state.begun = {}
+        state.latest = {}
+        state.left = {}
+        state.longest = scenario.chosen
+        state.news = make_value(members=scenario.chosen_set or scenario.members, tags=scenario.chosen)
+        state.budget = {
+            "wipe": int(bool(scenario.wipes)),
+            "restart": int(bool(scenario.restarts)),
+            "repeat": scenario.repeats,
+            "crash": int(bool(scenario.crashes)),
+        }
+        state.gathered = {}
+        for name in scenario.learners:
+            state.nodes[name] = self._node(self._make_acceptor(""))
+            state.gathered[name] = self._refill(make_refill(own=name, kind=scenario.refill))
+        for writer in scenario.writers:
+            proposer = self._make_proposer(writer)
+            proposer.note_top(name=REGISTER, number=top)
+            if writer.known:
+                proposer.known[REGISTER] = writer.known
+            state.writers[writer.name] = self._writer(proposer, [])
+            state.left[writer.name] = 0
+            state.latest[writer.name] = (0, ())
+        for writer in scenario.writers:
+            for call in writer.calls:
+                if call.is_first:
+                    self._begin(state, call.name)
+        self._prune(state)
+        return state
+
+    # -- steps of proposers
+
+    def _act(self, state: State, name: str, step: tuple, act) -> None:
+        """Takes on what comes of a step: the proposer after it, what it sent, what it told."""
+        place = (state.writers[name].key, step)
+        if self._writers[name].is_naming:
+            part = state.nodes[self._writers[name].home]
+            self.ports[name].row = part.live[1].get(REGISTER)
+            place = (*place, part.key)
+        if place not in self._moves:
+            self._moves[place] = self._play(state.writers[name], name, act)
+        part, sent, facts = self._moves[place]
+        state.writers[name] = part
+        self._take_sent(state, name, sent)
+        if state.left[name] < 0:
+            self._silence(state, name)
+        for fact in facts:
+            self._take_fact(state, name, fact)
+        if facts and all(state.begun.get(call.name) == OVER for call in self._writers[name].calls):
+            self._silence(state, name)
+
+    def _play(self, part: Part, name: str, act) -> tuple:
+        """Lets `act(proposer, timers)` run on a copy."""
+        port = self.ports[name]
+        memo = {}
+        proposer = clone(part.live[0], memo)
+        timers = clone(part.live[1], memo)
+        act(proposer, timers)
+        for _turn in range(100):
+            due = [after for delay, after in port.timers if delay == 0 or is_pause(after)]
+            timers += [after for delay, after in port.timers if delay > 0 and not is_pause(after)]
+            port.timers = []
+            if not due:
+                break
+            for after in due:
+                after()
+        sent, port.sent = tuple(port.sent), []
+        facts, port.facts = tuple(port.facts), []
+        return self._writer(proposer, timers), sent, facts
+
+    def _number_item(self, item: tuple) -> int:
+        if item not in self._item_numbers:
+            self._item_numbers[item] = len(self._items)
+            self._items.append(item)
+        return self._item_numbers[item]
+
+    def _take_sent(self, state: State, name: str, sent: tuple) -> None:
+        pool = set(state.pool)
+        for member, message in sent:
+            number, ballot = state.latest[name]
+            if message[0] == "prepare" and request_ballot(message) != ballot:
+                # A new attempt. Without attempts left the writer falls silent from here on.
+                state.left[name] -= 1
+                ballot = request_ballot(message)
+            state.latest[name] = (number_of(message), ballot)
+            if state.left[name] >= 0 and member in state.nodes:
+                pool.add(self._number_item((name, member, message)))
+        state.pool = frozenset(pool)
+
+    def _begin(self, state: State, call_name: str) -> None:
+        name, call = self._calls[call_name]
+        state.begun.setdefault(call_name, len(state.longest))
+        state.left[name] += call.attempts
+        done = Done(port=self.ports[name], call=call_name)
+
+        def act(proposer, _timers):
+            if call.kind == "read":
+                proposer.read(name=REGISTER, done=done)
+            else:
+                edit = Edit(tag=call_name)
+                proposer.change(name=REGISTER, edit=edit, done=done, next_set=call.to or None)
+
+        self._act(state, name, ("begin", call_name), act)
+
+    # -- rules
+
+    def _take_fact(self, state: State, name: str, fact: tuple) -> None:
+        if fact[0] == "failed":
+            state.begun[fact[1]] = OVER
+            return
+        if fact[0] == "chosen":
+            rev, tags = fact[1], tags_of(fact[2])
+        else:
+            rev, tags = fact[2], fact[3]
+        if rev != len(tags):
+            raise Broken(f"revision {rev} holds {tags}")
+        size = min(len(tags), len(state.longest))
+        if tags[:size] != state.longest[:size]:
+            raise Broken(f"{name}: {tags} is chosen at revision {rev}, and so was {state.longest}")
+        if fact[0] == "done":
+            call = self._calls[fact[1]][1]
+            if len(tags) < state.begun[fact[1]]:
+                raise Broken(f"{fact[1]} saw revision {rev}; {state.begun[fact[1]]} was acknowledged before it began")
+            if call.kind != "read" and call.name not in tags:
+                raise Broken(f"{fact[1]} was acknowledged without its change: {tags}")
+            state.begun[fact[1]] = OVER
+        if len(tags) > len(state.longest):
+            state.longest = tags
+            if fact[0] == "chosen":
+                state.news = fact[2]
+
+    # -- steps of nodes
+
+    def _deliver(self, state: State, item: tuple) -> None:
+        name, member, message = item
+        if message[0] == "answer":
+            self._answer(state, name, member, message[1])
+            return
+        part = state.nodes[member]
+        if member not in self.scenario.crashes:
+            state.nodes[member], answer = self._ask(part, message)
+            self._send_answer(state, name, member, answer)
+            return
+        held, safe = part.live
+        if message[0] == "peek":
+            self._send_answer(state, name, member, (held if self.scenario.is_peek_early else safe).peek(message))
+            return
+        acceptor, answer = self._ask_new(held, message)
+        is_waiting = held is not safe or acceptor_form(acceptor) != acceptor_form(held)
+        if not is_waiting:
+            self._send_answer(state, name, member, answer)
+            return
+        state.nodes[member] = self._node(acceptor, safe)
+        state.waits[member] = (*state.waits.get(member, ()), (name, answer))
+
+    def _ask(self, part: Part, message: tuple) -> tuple:
+        """The node after a request, all of it safe on its disk, and its answer."""
+        place = (part.key, message)
+        if place not in self._asked:
+            acceptor, answer = self._ask_new(part.live[0], message)
+            self._asked[place] = (self._node(acceptor), answer)
+        return self._asked[place]
+
+    def _ask_new(self, held, message: tuple) -> tuple:
+        acceptor = self._copy_acceptor(held)
+        if message[0] == "prepare":
+            answer = acceptor.prepare(message)[0]
+        elif message[0] == "accept":
+            answer = acceptor.accept(message)[0]
+        else:
+            answer = acceptor.peek(message)
+        return acceptor, answer
+
+    def _send_answer(self, state: State, name: str, member: str, answer: tuple) -> None:
+        if self.scenario.is_split:
+            state.pool = state.pool | {self._number_item((name, member, ("answer", answer)))}
+        else:
+            self._answer(state, name, member, answer)
+
+    def _answer(self, state: State, name: str, member: str, answer: tuple) -> None:
+        if state.left.get(name, -1) >= 0 and number_of(answer) == state.latest[name][0]:
+            step = ("answer", member, answer)
+            self._act(state, name, step, lambda proposer, _timers: hand_answer(proposer, member, answer))
+
+    def _flush(self, state: State, member: str) -> None:
+        state.nodes[member] = self._node(state.nodes[member].live[0])
+        for name, answer in state.waits.pop(member):
+            self._send_answer(state, name, member, answer)
+
+    def _gather(self, state: State, own: str, other: str) -> None:
+        """An emptied node takes one more answer, and votes again once its refill is done."""
+        refill = clone(state.gathered[own].live, {})
+        request = refill.request()
+        source = self._copy_acceptor(state.nodes[other].live[0])
+        rows = answer_refill(source, request)
+        state.nodes[other] = self._node(source)
+        refill.take(member=other, number=number_of(request), first_set=self.scenario.members, rows=rows)
+        if refill.stage != refills.DONE:
+            state.gathered[own] = self._refill(refill)
+            return
+        acceptor = self._make_acceptor("")
+        acceptor.refill(incarnation=f"{own}2", states=tuple(refill.answers.values()))
+        state.nodes[own] = self._node(acceptor)
+        del state.gathered[own]
+
+    def _refill(self, refill) -> Part:
+        return Part(refill, self._intern(("refill", form(refill, {}))))
+
+    # -- the choice of steps
+
+    def steps(self, state: State):
+        scenario = self.scenario
+        for number in state.pool:
+            item = self._items[number]
+            yield ("deliver", *item), lambda new, number=number: self._deliver_once(new, number)
+            if state.budget["repeat"]:
+                yield ("repeat", *item), lambda new, item=item: self._repeat(new, item)
+        for name, part in state.writers.items():
+            if state.left[name] <= 0:
+                continue
+            for place in range(len(part.live[1])):
+                yield ("timer", name, place), lambda new, name=name, place=place: self._fire(new, name, place)
+        for call in self._calls:
+            if call not in state.begun:
+                yield ("begin", call), lambda new, call=call: self._begin(new, call)
+        for name in scenario.is_told:
+            if state.writers[name].live[0].known.get(REGISTER) != set_of(state.news):
+                yield ("told", name), lambda new, name=name: self._tell(new, name)
+        if state.budget["wipe"]:
+            for name in scenario.wipes:
+                yield ("disk emptied", name), lambda new, name=name: self._wipe(new, name)
+        if state.budget["restart"]:
+            for name in scenario.restarts:
+                yield ("process restarts", name), lambda new, name=name: self._restart(new, name)
+        for own, part in state.gathered.items():
+            for other in state.nodes:
+                if other not in state.gathered and other not in part.live.answers:
+                    yield ("refill", own, other), lambda new, own=own, other=other: self._gather(new, own, other)
+        for name in state.waits:
+            yield ("safe on disk", name), lambda new, name=name: self._flush(new, name)
+            if state.budget["crash"]:
+                yield ("crash before safe", name), lambda new, name=name: self._crash(new, name)
+
+    def _deliver_once(self, state: State, number: int) -> None:
+        state.pool = state.pool - {number}
+        self._deliver(state, self._items[number])
+
+    def _repeat(self, state: State, item: tuple) -> None:
+        state.budget["repeat"] -= 1
+        self._deliver(state, item)
+
+    def _fire(self, state: State, name: str, place: int) -> None:
+        self._act(state, name, ("timer", place), lambda _proposer, timers: timers.pop(place)())
+
+    def _tell(self, state: State, name: str) -> None:
+        value = state.news
+        self._act(state, name, ("told", value), lambda proposer, _timers: learn_chosen(proposer, value))
+
+    def _wipe(self, state: State, name: str) -> None:
+        state.budget["wipe"] -= 1
+        state.nodes[name] = self._node(self._make_acceptor(""))
+        state.waits.pop(name, None)
+        state.gathered[name] = self._refill(make_refill(own=name, kind=self.scenario.refill))
+
+    def _crash(self, state: State, name: str) -> None:
+        state.budget["crash"] -= 1
+        state.nodes[name] = self._node(state.nodes[name].live[1])
+        state.waits.pop(name, None)
+
+    def _restart(self, state: State, name: str) -> None:
+        """The proposer forgets all but what its node's disk holds; its open calls begin once more, in a new life."""
+        state.budget["restart"] -= 1
+        writer = self._writers[name]
+        proposer = self._make_proposer(writer, own=f"{name}2")
+        promised, _accepted, _rev, value = state.nodes[writer.home].live[1].get(REGISTER)
+        proposer.note_top(name=REGISTER, number=promised[0])
+        if value:
+            learn_accepted(proposer, value)
+        state.writers[name] = self._writer(proposer, [])
+        state.left[name] = 0
+        state.latest[name] = (-1, ())
+        state.pool = frozenset(self._after_end(state.pool, name))
+        for call in writer.calls:
+            if state.begun.get(call.name, OVER) != OVER:
+                self._begin(state, call.name)
+
+    def _after_end(self, pool: frozenset, name: str):
+        """Accepts go on their way when their proposer's life ends; answers to it, and all else, end with its links."""
+        for number in pool:
+            owner, member, message = self._items[number]
+            if owner != name:
+                yield number
+            elif message[0] == "accept":
+                yield self._number_item((NOBODY, member, message))
+
+    def _prune(self, state: State) -> None:
+        """Drops what can only refuse (see the head of this module)."""
+        keep = []
+        for number in state.pool:
+            name, member, message = self._items[number]
+            is_live = state.left.get(name, -1) >= 0
+            if message[0] == "answer":
+                if is_live and number_of(message[1]) == state.latest[name][0]:
+                    keep.append(number)
+                continue
+            if is_live and number_of(message) == state.latest[name][0]:
+                keep.append(number)
+                continue
+            if message[0] != "accept":
+                continue
+            held = state.nodes[member].live[0]
+            promised, accepted = held.get(REGISTER)[:2]
+            ballot = request_ballot(message)
+            if held.incarnation != named_incarnation(message) and self._acceptor_type is acceptors.Acceptor:
+                continue
+            if ballot >= promised and ballot != accepted:
+                keep.append(number)
+        state.pool = frozenset(keep)
+
+    def run(self, *, most_states: int) -> Outcome:
+        begun = time.monotonic()
+        first = self.start()
+        seen = {first.key(): None}
+        queue = collections.deque([(first, None)])
+        finding = None
+        while queue and finding is None and len(seen) < most_states:
+            state, trail = queue.popleft()
+            for label, act in self.steps(state):
+                new = state.copy()
+                try:
+                    act(new)
+                except Broken as fault:
+                    finding = Finding(str(fault), history((label, trail)), len(seen))
+                    break
+                self._prune(new)
+                key = hash(new.key())
+                if key not in seen:
+                    seen[key] = None
+                    queue.append((new, (label, trail)))
+        is_whole = finding is None and not queue
+        return Outcome(self.scenario.name, len(seen), time.monotonic() - begun, finding, is_whole)
+
+
+def history(trail) -> tuple:
+    labels = []
+    while trail is not None:
+        label, trail = trail
+        labels.append(readable(label))
+    return tuple(reversed(labels))
+
+
+def readable(label: tuple) -> tuple:
+    """Values are told by their set and tags."""
+
+    def told(part):
+        if isinstance(part, bytes):
+            return f"{''.join(set_of(part))}:{'+'.join(tags_of(part))}" if part else "-"
+        return tuple(told(item) for item in part) if isinstance(part, tuple) else part
+
+    return told(label)
+
+
+# --- Planted faults -------------------------------------------------------------------------------------------------
+
+
+@contextlib.contextmanager
+def majority_left_out(members: tuple):
+    """Planted fault: nobody asks for a majority of this set."""
+    real = ballots.has_majority
+
+    def faulty(*, of, among) -> bool:
+        return set(of) == set(members) or real(of=of, among=among)
+
+    ballots.has_majority = faulty
+    try:
+        yield
+    finally:
+        ballots.has_majority = real
+
+
+class ForgetfulAcceptor(acceptors.Acceptor):
+    """Planted fault: an accept is taken whichever incarnation promised."""
+
+    def accept(self, message: tuple) -> tuple:
+        return super().accept(with_incarnation(message, self.incarnation))
+
+
+class PlainRefill(refills.Refill):
+    """Planted fault: takes the rows as they are told, without a fence."""
+
+    def _raise_fence(self) -> None:
+        self.stage = refills.DONE
+
+
+class SingleRefill(refills.Refill):
+    """Planted fault: one answer is enough."""
+
+    def has_enough(self) -> bool:
+        return bool(self.answers)
+
+
+REFILLS = {"real": refills.Refill, "plain": PlainRefill, "single": SingleRefill}
+
+
+# --- The scenarios --------------------------------------------------------------------------------------------------
+
+OLD = ("A", "B", "C")
+SWAPPED = ("B", "C", "D")
+GROWN = ("A", "B", "C", "D")
+SHRUNK = ("A", "B")
+FIVE = ("A", "B", "C", "D", "E")
+NEW_SEEDS = ("D", "E")
+
+
+def write_by(name: str, *, attempts: int = 1, known: tuple = OLD, is_first: bool = True, **more) -> Writer:
+    call = Call(name=name.lower(), kind="write", attempts=attempts, is_first=is_first)
+    return Writer(name=name, known=known, calls=(call,), **more)
+
+
+def read_by(name: str, *, attempts: int = 1, known: tuple = OLD, is_first: bool = False) -> Writer:
+    call = Call(name=name.lower(), kind="read", attempts=attempts, is_first=is_first)
+    return Writer(name=name, known=known, calls=(call,))
+
+
+def move_by(name: str, *, to: tuple, attempts: int = 1, known: tuple = OLD) -> Writer:
+    return Writer(name=name, known=known, calls=(Call(name="move", kind="move", to=to, attempts=attempts),))
+
+
+def move_of(*, name: str, to: tuple, attempts: int = 1, others: tuple = (), **more) -> Scenario:
+    """P moves the set, Q writes, others do what they do; all know the old set only."""
+    nodes = tuple(sorted({*OLD, *to}))
+    writers = (move_by("P", to=to), write_by("Q", attempts=attempts), *others)
+    return Scenario(name=name, members=OLD, nodes=nodes, writers=writers, **more)
+
+
+def accepted(*, nodes: str, ballot: tuple, members: tuple, tags: tuple, previous: tuple = ()) -> tuple:
+    return tuple(Row(node=node, ballot=ballot, members=members, tags=tags, previous=previous) for node in nodes)
+
+
+def half_moved(*, name: str, writers: tuple, **more) -> Scenario:
+    """The swap was accepted at C and D only: a majority of the new set, not of the old one."""
+    rows = accepted(nodes="CD", ballot=(2, "M"), members=SWAPPED, tags=(FIRST_TAG, "m"), previous=OLD)
+    return Scenario(name=name, members=OLD, nodes=GROWN, rows=rows, writers=writers, **more)
+
+
+def moved(*, name: str, writers: tuple, back: str = "", **more) -> Scenario:
+    """The swap was chosen at B, C and D; A missed it. A move back was accepted at the nodes `back`, and is not chosen."""
+    rows = accepted(nodes="BCD", ballot=(2, "M"), members=SWAPPED, tags=(FIRST_TAG, "m"))
+    rows += accepted(nodes=back, ballot=(3, "N"), members=OLD, tags=(FIRST_TAG, "m", "n"), previous=SWAPPED)
+    return Scenario(
+        name=name,
+        members=OLD,
+        nodes=GROWN,
+        rows=rows,
+        chosen=(FIRST_TAG, "m"),
+        chosen_set=SWAPPED,
+        writers=writers,
+        **more,
+    )
+
+
+def onward(*, name: str, writers: tuple, **more) -> Scenario:
+    """The swap to BCD was chosen at A, B and D; a second one, to CDE, was accepted at C only."""
+    rows = accepted(nodes="ABD", ballot=(2, "M"), members=SWAPPED, tags=(FIRST_TAG, "m"), previous=OLD)
+    rows += accepted(nodes="C", ballot=(3, "N"), members=("C", "D", "E"), tags=(FIRST_TAG, "m", "n"), previous=SWAPPED)
+    return Scenario(
+        name=name,
+        members=OLD,
+        nodes=FIVE,
+        rows=rows,
+        chosen=(FIRST_TAG, "m"),
+        chosen_set=SWAPPED,
+        writers=writers,
+        **more,
+    )
+
+
+def small() -> tuple:
+    """Whole within seconds."""
+    return (
+        move_of(name="swap", to=SWAPPED),
+        move_of(name="grow by one", to=GROWN),
+        move_of(name="shrink by one, two attempts", to=SHRUNK, attempts=2),
+        move_of(name="three to five at once", to=FIVE),
+        move_of(name="swap, requests twice", to=SWAPPED, repeats=1),
+        move_of(name="swap, answers apart from requests", to=SHRUNK, is_split=True),
+        move_of(name="swap, one member lags", to=SWAPPED, holders=("A", "B")),
+        half_moved(name="half a swap, two old ones write", writers=(write_by("Q", attempts=2), write_by("R"))),
+        half_moved(name="half a swap, one reads", writers=(read_by("Q", is_first=True), write_by("R"))),
+        half_moved(
+            name="half a swap, a process starts again from its disk",
+            writers=(write_by("Q", home="D"), write_by("R")),
+            restarts=("Q",),
+        ),
+        moved(
+            name="an evicted member with the old state",
+            writers=(write_by("Q", attempts=2), write_by("R", known=SWAPPED)),
+            is_told=("Q",),
+        ),
+        moved(name="an evicted member reads", writers=(read_by("Q"), write_by("R", known=SWAPPED))),
+        moved(
+            name="there and back, one of the first time reads",
+            writers=(read_by("Q"), write_by("R", known=SWAPPED)),
+            back="AB",
+        ),
+        moved(
+            name="there and back, one of the first time writes",
+            writers=(write_by("Q", attempts=2), write_by("R", known=SWAPPED)),
+            back="A",
+        ),
+        onward(name="two moves, one knows neither", writers=(write_by("Q"), write_by("R", known=SWAPPED))),
+        Scenario(name="one disk emptied", members=OLD, nodes=OLD, writers=(write_by("P"), write_by("R")), wipes=("A",)),
+        Scenario(
+            name="values left out of answers",
+            members=OLD,
+            nodes=OLD,
+            writers=(write_by("P", attempts=2, home="A", is_naming=True), write_by("R", home="B", is_naming=True)),
+        ),
+        slow_disk(name="a peek while a disk is slow"),
+    )
+
+
+def slow_disk(*, name: str, is_peek_early: bool = False) -> Scenario:
+    """P's value is accepted at A; B has it under way. One reads by a peek, another writes, B may lose its memory."""
+    rows = accepted(nodes="AB", ballot=(2, "P"), members=OLD, tags=(FIRST_TAG, "p"))
+    rows = (rows[0], dataclasses.replace(rows[1], is_safe=False))
+    return Scenario(
+        name=name,
+        members=OLD,
+        nodes=OLD,
+        rows=rows,
+        writers=(read_by("Q", is_first=True), write_by("R")),
+        crashes=("B",),
+        is_peek_early=is_peek_early,
+    )
+
+
+def large() -> tuple:
+    """Minutes; not all of it is gone through whole at the usual bound of states."""
+    return (
+        move_of(name="swap, two attempts", to=SWAPPED, attempts=2),
+        move_of(name="grow by one, two attempts", to=GROWN, attempts=2),
+        move_of(name="three to five at once, two attempts", to=FIVE, attempts=2),
+        move_of(name="swap, the newcomer learns first", to=SWAPPED, learners=("D",)),
+        half_moved(name="half a swap, B emptied", writers=(write_by("Q"), write_by("R")), wipes=("B",)),
+        move_of(name="swap, B emptied", to=SWAPPED, wipes=("B",)),
+        move_of(name="swap, the newcomer emptied", to=SWAPPED, wipes=("D",)),
+        move_of(name="swap, one reads later", to=SWAPPED, others=(read_by("R"),)),
+        move_of(name="swap, answers apart from requests", to=SWAPPED, is_split=True),
+        move_of(name="swap, three write", to=SWAPPED, others=(write_by("R"),)),
+        half_moved(
+            name="half a swap, B emptied, two attempts",
+            writers=(write_by("Q", attempts=2), write_by("R")),
+            wipes=("B",),
+        ),
+        moved(
+            name="there and back, three attempts",
+            writers=(write_by("Q", attempts=3), write_by("R", known=SWAPPED)),
+            back="A",
+        ),
+        onward(
+            name="two moves, one knows neither, two attempts",
+            writers=(write_by("Q", attempts=2), write_by("R", known=SWAPPED)),
+        ),
+        Scenario(
+            name="one disk emptied, two attempts",
+            members=OLD,
+            nodes=OLD,
+            writers=(write_by("P", attempts=2), write_by("R")),
+            wipes=("A",),
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """A scenario with a fault put in, which has to be found."""
+
+    scenario: Scenario
+    left_out: tuple = ()  # no majority of this set is asked for
+    acceptor_type: type = acceptors.Acceptor
+
+
+def planted() -> tuple:
+    emptied = Scenario(name="", members=OLD, nodes=OLD, writers=(write_by("P"), write_by("R")), wipes=("A",))
+    return (
+        Fault(scenario=move_of(name="majority of the new set only", to=SWAPPED), left_out=OLD),
+        Fault(
+            scenario=moved(name="majority of the old set only", writers=(write_by("Q"), write_by("R", known=SWAPPED))),
+            left_out=SWAPPED,
+        ),
+        Fault(
+            scenario=dataclasses.replace(emptied, name="accept under another incarnation than promised"),
+            acceptor_type=ForgetfulAcceptor,
+        ),
+        Fault(scenario=dataclasses.replace(emptied, name="refill from one node", refill="single")),
+        Fault(scenario=dataclasses.replace(emptied, name="refill without a fence", refill="plain")),
+        Fault(
+            scenario=Scenario(
+                name="seeds, all of them new, as the set of a newcomer",
+                members=OLD,
+                nodes=FIVE,
+                writers=(write_by("Q", known=(), seeds=NEW_SEEDS), write_by("R")),
+            )
+        ),
+        Fault(scenario=slow_disk(name="a peek of what no disk holds", is_peek_early=True)),
+        Fault(
+            scenario=Scenario(
+                name="a value that leaves out the set before while its own was never chosen",
+                members=OLD,
+                nodes=GROWN,
+                rows=accepted(nodes="CD", ballot=(2, "M"), members=SWAPPED, tags=(FIRST_TAG, "m")),
+                writers=(write_by("Q", known=SWAPPED), write_by("R")),
+            )
+        ),
+    )
+
+
+def explore(*, scenario: Scenario, most_states: int) -> Outcome:
+    return Explorer(scenario=scenario).run(most_states=most_states)
+
+
+def explore_fault(*, fault: Fault, most_states: int) -> Outcome:
+    explorer = Explorer(scenario=fault.scenario, acceptor_type=fault.acceptor_type)
+    with majority_left_out(fault.left_out) if fault.left_out else contextlib.nullcontext():
+        return explorer.run(most_states=most_states)
+
+
+SMALL_STATES = 100_000
+LARGE_STATES = 1_000_000
+
+
+def told(outcome: Outcome) -> str:
+    how = "all" if outcome.is_whole else "NOT ALL"
+    how = "BROKEN" if outcome.finding is not None else how
+    return f"{outcome.scenario}: {outcome.states} states in {outcome.seconds:.1f} s, {how}"
+
+
+def main(arguments=None) -> int:
+    parser = argparse.ArgumentParser(prog="python3 -m pw.sim.exhaustive", description="Moves of the set, step by step.")
+    parser.add_argument("--budget", choices=("small", "large", "planted"), default="small")
+    parser.add_argument("--scenario", default="", help="only those whose name holds this text")
+    parser.add_argument("--states", type=int, default=0, help="most states of one scenario")
+    chosen = parser.parse_args(arguments)
+    is_large = chosen.budget == "large"
+    most = chosen.states or (LARGE_STATES if is_large else SMALL_STATES)
+    if chosen.budget == "planted":
+        runs = [
+            (fault.scenario, lambda fault=fault: explore_fault(fault=fault, most_states=most)) for fault in planted()
+        ]
+    else:
+        scenarios = large() if is_large else small()
+        runs = [(row, lambda row=row: explore(scenario=row, most_states=most)) for row in scenarios]
+    is_broken = False
+    for scenario, run in runs:
+        if chosen.scenario not in scenario.name:
+            continue
+        outcome = run()
+        print(told(outcome), flush=True)
+        if outcome.finding is not None:
+            print(outcome.finding.text(), flush=True)
+        is_broken = is_broken or (outcome.finding is not None) != (chosen.budget == "planted")
+    return int(is_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
