--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -74,7 +74,7 @@
         self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0, load_s=None
     ) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
-        spec = self._table.services.get(service, {})
+        service_row = self._table.services.get(service, {})
         rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid)
         if not rows:
             return None, 0, False
@@ -94,12 +94,12 @@
             if not self._table.has_room(replica=replica):
                 continue
             is_cold = replica.cold_until > now
-            may = self._quota.may_send(replica=replica, service=spec, is_hard=is_cold)
+            may = self._quota.may_send(replica=replica, service=service_row, is_hard=is_cold)
             if is_cold and not may:
                 continue
             known = max(kept.get(replica.id, 0), self._own_kept(replica, chain) if chain else 0)
             to_read = max(0, prompt_tokens - known)
-            score = self._score(replica, spec, to_read, is_cold, may, aim_s)
+            score = self._score(replica, service_row, to_read, is_cold, may, aim_s)
             if most_kept > known:  # what another one keeps would be read again here, which is paid for besides the time
                 score += (most_kept - known) / self.rates.get(replica.service, FIRST_RATE) * AGAIN_PART
             if load_s is not None:
@@ -125,7 +125,7 @@
             seen = tokens / (took_s * 1000.0)
             self.rates[service] = max(seen, self.rates.get(service, FIRST_RATE) * 0.99)
 
-    def _score(self, replica, spec, to_read, is_cold, may, aim_s) -> float:
+    def _score(self, replica, service_row, to_read, is_cold, may, aim_s) -> float:
         """Milliseconds to the first event, as far as this node can tell, and what the choice costs others."""
         running, pending, is_bad, is_failing = self.load(replica)
         berths = max(1, replica.berths)
@@ -133,7 +133,7 @@
         if way_s is None:
             way_s = 0.0 if replica.region == self._settings.region else self._aside_s
         wait = way_s * 1000.0 * (1 if replica.idle else 2)
-        if spec.get("cache_tokens"):
+        if service_row.get("cache_tokens"):
             rate = self.rates.get(replica.service, FIRST_RATE)
             reading = (to_read + pending) / rate
             # A long read slows all that run beside it.
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -20,7 +20,7 @@
         self.lanes = {}  # replica key: lane
         self.words = 1
         self.buckets = None  # images
-        self.serials = None
+        self.versions = None
 
     def _rows(self, data: bytes, *, size: int, bucket_count: int, step: str) -> list:
         width = hubs.ROW.size + size
@@ -28,10 +28,10 @@
             raise problems.FrameProblem(f"{len(data)} bytes of rows", step=step, peer=self.name)
         rows = []
         for place in range(0, len(data), width):
-            index, serial = hubs.ROW.unpack_from(data, place)
+            index, version = hubs.ROW.unpack_from(data, place)
             if index >= bucket_count:
                 raise problems.FrameProblem(f"bucket {index}", step=step, peer=self.name)
-            rows.append((index, serial, data[place + hubs.ROW.size : place + width]))
+            rows.append((index, version, data[place + hubs.ROW.size : place + width]))
         return rows
 
     def install_cut(self, *, bucket_count: int, words: int, data: bytes) -> None:
@@ -44,11 +44,11 @@
             raise problems.FrameProblem("bucket count", step="cut", peer=self.name)
         blank = ckf.empty_image(words=words)
         buckets = [blank] * bucket_count
-        serials = [0] * bucket_count
-        for index, serial, image in self._rows(data, size=len(blank), bucket_count=bucket_count, step="cut"):
+        versions = [0] * bucket_count
+        for index, version, image in self._rows(data, size=len(blank), bucket_count=bucket_count, step="cut"):
             buckets[index] = image
-            serials[index] = serial
-        self.words, self.buckets, self.serials = words, buckets, serials
+            versions[index] = version
+        self.words, self.buckets, self.versions = words, buckets, versions
 
     def install_delta(self, *, data: bytes) -> None:
         """Every bucket is checked before any is exposed."""
@@ -57,20 +57,20 @@
         rows = self._rows(
             data, size=len(ckf.empty_image(words=self.words)), bucket_count=len(self.buckets), step="delta"
         )
-        for index, serial, _image in rows:
-            if serial != self.serials[index] + 1:
-                raise problems.FrameProblem(f"bucket {index} at {serial}", step="delta", peer=self.name)
-        for index, serial, image in rows:
+        for index, version, _image in rows:
+            if version != self.versions[index] + 1:
+                raise problems.FrameProblem(f"bucket {index} at {version}", step="delta", peer=self.name)
+        for index, version, image in rows:
             self.buckets[index] = image
-            self.serials[index] = serial
+            self.versions[index] = version
 
     def frame(self) -> tuple:
         """A cut as of now, for a member of the zone that joins later: its own, with the same sequences."""
         blank = ckf.empty_image(words=self.words)
         rows = b"".join(
-            hubs.ROW.pack(index, serial) + image
-            for index, (serial, image) in enumerate(zip(self.serials, self.buckets, strict=False))
-            if serial or image != blank
+            hubs.ROW.pack(index, version) + image
+            for index, (version, image) in enumerate(zip(self.versions, self.buckets, strict=False))
+            if version or image != blank
         )
         return ("cut", self.name, self.generation, len(self.buckets), self.words, rows)
 
--- a/pw/dat/relay/hub.py
+++ b/pw/dat/relay/hub.py
@@ -19,7 +19,7 @@
         self.generation = generation
         self._actor = actor
         self._images = [actor.filter.image(index) for index in range(actor.filter.bucket_count)]
-        self._serials = [0] * actor.filter.bucket_count
+        self._versions = [0] * actor.filter.bucket_count
         actor.filter.dirty.clear()
         self._subscribers = {}
         self.is_fenced = False
@@ -29,9 +29,9 @@
         self.flush()
         blank = bytes(len(self._images[0]))
         rows = b"".join(
-            ROW.pack(index, serial) + image
-            for index, (serial, image) in enumerate(zip(self._serials, self._images, strict=False))
-            if serial or image != blank
+            ROW.pack(index, version) + image
+            for index, (version, image) in enumerate(zip(self._versions, self._images, strict=False))
+            if version or image != blank
         )
         self._subscribers[link] = True
         link.send(("cut", self.identity, self.generation, len(self._images), self._actor.filter.words, rows))
@@ -53,8 +53,8 @@
             if image == self._images[index]:
                 continue
             self._images[index] = image
-            self._serials[index] += 1
-            rows.append(ROW.pack(index, self._serials[index]) + image)
+            self._versions[index] += 1
+            rows.append(ROW.pack(index, self._versions[index]) + image)
         dirty.clear()
         if not rows:
             return
--- a/pw/dat/relay/test_relay.py
+++ b/pw/dat/relay/test_relay.py
@@ -189,8 +189,8 @@
     kind, name, generation, changed = next(message for message in wire.told if message[0] == "delta")
     last = len(changed) - hubs.ROW.size - len(ckf.empty_image(words=1))
     assert last > 0  # more than one bucket: the fault is in the last
-    index, serial = hubs.ROW.unpack_from(changed, last)
-    broken = changed[:last] + hubs.ROW.pack(index, serial + 1) + changed[last + hubs.ROW.size :]
+    index, version = hubs.ROW.unpack_from(changed, last)
+    broken = changed[:last] + hubs.ROW.pack(index, version + 1) + changed[last + hubs.ROW.size :]
     before = list(region.mirrors[name].buckets)
     for bad in (broken, changed[:-1], changed + b"x"):
         with pytest.raises(problems.FrameProblem):
--- a/pw/dat/test_request_history.py
+++ b/pw/dat/test_request_history.py
@@ -22,7 +22,7 @@
 from pw.sim import loopback
 
 PROMISES = (408, 421, 429, 503)
-TRIES = {row["name"]: row["tries"] for row in entry.SPEC["routes"]}
+TRIES = {row["name"]: row["tries"] for row in entry.CONFIGURATION["routes"]}
 REPEATABLE = ("safe", "resume")
 STREAMS = ("once", "resume")
 EVENTS = 5
--- a/pw/dat/test_requests.py
+++ b/pw/dat/test_requests.py
@@ -189,8 +189,10 @@
 @pytest.mark.parametrize("change", [{"kind": "retry_unsafe"}, {"tries": 1}])
 def test_a_configuration_that_forbids_a_second_attempt_binds_one_that_is_under_way(change):
     def script(number, heard):
-        body = dict(entry.SPEC, edition=4)
-        body["routes"] = [dict(row, **(change if row["name"] == "safe" else {})) for row in entry.SPEC["routes"]]
+        body = dict(entry.CONFIGURATION, edition=4)
+        body["routes"] = [
+            dict(row, **(change if row["name"] == "safe" else {})) for row in entry.CONFIGURATION["routes"]
+        ]
         scene.entry.configure(body)
         return ["close"]
 
--- a/pw/dat/test_residency_history.py
+++ b/pw/dat/test_residency_history.py
@@ -105,8 +105,8 @@
         entry.Entry(loop=loop, peers=list(zip(peers, zones, strict=False))) for _ in range(2)
     ]  # two entry proxies
     relay = Relay(scenes=scenes)
-    spec = copy.deepcopy(entry.SPEC)
-    home = next(route for route in spec["routes"] if route["name"] == "home")
+    configuration = copy.deepcopy(entry.CONFIGURATION)
+    home = next(route for route in configuration["routes"] if route["name"] == "home")
     bound = {}  # request id: the regions that every configuration around it permits
     homes = ("south",)
     number = 0
@@ -118,9 +118,9 @@
             # Homes change in mid-flight: both the older and the newer ones bind from here on.
             homes = chance.choice((("south",), ("north", "south"), ("north",), ("south", "west")))
             home["homeRegions"] = list(homes)
-            spec["edition"] += 1
+            configuration["edition"] += 1
             for scene in scenes:
-                scene.configure(copy.deepcopy(spec))
+                scene.configure(copy.deepcopy(configuration))
         elif act < 0.5:
             out = chance.sample(("za", "zb"), chance.randint(0, 1))
             for scene in scenes:
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -58,7 +58,7 @@
     }
 
 
-SPEC = {
+CONFIGURATION = {
     "edition": 3,
     "routes": [
         route("once", "/once/"),
@@ -81,11 +81,11 @@
         self.reach_s = 1.0
         self.is_serving = True
         self.is_leaving = False
-        self.routes = route_tables.Routes(body=SPEC)
+        self.routes = route_tables.Routes(body=CONFIGURATION)
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
         self.quota.take_entry("core", ("entry", share, share, 1000.0, 1.0, 0, 8))
         self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
-        self.table.install_services(route_tables.services(body=SPEC))
+        self.table.install_services(route_tables.services(body=CONFIGURATION))
         self.chooser = choice.Chooser(
             table=self.table, settings=self.settings, regions={}, quota=self.quota, now=loop.now
         )
@@ -124,9 +124,9 @@
     permitted = follow.FollowMixin.permitted
     _keep_older_homes = follow.FollowMixin._keep_older_homes
 
-    def configure(self, spec):
+    def configure(self, body):
         self._keep_older_homes()
-        self.routes = route_tables.Routes(body=spec)
+        self.routes = route_tables.Routes(body=body)
 
     def list_rows(self, *, clearing=()):
         return [{**row, "is_clearing": row["id"] in clearing} for row in self.rows]
--- a/pw/sim/loopback.py
+++ b/pw/sim/loopback.py
@@ -148,7 +148,7 @@
         self.sock.sendall(data)
 
     def leave(self, *, is_reset: bool = False) -> None:
-        """Ends the connection, with what was asked on it still under way or not."""
+        """Ends the connection, with a request on it still under way or not."""
         if is_reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         self.loop.unwatch(sock=self.sock)
