--- a/pw/ctl/register/ballots.py
+++ b/pw/ctl/register/ballots.py
@@ -5,6 +5,7 @@
 
 NONE = (0, "")
 COMPRESSION = 1
+NEVER = 1 << 62  # later than any rev
 
 
 def majority(members) -> int:
@@ -15,11 +16,12 @@
     return sum(1 for member in of if member in among) >= majority(of)
 
 
-def pack(*, members, payload, previous=()) -> bytes:
-    """A value under the set `members`. `previous` is the last set known to be chosen where `members` is not yet."""
+def pack(*, members, payload, previous=(), moved_at=NEVER) -> bytes:
+    """A value under the set `members`. Where that is not yet known to be chosen, `previous` is the set before it, and
+    `moved_at` the rev with which the move began."""
     fields = [list(members), payload]
     if previous:
-        fields.append(list(previous))
+        fields += [list(previous), moved_at]
     return zlib.compress(json.dumps(fields, separators=(",", ":")).encode(), COMPRESSION)
 
 
@@ -31,5 +33,11 @@
 
 def way(value: bytes) -> tuple:
     """The sets that a round has to reckon with which found this value accepted: the chosen one first."""
-    members, _payload, *previous = json.loads(zlib.decompress(value))
-    return (*(tuple(row) for row in previous), tuple(members))
+    members, _payload, *move = json.loads(zlib.decompress(value))
+    return (tuple(move[0]), tuple(members)) if move else (tuple(members),)
+
+
+def moved_at(value: bytes) -> int:
+    """The rev with which a move began that this value does not know to be over; 0 where there is none."""
+    _members, _payload, *move = json.loads(zlib.decompress(value))
+    return move[1] if move else 0
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -43,6 +43,7 @@
         "held",
         "is_settling",
         "outcome",
+        "known_rev",
         "is_wanted",
     )
 
@@ -66,6 +67,7 @@
     ):
         self.own = own
         self.known = {}  # register: the newest set known to be chosen
+        self._known_rev = {}  # register: the newest rev known to be chosen
         self.seeds = tuple(seeds)
         self.is_learner = False  # a learner makes no rounds
         self._held = held  # register name -> (ballot, rev, value) that this node holds already
@@ -84,9 +86,16 @@
     def members(self, name: str) -> tuple:
         return self.known.get(name, self.seeds)
 
-    def learn_chosen(self, *, name: str, value: bytes) -> None:
+    def learn_chosen(self, *, name: str, rev: int, value: bytes) -> None:
         """This value was chosen, and so is its set."""
-        self.known[name] = ballots.unpack(value)[0]
+        if rev >= self._known_rev.get(name, 0):
+            self._known_rev[name] = rev
+            self.known[name] = ballots.unpack(value)[0]
+
+    def _is_chosen_set(self, work, value: bytes) -> bool:
+        """Whether the set of this value was known to be chosen when the attempt began. The same machines may form a set
+        twice, so a set is known by the rev of its move: a chosen value at or after that rev stands on the move."""
+        return work.known_rev >= ballots.moved_at(value)
 
     def learn_accepted(self, *, name: str, value: bytes) -> None:
         """This value was found accepted; only the set before a change is known to be chosen."""
@@ -112,6 +121,7 @@
         work.held = (ballots.NONE, 0, b"")
         work.is_settling = False
         work.outcome = None
+        work.known_rev = 0
         work.is_wanted = is_wanted
         queue = self._queues.setdefault(name, collections.deque())
         queue.append(work)
@@ -176,6 +186,7 @@
         work.stage = "peek"
         work.promises = {}
         work.sets = [self.members(work.name)]
+        work.known_rev = self._known_rev.get(work.name, 0)
         number = self._renumber(work)
         self._note_held(work)
         for member in work.sets[0]:
@@ -204,7 +215,7 @@
             self._finish(work, None)
             return
         found, payload = ballots.unpack(best[2])
-        if found == members and ballots.has_majority(of=members, among=holders):
+        if found == members and self._is_chosen_set(work, best[2]) and ballots.has_majority(of=members, among=holders):
             work.rev, work.payload = best[1], payload
             self._on_chosen(name, best[0], best[1], best[2], False)
             self._finish(work, None)
@@ -225,6 +236,7 @@
         work.ballot = (top, self.own)
         work.stage = "prepare"
         work.sets = [self.members(work.name)]
+        work.known_rev = self._known_rev.get(work.name, 0)
         work.promises = {}
         work.accepts = set()
         work.best = (ballots.NONE, 0, b"")
@@ -304,9 +316,8 @@
         _ballot, rev, value = work.best
         members, payload, chosen_set = work.sets[0], None, work.sets[0]
         if value:
-            known = self.members(work.name)
             members, payload = ballots.unpack(value)
-            chosen_set = known if members == known else ballots.way(value)[0]
+            chosen_set = members if self._is_chosen_set(work, value) else ballots.way(value)[0]
         new_set = tuple(work.next_set) if work.next_set is not None else members
         if new_set != members and chosen_set != members:
             # One move after the other: the set found has to be chosen before the next one is written.
@@ -328,8 +339,12 @@
             return
         work.rev = rev + 1
         work.payload = new_payload
-        previous = () if new_set == chosen_set else chosen_set
-        new_value = ballots.pack(members=new_set, payload=new_payload, previous=previous)
+        previous, moved_at = (), 0
+        if new_set != members:
+            previous, moved_at = members, work.rev
+        elif chosen_set != members:
+            previous, moved_at = chosen_set, ballots.moved_at(value)
+        new_value = ballots.pack(members=new_set, payload=new_payload, previous=previous, moved_at=moved_at)
         self._accept(work, new_set, new_value, None, result)
 
     def _settle(self, work, chosen_set, payload, fault, result) -> None:
@@ -377,7 +392,7 @@
 
     def _take_chosen(self, work) -> None:
         """The value of this round is chosen, and so is its set."""
-        self.learn_chosen(name=work.name, value=work.value)
+        self.learn_chosen(name=work.name, rev=work.rev, value=work.value)
         self._on_chosen(work.name, work.ballot, work.rev, work.value, True)
         fault, result = work.is_write
         if work.is_settling:
--- a/pw/ctl/register/test_learning.py
+++ b/pw/ctl/register/test_learning.py
@@ -280,7 +280,7 @@
 def test_a_set_that_only_one_member_accepted_is_not_taken_for_the_one_in_force():
     """c alone accepted the move from abc to cde. A proposer that found it must not agree with c and d only."""
     first = (TEXT_NAME, 1, "x", 1, "x", 1, ballots.pack(members=SEEDS, payload=1))
-    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS))
+    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS, moved_at=2))
     nodes = {name: acceptor_of(name, first) for name in "ab"} | {"c": acceptor_of("c", half)}
     nodes |= {name: acceptor_of(name) for name in "de"}
     bench = Bench(nodes=nodes, known=SEEDS, reached={"c", "d", "e"})
@@ -292,6 +292,24 @@
     assert bench.chosen == [] and bench.results == []
 
 
+def test_a_set_that_comes_back_is_not_known_as_chosen_from_its_first_time():
+    """abc, bcd, and abc again: the move back was accepted by a and c alone. Whoever knows abc from the first time must not
+    read or write at a majority of abc only, while bcd is in force (found by pw.sim.exhaustive)."""
+    there = (TEXT_NAME, 2, "x", 2, "x", 2, ballots.pack(members=MOVED, payload=2))
+    back = (TEXT_NAME, 3, "y", 3, "y", 3, ballots.pack(members=SEEDS, payload=3, previous=MOVED, moved_at=3))
+    for kind in ("read", "change"):
+        nodes = {name: acceptor_of(name, there) for name in "bd"} | {name: acceptor_of(name, back) for name in "ac"}
+        bench = Bench(nodes=nodes, known=SEEDS, reached={"a", "c"})
+        bench.proposer.note_top(name=TEXT_NAME, number=3)
+        bench.proposer.change(
+            name=TEXT_NAME,
+            edit=(lambda payload: (9, None)) if kind == "change" else None,
+            done=lambda *row, bench=bench: bench.results.append(row),
+        )
+        bench.run()
+        assert bench.chosen == [] and bench.results == []
+
+
 def test_a_move_ends_with_a_value_that_no_longer_needs_the_older_set():
     model = settled(others=("d", "e"))
     move(model, "a", ("c", "d", "e"), until=8.0)
@@ -310,7 +328,7 @@
 
 def test_a_move_whose_proposer_ended_half_way_is_finished_by_another_node():
     model = settled(others=("d",))
-    row = (TEXT_NAME, 9, "x", 9, "x", 2, ballots.pack(members=MOVED, payload=1, previous=SEEDS))
+    row = (TEXT_NAME, 9, "x", 9, "x", 2, ballots.pack(members=MOVED, payload=1, previous=SEEDS, moved_at=2))
     for name in "abcd":  # chosen at all, and the proposer is gone before the round that drops the older set
         node = model.nodes[name]
         node.voting.acceptor.install(rows=[row])
@@ -323,7 +341,7 @@
 
 def test_a_second_move_waits_until_the_first_is_chosen():
     first = (TEXT_NAME, 1, "x", 1, "x", 1, ballots.pack(members=SEEDS, payload=1))
-    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS))
+    half = (TEXT_NAME, 2, "y", 2, "y", 2, ballots.pack(members=("c", "d", "e"), payload=2, previous=SEEDS, moved_at=2))
     nodes = {name: acceptor_of(name, first) for name in "ab"} | {"c": acceptor_of("c", half)}
     nodes |= {name: acceptor_of(name) for name in "defg"}
     bench = Bench(nodes=nodes, known=SEEDS, reached=set("bcdefg"))
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -271,7 +271,7 @@
             return
         ring.note("chosen", register=name, rev=rev)
         members, payload = ballots.unpack(value)
-        self.proposer.learn_chosen(name=name, value=value)
+        self.proposer.learn_chosen(name=name, rev=rev, value=value)
         self._on_value(name, payload, members)
 
 
--- a/pw/sim/exhaustive.py
+++ b/pw/sim/exhaustive.py
@@ -53,7 +53,7 @@
 
 def learn_chosen(proposer, value: bytes) -> None:
     """What `Voting.publish` does with a chosen value."""
-    proposer.learn_chosen(name=REGISTER, value=value)
+    proposer.learn_chosen(name=REGISTER, rev=len(tags_of(value)), value=value)
 
 
 def learn_accepted(proposer, value: bytes) -> None:
