--- a/pw/ctl/register/ballots.py
+++ b/pw/ctl/register/ballots.py
@@ -1,10 +1,12 @@
 """Ballots and the sets of core nodes that a value stands under (docs/register.md 2)."""
 
+import functools
 import json
 import zlib
 
 NONE = (0, "")
 COMPRESSION = 1
+HEADS_KEPT = 8
 NEVER = 1 << 62  # later than any rev
 
 
@@ -31,13 +33,24 @@
     return tuple(members), payload
 
 
+@functools.lru_cache(maxsize=HEADS_KEPT)
+def _head(value: bytes) -> tuple:
+    """(members, the set before it or (), the rev with which the move began or 0). A large value is not read twice."""
+    members, _payload, *move = json.loads(zlib.decompress(value))
+    previous, moved_at = move or ((), 0)
+    return tuple(members), tuple(previous), moved_at
+
+
+def members_of(value: bytes) -> tuple:
+    return _head(value)[0]
+
+
 def way(value: bytes) -> tuple:
     """The sets that a round has to reckon with which found this value accepted: the chosen one first."""
-    members, _payload, *move = json.loads(zlib.decompress(value))
-    return (tuple(move[0]), tuple(members)) if move else (tuple(members),)
+    members, previous, _moved_at = _head(value)
+    return (previous, members) if previous else (members,)
 
 
 def moved_at(value: bytes) -> int:
     """The rev with which a move began that this value does not know to be over; 0 where there is none."""
-    _members, _payload, *move = json.loads(zlib.decompress(value))
-    return move[1] if move else 0
+    return _head(value)[2]
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -90,7 +90,7 @@
         """This value was chosen, and so is its set."""
         if rev >= self._known_rev.get(name, 0):
             self._known_rev[name] = rev
-            self.known[name] = ballots.unpack(value)[0]
+            self.known[name] = ballots.members_of(value)
 
     def _is_chosen_set(self, work, value: bytes) -> bool:
         """Whether the set of this value was known to be chosen when the attempt began. The same machines may form a set
--- a/pw/ctl/register/store.py
+++ b/pw/ctl/register/store.py
@@ -17,7 +17,9 @@
 IDENTITY = "\x00identity"
 FILE_MODE = 0o644
 READ_SIZE = 1 << 20
-LONG_FACTOR = 4  # a file so many times as long as what it holds is written anew, once it is past the limit
+LONG_FACTOR = 32  # a file so many times as long as what it holds is written anew, within the limit
+LEAST_FACTOR = 4  # but never sooner, also past the limit
+LEAST_LONG = 64 * 1024  # nor a file as short as this
 _BATCH = construct.PrefixedArray(construct.VarInt, _ROW)
 
 
@@ -190,7 +192,8 @@
         """Appends the rows, or writes the whole image anew. Once it returns, the disk holds the image."""
         shortened = tuple(self._without_known_value(row) for row in rows)
         data = pack_rows(shortened) if rows else b""
-        is_long = self._size + len(data) > max(self._limit, LONG_FACTOR * self._live_size)
+        wanted = max(LEAST_LONG, LONG_FACTOR * self._live_size)
+        is_long = self._size + len(data) > max(LEAST_FACTOR * self._live_size, min(self._limit, wanted))
         if self._needs_whole or is_long:
             self._rewrite(image)
             return
