--- a/pw/dat/filters.py
+++ b/pw/dat/filters.py
@@ -30,6 +30,10 @@
     tokens: int = 0
 
 
+NO_MODEL = Model()
+NO_PROMPT = Prompt()
+
+
 @dataclasses.dataclass(frozen=True)
 class Times:
     """Until when the client waits, and within which time an answer earns its full worth."""
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -34,9 +34,8 @@
         self.service = ""
         self.permitted = None
         self.first_homes = ()
-        model_text = request.text(b"x-model")
-        self.model = filters.Model(text=model_text, name=model_text)
-        self.prompt = filters.Prompt()
+        self.model = filters.NO_MODEL
+        self.prompt = filters.NO_PROMPT
         self.deadline = 0.0
         self.aim_s = 0.0
         self.attempt = None
@@ -85,18 +84,20 @@
         self.route = route
         self.first_homes = tuple(sorted(self.proxy.permitted(route=route, first_homes=()) or ()))
         self.service = route.pick(random.random())
+        self.resolve_model()
         times = filters.read_times(request=self.request, route=route)
         if isinstance(times, filters.Refused):
             return times
         self.deadline, self.aim_s = times.deadline, times.aim_s
         if self.loop.now() >= self.deadline:
             return filters.Refused(status=503, after_s=LATE_PAUSE_S)  # read late, by a freeze or a slow client
-        self.resolve_model()
         self.prompt = filters.read_prompt(request=self.request, model_text=self.model.text, is_sticky=route.is_sticky)
         return None
 
     def resolve_model(self) -> None:
-        self.model = filters.read_model(text=self.model.text, service=self.service, table=self.proxy.table)
+        self.model = filters.read_model(
+            text=self.request.text(b"x-model"), service=self.service, table=self.proxy.table
+        )
 
     @property
     def is_repeatable(self) -> bool:
