--- a/pw/ctl/core_set.py
+++ b/pw/ctl/core_set.py
@@ -47,16 +47,12 @@
 
 
 class Mover:
-    """Moves every register to a set: all at once, and the core set's own register when the others stand under it.
-
-    A member that leaves in order watches the core set's register, so it votes until no register needs it.
-    """
+    """Moves every register to a set, all at once. Each is safe by itself; one that fails is moved again."""
 
     def __init__(self, *, change, known_set):
         self._change = change  # (name, edit, done, next_set): a round of the register
         self._known_set = known_set  # (name) -> the set that the register is known to stand under
         self._under_way = set()  # registers
-        self._has_failed = False
 
     @property
     def is_moving(self) -> bool:
@@ -67,26 +63,17 @@
         return any(tuple(self._known_set(name)) != target for name in registers.REGISTERS)
 
     def move(self, *, target: tuple) -> None:
-        """Starts to move all registers to `target`. A failed round ends it; the next heartbeat begins again."""
+        """Starts to move all registers to `target`. Where a round fails, the next heartbeat begins again."""
         if self.is_moving:
             return
         ring.note("core set moves", to=list(target))
-        self._has_failed = False
         self._under_way = set(registers.REGISTERS)
         for name in registers.REGISTERS:
-            if name != registers.CORE_SET:
-                self._move_one(name, target)
+            self._move_one(name, target)
 
     def _move_one(self, name: str, target: tuple) -> None:
-        def done(failure, _revision=0, _payload=None, _result=None):
-            self._has_failed = self._has_failed or failure is not None
+        def done(_failure, _revision=0, _payload=None, _result=None):
             self._under_way.discard(name)
-            if self._under_way != {registers.CORE_SET}:
-                return
-            if self._has_failed:
-                self._under_way.clear()
-            else:
-                self._move_one(registers.CORE_SET, target)
 
         self._change(name=name, edit=_edit_for(name), done=done, next_set=target)
 
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -351,12 +351,12 @@
     def may_end(self) -> bool:
         """Whether the others go on without this node: no duty here, no successor waiting, a majority beside it."""
         members = self.members()
-        if self.own not in members:
+        if all(self.own not in self.proposer.members(name) for name in registers.REGISTERS):
             return True
         if self.watch_duty.is_held and self.has_majority_contact():
             return False
         view = self.core_view()
-        if view.learners or len(members) > self.wanted_voters:
+        if view.learners or len(members) > self.wanted_voters or self.own not in members:
             return not self.has_majority_contact()  # the holder of the watch takes this node out of the set first
         leaving = set(view.leaving)
         staying = [host for host in members if host != self.own and host not in leaving and self.is_core_live(host)]
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -14,6 +14,7 @@
 MOST_ATTEMPTS = 12
 LEAST_PAUSE = 0.1  # of the patience, before an attempt is made again
 PAUSE_STEP = 0.4  # of the patience: the random part of the first pause
+PAUSE_IN_TURN = 0.35  # of the patience, for each member that comes before this node
 MOST_STEPS_BACK = 8  # how many times longer the random part gets
 
 
@@ -45,6 +46,7 @@
         "outcome",
         "known_rev",
         "is_wanted",
+        "has_waited",
     )
 
 
@@ -123,6 +125,7 @@
         work.outcome = None
         work.known_rev = 0
         work.is_wanted = is_wanted
+        work.has_waited = False
         queue = self._queues.setdefault(name, collections.deque())
         queue.append(work)
         if len(queue) == 1:
@@ -191,10 +194,22 @@
         self._note_held(work)
         for member in work.sets[0]:
             self._send(member, ("peek", number, work.name, *work.held[0]))
-        self._later(
-            self._patience_s * 0.5,
-            lambda: self._prepare(work) if work.number == number and work.stage == "peek" else None,
-        )
+        self._later(self._patience_s * 0.5, lambda: self._look_further(work, number))
+
+    def _look_further(self, work, number: int) -> None:
+        """A look that found nothing chosen. In turn, so that nodes that all read at once do not meet in rounds."""
+        if work.number != number or work.stage != "peek":
+            return
+        members = self.members(work.name)
+        host = self.own.partition("/")[0]
+        rank = members.index(host) if host in members else len(members)
+        if work.has_waited or rank == 0:
+            self._prepare(work)
+            return
+        work.has_waited = True
+        work.stage = "wait"
+        pause = self._patience_s * PAUSE_IN_TURN * rank
+        self._later(pause, lambda: self._peek(work) if work.stage == "wait" else None)
 
     def take_peeked(self, member: str, message: tuple) -> None:
         _kind, number, name, is_voter, promised_n, _promised_p, accepted_n, accepted_p, rev, value = message
@@ -220,7 +235,7 @@
             self._on_chosen(name, best[0], best[1], best[2], False)
             self._finish(work, None)
         elif found != members or len(work.promises) == len(members):
-            self._prepare(work)
+            self._look_further(work, work.number)
 
     def _prepare(self, work) -> None:
         if work.stage == "over":
