--- a/pw/ctl/register/test_durable.py
+++ b/pw/ctl/register/test_durable.py
@@ -92,10 +92,12 @@
     for step in range(40):
         model.world.later(step * 0.5, lambda: model.call(model.world.chance.choice("bc"), kind="change"))
     model.world.run(until=20.0)
+    assert not model.nodes["a"].voting.is_voter and model.nodes["b"].voting.is_voter
     ended = [call for call in model.history if call["ended"] is not None]
     assert len(ended) >= 38 and max(call["ended"] - call["begun"] for call in ended) < 1.5
     assert len(model.nodes["a"].voting.journal._waiting) <= 2
     model.world.run(until=24.0)
+    assert model.nodes["a"].voting.is_voter
     model.restart("b", back_s=90.0)  # now a is needed
     model.call("c", kind="change")
     model.call("a", kind="read")
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -220,6 +220,11 @@
         for name in registers.REGISTERS:
             self.repair(name)
 
+    @property
+    def is_voter(self) -> bool:
+        """Whether a majority may count on this node now: its disk holds its identity and takes writes."""
+        return self.journal.held.votes and not self.proposer.is_learner and not self.journal.is_hindered
+
     # Reading and mending.
     def floor(self) -> tuple:
         """(register, newest version that this node's disk holds), for each register."""
