--- a/pw/sim/control/day.py
+++ b/pw/sim/control/day.py
@@ -88,6 +88,7 @@
         self.slots = []
         self.edges = [START_SPREAD_S]  # moments at which a trouble of the core begins or ends
         self.isolated_since = {}
+        self.proxy_trouble = {}  # proxy: when its last trouble ends
         self.probes = []
         self._number = 0
         self._extra_hosts = []  # machines on their way out, that still run
@@ -100,6 +101,7 @@
             gap_s=chance.choice((0.1, 0.4, 1.5)),
             receipt_s=self.receipt_s,
         )
+        self.operators.on_taken = self._check_applied
         self.troubles = model_troubles.Troubles(day=self, kinds=plan.troubles, gap_s=chance.choice((0.5, 1.5, 4.0)))
 
     # The machines.
@@ -296,6 +298,30 @@
         if 400 <= attempt.status < 500:
             self.recorder.find("cut off", f"{attempt.host} answered {attempt.status}: {attempt.body[:80]!r}")
 
+    def _check_applied(self, order) -> None:
+        """A proxy without trouble has an acknowledged configuration within applyMs, if the core stays calm."""
+        edges = len(self.edges)
+        waiting = [host for host in self._proxies if self._is_calm_proxy(host)]
+        lives = {host: self.network.machines[host].process for host in waiting}
+
+        def look():
+            if len(self.edges) != edges or self.clock.time - self.edges[-1] < self.contact_s:
+                return
+            for host, process in lives.items():
+                program = self.network.machines[host].program
+                if program.process is process and self._is_calm_proxy(host) and program.edition < order.edition:
+                    self.recorder.find(
+                        "applied in time", f"{host} has edition {program.edition}, {order.edition} was acknowledged"
+                    )
+
+        self.clock.later(delay=self.bounds["applyMs"] / 1000, act=look)
+
+    def _is_calm_proxy(self, host: str) -> bool:
+        process = self.network.machines[host].process
+        if process is None or not process.is_alive or self.clock.time - process.begun_at < self.contact_s:
+            return False
+        return self.clock.time - self.proxy_trouble.get(host, -self.contact_s) >= self.contact_s
+
     # The day.
     def run(self) -> Report:
         begun = time.process_time()
--- a/pw/sim/control/disk.py
+++ b/pw/sim/control/disk.py
@@ -23,6 +23,7 @@
         self._batch = []  # changes of the work that runs now: (name, content before, content after, is a rename)
         self._took_s = 0.0
         self._under_way = []  # batches that are not yet synced
+        self._renamed = set()  # names whose content differs from what was synced by a rename alone
         self._dropped = {}  # name: (from, to) of what a failed sync may have dropped for good
 
     def read(self, *, name: str):
@@ -50,6 +51,7 @@
         self._dropped.pop(name, None)
         before = self.files.get(name)
         self.files[name] = data
+        self._renamed.add(name)
         self.files.pop(new_name, None)
         self._batch.append((new_name, data, None, True))
         self._batch.append((name, before, data, True))
@@ -89,6 +91,7 @@
 
     def _make_durable(self, batch) -> None:
         for name, _before, after, _is_rename in batch:
+            self._renamed.discard(name)
             if after is None:
                 self.durable.pop(name, None)
             else:
@@ -110,6 +113,7 @@
             done = self._clock.chance.randrange(len(batch) + 1)
             for index in reversed(range(done, len(batch))):
                 name, before, after, is_rename = batch[index]
+                self._renamed.discard(name)
                 content = before
                 if index == done and not is_rename and after is not None:
                     content = self._torn(before or b"", after)
@@ -135,10 +139,11 @@
             if seen == sure:
                 continue
             choices = [seen, sure]
-            if seen is not None and not (sure is not None and name.endswith(".log") and not seen.startswith(sure)):
+            if seen is not None and name not in self._renamed:
                 choices.append(self._torn(sure or b"", seen))
             self._put(name, self._clock.chance.choice(choices))
         self.durable = dict(self.files)
+        self._renamed.clear()
 
     def empty(self) -> None:
         self._under_way = []
--- a/pw/sim/control/network.py
+++ b/pw/sim/control/network.py
@@ -184,6 +184,7 @@
         self.is_open = True
         self.is_up = not is_connecting
         self.heard_at = loop.now()
+        self.has_heard = False
         self.opened_at = loop.now()
         self.silence_s = silence_s
         self.frame = b""
@@ -246,6 +247,7 @@
             self.close(reason="closed" if item is END else "ECONNRESET")
             return
         self.heard_at = self.loop.now()
+        self.has_heard = True
         message = unpack(item)
         if message[0] == "beat":
             return
--- a/pw/sim/control/operators.py
+++ b/pw/sim/control/operators.py
@@ -87,6 +87,7 @@
         self.taken = []  # acknowledged configuration orders
         self.edition = 0  # newest acknowledged or read
         self.zones = {}  # zone: the evacuation order under way or the last one
+        self.on_taken = lambda _order: None
         self.moments = {}  # SENT, ACKNOWLEDGED, READ: what is to be called at the next such moment
         self.loses_answers = False
         self.is_stopped = False
@@ -339,6 +340,7 @@
         if order.kind in (PUT, PATCH) and not order.is_repeat and order.is_valid:
             self.edition = max(self.edition, order.edition)
             self.taken.append(order)
+            self.on_taken(order)
         self._moment(ACKNOWLEDGED)
 
     def _moment(self, kind: str) -> None:
--- a/pw/sim/control/planted.py
+++ b/pw/sim/control/planted.py
@@ -11,6 +11,7 @@
 
 from pw.ctl import contact
 from pw.ctl import core_set
+from pw.ctl import grants
 from pw.ctl import membership
 from pw.ctl import voting
 from pw.ctl import watch_duty
@@ -73,22 +74,20 @@
 
 def _grant_without_lease() -> list:
     """Entries are handed out without contact with a majority."""
-    grant = membership.MembersMixin._grant
+    renew = membership.MembersMixin._renew
 
-    def _grant(self, peer):
+    def _renew(self, link, message):
         self.has_majority_contact = lambda: True
         try:
-            return grant(self, peer)
+            renew(self, link, message)
         finally:
             del self.has_majority_contact
 
-    return [mock.patch.object(membership.MembersMixin, "_grant", _grant)]
+    return [mock.patch.object(membership.MembersMixin, "_renew", _renew)]
 
 
 def _moved_part_at_once() -> list:
     """A node whose part of the bounds grew hands it out without waiting for the older entries to run out."""
-    from pw.ctl import grants
-
     return [mock.patch.object(grants.Parts, "value", lambda self: self._part)]
 
 
--- /dev/null
+++ b/pw/sim/control/test_days.py
@@ -0,0 +1,69 @@
+"""A fixed few days of the model world, and planted faults that its checks must find (docs/simulate.md).
+
+Days run in a process of their own, in which sets of strings have one order: so a seed names one history.
+"""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[3]
+LIMIT_S = 120
+FIRST_SEED = 0
+SEEDS = 10
+QUICK_FAULTS = (
+    "a lost race is taken",
+    "a restarted node leads",
+    "acknowledged by one",
+    "few marks of orders",
+    "grants without contact",
+    "news go back",
+    "told before durable",
+    "the set stops at four",
+)
+SEARCH = """
+import sys
+from pw.sim.control import planted
+found = planted.search(sys.argv[1])
+print(found)
+sys.exit(0 if found is not None else 1)
+"""
+
+
+def run(*arguments: str):
+    return subprocess.run(
+        [sys.executable, *arguments],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONHASHSEED": "0"},
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+        check=False,
+    )
+
+
+def test_a_few_days_break_no_check():
+    ended = run("ploverward.py", "simulate", f"--first={FIRST_SEED}", f"--seeds={SEEDS}", "--jobs=2")
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert f"{SEEDS} days" in ended.stdout
+
+
+@pytest.mark.parametrize("name", QUICK_FAULTS)
+def test_a_planted_fault_is_found(name):
+    ended = run("-c", SEARCH, name)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+
+
+def test_a_seed_names_one_history():
+    first, second = (run("ploverward.py", "simulate", "--history=3", "--machines=3") for _time in range(2))
+    assert first.stdout == second.stdout
+    assert "configuration chosen" in first.stdout
+
+
+def test_an_unknown_trouble_is_told_in_one_line():
+    ended = run("ploverward.py", "simulate", "--troubles=rain")
+    assert ended.returncode == 2
+    assert "'rain' is no trouble" in ended.stderr and ended.stderr.count("\n") == 1
--- /dev/null
+++ b/pw/sim/control/test_world.py
@@ -0,0 +1,219 @@
+"""The parts of the model world: time, disk and links behave as the real ones do where the nodes depend on it."""
+
+import pytest
+
+from pw.sim.control import clock as clocks
+from pw.sim.control import disk as disks
+from pw.sim.control import machines
+from pw.sim.control import network as networks
+
+SILENCE_S = 0.8
+
+
+class Node:
+    """A process with a loop, a port and what its links told it."""
+
+    def __init__(self, *, network, host, failures):
+        clock = network.clock
+        self.network = network
+        self.machine = machines.Machine(clock=clock, host=host, region=host)
+        network.machines[host] = self.machine
+        self.process = machines.Program(clock=clock, name=host, on_failure=lambda _process, text: failures.append(text))
+        self.machine.process = self.process
+        self.loop = clocks.Loop(process=self.process, on_stop=lambda: None)
+        self.taken, self.ended = [], []
+        self.links = []
+
+    def chance(self) -> float:
+        return self.network.clock.chance.random()
+
+    def listen(self) -> None:
+        networks.Port(
+            runtime=self,
+            loop=self.loop,
+            address=("", 7),
+            on_link=self.links.append,
+            on_message=lambda _link, message: self.taken.append((self.network.clock.time, message)),
+            on_end=lambda _link, reason: self.ended.append((self.network.clock.time, reason)),
+            silence_s=SILENCE_S,
+        )
+
+    def dial(self, host: str):
+        return networks.Dialer(
+            runtime=self,
+            loop=self.loop,
+            address=(host, 7),
+            on_up=self.links.append,
+            on_message=lambda _link, message: self.taken.append((self.network.clock.time, message)),
+            on_end=lambda _link, reason: self.ended.append((self.network.clock.time, reason)),
+            silence_s=SILENCE_S,
+        )
+
+    def beat(self) -> None:
+        for link in self.links:
+            link.send(("beat", 0))
+
+
+@pytest.fixture
+def pair():
+    clock = clocks.Clock(seed=1)
+    network = networks.Network(clock=clock)
+    failures = []
+    one, other = (Node(network=network, host=host, failures=failures) for host in ("a", "b"))
+    other.listen()
+    dialer = one.dial("b")
+    for node in (one, other):
+        node.loop.every(gap=SILENCE_S / 3, act=node.beat)
+    clock.run(until=1.0)
+    assert dialer.link.is_up and not failures
+    yield clock, network, one, other, dialer
+    assert not failures
+
+
+def numbers(node) -> list:
+    return [message[1] for _when, message in node.taken]
+
+
+def test_messages_keep_their_order_and_pass_the_codec(pair):
+    clock, _network, _one, other, dialer = pair
+    for number in range(20):
+        dialer.link.send(("want", f"t{number}"))
+    clock.run(until=2.0)
+    assert numbers(other) == [f"t{number}" for number in range(20)]
+
+
+def test_a_cut_holds_messages_and_a_short_one_loses_none(pair):
+    clock, network, _one, other, dialer = pair
+    network.cut(pairs=[("a", "b")], is_reset=False)
+    dialer.link.send(("want", "held"))
+    clock.run(until=1.3)
+    assert numbers(other) == []
+    network.join(pairs=[("a", "b")])
+    clock.run(until=2.0)
+    assert numbers(other) == ["held"] and not other.ended
+
+
+def test_a_long_cut_of_one_way_ends_both_ends(pair):
+    clock, network, one, other, _dialer = pair
+    network.cut(pairs=[("a", "b")], is_reset=False)
+    clock.run(until=1.0 + 2.5 * SILENCE_S)
+    assert [reason for _when, reason in other.ended] == ["silent"]
+    assert [reason for _when, reason in one.ended][0] == "closed"  # told over the way that is open
+
+
+def test_what_is_not_taken_for_too_long_ends_its_sender(pair):
+    clock, network, one, _other, dialer = pair
+    network.cut(pairs=[("a", "b"), ("b", "a")], is_reset=False)
+    dialer.link.heard_at += 100.0  # as if the other way were heard
+    clock.run(until=1.0 + 2 * SILENCE_S)
+    assert [reason for _when, reason in one.ended][0] == "ETIMEDOUT"
+
+
+def test_a_dialer_comes_back_after_a_reset(pair):
+    clock, network, one, other, dialer = pair
+    network.reset(pairs=[("a", "b")])
+    assert [reason for _when, reason in one.ended] == ["ECONNRESET"]
+    assert [reason for _when, reason in other.ended] == ["ECONNRESET"]
+    clock.run(until=2.0)
+    assert dialer.link is not None and dialer.link.is_up
+
+
+def test_a_killed_process_resets_and_a_machine_without_power_is_silent(pair):
+    clock, _network, one, other, _dialer = pair
+    machines.stop(machine=other.machine)
+    clock.run(until=1.2)
+    assert one.ended[0][1] == "ECONNRESET" and one.ended[0][0] < 1.2
+
+
+def test_a_machine_without_power_is_silent(pair):
+    clock, _network, one, other, _dialer = pair
+    machines.stop(machine=other.machine, is_power_lost=True)
+    other.machine.is_powered = False
+    clock.run(until=1.0 + SILENCE_S * 0.9)
+    assert not one.ended
+    clock.run(until=1.0 + SILENCE_S * 2)
+    assert one.ended[0][1] == "silent"
+
+
+def test_a_frozen_process_takes_data_before_timers_when_it_goes_on(pair):
+    clock, _network, _one, other, dialer = pair
+    order = []
+    other.process.is_frozen = True
+    other.loop.after(delay=0.05, act=lambda: order.append("timer"))
+    clock.run(until=1.1)
+    dialer.link.send(("want", "late"))
+    clock.run(until=1.5)
+    before = other.loop.now()
+    taken = len(other.taken)
+    other.loop.command(act=lambda: order.append("command"))
+    other.process.thaw()
+    assert len(other.taken) == taken + 1
+    assert order == ["timer"]  # the command comes with the next event, as it was given after the thaw began
+    clock.run(until=1.6)
+    assert order == ["timer", "command"] and other.loop.now() > before
+
+
+def test_a_cancelled_timer_does_not_act_and_an_exception_is_told():
+    clock = clocks.Clock(seed=1)
+    failures = []
+    process = clocks.Process(clock=clock, name="p", on_failure=lambda _process, text: failures.append(text))
+    loop = clocks.Loop(process=process, on_stop=lambda: None)
+    acted = []
+    timer = loop.after(delay=1.0, act=lambda: acted.append(1))
+    loop.cancel(timer=timer)
+    loop.after(delay=1.0, act=lambda: 1 / 0)
+    loop.offload(work=lambda: 1 / 0, done=lambda outcome: acted.append(type(outcome.exception())))
+    clock.run(until=2.0)
+    assert acted == [ZeroDivisionError] and len(failures) == 1 and "ZeroDivisionError" in failures[0]
+
+
+def write(disk, clock, *, name, data, size_before) -> None:
+    disk.append(name=name, data=data, size_before=size_before)
+    clock.run(until=clock.time + disk.finish_batch() + 0.001)
+
+
+def test_what_was_synced_outlives_a_loss_of_power():
+    for seed in range(20):
+        clock = clocks.Clock(seed=seed)
+        disk = disks.Disk(clock=clock)
+        write(disk, clock, name="f", data=b"first", size_before=0)
+        disk.append(name="f", data=b"second", size_before=5)
+        disk.finish_batch()
+        disk.lose_power()
+        content = disk.read(name="f")
+        assert content.startswith(b"first") and b"firstsecond".startswith(content)
+
+
+def test_a_write_under_way_may_be_kept_lost_or_torn():
+    seen = set()
+    for seed in range(60):
+        clock = clocks.Clock(seed=seed)
+        disk = disks.Disk(clock=clock)
+        write(disk, clock, name="f", data=b"ab", size_before=0)
+        disk.append(name="f", data=b"cdef", size_before=2)
+        disk.finish_batch()
+        disk.kill()
+        seen.add(disk.read(name="f"))
+    assert b"ab" in seen and b"abcdef" in seen and len(seen) > 2
+
+
+def test_a_replaced_file_is_the_old_one_or_the_new_one():
+    seen = set()
+    for seed in range(60):
+        clock = clocks.Clock(seed=seed)
+        disk = disks.Disk(clock=clock)
+        write(disk, clock, name="f", data=b"old", size_before=0)
+        disk.replace(name="f", new_name="g", data=b"new")
+        disk.finish_batch()
+        disk.lose_power()
+        seen.add(disk.read(name="f"))
+    assert seen == {b"old", b"new"}
+
+
+@pytest.mark.parametrize("trouble", ["refuse", "refuse_late", "full"])
+def test_a_disk_in_trouble_refuses(trouble):
+    disk = disks.Disk(clock=clocks.Clock(seed=1))
+    disk.trouble = trouble
+    with pytest.raises(OSError):
+        disk.append(name="f", data=b"x", size_before=0)
+    assert not disk.durable
--- a/pw/sim/control/troubles.py
+++ b/pw/sim/control/troubles.py
@@ -128,7 +128,7 @@
 
         self._clock.later(delay=span, act=end)
 
-    def _pairs(self, slots, *, is_out=True, is_in=True) -> list:
+    def _pairs(self, slots, *, span: float, is_out: bool, is_in: bool) -> list:
         """From and to all other machines; with the proxies of a region at times on the lost side."""
         own = [slot.machine.host for slot in slots]
         beside = [host for host in self._day.proxy_hosts() if self._chance.random() < 0.4]
@@ -137,6 +137,8 @@
         if self._chance.random() < 0.5:
             inside = own  # the proxies reach both sides
             others = [host for host in self._day.core_hosts() if host not in own]
+        for host in set(inside) - set(own):
+            self._day.proxy_trouble[host] = self._clock.time + span
         pairs = [(one, other) for one in sorted(inside) for other in others]
         return (pairs if is_out else []) + ([(other, one) for one, other in pairs] if is_in else [])
 
@@ -152,7 +154,7 @@
         if not slots:
             return
         span = self._span(CUT_S)
-        pairs = self._pairs(slots, is_out=is_out, is_in=is_in)
+        pairs = self._pairs(slots, span=span, is_out=is_out, is_in=is_in)
         self._lose(name, slots)
         self._day.network.cut(pairs=pairs, is_reset=self._chance.random() < 0.3)
         for slot in slots:
@@ -255,7 +257,14 @@
             return
         self._day.recorder.note("proxy frozen", host=host)
         process.is_frozen = True
-        self._clock.later(delay=self._span(FREEZE_S), act=lambda: process.thaw() if process.is_alive else None)
+
+        self._disturb(host, self._span(FREEZE_S), lambda: process.thaw() if process.is_alive else None)
+
+    def _disturb(self, host: str, span: float, end) -> None:
+        """A trouble of one proxy, which is not calm until contactMs after it."""
+        until = max(self._day.proxy_trouble.get(host, 0.0), self._clock.time + span)
+        self._day.proxy_trouble[host] = until
+        self._clock.later(delay=span, act=end)
 
     def _proxy_cut(self) -> None:
         host = self._chance.choice(self._day.proxy_hosts())
@@ -263,7 +272,7 @@
         pairs = [(host, other) for other in others] + [(other, host) for other in others]
         self._day.recorder.note("proxy cut", host=host, others=",".join(others))
         self._day.network.cut(pairs=pairs, is_reset=self._chance.random() < 0.3)
-        self._clock.later(delay=self._span(CUT_S), act=lambda: self._day.network.join(pairs=pairs))
+        self._disturb(host, self._span(CUT_S), lambda: self._day.network.join(pairs=pairs))
 
     def _lose_answers(self) -> None:
         operators = self._day.operators
