--- a/pw/base/inlet.py
+++ b/pw/base/inlet.py
@@ -348,6 +348,10 @@
             self._mask = mask
             self.loop.rewatch(sock=self.sock, mask=mask, act=self._ready)
 
+    def drop(self) -> None:
+        """Ends the connection as if its client had left."""
+        self._gone()
+
     def _gone(self) -> None:
         request = self._request
         self.close()
@@ -413,7 +417,11 @@
         self.doors.add(Door(hall=self, sock=sock))
 
     def take(self, request) -> None:
-        self._on_request(request)
+        try:
+            self._on_request(request)
+        except Exception:
+            request.door.drop()  # nobody would answer it; a closed connection promises nothing
+            raise
 
     def hold(self, *, door, size: int) -> bool:
         """Whether the bodies held of all connections stay inside the bound."""
--- a/pw/dat/outlet.py
+++ b/pw/dat/outlet.py
@@ -177,6 +177,10 @@
             self._pump()
         except h11.RemoteProtocolError as fault:
             self._broken(f"not an answer: {fault}")
+        except Exception:
+            # What the broken step held is lost: nothing may follow it as if it were there.
+            self._broken("a step failed")
+            raise
 
     def _fed_end(self) -> None:
         try:
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -435,7 +435,9 @@
         """Whether a request that may have run may be sent again."""
         if not self.is_repeatable or not self.may_try_again():
             return False
-        return not self.has_head or (self.stream is not None and self.stream.is_resumable)
+        if not self.has_head:
+            return True
+        return self.route.is_resumable and self.stream is not None and self.stream.is_resumable
 
     def after_loss(self, attempt) -> None:
         """Bytes of unclear fate."""
