--- a/pw/base/link.py
+++ b/pw/base/link.py
@@ -54,6 +54,7 @@
         self.is_open = True
         self.is_up = not is_connecting
         self.heard_at = loop.now()
+        self.has_heard = False  # whether anything came: a frozen machine takes connections and says nothing
         self.opened_at = loop.now()
         self.silence_s = silence_s
         self._on_message = on_message
@@ -133,6 +134,7 @@
                 self.close(reason="closed")
                 return
             self.heard_at = self.loop.now()
+            self.has_heard = True
             self._in += data
             try:
                 for frame in wire.split(self._in):
--- a/pw/ctl/contact.py
+++ b/pw/ctl/contact.py
@@ -64,6 +64,11 @@
         held = self._heard.get(member)
         return member == self._own or (held is not None and self._now() - held[0] <= span_s)
 
+    def answered_since(self, *, member: str, when: float) -> bool:
+        """Whether this voter answered a heartbeat that was sent after this time."""
+        held = self._heard.get(member)
+        return member == self._own or (held is not None and held[0] >= when)
+
     def lease_until(self, *, members: tuple, version: int, is_supporting: bool = True) -> float:
         """The end of the lease under this version of the set, on this node's clock; 0.0 where there is none.
 
--- a/pw/ctl/core_set.py
+++ b/pw/ctl/core_set.py
@@ -18,7 +18,7 @@
 
     members: tuple  # the agreed set
     learners: tuple  # machines in touch outside the set that hold every register, longest in touch first
-    silent: tuple  # members out of touch for less than that: a learner waits for their place
+    silent: tuple  # members not lost that have not answered since the newest learner came: it waits for their place
     lost: tuple  # members out of touch long enough to be swapped for a learner, longest first
     gone: tuple  # members out of touch long enough to be dropped without a successor, longest first
     leaving: tuple  # members that are ending in order
@@ -50,8 +50,9 @@
     """Moves every register to a set, all at once. Each is safe by itself; one that fails is moved again."""
 
     def __init__(self, *, change, known_set):
-        self._change = change  # (name, edit, done, next_set): a round of the register
+        self._change = change  # (name, edit, done, next_set, is_wanted): a round of the register
         self._known_set = known_set  # (name) -> the set that the register is known to stand under
+        self._target = ()
         self._under_way = set()  # registers
 
     @property
@@ -63,19 +64,30 @@
         return any(tuple(self._known_set(name)) != target for name in registers.REGISTERS)
 
     def move(self, *, target: tuple) -> None:
-        """Starts to move all registers to `target`. Where a round fails, the next heartbeat begins again."""
-        if self.is_moving:
+        """Starts to move all registers to `target`, in place of an older target that is not reached yet.
+
+        Where a round fails, the next heartbeat begins again.
+        """
+        if self.is_moving and target == self._target:
             return
         ring.note("core set moves", to=list(target))
+        self._target = target
         self._under_way = set(registers.REGISTERS)
         for name in registers.REGISTERS:
             self._move_one(name, target)
 
     def _move_one(self, name: str, target: tuple) -> None:
         def done(_failure, _revision=0, _payload=None, _result=None):
-            self._under_way.discard(name)
-
-        self._change(name=name, edit=_edit_for(name), done=done, next_set=target)
+            if self._target == target:
+                self._under_way.discard(name)
+
+        self._change(
+            name=name,
+            edit=_edit_for(name),
+            done=done,
+            next_set=target,
+            is_wanted=lambda: self._target == target,
+        )
 
 
 def _edit_for(name: str):
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -158,7 +158,8 @@
         if host == self.own:
             return True
         dialer = self.dialers.get(host)
-        return dialer is not None and dialer.link is not None and dialer.link.is_up
+        link = dialer.link if dialer is not None else None
+        return link is not None and link.is_up and link.has_heard
 
     def has_majority_contact(self) -> bool:
         """Whether a majority of the agreed core set confirmed it to this node within the lease (docs/control.md 2)."""
@@ -287,10 +288,15 @@
             and now - peer.link.opened_at > self.silence_s / 2
             and self.contact.answered_within(member=peer.address, span_s=self.silence_s)
         )
+        newest = max((opened_at for opened_at, _address in learners), default=now)
+
+        def has_answered(host: str) -> bool:
+            return host not in self.core_lost and self.contact.answered_since(member=host, when=newest)
+
         return core_sets.View(
             members=tuple(members),
             learners=tuple(address for _opened_at, address in learners),
-            silent=tuple(host for host in members if host in self.core_lost and host not in lost),
+            silent=tuple(host for host in members if host not in lost and not has_answered(host)),
             lost=lost,
             gone=lost_for(self.silence_s * 2),
             leaving=tuple(sorted(peer.address for peer in core_peers if peer.is_leaving)),
@@ -299,7 +305,7 @@
     def _tend_core_set(self) -> None:
         """Moves the registers to the set that should stand next, and finishes what another holder left half done."""
         view = self.core_view()
-        if not view.members or self.mover.is_moving:
+        if not view.members:
             return
         target = core_sets.next_set(view=view, wanted=self.wanted_voters)
         is_agreed = self.desk.serial(registers.CORE_SET)[1] > 0
@@ -357,7 +363,7 @@
             return False
         view = self.core_view()
         if view.learners or len(members) > self.wanted_voters or self.own not in members:
-            return not self.has_majority_contact()  # the holder of the watch takes this node out of the set first
+            return False  # the holder of the watch takes this node out of the set first
         leaving = set(view.leaving)
         staying = [host for host in members if host != self.own and host not in leaving and self.is_core_live(host)]
         return len(staying) >= ballots.majority(members)
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -71,6 +71,7 @@
         self.known = {}  # register: the newest set known to be chosen
         self._known_rev = {}  # register: the newest rev known to be chosen
         self.seeds = tuple(seeds)
+        self._known_rev = {}  # register: revision of the chosen value that told its set; 0 where only a set is known
         self.is_learner = False  # a learner makes no rounds
         self._held = held  # register name -> (ballot, rev, value) that this node holds already
         self._send = send  # (member, message)
@@ -102,6 +103,7 @@
     def learn_accepted(self, *, name: str, value: bytes) -> None:
         """This value was found accepted; only the set before a change is known to be chosen."""
         self.known[name] = ballots.way(value)[0]
+        self._known_rev[name] = 0
 
     def change(self, *, name: str, edit, done, next_set=None, is_wanted=None) -> None:
         """`done(problem, rev, payload, result)` is called once. A round that `is_wanted()` denies is not tried again.
@@ -395,6 +397,8 @@
         if work is None or work.name != name or work.stage != "accept":
             return
         self._top[name] = max(self._top.get(name, 0), ballot_n)
+        if is_granted and (ballot_n, ballot_p) != work.ballot:
+            return  # an answer to another life of this node, whose rounds had the same number
         if not is_granted:
             if (ballot_n, ballot_p) > work.ballot:
                 self._retry(work)
--- a/pw/ctl/test_core_set.py
+++ b/pw/ctl/test_core_set.py
@@ -1,12 +1,15 @@
 """Which machines vote next, contact with a majority, and the parts of the bounds while the core set changes."""
 
 import random
+import types
 
 import pytest
 
 from pw.ctl import contact as contacts
 from pw.ctl import core_set as core_sets
 from pw.ctl import grants
+from pw.ctl import membership
+from pw.ctl import registers
 
 LEASE_S = 1.5
 LIFE_S = 1.5
@@ -91,7 +94,7 @@
         self.names = []
         self.waiting = []
 
-    def change(self, *, name, edit, done, next_set):
+    def change(self, *, name, edit, done, next_set, is_wanted):
         self.names.append(name)
         self.waiting.append((name, edit, done, next_set))
 
@@ -127,6 +130,21 @@
     assert not following_holder.needs_move(target=target)
 
 
+def test_a_move_gives_way_to_a_newer_target():
+    wanted = {}
+    mover = core_sets.Mover(
+        change=lambda *, name, is_wanted, next_set, **_about: wanted.setdefault((name, next_set), is_wanted),
+        known_set=lambda name: (),
+    )
+    mover.move(target=("a", "b"))
+    mover.move(target=("a", "b"))
+    assert len(wanted) == len(registers.REGISTERS)
+    mover.move(target=("b", "c"))
+    assert [is_wanted() for is_wanted in wanted.values()] == [False] * len(registers.REGISTERS) + [True] * len(
+        registers.REGISTERS
+    )
+
+
 def test_an_answer_counts_from_when_its_heartbeat_was_sent():
     clock = [10.0]
     contact = contacts.Contact(own="a", now=lambda: clock[0], lease_s=LEASE_S)
@@ -279,3 +297,13 @@
             world.step()
         most = max(most, world.most)
     assert most > 1.2
+
+
+def test_a_core_node_that_takes_connections_and_says_nothing_is_not_in_touch():
+    """A frozen machine: its system accepts, its process does not answer (docs/incidents/frozen-holder.md)."""
+    link = types.SimpleNamespace(is_up=True, has_heard=False)
+    node = types.SimpleNamespace(own="a", dialers={"b": types.SimpleNamespace(link=link)})
+    assert not membership.MembersMixin.is_core_live(node, "b")
+    link.has_heard = True
+    assert membership.MembersMixin.is_core_live(node, "b")
+    assert not membership.MembersMixin.is_core_live(node, "c")
