--- a/pw/sim/exhaustive.py
+++ b/pw/sim/exhaustive.py
@@ -1092,6 +1092,13 @@
             name="two moves, one knows neither, two attempts",
             writers=(write_by("Q", attempts=2), write_by("R", known=SWAPPED)),
         ),
+        Scenario(
+            name="an even set, one disk emptied",
+            members=GROWN,
+            nodes=GROWN,
+            writers=(write_by("P"), write_by("R")),
+            wipes=("A",),
+        ),
         Scenario(
             name="one disk emptied, two attempts",
             members=OLD,
