--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -30,6 +30,7 @@
         self.peers = {}  # link: Peer
         self.dialers = {}
         self.core_lost = {}  # core address: since when out of touch
+        self.core_unanswering = {}  # core address: since when it answers no heartbeat, in touch or not
         self.port = self.runtime.port(
             loop=self.loop,
             address=(self.settings.ip, self.settings.core_port),
@@ -164,7 +165,7 @@
     def has_majority_contact(self) -> bool:
         """Whether a majority of the agreed core set confirmed it to this node within the lease (docs/control.md 2)."""
         members, version = self.agreed_set()
-        is_supporting = self.acceptor.votes and self._accepted_version() <= version  # as any other voter's answer
+        is_supporting = self.voting.is_voter and self._accepted_version() <= version  # as any other voter's answer
         return self.contact.has_majority(members=members, version=version, is_supporting=is_supporting)
 
     def agreed_set(self) -> tuple:
@@ -178,7 +179,7 @@
 
     def _answer_heartbeat(self, link, message: tuple) -> None:
         _kind, number, version = message
-        if self.acceptor.votes:
+        if self.voting.is_voter:
             link.send(("heartbeat_answer", number, self._accepted_version()))
         self._catch_up(version)
 
@@ -250,6 +251,10 @@
                 self.core_lost.pop(host, None)
             else:
                 self.core_lost.setdefault(host, now)
+            if self.contact.answered_within(member=host, span_s=self.silence_s):
+                self.core_unanswering.pop(host, None)
+            else:
+                self.core_unanswering.setdefault(host, now)
         is_acting = self.watch_duty.tend(
             members=members,
             live=[host for host in members if self.is_core_live(host)],
@@ -275,8 +280,15 @@
         now = self.loop.now()
 
         def lost_for(span_s: float) -> tuple:
-            lost = [host for host in members if now - self.core_lost.get(host, now) > span_s]
-            return tuple(sorted(lost, key=lambda host: self.core_lost[host]))
+            """Out of touch for so long, or voting for nothing for longer still: its disk refuses, or it learns."""
+            lost = {}
+            for host in members:
+                out_since = self.core_lost.get(host, now)
+                mute_since = self.core_unanswering.get(host, now) + self.silence_s
+                since = min(out_since, mute_since)
+                if host != self.own and now - since > span_s:
+                    lost[host] = since
+            return tuple(sorted(lost, key=lost.get))
 
         lost = lost_for(self.silence_s / 2)
         core_peers = [peer for peer in self.peers.values() if peer.role == "core"]
--- a/pw/ctl/register/proposer.py
+++ b/pw/ctl/register/proposer.py
@@ -69,7 +69,6 @@
     ):
         self.own = own
         self.known = {}  # register: the newest set known to be chosen
-        self._known_rev = {}  # register: the newest rev known to be chosen
         self.seeds = tuple(seeds)
         self._known_rev = {}  # register: revision of the chosen value that told its set; 0 where only a set is known
         self.is_learner = False  # a learner makes no rounds
