--- a/pw/sim/control/operators.py
+++ b/pw/sim/control/operators.py
@@ -13,7 +13,7 @@
 CLEAR = (400, 409, 412, 413, 422)
 PATH = "/ploverward/configuration"
 PUT, PATCH, EVACUATE, RESTORE = "put", "patch", "evacuate", "restore"
-SENT, READ = "sent", "read"  # moments, with ACKNOWLEDGED
+SENT, READ = "sent", "read"  # moments, with ACKNOWLEDGED; a read counts where it tells a version not yet acknowledged
 ACKNOWLEDGED, REFUSED, GIVEN_UP = "acknowledged", "refused", "given up"
 
 
@@ -236,9 +236,9 @@
         self._recorder.note("read", what=what, host=host, value=value)
         read = Read(what=what, host=host, begun_at=begun_at, ended_at=self._clock.time, value=value)
         self.reads.append(read)
-        self._moment(READ)
-        if what == "configuration":
-            self.edition = max(self.edition, value)
+        if what == "configuration" and value > self.edition:
+            self.edition = value
+            self._moment(READ)
 
     # Sending.
     def _shuffled(self) -> list:
