--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -147,14 +147,14 @@
         self.route = route
         return True
 
-    def choose(self) -> tuple:
+    def choose(self, *, avoid=None) -> tuple:
         return self.proxy.chooser.choose(
             service=self.service,
             permitted=self.permitted,
             model=self.model.name if self.route.is_sticky else "",
             chain=self.prompt.chain,
             prompt_tokens=self.prompt.tokens,
-            avoid=self.avoid,
+            avoid=self.avoid if avoid is None else avoid,
             aim_s=self.aim_s,
             load_s=self.adapter_cost if self.model.adapter else None,
         )
@@ -221,16 +221,22 @@
         pause = patience - quiet
         if quiet >= patience and attempt.outlet.is_up and not attempt.outlet.is_paused:
             # Long reads make a busy replica silent too. A connection to it tells which it is.
-            if attempt.replica.is_suspect and self.may_try_again() and self.proxy.quota.has_extra(self.service):
+            if attempt.replica.is_unproved and self.may_move(attempt):
                 self.mark("silent")
                 self.drop(attempt, kind=sources.BROKEN)
                 self.after_loss(attempt)
                 return
-            if not attempt.replica.is_suspect:
-                self.proxy.table.prove(replica=attempt.replica)
+            self.proxy.table.prove(replica=attempt.replica)
             pause = patience * 0.1
         self.watch_timer = self.loop.after(delay=max(0.02, pause), act=self.watch_silence)
 
+    def may_move(self, attempt) -> bool:
+        """Whether another replica can take what a silent one runs, now: else its silence ends nothing."""
+        if not self.may_try_again() or not self.proxy.quota.has_extra(self.service):
+            return False
+        replica, _to_read, _is_any = self.choose(avoid=self.avoid | {attempt.replica.id})
+        return replica is not None and self.proxy.table.has_room(replica=replica)
+
     def may_try_again(self) -> bool:
         return self.arrivals_next() <= self.route.tries and self.loop.now() < self.deadline - LEAST_LEFT_S
 
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -27,6 +27,7 @@
         self.heard_at = now
         self.away_until = 0.0  # not to be chosen before then
         self.is_suspect = False  # not to be chosen before a connection of ours came up
+        self.is_unproved = False  # the last connection of ours did not come up; suspects of its zone's sake are not
         self.way_s = None
         self.proof = None
         self.running = 0
@@ -220,6 +221,7 @@
 
     def _note_way(self, replica, took_s: float) -> None:
         replica.is_suspect = False
+        replica.is_unproved = False
         replica.way_s = took_s if replica.way_s is None else min(took_s, replica.way_s * 1.1)
         self.ways[replica.zone] = min(took_s, self.ways.get(replica.zone, took_s) * 1.1)
 
@@ -227,6 +229,7 @@
         """It did not come up, or went silent. Where a second one of a zone does so, the zone is looked at whole."""
         now = self._loop.now()
         replica.is_suspect = True
+        replica.is_unproved = True
         replica.close_idle()
         mates = [other for other in self.replicas.values() if other.zone == replica.zone and other is not replica]
         if any(other.is_suspect for other in mates):
