--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -13,6 +13,7 @@
 from pw.ctl import voting
 from pw.ctl import watch_duty as watch_duties
 from pw.ctl.news import desk as desks
+from pw.ctl.register import ballots
 
 LEAVE_SHARE = 0.85  # of graceS: a leaving node ends by then, whatever is under way
 RATE_WINDOW_S = 1.5  # the cold bound is stated for one second
@@ -108,6 +109,7 @@
         self.start_members()
         self._make_interfaces()
         self.start_voting()
+        self._resume_parts()
         self._dial_cores()
         self.interfaces.listen()
         self.watch.start()
@@ -139,6 +141,19 @@
             receipt_s=self.receipt_s,
         )
 
+    def _resume_parts(self) -> None:
+        """A restarted node goes on with the part that it had, where its disk holds the core set as agreed.
+
+        Nobody else can have had that part under this version; entries of the earlier life are waited for by the books.
+        """
+        _promised, _accepted, version, value = self.acceptor.get(registers.CORE_SET)
+        if not value or len(ballots.way(value)) > 1:
+            return
+        members, _payload = ballots.unpack(value)
+        part = 1.0 / len(members) if self.own in members else 0.0
+        self.slack_parts.resume(part=part, version=version)
+        self.rate_parts.resume(part=part, version=version)
+
     def run(self) -> int:
         self.start()
         self.loop.run()
--- a/pw/ctl/grants.py
+++ b/pw/ctl/grants.py
@@ -54,6 +54,11 @@
         self._version = 0
         self._older = []  # (part, until): smaller parts that still bind
 
+    def resume(self, *, part: float, version: int) -> None:
+        """What this node owned when it stopped: its disk holds that version as agreed."""
+        self._part = part
+        self._version = version
+
     def install(self, *, part: float, version: int) -> None:
         """This node's part under the newest core set that it knows. Under a version that it missed it may have had none."""
         least = self._part if version <= self._version + 1 else 0.0
--- a/pw/ctl/test_core_set.py
+++ b/pw/ctl/test_core_set.py
@@ -289,6 +289,21 @@
     assert 0.0 < world.most <= 1.0 + 1e-9
 
 
+def test_a_restarted_node_goes_on_with_its_part_unless_the_set_was_changed():
+    clock = [0.0]
+    parts = grants.Parts(now=lambda: clock[0], wait_s=5.0)
+    parts.resume(part=0.2, version=4)
+    parts.install(part=0.2, version=4)
+    assert parts.value() == 0.2
+    parts.install(part=0.25, version=5)
+    assert parts.value() == 0.2
+    clock[0] = 5.1
+    assert parts.value() == 0.25
+    parts.resume(part=0.2, version=4)
+    parts.install(part=0.2, version=6)  # one version was missed: this node may have been outside
+    assert parts.value() == 0.0
+
+
 def test_without_the_lease_and_the_wait_the_sum_passes_the_bound():
     most = 0.0
     for seed in range(10):
