--- a/pw/sim/control/checks.py
+++ b/pw/sim/control/checks.py
@@ -118,6 +118,8 @@
         if not order.is_valid or not order.is_alone or order.is_repeat or order.outcome == model_operators.REFUSED:
             continue
         ended_at = order.ended_at if order.ended_at is not None else until
+        if order.lost_at is not None:
+            ended_at = order.lost_at  # the acknowledgement was given, and lost on its way
         for begun, over in calm:
             waited = min(ended_at, over) - max(order.begun_at, begun)
             if waited > receipt_s + ACK_SLACK_S:
--- a/pw/sim/control/day.py
+++ b/pw/sim/control/day.py
@@ -180,6 +180,8 @@
         slot.machine.is_powered = not is_power_lost
 
     def restart(self, slot, *, is_emptied: bool) -> None:
+        if not slot.is_down or slot.machine.is_removed:
+            return  # another machine has taken its place meanwhile, or will
         is_rewritten = is_emptied or self.clock.chance.random() < 0.5
         seeds = self._seeds() if is_rewritten else tuple(host for host, _port in slot.settings.seeds)
         slot.settings = self._settings(slot.machine, seeds=seeds, is_first=False)
--- a/pw/sim/control/network.py
+++ b/pw/sim/control/network.py
@@ -435,8 +435,11 @@
         self._clock = network.clock
         self.host = host
 
-    def call(self, *, host, port, method, target, headers=(), body=b"", limit_s, done, is_answer_lost=False) -> None:
-        """`done(answer)`: (status, headers, body), or None where the connection ends without one or `limit_s` is over."""
+    def call(self, *, host, port, method, target, headers=(), body=b"", limit_s, done, on_lost=None) -> None:
+        """`done(answer)`: (status, headers, body), or None where the connection ends without one or `limit_s` is over.
+
+        `on_lost(answer)`, where it is given: answers are lost on their way, and it is told of them.
+        """
         state = {"is_over": False, "request": None}
 
         def finish(answer):
@@ -454,7 +457,10 @@
                 )
 
         def reply(answer):
-            if is_answer_lost or self._network.is_cut(host, self.host):
+            if self._network.is_cut(host, self.host):
+                return
+            if on_lost is not None:
+                on_lost(answer)
                 return
             self._clock.later(delay=self._network.delay(host, self.host), act=lambda: finish(answer))
 
--- a/pw/sim/control/operators.py
+++ b/pw/sim/control/operators.py
@@ -7,6 +7,7 @@
 from pw.sim.control import machines
 from pw.sim.control import network as networks
 
+LOST_PART = 0.3  # of the answers, while answers are lost
 SILENCE_S = 1.0  # callers go to another node after so long
 MOST_REDIRECTS = 2
 MOST_REFUSALS = 3
@@ -45,6 +46,7 @@
     outcome: str = ""
     attempts: list = dataclasses.field(default_factory=list)
     is_repeat: bool = False
+    lost_at: float | None = None  # when an acknowledgement was lost on its way
 
 
 @dataclasses.dataclass
@@ -278,9 +280,13 @@
                 *order.request,
                 lambda answer: answered(made, answer),
                 redirects=MOST_REDIRECTS,
-                is_answer_lost=self.loses_answers and self._chance.random() < 0.3,
+                on_lost=lost if self.loses_answers and self._chance.random() < LOST_PART else None,
             )
 
+        def lost(answer):
+            if answer is not None and answer[0] == 200 and order.lost_at is None:
+                order.lost_at = self._clock.time
+
         def answered(made, answer):
             made.answered_at = self._clock.time
             if answer is not None:
@@ -307,7 +313,7 @@
 
         attempt()
 
-    def _follow(self, host, method, target, headers, body, done, *, redirects: int, is_answer_lost=False) -> None:
+    def _follow(self, host, method, target, headers, body, done, *, redirects: int, on_lost=None) -> None:
         def answered(answer):
             if answer is not None and answer[0] == 307 and redirects:
                 place = urllib.parse.urlsplit(answer[1].get("location", ""))
@@ -319,7 +325,7 @@
                     body,
                     done,
                     redirects=redirects - 1,
-                    is_answer_lost=is_answer_lost,
+                    on_lost=on_lost,
                 )
             else:
                 done(answer)
@@ -333,7 +339,7 @@
             body=body,
             limit_s=SILENCE_S,
             done=answered,
-            is_answer_lost=is_answer_lost,
+            on_lost=on_lost,
         )
 
     def _acknowledged(self, order: Order) -> None:
