--- a/pw/ctl/test_shared.py
+++ b/pw/ctl/test_shared.py
@@ -1,7 +1,9 @@
 """News, grant entries, frames and settings."""
 
 import json
+import pathlib
 import random
+import re
 
 import pytest
 
@@ -257,3 +259,16 @@
     follower.take_offer(link, ("offer", (("orders", 0, 5), ("spec", 0, 5))))
     follower.tick()
     assert link.told == [("want", "spec")]
+
+
+def test_every_message_that_is_sent_has_a_codec():
+    """A message without one fails only when it is packed: proxies once failed at every beat by it."""
+    folder = pathlib.Path(wire.__file__).parent.parent
+    sources = [path for path in folder.rglob("*.py") if "sim" not in path.parts and not path.name.startswith("test_")]
+    sent = set()
+    for path in sources:
+        sent |= set(
+            re.findall(r"(?:send|_tell_core|_ask_cores|pack)\(\s*\(\s*\"(\w+)\"", path.read_text(encoding="utf-8"))
+        )
+    assert {"renew", "entry", "heartbeat", "have", "beat"} <= sent
+    assert sent <= set(wire.KINDS)
