--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -50,8 +50,6 @@
         self.spec = None
         self._beats = 0
         self.file_watch = self.runtime.file_watch()
-        self._behind = {}
-        self._reading = set()
         self.watch = self.runtime.watch(
             loop=self.loop,
             address=settings.cloud_address,
@@ -67,7 +65,7 @@
     def _start_membership_objects(self, *, window_s: float) -> None:
         self.contact = contacts.Contact(own=self.own, now=self.loop.now, lease_s=self.lease_s)
         seeds = {host for host, _port in self.settings.seeds}
-        first_part = 1.0 / len(seeds) if self.settings.first_start and self.own in seeds else 0.0
+        first_part = self.part_of(seeds) if self.settings.first_start else 0.0
         # An evicted member may hand out entries until its contact ends; each counts for its life and its window.
         outlived_s = 2 * self.lease_s
         self.slack_parts = grants.Parts(now=self.loop.now, wait_s=outlived_s + window_s, first_part=first_part)
@@ -150,7 +148,7 @@
         if not value or len(ballots.way(value)) > 1:
             return
         members, _payload = ballots.unpack(value)
-        part = 1.0 / len(members) if self.own in members else 0.0
+        part = self.part_of(members)
         self.slack_parts.resume(part=part, version=version)
         self.rate_parts.resume(part=part, version=version)
 
@@ -165,9 +163,7 @@
             return
         self.is_leaving = True
         self.interfaces.leave()
-        for dialer in self.dialers.values():
-            if dialer.link is not None and dialer.link.is_up:
-                dialer.link.send(("state", False, True))
+        self._ask_cores(("state", False, True))
         self._watch_over()
         now = self.loop.now()
         latest = now + self.settings.bound(name="graceS") * LEAVE_SHARE
--- a/pw/ctl/core_set.py
+++ b/pw/ctl/core_set.py
@@ -10,6 +10,7 @@
 
 from pw.base import ring
 from pw.ctl import registers
+from pw.ctl.register import ballots
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,7 +44,7 @@
 def losses_borne(*, members: tuple, in_touch) -> int:
     """How many further members may be lost now with a majority left; -1 where there is none."""
     live = sum(1 for member in members if member in in_touch)
-    return live - (len(members) // 2 + 1)
+    return live - ballots.majority(members)
 
 
 class Mover:
--- a/pw/ctl/dispatch.py
+++ b/pw/ctl/dispatch.py
@@ -192,25 +192,13 @@
     # Reading back.
 
     def _get_configuration(self, call) -> None:
-        if self._is_sent_on(call):
-            return
-        reply = self._reply_to(call)
-
-        def done(error, _version, payload, _result):
-            if error is not None:
-                self._refuse(reply, error)
-                return
-            waiting = reply.claim()
-            if waiting is None:
-                return
-            if not payload:
-                waiting.answer(status=404, body={"error": "no configuration yet"})
-                return
-            waiting.answer(status=200, body=payload["body"], headers=[(b"ETag", b'"%d"' % payload["edition"])])
-
-        self._registers.read(name=registers.CONFIGURATION, done=done)
+        self._read_back(call, name=registers.CONFIGURATION, answer=_answer_configuration)
 
     def _get_evacuations(self, call) -> None:
+        self._read_back(call, name=registers.EVACUATIONS, answer=_answer_evacuations)
+
+    def _read_back(self, call, *, name: str, answer) -> None:
+        """Reads a register at a majority; `answer` (call, payload) tells it to the caller."""
         if self._is_sent_on(call):
             return
         reply = self._reply_to(call)
@@ -221,9 +209,9 @@
                 return
             waiting = reply.claim()
             if waiting is not None:
-                waiting.answer(status=200, body={"zones": sorted(evacuations.zones_of(payload))})
+                answer(waiting, payload)
 
-        self._registers.read(name=registers.EVACUATIONS, done=done)
+        self._registers.read(name=name, done=done)
 
     # Configurations.
 
@@ -381,6 +369,17 @@
         self._registers.change(name=registers.EVACUATIONS, edit=edit, done=done, is_wanted=lambda: not reply.is_over)
 
 
+def _answer_configuration(call, payload) -> None:
+    if not payload:
+        call.answer(status=404, body={"error": "no configuration yet"})
+        return
+    call.answer(status=200, body=payload["body"], headers=[(b"ETag", b'"%d"' % payload["edition"])])
+
+
+def _answer_evacuations(call, payload) -> None:
+    call.answer(status=200, body={"zones": sorted(evacuations.zones_of(payload))})
+
+
 def _version_of(text) -> int | None:
     """The version that If-Match names, with or without quotes."""
     text = (text or "").strip()
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -193,7 +193,7 @@
     def _catch_up(self, version: int) -> None:
         """Reads the core set where another node knows a newer version of it."""
         is_behind = version > self.desk.serial(registers.CORE_SET)[1]
-        if is_behind and self.acceptor.votes and registers.CORE_SET not in self._reading:
+        if is_behind and self.acceptor.votes and not self.voting.is_reading(registers.CORE_SET):
             self._repair(registers.CORE_SET)
 
     def _beat(self) -> None:
@@ -202,9 +202,7 @@
             if peer.role == "proxy" and not peer.is_ready:
                 self._tell_floor(link)
         heartbeat = self.contact.next_heartbeat(version=self.agreed_set()[1])
-        for dialer in self.dialers.values():
-            if dialer.link is not None and dialer.link.is_up:
-                dialer.link.send(("heartbeat", heartbeat.number, heartbeat.version))
+        self._ask_cores(("heartbeat", heartbeat.number, heartbeat.version))
         self._beats += 1
         if self._beats % 4 == 0 and self.file_watch.is_changed():
             self._reread()
@@ -223,10 +221,14 @@
             return
         link.send(("entry", *self._grant(peer), message[1]))
 
+    def part_of(self, members) -> float:
+        """The part of every bound that this node owns under a core set."""
+        return 1.0 / len(members) if self.own in members else 0.0
+
     def _grant(self, peer) -> tuple:
         """Shares of the bounds for one proxy."""
         members, version = self.agreed_set()
-        own_part = 1.0 / len(members) if self.own in members else 0.0
+        own_part = self.part_of(members)
         self.slack_parts.install(part=own_part, version=version)
         self.rate_parts.install(part=own_part, version=version)
         live = len(self.proxies(is_listed=False))
--- a/pw/ctl/voting.py
+++ b/pw/ctl/voting.py
@@ -314,14 +314,6 @@
     def proposer(self):
         return self.voting.proposer
 
-    @property
-    def _reading(self) -> set:
-        return self.voting._reading
-
-    @_reading.setter
-    def _reading(self, _names) -> None:
-        pass  # Core names it before the voting starts
-
     def _send_core(self, member: str, message: tuple) -> None:
         dialer = self.dialers.get(member)
         if dialer is not None and dialer.link is not None:
--- a/pw/ctl/watch_duty.py
+++ b/pw/ctl/watch_duty.py
@@ -10,6 +10,7 @@
 from pw.base import ring
 from pw.ctl import duties
 from pw.ctl import registers
+from pw.ctl.register import ballots
 
 WATCH = "watch"
 NOBODY = (0, "", "")
@@ -95,7 +96,7 @@
     def _is_open(self, *, members: tuple, live: list, lost_since: dict) -> bool:
         """Whether the duty's holder is lost and this node is the first that may take it."""
         _epoch, holder, _life = self._duties.holder(WATCH)
-        if self._duties.is_taking or len(live) < len(members) // 2 + 1:
+        if self._duties.is_taking or len(live) < ballots.majority(members):
             return False
         if holder == self._own:
             return True  # of an earlier life
--- a/pw/sim/control/proxies.py
+++ b/pw/sim/control/proxies.py
@@ -7,13 +7,12 @@
 
 from pw.ctl.news import desk as desks
 from pw.ctl.register import ballots
+from pw.dat import follow
 from pw.dat import quota as quotas
 from pw.sim.control import clock as clocks
 from pw.sim.control import machines
 from pw.sim.control import network as networks
 
-RENEWALS_KEPT = 16
-
 
 class Proxy:
     """One life of a model proxy. `recorder` is told of what it applies and of its shares."""
@@ -75,7 +74,7 @@
     def _tick(self) -> None:
         self._renewal += 1
         self._renewed_at[self._renewal] = self.loop.now()
-        self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
+        self._renewed_at.pop(self._renewal - follow.RENEWALS_KEPT, None)
         self._tell(("renew", self._renewal))
         self.follower.tick()
 
