--- a/pw/base/records.py
+++ b/pw/base/records.py
@@ -14,6 +14,7 @@
 )  # replica key, region, running, tokens to read, marks, ended and failed since the last
 LOAD = struct.Struct(">8sHIHB")  # replica key, running, tokens to read, marks, is failing
 LANE = struct.Struct(">8sH")
+_KEY = struct.Struct(">8s")
 _READ = struct.Struct(">8sB8sB")  # replica key, region, domain, how many parts
 _PART = struct.Struct(">8sI")  # token hash, tokens
 MOST_SHORT = 0xFFFF
@@ -32,6 +33,11 @@
     return list(shape.iter_unpack(data))
 
 
+def keys(*, data: bytes) -> list:
+    """Replica keys, one behind the other."""
+    return [key for (key,) in rows(shape=_KEY, data=data)]
+
+
 def short(number: int) -> int:
     return max(0, min(int(number), MOST_SHORT))
 
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -38,8 +38,10 @@
     # news
     "offer": (20, (rows(TEXT, NUMBER, NUMBER),)),
     "floor": (21, (rows(TEXT, NUMBER),)),
-    "want": (22, (TEXT,)),
+    "want": (22, (TEXT, NUMBER, NUMBER)),  # topic, version that the asker has; 0, 0: none
     "image": (23, (TEXT, NUMBER, NUMBER, BLOB)),
+    # topic, version that the steps start from, and each step with the version that it leads to
+    "changes": (25, (TEXT, NUMBER, NUMBER, rows(NUMBER, NUMBER, BLOB))),
     "have": (24, (rows(TEXT, NUMBER, NUMBER),)),
     # leases and grants
     "state": (30, (FLAG, FLAG)),  # is ready, is leaving
@@ -61,6 +63,8 @@
     "credited": (43, (TEXT, NUMBER)),  # region, number of the report that its sums hold
     "relayed": (44, (TEXT, BLOB)),  # region, a frame of its relay, unchanged
     "broke": (45, (TEXT,)),  # region whose stream broke at the digest
+    "follow": (47, (FLAG, BLOB)),  # a member's wish: loads of all replicas, or of these (keys)
+    "enroll_digest": (48, (NUMBER, TEXT, NUMBER)),  # to the gateway: epoch of the relay, duty of the digest, its epoch
     # adapters, by way of the digest to a core node (docs/pins.md): node, zone, region, life, window, number, counts
     "adapters": (46, (rows(TEXT, TEXT, TEXT, TEXT, NUMBER, NUMBER, BLOB),)),
     # digests to the relay of a region
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -7,7 +7,6 @@
 from pw.ctl import core_set as core_sets
 from pw.ctl import interfaces
 from pw.ctl import membership
-from pw.ctl import platform
 from pw.ctl import registers
 from pw.ctl import runtime as runtimes
 from pw.ctl import voting
@@ -45,8 +44,14 @@
         self.slots = grants.Slots(now=self.loop.now, hold_s=self.lease_s + RATE_WINDOW_S)
         self.rates_from = start + rate_quiet_s
         self.desk = desks.Desk()
-        self.follower = desks.Follower(now=self.loop.now, patience_s=self.contact_s / 12, on_image=self._on_image)
-        self.roll = platform.Roll()
+        self.follower = desks.Follower(
+            now=self.loop.now,
+            patience_s=self.contact_s / 12,
+            on_image=self._on_image,
+            on_change=self._on_change,
+            stepwise=(watch_duties.LIST,),
+            holds=self.desk.serial,
+        )
         self.spec = None
         self._beats = 0
         self.file_watch = self.runtime.file_watch()
@@ -81,7 +86,6 @@
             duty_table=self.duty_table,
             desk=self.desk,
             watch=self.watch,
-            differs=self.roll.differs,
             take_after_s=self.silence_s / 4,
             stale_after_s=self.contact_s,
         )
--- a/pw/ctl/directory.py
+++ b/pw/ctl/directory.py
@@ -1,9 +1,8 @@
 """Look-ups of clients and the views that operator tools read (design 4, 10)."""
 
-import json
-
 from pw.base import residency
 from pw.ctl import router
+from pw.ctl.news import replica_list
 from pw.ctl.register import ballots
 
 MOST_ADDRESSES = 64  # the protocol's figure
@@ -84,7 +83,8 @@
             call.answer(status=503, body={"error": "no list of replicas yet"}, headers=RETRY_LATER)
             return
         epoch, number, data = held
-        call.answer(status=200, body={"epoch": epoch, "number": number, **json.loads(data)})
+        rows = replica_list.unpack_list(data).in_order()
+        call.answer(status=200, body={"epoch": epoch, "number": number, "replicas": rows})
 
     def _get_nodes(self, call) -> None:
         """The nodes in touch with this one."""
--- a/pw/ctl/duties.py
+++ b/pw/ctl/duties.py
@@ -1,6 +1,37 @@
 """Which proxies hold the duties of regions and zones: the first live one in an agreed order (design 4, docs/digest.md 4)."""
 
+import hashlib
+import math
+
 FEW = 3  # a zone of so few proxies has no digest: each is its own
+CELL = 14  # proxies that one digest serves; a zone of more has several digests
+KEPT_SHARE = 0.6  # a further digest ends once the zone could do without it, had it so much less room
+
+RELAY = "relay"
+DIGEST = "digest"
+NOBODY = ("", "")  # the holder, and its life, of a duty that is not needed now
+
+
+def relay_name(*, region: str) -> str:
+    return f"{RELAY}/{region}"
+
+
+def digest_name(*, zone: str, number: int = 0) -> str:
+    """The first digest of a zone bears the zone's name alone."""
+    return f"{DIGEST}/{zone}/{number}" if number else f"{DIGEST}/{zone}"
+
+
+def is_digest_of(*, name: str, zone: str) -> bool:
+    return name == digest_name(zone=zone) or name.startswith(f"{DIGEST}/{zone}/")
+
+
+def digest_for(*, names, address: str) -> str:
+    """Which of a zone's digests serves this proxy: by rendezvous hash, so that few change when one comes or goes."""
+
+    def weight(name: str) -> bytes:
+        return hashlib.blake2b(f"{name} {address}".encode(), digest_size=8).digest()
+
+    return max(names, key=weight)
 
 
 def named(*, proxies, duty) -> dict:
@@ -14,11 +45,32 @@
         by_zone.setdefault(zone, []).append((address, life))
     rows = {}
     for region, live in by_region.items():
-        epoch, *held = duty(f"relay/{region}")
+        epoch, *held = duty(relay_name(region=region))
         if tuple(held) not in live:
-            rows[f"relay/{region}"] = (epoch, *min(live))
+            rows[relay_name(region=region)] = (epoch, *min(live))
     for zone, live in by_zone.items():
-        epoch, *held = duty(f"digest/{zone}")
-        if tuple(held) not in live and len(live) > FEW:
-            rows[f"digest/{zone}"] = (epoch, *max(live))
+        rows.update(_digests(zone=zone, live=live, duty=duty))
     return rows
+
+
+def _digests(*, zone: str, live: list, duty) -> dict:
+    """The digests of one zone that want a holder, or that are not needed any more."""
+    rows = {}
+    wanted = math.ceil(len(live) / CELL)
+    holders = {tuple(duty(digest_name(zone=zone, number=number))[1:]) for number in range(wanted)}
+    free = sorted((proxy for proxy in live if proxy not in holders), reverse=True)
+    number = 0
+    while True:
+        name = digest_name(zone=zone, number=number)
+        epoch, *held = duty(name)
+        holder = tuple(held)
+        if number < wanted:
+            if holder not in live and len(live) > FEW:
+                rows[name] = (epoch, *(free.pop(0) if free else max(live)))
+        elif not epoch:
+            return rows
+        elif holder != NOBODY and len(live) < number * CELL * KEPT_SHARE:
+            rows[name] = (epoch, *NOBODY)
+        elif holder != NOBODY and holder not in live:
+            rows[name] = (epoch, *NOBODY)
+        number += 1
--- a/pw/ctl/grants.py
+++ b/pw/ctl/grants.py
@@ -4,39 +4,63 @@
 until it has run out and its window is over, so the sum out never passes the part.
 """
 
+import heapq
+import math
+
+import sortedcontainers
+
+SUMMED_ANEW = 1024  # after so many changes a running total is summed anew
+
 
 class Book:
+    """Shares of one bound. A renewal costs the same however many nodes there are: what is out is a running total."""
+
     def __init__(self, *, now, life_s: float, window_s: float, quiet_until: float):
         self._now = now
         self._life_s = life_s
         self._window_s = window_s
         self._quiet_until = quiet_until
         self._out = {}  # node: [(share, counts until)]
+        self._held = {}  # node: the most that it may be using, the largest of its entries that still count
+        self._total = 0.0
+        self._ends = []  # heap of (counts until, node)
+        self._changes = 0
 
-    def _held(self, node: str) -> float:
-        """The most that a node may be using: the largest of its entries that still count."""
+    def _expire(self) -> None:
+        """Takes off what has run out by now."""
         now = self._now()
-        rows = [row for row in self._out.get(node, ()) if row[1] > now]
+        while self._ends and self._ends[0][0] <= now:
+            _until, node = heapq.heappop(self._ends)
+            rows = [row for row in self._out.get(node, ()) if row[1] > now]
+            self._set(node, rows)
+
+    def _set(self, node: str, rows: list) -> None:
+        held = max((share for share, _until in rows), default=0.0)
+        self._total += held - self._held.get(node, 0.0)
         if rows:
-            self._out[node] = rows
+            self._out[node], self._held[node] = rows, held
         else:
             self._out.pop(node, None)
-        return max((share for share, _until in rows), default=0.0)
+            self._held.pop(node, None)
+        self._changes += 1
+        if self._changes % SUMMED_ANEW == 0:
+            self._total = math.fsum(self._held.values())  # rounding must not add up
 
     def total_out(self) -> float:
-        return sum(self._held(node) for node in list(self._out))
+        self._expire()
+        return self._total
 
     def renew(self, *, node: str, part: float, live: int) -> float:
         """The share for a node that renews its lease; it may be 0."""
         if self._now() < self._quiet_until or live <= 0:
             return 0.0
-        own = self._held(node)
-        free = part - self.total_out() + own
+        free = part - self.total_out() + self._held.get(node, 0.0)
         share = max(0.0, min(part / live, free))
         if share > 0.0:
             until = self._now() + self._life_s + self._window_s
             rows = [row for row in self._out.get(node, ()) if row[0] > share]
-            self._out[node] = rows + [(share, until)]
+            self._set(node, rows + [(share, until)])
+            heapq.heappush(self._ends, (until, node))
         return share
 
 
@@ -87,21 +111,34 @@
         self._now = now
         self._hold_s = hold_s
         self._held = {}  # node: (slot, until)
+        self._slots = sortedcontainers.SortedList()  # those held
+        self._free = sortedcontainers.SortedList()  # those below the highest held that are free again
+        self._ends = []  # heap of (until, node)
         self._size = self.STEP
         self._quiet_until = 0.0
 
+    def _expire(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            _until, node = heapq.heappop(self._ends)
+            slot, until = self._held.get(node, (0, math.inf))
+            if until <= now:
+                del self._held[node]
+                self._slots.remove(slot)
+                self._free.add(slot)
+
+    def _new_slot(self) -> int:
+        slot = self._free.pop(0) if self._free else (self._slots[-1] + 1 if self._slots else 0)
+        self._slots.add(slot)
+        return slot
+
     def renew(self, *, node: str) -> tuple:
         """(slot, size); size 0: none yet. A size that changes is told once all older entries have run out."""
         now = self._now()
-        for other in [other for other, (_slot, until) in self._held.items() if until <= now]:
-            del self._held[other]
-        if node in self._held:
-            slot = self._held[node][0]
-        else:
-            taken = {slot for slot, _until in self._held.values()}
-            slot = next(number for number in range(len(taken) + 1) if number not in taken)
+        self._expire(now)
+        slot = self._held[node][0] if node in self._held else self._new_slot()
         self._held[node] = (slot, now + self._hold_s)
-        most = max(slot for slot, _until in self._held.values()) + 1
+        heapq.heappush(self._ends, (now + self._hold_s, node))
+        most = self._slots[-1] + 1
         if most > self._size or most * 2 + self.STEP <= self._size:
             self._size = -(-most // self.STEP) * self.STEP + self.STEP
             self._quiet_until = now + self._hold_s
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -28,6 +28,7 @@
 
     def start_members(self) -> None:
         self.peers = {}  # link: Peer
+        self.proxy_count = 0
         self.dialers = {}
         self.core_lost = {}  # core address: since when out of touch
         self.core_unanswering = {}  # core address: since when it answers no heartbeat, in touch or not
@@ -71,8 +72,8 @@
         self.desk.leave(link)
         self.follower.drop(link)
         if peer is not None and peer.role == "proxy":
+            self.proxy_count -= 1
             ring.note("proxy gone", peer=peer.address, reason=reason)
-            self.watch_duty.is_members_changed = True
             self.interfaces.applying.check()
 
     def _take(self, link, message: tuple) -> None:
@@ -82,16 +83,16 @@
             for old, peer in list(self.peers.items()):
                 if peer.address == address and old is not link:
                     old.close(reason="a newer link of the same node")
+            former = self.peers.get(link)
             self.peers[link] = Peer(
                 link=link, role=role, address=address, zone=zone, region=region, life=life, public=public
             )
+            self.proxy_count += (role == "proxy") - (former is not None and former.role == "proxy")
             link.hello = (role, address)
             if role == "core" and address not in self.dialers:
                 self._dial_cores()
             if role == "core" and self.acceptor.votes:
                 self._read_unknown()
-            if role == "proxy":
-                self.watch_duty.is_members_changed = True
             if role in ("core", "proxy"):
                 self.desk.join(link)
                 if role == "proxy":
@@ -102,6 +103,8 @@
             self.follower.take_offer(link, message)
         elif kind == "image":
             self.follower.take_image(link, message)
+        elif kind == "changes":
+            self.follower.take_changes(link, message)
         elif kind == "want":
             self.desk.take_want(link, message)
         elif kind == "have":
@@ -126,8 +129,6 @@
         elif kind == "state":
             peer = self.peers.get(link)
             if peer is not None:
-                if (peer.is_ready, peer.is_leaving) != (message[1], message[2]):
-                    self.watch_duty.is_members_changed = True
                 peer.is_ready, peer.is_leaving = message[1], message[2]
         else:
             member = self._member_of(link)
@@ -231,7 +232,7 @@
         own_part = self.part_of(members)
         self.slack_parts.install(part=own_part, version=version)
         self.rate_parts.install(part=own_part, version=version)
-        live = len(self.proxies(is_listed=False))
+        live = self.proxy_count
         rate_part = self.rate_parts.value()
         slot = (0, 0)
         if rate_part > 0 and self.loop.now() >= self.rates_from:
@@ -272,9 +273,6 @@
         listed = self.proxies()
         self.watch_duty.name_holders(proxies=[(peer.address, peer.life, peer.zone, peer.region) for peer in listed])
         self._tend_core_set()
-        self.watch_duty.tell_members(
-            rows=[(peer.address, peer.public, peer.zone, peer.region) for peer in self.proxies(is_listed=False)]
-        )
 
     def core_view(self) -> core_sets.View:
         """What this node sees of the core machines."""
@@ -388,3 +386,8 @@
             self._publish(topic, number, data)
         elif self.watch_duty.may_follow(epoch=epoch):
             self.desk.publish(topic=topic, epoch=epoch, number=number, data=data)
+
+    def _on_change(self, topic: str, epoch: int, number: int, data: bytes) -> None:
+        """A step of the list from another core node."""
+        if self.watch_duty.may_follow(epoch=epoch):
+            self.watch_duty.follow_change(epoch=epoch, number=number, data=data)
--- a/pw/ctl/news/desk.py
+++ b/pw/ctl/news/desk.py
@@ -1,15 +1,33 @@
-"""Numbered changes, pushed down held connections and counted (design 5)."""
+"""Numbered news, pushed down held connections and counted (design 5, docs/scale.md 2)."""
+
+import collections
+import dataclasses
+
+from pw.base import problems
+
+CHANGES_KEPT = 64  # of a topic: a follower that is further behind takes the whole value
+NOTHING = (0, 0)  # the version of a topic that a follower has none of
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """How the value of one version became that of the next; `data` is for the topic's followers to read."""
+
+    base: tuple  # (epoch, number)
+    version: tuple
+    data: bytes
 
 
 class Desk:
-    """Topics with their newest image. A serial is (epoch, number); it only rises.
+    """Topics with their newest value. A version is (epoch, number); it only rises.
 
-    An image goes only to who wants it: a link is offered the serial and asks, so that a proxy
-    with three core nodes takes a large configuration once.
+    A value goes only to who wants it: a link is offered the version and asks, naming the version that it has, so
+    that a proxy with three core nodes takes a large configuration once, and only what changed where that is known.
     """
 
     def __init__(self):
         self.topics = {}  # name: (epoch, number, data)
+        self._steps = {}  # name: the newest steps, each from where the one before it ended
         self._links = {}  # link: {topic: (epoch, number)} that it has
 
     def get(self, topic: str):
@@ -17,14 +35,21 @@
 
     def serial(self, topic: str) -> tuple:
         held = self.topics.get(topic)
-        return held[:2] if held else (0, 0)
+        return held[:2] if held else NOTHING
 
-    def publish(self, *, topic: str, epoch: int, number: int, data: bytes) -> bool:
-        if (epoch, number) <= self.serial(topic):
+    def publish(self, *, topic: str, epoch: int, number: int, data: bytes, change: bytes | None = None) -> bool:
+        """`change`: what leads from the value that this desk holds to this one, where that is known."""
+        base = self.serial(topic)
+        if (epoch, number) <= base:
             return False
+        steps = self._steps.setdefault(topic, collections.deque(maxlen=CHANGES_KEPT))
+        if change is None:
+            steps.clear()
+        else:
+            steps.append(Step(base=base, version=(epoch, number), data=change))
         self.topics[topic] = (epoch, number, data)
         for link, has in list(self._links.items()):
-            if has.get(topic, (0, 0)) < (epoch, number):
+            if has.get(topic, NOTHING) < (epoch, number):
                 link.send(("offer", ((topic, epoch, number),)))
         return True
 
@@ -37,39 +62,72 @@
         self._links.pop(link, None)
 
     def take_want(self, link, message: tuple) -> None:
-        held = self.topics.get(message[1])
-        if held is not None:
-            link.send(("image", message[1], *held))
+        _kind, topic, epoch, number = message
+        held = self.topics.get(topic)
+        if held is None:
+            return
+        steps = self._steps_from(topic, (epoch, number))
+        if steps and sum(len(step.data) for step in steps) < len(held[2]):
+            link.send(("changes", topic, epoch, number, tuple((*step.version, step.data) for step in steps)))
+        else:
+            link.send(("image", topic, *held))
+
+    def _steps_from(self, topic: str, base: tuple) -> list:
+        """The steps that lead from this version to the newest; empty where they are not all known."""
+        steps = list(self._steps.get(topic, ()))
+        for place, step in enumerate(steps):
+            if step.base == base:
+                return steps[place:]
+        return []
 
     def take_have(self, link, message: tuple) -> None:
         has = self._links.get(link)
         if has is None:
             return
         for topic, epoch, number in message[1]:
-            has[topic] = max(has.get(topic, (0, 0)), (epoch, number))
+            has[topic] = max(has.get(topic, NOTHING), (epoch, number))
 
     def lagging(self, *, topic: str, serial: tuple, links) -> list:
-        return [link for link in links if self._links.get(link, {}).get(topic, (0, 0)) < serial]
+        return [link for link in links if self._links.get(link, {}).get(topic, NOTHING) < serial]
 
 
 class Follower:
-    """The other end: asks one teller at a time for what it lacks, never goes back."""
+    """The other end: asks one teller at a time for what it lacks, never goes back.
+
+    `on_change` (topic, epoch, number, data) takes each step that leads from the version held to a newer one; it is
+    called for `stepwise` topics alone, of others whole values are asked for. `holds` (topic) tells the version held
+    where that is not simply the last one taken here.
+    """
 
-    def __init__(self, *, now, patience_s: float, on_image, is_near=None, unwanted=()):
+    def __init__(
+        self,
+        *,
+        now,
+        patience_s: float,
+        on_image,
+        is_near=None,
+        unwanted=(),
+        on_change=None,
+        stepwise=(),
+        holds=None,
+    ):
         self._now = now
         self._patience_s = patience_s
-        self._is_near = is_near  # whether a link's images come cheaply
+        self._is_near = is_near  # whether a link's values come cheaply
         self._unwanted = frozenset(unwanted)  # topics that are never asked for
         self._on_image = on_image  # (topic, epoch, number, data)
+        self._on_change = on_change
+        self._stepwise = frozenset(stepwise)
         self.serials = {}
-        self._offered = {}  # topic: {link: serial}
-        self._asked = {}  # topic: (when, serial)
+        self._holds = holds if holds is not None else lambda topic: self.serials.get(topic, NOTHING)
+        self._offered = {}  # topic: {link: version}
+        self._asked = {}  # topic: (when, version)
 
     def take_offer(self, link, message: tuple) -> None:
         for topic, epoch, number in message[1]:
             if topic in self._unwanted:
                 continue
-            if (epoch, number) <= self.serials.get(topic, (0, 0)):
+            if (epoch, number) <= self.serials.get(topic, NOTHING):
                 link.send(("have", ((topic, *self.serials[topic]),)))
                 continue
             self._offered.setdefault(topic, {})[link] = (epoch, number)
@@ -77,7 +135,7 @@
                 self._ask(topic, link)
             else:
                 # A nearer teller offers it in a moment; else the next tick asks here.
-                self._asked.setdefault(topic, (self._now() - self._patience_s * 0.5, (0, 0)))
+                self._asked.setdefault(topic, (self._now() - self._patience_s * 0.5, NOTHING))
 
     def _ask(self, topic: str, link) -> None:
         asked = self._asked.get(topic)
@@ -85,12 +143,16 @@
         if asked is not None and asked[1] >= wanted and self._now() - asked[0] < self._patience_s:
             return
         self._asked[topic] = (self._now(), wanted)
-        link.send(("want", topic))
+        self._want(topic, link)
+
+    def _want(self, topic: str, link) -> None:
+        has = self._holds(topic) if topic in self._stepwise else NOTHING
+        link.send(("want", topic, *has))
 
     def tick(self) -> None:
         """Asks again where a teller did not tell."""
         for topic, offers in self._offered.items():
-            serial = self.serials.get(topic, (0, 0))
+            serial = self.serials.get(topic, NOTHING)
             newer = [link for link, offered in offers.items() if offered > serial and link.is_open]
             if newer:
                 asked = self._asked.get(topic)
@@ -100,18 +162,37 @@
                         newer = near
                     link = newer[int(self._now() / self._patience_s) % len(newer)]
                     self._asked[topic] = (self._now(), offers[link])
-                    link.send(("want", topic))
+                    self._want(topic, link)
 
     def take_image(self, link, message: tuple) -> bool:
         _kind, topic, epoch, number, data = message
-        if (epoch, number) <= self.serials.get(topic, (0, 0)):
+        if (epoch, number) <= self.serials.get(topic, NOTHING):
             return False
         self._on_image(topic, epoch, number, data)
-        self.serials[topic] = (epoch, number)
+        self._has(topic, (epoch, number))
+        return True
+
+    def take_changes(self, link, message: tuple) -> bool:
+        """Steps count only on the very version that they start from; any others change nothing."""
+        _kind, topic, base_epoch, base_number, steps = message
+        base = (base_epoch, base_number)
+        versions = [base, *((epoch, number) for epoch, number, _data in steps)]
+        if not steps or versions != sorted(set(versions)):
+            raise problems.FrameProblem(f"steps {versions}", step="changes")
+        if topic not in self._stepwise or self._holds(topic) != base:
+            return False
+        if versions[-1] <= self.serials.get(topic, NOTHING):
+            return False
+        for epoch, number, data in steps:
+            self._on_change(topic, epoch, number, data)
+            self._has(topic, (epoch, number))
+        return True
+
+    def _has(self, topic: str, version: tuple) -> None:
+        self.serials[topic] = version
         asked = self._asked.get(topic)
-        if asked is not None and asked[1] <= (epoch, number):
+        if asked is not None and asked[1] <= version:
             self._asked.pop(topic, None)
-        return True
 
     def drop(self, link) -> None:
         for topic, offers in self._offered.items():
--- /dev/null
+++ b/pw/ctl/news/test_replica_list.py
@@ -0,0 +1,303 @@
+"""The list of replicas by steps: what matters, and histories with loss, reordering, restarts, old epochs and late joiners."""
+
+import random
+
+import pytest
+
+from pw.base import problems
+from pw.base import wire
+from pw.ctl import platform
+from pw.ctl.news import desk as desks
+from pw.ctl.news import replica_list
+
+ENTRY = {
+    "id": "i",
+    "destination": "d",
+    "address": "1.1.1.1:1",
+    "zone": "z",
+    "condition": "accepting",
+    "warmupLeftMs": 3000,
+}
+
+
+def row(**changed):
+    return platform.read_row(entry={**ENTRY, **changed})
+
+
+def test_a_change_is_what_matters_and_not_the_passing_of_a_cold_time():
+    told = replica_list.of_rows(rows=[row()], read_at=10.0)
+    assert told.change_to(rows=[row(warmupLeftMs=2000)], read_at=11.0, is_same_clock=True) is None
+    later = told.change_to(rows=[row(warmupLeftMs=3000)], read_at=11.0, is_same_clock=True)
+    assert later.rows == (row(),) and later.gone == ()
+    clearing = told.change_to(rows=[row(condition="clearing", warmupLeftMs=2000)], read_at=11.0, is_same_clock=True)
+    assert clearing.rows[0]["is_clearing"]
+    assert told.change_to(rows=[], read_at=11.0, is_same_clock=True).gone == ("i",)
+    noticed = told.change_to(rows=[row(timeLeftMs=900, warmupLeftMs=2000)], read_at=11.0, is_same_clock=True)
+    assert noticed.rows[0]["left_ms"] == 900
+
+
+def test_under_another_clock_a_cold_row_is_told_again():
+    told = replica_list.of_rows(rows=[row()], read_at=900.0)
+    assert told.change_to(rows=[row(warmupLeftMs=2000)], read_at=3.0, is_same_clock=False).rows
+    assert told.change_to(rows=[row(warmupLeftMs=0)], read_at=3.0, is_same_clock=False) is None
+
+
+def test_cold_times_of_rows_that_are_not_named_run_down():
+    told = replica_list.of_rows(rows=[row(), row(id="j", warmupLeftMs=0)], read_at=10.0)
+    change = told.change_to(rows=[row(warmupLeftMs=2000), row(id="k")], read_at=11.0, is_same_clock=True)
+    after = told.changed_by(change)
+    assert sorted(after.rows) == ["i", "k"] and after.rows["i"]["cold_ms"] == 2000.0
+    assert replica_list.unpack_list(after.pack()) == after
+    assert replica_list.unpack_change(change.pack()) == change
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"not zlib",
+        replica_list._pack({"replicas": [{"id": "i"}], "at": 1.0, "rows": [{"id": 7}], "gone": [], "same": True}),
+        replica_list._pack({"replicas": "x", "rows": ["x"], "gone": [], "at": 1.0, "same": True}),
+        replica_list.of_rows(rows=[row()], read_at=1.0).pack()[:-3],
+        replica_list._pack({}),
+    ],
+)
+def test_malformed_lists_and_changes_are_frame_problems(data):
+    with pytest.raises(problems.FrameProblem):
+        replica_list.unpack_list(data)
+    with pytest.raises(problems.FrameProblem):
+        replica_list.unpack_change(data)
+
+
+class Wire:
+    """A link from a desk to a follower whose messages wait to be carried, lost or passed by others."""
+
+    is_open = True
+
+    def __init__(self):
+        self.waiting = []
+
+    def send(self, message):
+        self.waiting.append(wire.unpack(wire.pack(message)))
+
+
+class Teller:
+    """A core node as far as news go: it holds the duty, or follows the holder."""
+
+    def __init__(self):
+        self.desk = desks.Desk()
+        self.told = {}  # version: rows by id
+
+    def tell(self, *, rows, version, read_at):
+        base = self.desk.get("list")
+        if base is None or base[0] != version[0]:
+            data, change = replica_list.of_rows(rows=rows, read_at=read_at).pack(), None
+        else:
+            held = replica_list.unpack_list(base[2])
+            change = held.change_to(rows=rows, read_at=read_at, is_same_clock=True)
+            if change is None:
+                return
+            data, change = held.changed_by(change).pack(), change.pack()
+        self.desk.publish(topic="list", epoch=version[0], number=version[1], data=data, change=change)
+        self.told[version] = replica_list.unpack_list(data)
+
+
+class Listener:
+    """A follower that keeps the list by images and steps, as a proxy does."""
+
+    def __init__(self, *, now):
+        self.held = None
+        self.version = (0, 0)
+        self.images = self.steps = 0
+        self.follower = desks.Follower(
+            now=now, patience_s=0.3, on_image=self._image, on_change=self._change, stepwise=("list",)
+        )
+
+    def _image(self, _topic, epoch, number, data):
+        self.held, self.version = replica_list.unpack_list(data), (epoch, number)
+        self.images += 1
+
+    def _change(self, _topic, epoch, number, data):
+        self.held, self.version = self.held.changed_by(replica_list.unpack_change(data)), (epoch, number)
+        self.steps += 1
+
+    def take(self, link, message):
+        take = {
+            "offer": self.follower.take_offer,
+            "image": self.follower.take_image,
+            "changes": self.follower.take_changes,
+        }
+        take[message[0]](link, message)
+
+
+class History:
+    """Two tellers, of which the second takes over under a higher epoch, and followers that join late or start anew."""
+
+    def __init__(self, *, seed, listener=Listener):
+        self.chance = random.Random(seed)
+        self.time = 0.0
+        self.tellers = [Teller(), Teller()]
+        self.listener = listener
+        self.down = {}  # (teller, listener): link that carries news
+        self.up = {}
+        self.listeners = []
+        for _ in range(3):
+            self.join()
+        self.rows = {f"i{number}": row(id=f"i{number}", warmupLeftMs=0) for number in range(30)}
+
+    def join(self):
+        listener = self.listener(now=lambda: self.time)
+        self.listeners.append(listener)
+        for teller in self.tellers:
+            self.down[teller, listener], self.up[teller, listener] = Wire(), Wire()
+            teller.desk.join(self.down[teller, listener])
+
+    def change_rows(self):
+        name = f"i{self.chance.randrange(40)}"
+        if name in self.rows and self.chance.random() < 0.5:
+            del self.rows[name]
+        else:
+            condition = self.chance.choice(("accepting", "clearing"))
+            self.rows[name] = row(id=name, condition=condition, warmupLeftMs=self.chance.choice((0, 0, 3000)))
+
+    def carry(self, *, loss):
+        for (teller, listener), link in list(self.down.items()):
+            back = self.up[teller, listener]
+            if self.chance.random() < 0.3:
+                self.chance.shuffle(link.waiting)
+            for message in link.waiting:
+                if self.chance.random() >= loss:
+                    listener.take(back, message)
+            link.waiting = []
+            for message in back.waiting:
+                if message[0] == "want" and self.chance.random() >= loss:
+                    teller.desk.take_want(link, message)
+            back.waiting = []
+            listener.follower.tick()
+
+    def check(self):
+        for listener in self.listeners:
+            if listener.held is None:
+                continue
+            told = [teller.told[listener.version] for teller in self.tellers if listener.version in teller.told]
+            assert listener.held in told, f"{listener.version} was never told so"
+
+    def play(self):
+        number = 0
+        for step in range(120):
+            self.time += 0.1
+            epoch = 1 if step < 60 else 2
+            for _ in range(self.chance.choice((0, 0, 1, 2))):
+                self.change_rows()
+            number = 1 if step == 60 else number + 1
+            self.tellers[epoch - 1].tell(rows=list(self.rows.values()), version=(epoch, number), read_at=self.time)
+            if epoch == 2 and step % 7 == 0:  # the deposed holder tells on: nobody that heard of its successor listens
+                self.tellers[0].tell(rows=[row(id="stale")], version=(1, 1000 + step), read_at=self.time)
+            if step in (30, 80):
+                self.join()
+            self.carry(loss=0.2)
+            self.check()
+        for (teller, listener), link in self.down.items():  # what was lost ended its link: a new one offers anew
+            listener.follower.drop(self.up[teller, listener])
+            teller.desk.leave(link)
+            teller.desk.join(link)
+        for _ in range(12):
+            self.time += 0.31
+            self.carry(loss=0.0)
+        self.check()
+        newest = self.tellers[1].desk.serial("list")
+        assert {listener.version for listener in self.listeners} == {newest}
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_followers_hold_only_lists_that_were_told_and_converge(seed):
+    history = History(seed=seed)
+    history.play()
+    assert sum(listener.steps for listener in history.listeners) > 20  # both ways were gone
+    assert sum(listener.images for listener in history.listeners) > 3
+
+
+def failing_seeds(listener) -> int:
+    failed = 0
+    for seed in range(10):
+        try:
+            History(seed=seed, listener=listener).play()
+        except AssertionError:
+            failed += 1
+    return failed
+
+
+class TakesAnySteps(Listener):
+    """Planted: steps are applied whatever version they start from."""
+
+    def take(self, link, message):
+        if message[0] == "changes" and self.held is not None:
+            for epoch, number, data in message[4]:
+                self._change("list", epoch, number, data)
+            self.follower.serials["list"] = self.version
+            return
+        super().take(link, message)
+
+
+class SkipsAStep(Listener):
+    """Planted: of several steps the last one alone is applied."""
+
+    def take(self, link, message):
+        if message[0] == "changes" and len(message[4]) > 1 and self.version == message[2:4]:
+            epoch, number, data = message[4][-1]
+            self._change("list", epoch, number, data)
+            self.follower.serials["list"] = self.version
+            return
+        super().take(link, message)
+
+
+class TakesOlderEpochs(Listener):
+    """Planted: a whole list counts though one of a newer epoch is held."""
+
+    def take(self, link, message):
+        if message[0] == "image":
+            self.follower.serials.pop("list", None)
+        super().take(link, message)
+
+
+@pytest.mark.parametrize("planted", [TakesAnySteps, SkipsAStep])
+def test_the_histories_find_steps_that_are_taken_wrongly(planted):
+    assert failing_seeds(planted) > 0
+
+
+def test_a_list_of_an_older_epoch_is_not_taken_and_planted_it_would_be_seen():
+    for listener, expected in ((Listener, (2, 1)), (TakesOlderEpochs, (1, 9))):
+        found = listener(now=lambda: 0.0)
+        for version in ((2, 1), (1, 9)):
+            data = replica_list.of_rows(rows=[row()], read_at=0.0).pack()
+            found.take(Wire(), ("image", "list", *version, data))
+        assert found.version == expected
+
+
+def test_a_teller_sends_steps_where_they_are_fewer_bytes_and_the_whole_list_otherwise():
+    teller = Teller()
+    rows = [row(id=f"i{number:04}", warmupLeftMs=0) for number in range(300)]
+    teller.tell(rows=rows, version=(1, 1), read_at=0.0)
+    for number in range(2, 6):
+        rows = [{**one, "is_clearing": one["id"] == f"i{number:04}"} for one in rows]
+        teller.tell(rows=rows, version=(1, number), read_at=float(number))
+    link = Wire()
+    teller.desk.take_want(link, ("want", "list", 1, 2))
+    kind, _topic, *base, steps = link.waiting[-1]
+    assert kind == "changes" and base == [1, 2] and [step[:2] for step in steps] == [(1, 3), (1, 4), (1, 5)]
+    assert len(wire.pack(link.waiting[-1])) < len(teller.desk.get("list")[2])
+    for unknown in ((0, 0), (1, 0), (7, 3)):
+        teller.desk.take_want(link, ("want", "list", *unknown))
+        assert link.waiting[-1][0] == "image"
+    for number in range(6, 6 + desks.CHANGES_KEPT + 1):
+        rows = [{**one, "is_clearing": one["id"] == f"i{number:04}"} for one in rows]
+        teller.tell(rows=rows, version=(1, number), read_at=float(number))
+    teller.desk.take_want(link, ("want", "list", 1, 2))
+    assert link.waiting[-1][0] == "image"
+
+
+def test_steps_without_order_are_a_frame_problem():
+    found = Listener(now=lambda: 0.0)
+    for steps in ((), ((1, 3, b""), (1, 3, b"")), ((1, 1, b""),)):
+        with pytest.raises(problems.FrameProblem):
+            found.take(Wire(), ("changes", "list", 1, 1, steps))
--- a/pw/ctl/platform.py
+++ b/pw/ctl/platform.py
@@ -173,33 +173,3 @@
             return {"adapters": None, "is_malformed": named is not None}
         pairs += [[str(model["name"]), name] for name in named]
     return {"adapters": pairs} if pairs else {}
-
-
-class Roll:
-    """Whether a list differs from the one told last, in what matters."""
-
-    def __init__(self):
-        self._told = {}
-
-    def differs(self, *, rows: list, at: float) -> bool:
-        seen = {}
-        for row in rows:
-            cold_until = at + row["cold_ms"] / 1000.0 if row["cold_ms"] > 0 else 0.0
-            seen[row["id"]] = (
-                (
-                    row["service"],
-                    row["address"],
-                    row["zone"],
-                    row["berths"],
-                    row["is_clearing"],
-                    row["left_ms"] is None,
-                    json.dumps(row.get("adapters", ())),
-                ),
-                cold_until,
-            )
-        is_new = seen.keys() != self._told.keys() or any(
-            seen[key][0] != self._told[key][0] or seen[key][1] - self._told[key][1] > 0.4 for key in seen
-        )
-        if is_new:
-            self._told = seen
-        return is_new
--- a/pw/ctl/reports.py
+++ b/pw/ctl/reports.py
@@ -1,10 +1,9 @@
 """Adapter counts and custody trails that proxies report, for operators (docs/pins.md, docs/residency.md)."""
 
-import json
-
 from pw.ctl import router
 from pw.ctl.adapters import ledger as adapter_ledgers
 from pw.ctl.custody import ledger as ledgers
+from pw.ctl.news import replica_list
 
 CUSTODY_CONTACTS = 720  # trails are kept for so many contactMs: an hour, at 5 s
 TRAILS_PER_MB = 60  # of the process's memory
@@ -27,7 +26,7 @@
 
     def _get_adapters(self, call) -> None:
         held = self._desk.get("list")
-        listed = json.loads(held[2])["replicas"] if held is not None else []
+        listed = replica_list.unpack_list(held[2]).in_order() if held is not None else []
         zones = self._settings().zones
         body = {
             "node": self._settings().node,
--- a/pw/ctl/watch_duty.py
+++ b/pw/ctl/watch_duty.py
@@ -5,14 +5,14 @@
 its successor was heard. It acts only while it is in contact with a majority of the core set.
 """
 
-import json
-
 from pw.base import ring
 from pw.ctl import duties
 from pw.ctl import registers
+from pw.ctl.news import replica_list
 from pw.ctl.register import ballots
 
 WATCH = "watch"
+LIST = "list"  # the topic of the platform's list
 NOBODY = (0, "", "")
 READ_BY_ITSELF = 0  # epoch of a list that a core node read before any holder told one
 
@@ -55,19 +55,16 @@
 class WatchDuty:
     """Takes the duty when its holder is lost, and does its work while this node holds it."""
 
-    def __init__(
-        self, *, own: str, life: str, now, duty_table, desk, watch, differs, take_after_s: float, stale_after_s: float
-    ):
+    def __init__(self, *, own: str, life: str, now, duty_table, desk, watch, take_after_s: float, stale_after_s: float):
         self._own = own
         self._life = life
         self._now = now
         self._duties = duty_table
         self._desk = desk
         self._watch = watch  # reads the platform's list (pw.ctl.platform.Watch)
-        self._differs = differs  # (rows, at): whether a list differs from the one told last
         self._take_after_s = take_after_s
         self._stale_after_s = stale_after_s
-        self.is_members_changed = True
+        self._read_list = (b"", None)  # the newest packed list that was read, and what it says
 
     @property
     def is_held(self) -> bool:
@@ -87,7 +84,7 @@
                 return False
             self._watch.start()
             return True
-        if "list" in self._desk.topics:
+        if LIST in self._desk.topics:
             self._watch.stop()
         if may_take and self._own in members and self._is_open(members=members, live=live, lost_since=lost_since):
             self._duties.take(rows={WATCH: (self.epoch, self._own, self._life)})
@@ -119,35 +116,57 @@
         if rows:
             self._duties.take(rows=rows)
 
-    def tell_members(self, *, rows: list) -> None:
-        """The proxies in touch, as a topic: (address, public address, zone, region)."""
-        if not self.is_members_changed:
-            return
-        self.is_members_changed = False
-        self._publish_under_epoch("members", json.dumps(sorted(rows), separators=(",", ":")).encode())
-
     def take_list(self, rows: list, at: float) -> None:
         """A whole list of the platform, read at `at`. One that a frozen process finds long after is not told."""
         if self._now() - at > self._stale_after_s:
             return
-        data = json.dumps({"replicas": rows}, separators=(",", ":")).encode()
         if not self.is_held:
             # A core node that has just started reads once by itself. Its epoch is below every holder's: it serves
             # only those that have no list at all.
-            self._desk.publish(topic="list", epoch=READ_BY_ITSELF, number=1, data=data)
+            data = replica_list.of_rows(rows=rows, read_at=at).pack()
+            self._desk.publish(topic=LIST, epoch=READ_BY_ITSELF, number=1, data=data)
             self._watch.stop()
             return
-        held = self._desk.get("list")
-        if self._differs(rows=rows, at=at) or held is None or held[0] != self.epoch:
-            self._publish_under_epoch("list", data)
-            ring.note("list", epoch=self.epoch, replicas=len(rows))
-
-    def _publish_under_epoch(self, topic: str, data: bytes) -> None:
-        held = self._desk.get(topic)
-        if held is not None and held[0] == self.epoch and held[2] == data:
+        epoch, number = self._desk.serial(LIST)
+        if epoch == READ_BY_ITSELF:
+            self._tell_whole(rows, at)
+            return
+        self._tell_change(rows, at, is_first=epoch != self.epoch, number=1 if epoch != self.epoch else number + 1)
+
+    def _tell_whole(self, rows: list, at: float) -> None:
+        """The first list that any holder tells: what nodes read by themselves before may differ from node to node."""
+        data = replica_list.of_rows(rows=rows, read_at=at).pack()
+        self._desk.publish(topic=LIST, epoch=self.epoch, number=1, data=data)
+        ring.note("list", epoch=self.epoch, replicas=len(rows))
+
+    def _tell_change(self, rows: list, at: float, *, is_first: bool, number: int) -> None:
+        """What differs from the list told last, by this holder or by the one before it, whose clock was another."""
+        held = self._held_list()
+        change = held.change_to(rows=rows, read_at=at, is_same_clock=not is_first)
+        if change is None and not is_first:
             return
-        number = held[1] + 1 if held is not None and held[0] == self.epoch else 1
-        self._desk.publish(topic=topic, epoch=self.epoch, number=number, data=data)
+        if change is None:
+            change = replica_list.Change(rows=(), gone=(), read_at=at, is_same_clock=False)
+        told = held.changed_by(change)
+        self._publish_list(told, epoch=self.epoch, number=number, change=change.pack())
+        ring.note("list", epoch=self.epoch, replicas=len(told.rows), changed=len(change.rows), gone=len(change.gone))
+
+    def follow_change(self, *, epoch: int, number: int, data: bytes) -> None:
+        """One step of the list, as the holder of the duty told it, on the list that this node holds."""
+        told = self._held_list().changed_by(replica_list.unpack_change(data))
+        self._publish_list(told, epoch=epoch, number=number, change=data)
+
+    def _held_list(self) -> replica_list.ReplicaList:
+        """The list that the desk holds; it is read once for each version."""
+        data = self._desk.get(LIST)[2]
+        if self._read_list[0] is not data:
+            self._read_list = (data, replica_list.unpack_list(data))
+        return self._read_list[1]
+
+    def _publish_list(self, told: replica_list.ReplicaList, *, epoch: int, number: int, change: bytes) -> None:
+        data = told.pack()
+        if self._desk.publish(topic=LIST, epoch=epoch, number=number, data=data, change=change):
+            self._read_list = (data, told)
 
     def may_follow(self, *, epoch: int) -> bool:
         """Whether news of the watch under this epoch may be passed on: not from a holder known to be deposed."""
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+from pw.dat.relay import load_feed
+
 FIRST_RATE = 20.0  # tokens in a millisecond before anything was measured; ours
 BESIDE_PART = 4.0  # of a read, for a replica whose places are all taken
 WAY_PART = 0.25  # of the way, where a prompt is to be read
@@ -52,13 +54,34 @@
             running + max(0, total[0] - own[0]),
             tokens + max(0, total[1] - own[1]),
             total[2] > own[2],
-            bool(total[3]),
+            bool(total[3] & load_feed.FAILING),
         )
 
-    def candidates(self, *, service: str, permitted, model: str, avoid) -> list:
+    def candidates(self, *, service: str, permitted, model: str, avoid, chain=()) -> list:
+        """Replicas that may be chosen: of the subset that this proxy looks at and of those that keep most of the prompt;
+        of all, where that leaves nobody."""
+        rows = self._usable(self._table.subset(service), permitted=permitted, model=model, avoid=avoid)
+        if self._table.is_whole(service):
+            return rows
+        if not rows:
+            return self._usable(self._table.by_service.get(service, ()), permitted=permitted, model=model, avoid=avoid)
+        known = {replica.id for replica in rows}
+        owners = [replica for replica in self._owners(service, model, chain) if replica.id not in known]
+        return rows + self._usable(owners, permitted=permitted, model=model, avoid=avoid)
+
+    def _owners(self, service: str, model: str, chain) -> list:
+        """Replicas that the mirrors name as keeping the longest run of the prompt."""
+        found = {}
+        for region in self._regions.values() if chain else ():
+            tags = region.named_owners(service=service, model=model, chain=chain)
+            for replica in self._table.by_tags(service=service, tags=tags):
+                found[replica.id] = replica
+        return list(found.values())
+
+    def _usable(self, replicas, *, permitted, model: str, avoid) -> list:
         now = self._now()
         rows = []
-        for replica in self._table.by_service.get(service, ()):
+        for replica in replicas:
             if replica.is_clearing or replica.zone in self._table.out_zones or replica.id in avoid:
                 continue
             if permitted is not None and replica.region not in permitted:
@@ -75,7 +98,7 @@
     ) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
         service_row = self._table.services.get(service, {})
-        rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid)
+        rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid, chain=chain)
         if not rows:
             return None, 0, False
         kept = {}
@@ -83,7 +106,8 @@
             for name, region in self._regions.items():
                 there = [replica.id for replica in rows if replica.region == name]
                 if there:
-                    kept.update(region.kept(service=service, model=model, chain=chain, replicas=there))
+                    size = self._table.count(service=service, region=name)
+                    kept.update(region.kept(service=service, model=model, chain=chain, replicas=there, pool_size=size))
         now = self._now()
         shared = chain[:-1]
         if shared:
--- /dev/null
+++ b/pw/dat/digest/digest.py
@@ -0,0 +1,253 @@
+"""A digest: reports of its members on their way to the relays of the regions, and what these publish on its way back.
+
+The same code serves three places (docs/scale.md 3): a proxy that is its own digest, the holder of a zone's digest, and the
+gateway of a region, whose members are digests and which keeps the streams to the relays of the other regions for them.
+"""
+
+import dataclasses
+
+from pw.base import link as links
+from pw.base import problems
+from pw.base import ring
+from pw.base import wire
+from pw.dat.digest import fanout as fanouts
+from pw.dat.digest import sums
+
+OWN = "own"  # the proxy itself, as a member of its own sums
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """How a digest makes itself known to relays."""
+
+    region: str
+    zone: str  # or what else names the duty
+    epoch: int = 0  # of the duty; 0: it serves this proxy alone
+
+
+@dataclasses.dataclass(frozen=True)
+class Holder:
+    """A relay that a digest keeps a stream to."""
+
+    epoch: int
+    address: str
+
+
+class Digest:
+    """Sums, members and streams. `on_credit` (region, number) and `on_broke` (region) concern the proxy itself."""
+
+    def __init__(self, *, loop, place: Place, port: int, silence_s: float, regions, mirrors: dict, on_credit, on_broke):
+        self.place = place
+        self.sums = sums.Sums(regions=regions)
+        self.fanout = fanouts.Fanout()
+        self._loop = loop
+        self._port = port
+        self._silence_s = silence_s
+        self._mirrors = mirrors  # region: mirror.Region
+        self._on_credit = on_credit
+        self._on_broke = on_broke
+        self._streams = {}  # region: (Holder, dialer to its relay)
+        self._gateway = None  # (Holder, dialer)
+        self._is_enrolled = False
+        self._by_gateway = ()  # regions whose relays are reached by way of the gateway
+
+    # Streams to relays.
+    @property
+    def is_dialled(self) -> bool:
+        return bool(self._streams)
+
+    def streams(self) -> dict:
+        """Region: the dialer to its relay."""
+        return {region: dialer for region, (_holder, dialer) in self._streams.items()}
+
+    def follow_relay(self, *, region: str, holder: Holder) -> None:
+        known = self._streams.get(region)
+        if known is not None and known[0] == holder:
+            return
+        if known is not None:
+            self._stop_stream(region)
+        self._mirrors[region].fail()
+        dialer = self._dial(
+            holder.address,
+            on_up=lambda link: self._subscribe(region, link, holder.epoch),
+            on_message=lambda link, message: self._take_relay(region, link, message),
+            on_end=lambda _link, _reason: self._stream_broke(region, holder),
+        )
+        self._streams[region] = (holder, dialer)
+
+    def _dial(self, address: str, *, on_up, on_message, on_end):
+        return links.Dialer(
+            loop=self._loop,
+            address=(address, self._port),
+            on_up=on_up,
+            on_message=on_message,
+            on_end=on_end,
+            silence_s=self._silence_s,
+        )
+
+    def _stop_stream(self, region: str) -> None:
+        _holder, dialer = self._streams.pop(region)
+        dialer.stop()
+
+    def stop(self) -> None:
+        for region in list(self._streams):
+            self._stop_stream(region)
+        self.follow_gateway(holder=None, regions=())
+
+    def _subscribe(self, region: str, link, epoch: int) -> None:
+        link.send(("subscribe", epoch, self.place.region, self.place.zone, self.place.epoch))
+        link.send(("sums", *self.sums.checkpoint(region=region)))
+
+    def _is_current(self, region: str, link) -> bool:
+        known = self._streams.get(region)
+        return known is not None and known[1].link is link
+
+    def _take_relay(self, region: str, link, message: tuple) -> None:
+        if not self._is_current(region, link):
+            return
+        if message[0] == "counted":
+            self._credit(region, message[1])
+        else:
+            self._publish(region, link, message, link.frame)
+
+    def _stream_broke(self, region: str, holder: Holder) -> None:
+        known = self._streams.get(region)
+        if known is not None and known[0] == holder:  # else it was stopped by this node
+            self._broke(region)
+
+    # The gateway of this region: streams to the other regions' relays.
+    def follow_gateway(self, *, holder: Holder | None, regions) -> None:
+        known = self._gateway[0] if self._gateway is not None else None
+        if known == holder:
+            return
+        if self._gateway is not None:
+            dialer = self._gateway[1]
+            self._gateway = None
+            dialer.stop()
+        self._is_enrolled = False
+        self._by_gateway = tuple(regions)
+        for region in self._by_gateway:
+            self._mirrors[region].fail()
+        if holder is not None:
+            dialer = self._dial(
+                holder.address,
+                on_up=lambda link: link.send(("enroll_digest", holder.epoch, self.place.zone, self.place.epoch)),
+                on_message=self._take_gateway,
+                on_end=lambda _link, _reason: self._gateway_broke(holder),
+            )
+            self._gateway = (holder, dialer)
+
+    def _take_gateway(self, link, message: tuple) -> None:
+        if self._gateway is None or self._gateway[1].link is not link:
+            return
+        kind = message[0]
+        if kind == "enrolled":
+            self._is_enrolled = True
+            for region in self._by_gateway:
+                link.send(("report", *self.sums.checkpoint(region=region)))
+        elif not self._is_enrolled or message[1] not in self._by_gateway:
+            return
+        elif kind == "relayed":
+            self._publish(message[1], link, wire.unpack(message[2]), message[2])
+        elif kind == "credited":
+            self._credit(message[1], message[2])
+        elif kind == "broke":
+            self._broke(message[1])
+
+    def _gateway_broke(self, holder: Holder) -> None:
+        if self._gateway is None or self._gateway[0] != holder or not self._is_enrolled:
+            return
+        self._is_enrolled = False
+        for region in self._by_gateway:
+            self._broke(region)
+
+    # What comes back.
+    def _credit(self, region: str, number: int) -> None:
+        """The region's relay holds our cuts up to this number."""
+        for member, report in self.sums.counted(region=region, number=number).items():
+            if member is OWN:
+                self._on_credit(region, report)
+            else:
+                member.send(("credited", region, report))
+
+    def _publish(self, region: str, link, message: tuple, frame: bytes) -> None:
+        """A frame of a region's relay: taken here, and passed on to the members."""
+        try:
+            self._mirrors[region].take(message)
+        except problems.FrameProblem as failure:
+            ring.note("relay stream broken", fault=str(failure))
+            link.close(reason=str(failure))
+            return
+        self.fanout.tell_publication(region=region, frame=frame, message=message)
+
+    def _broke(self, region: str) -> None:
+        self._on_broke(region)
+        self._mirrors[region].fail()
+        self.fanout.tell(wire.pack(("broke", region)))
+
+    # Members.
+    def admit(self, link, *, address: str) -> None:
+        """A member, with a cut of its own of all that this digest knows."""
+        self.fanout.admit(link, address=address)
+        link.send(("enrolled", self.place.epoch))
+        for region, mirror in self._mirrors.items():
+            if mirror.broken_at is not None:
+                link.send(("broke", region))
+                continue
+            for frame in mirror.frames():
+                link.send(("relayed", region, wire.pack(frame)))
+
+    def follow(self, link, *, keys: frozenset | None) -> None:
+        """A member wishes loads of these replicas alone, or of all; it is told how they stand."""
+        self.fanout.follow(link, keys=keys)
+        for region, mirror in self._mirrors.items():
+            if mirror.broken_at is None:
+                self.fanout.tell_one(link, region=region, message=mirror.load_frame())
+
+    def take_report(self, link, message: tuple) -> None:
+        self.sums.take(link, *message[1:])
+
+    def take_own(self, report: tuple) -> None:
+        """A report of this proxy itself."""
+        self.sums.take(OWN, *report)
+
+    def end_own(self) -> None:
+        self.sums.end(OWN)
+
+    def end(self, link) -> None:
+        if self.fanout.end(link):
+            self.sums.end(link)
+
+    def close_members(self, *, reason: str) -> None:
+        for link in list(self.fanout.members):
+            link.close(reason=reason)
+
+    # By the clock.
+    def tick(self) -> None:
+        """Sends on what changed. What no relay takes now is dropped, but for the loads."""
+        for region in self._mirrors:
+            stream = self._streams.get(region)
+            if stream is not None:
+                self._send_cut(region, stream[1].link, "sums")
+            elif region in self._by_gateway and self._gateway is not None and self._is_enrolled:
+                self._send_cut(region, self._gateway[1].link, "report")
+            else:
+                self.sums.discard(region=region)
+
+    def _send_cut(self, region: str, link, kind: str) -> None:
+        if link is None or not link.is_up:
+            self.sums.discard(region=region)
+            return
+        cut = self.sums.cut(region=region)
+        if cut is not None:
+            link.send((kind, *cut))
+
+    def beat(self) -> None:
+        dialers = [dialer for _holder, dialer in self._streams.values()]
+        if self._gateway is not None:
+            dialers.append(self._gateway[1])
+        for dialer in dialers:
+            if dialer.link is not None and dialer.link.is_up:
+                dialer.link.send(("beat", 0))
+        for link in list(self.fanout.members):
+            link.send(("beat", 0))
--- a/pw/dat/follow.py
+++ b/pw/dat/follow.py
@@ -1,14 +1,12 @@
 """Following the core: held connections, news, leases, grant entries, and when to serve (design 4, 5, 8)."""
 
-import json
-
 from pw.base import inlet
 from pw.base import link as links
 from pw.base import residency
-from pw.base import records
 from pw.base import ring
 from pw.ctl import registers
 from pw.ctl.news import desk as desks
+from pw.ctl.news import replica_list
 from pw.ctl.register import ballots
 from pw.dat import routes as route_tables
 
@@ -32,6 +30,8 @@
             on_image=self._on_image,
             is_near=lambda link: link in self.near_links,
             unwanted=(registers.ARCHIVE,),
+            on_change=self._on_change,
+            stepwise=("list",),
         )
         self.core_members = tuple(sorted({host for host, _port in self.settings.seeds}))
         self._dial_cores()
@@ -74,10 +74,10 @@
             self.follower.take_offer(link, message)
         elif kind == "image":
             if self.follower.take_image(link, message):
-                topic = message[1]
-                if not self.is_serving:
-                    ring.note("has", topic=topic)
-                self._tell_core(("have", ((topic, *self.follower.serials[topic]),)))
+                self._tell_held(message[1])
+        elif kind == "changes":
+            if self.follower.take_changes(link, message):
+                self._tell_held(message[1])
         elif kind == "floor":
             if host not in self.floors:
                 ring.note("floor", host=host)
@@ -88,6 +88,11 @@
         elif kind == "entry":
             self._take_entry(link, message)
 
+    def _tell_held(self, topic: str) -> None:
+        if not self.is_serving:
+            ring.note("has", topic=topic)
+        self._tell_core(("have", ((topic, *self.follower.serials[topic]),)))
+
     def renew_entries(self) -> None:
         """Asks each core node for this proxy's entry; the entry counts from now, whenever it comes (docs/control.md 2)."""
         self._renewal += 1
@@ -103,17 +108,12 @@
 
     def _keepers(self, service: str, model: str, hashes) -> tuple:
         """Replicas that, by the mirrors, still keep any of these parts."""
+        by_key = {replica.key: replica for replica in self.table.replicas.values()}
         found = set()
         for region in self.regions.values():
-            for (full_hash,) in hashes:
-                found |= region.owners(service=service, model=model, full_hash=full_hash)
-        return tuple(
-            sorted(
-                (replica.id, replica.zone)
-                for replica in self.table.replicas.values()
-                if records.key_of(replica.id) in found
-            )
-        )
+            rows = [full_hash for (full_hash,) in hashes]
+            found |= region.keepers(service=service, model=model, hashes=rows, keys=by_key)
+        return tuple(sorted((by_key[key].id, by_key[key].zone) for key in found))
 
     def _near_core(self):
         link = None
@@ -167,11 +167,18 @@
                 self.core_members = members
                 self._dial_cores()
         elif topic == "list":
-            self.table.install_list(json.loads(data)["replicas"])
+            self.table.install_list(replica_list.unpack_list(data).in_order())
         self.loop.command(act=self._check_serving)
         if topic in ("spec", "list") and self.relay is not None:
             self._sync_relay()
 
+    def _on_change(self, _topic: str, _epoch: int, _number: int, data: bytes) -> None:
+        """One step of the list of replicas."""
+        change = replica_list.unpack_change(data)
+        self.table.change_list(rows=change.rows, gone=change.gone)
+        if self.relay is not None:
+            self._sync_relay()
+
     def _keep_older_homes(self) -> None:
         """Until the older configuration is gone everywhere, the stricter of the two binds (design 10)."""
         now = self.loop.now()
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -1,12 +1,32 @@
 """A proxy's mirror of the pools of all regions (docs/relay.md 5). Frames are checked and installed whole."""
 
+import dataclasses
+
 from pw.base import problems
 from pw.base import records
 from pw.dat.relay import actor as actors
 from pw.dat.relay import ckf
 from pw.dat.relay import hub as hubs
 
-MOST_WORDS = 512
+MOST_PART = 0.5  # of a wide pool's replicas: a part that so many keep is taken to be kept by all
+
+
+@dataclasses.dataclass(frozen=True)
+class Owners:
+    """The replicas that keep one part, as far as a slot names them: by lanes all of them, by tags the first few."""
+
+    count: int
+    tags: tuple = ()
+    is_most: bool = False  # so many that one that is not named is taken for an owner too
+    bits: int = 0
+    lanes: dict | None = None
+
+    def names(self, key: bytes) -> bool:
+        """Whether this replica is known to be an owner."""
+        if self.lanes is None:
+            return key[: ckf.TAG_SIZE] in self.tags
+        lane = self.lanes.get(key)
+        return lane is not None and bool(self.bits >> lane & 1)
 
 
 class Mirror:
@@ -39,7 +59,7 @@
             bucket_count < 1
             or bucket_count & (bucket_count - 1)
             or bucket_count > actors.MOST_BUCKETS
-            or not 0 < words <= MOST_WORDS
+            or not 0 <= words <= ckf.MOST_LANE_WORDS
         ):
             raise problems.FrameProblem("bucket count", step="cut", peer=self.name)
         blank = ckf.empty_image(words=words)
@@ -74,8 +94,16 @@
         )
         return ("cut", self.name, self.generation, len(self.buckets), self.words, rows)
 
-    def bits(self, full_hash: bytes) -> int:
-        return ckf.find_in_images(images=self.buckets, words=self.words, full_hash=full_hash)
+    def knows(self, key: bytes) -> bool:
+        """Whether the pool may name this replica. A wide pool's replicas are those of the list."""
+        return self.words == ckf.WIDE or key in self.lanes
+
+    def owners(self, full_hash: bytes, *, pool_size: int = 0) -> "Owners":
+        value = ckf.find_in_images(images=self.buckets, words=self.words, full_hash=full_hash)
+        if self.words == ckf.WIDE:
+            count, tags = ckf.read_wide(value)
+            return Owners(count=count, tags=tags, is_most=count >= min(ckf.MOST_OWNERS, max(1, pool_size * MOST_PART)))
+        return Owners(count=value.bit_count(), bits=value, lanes=self.lanes)
 
 
 class Region:
@@ -145,11 +173,13 @@
         )
         frames = [("catalogue", self.epoch, rows)]
         frames += [mirror.frame() for mirror in self.mirrors.values() if mirror.buckets is not None]
-        frames.append(
-            ("load", self.epoch, True, b"".join(records.LOAD.pack(key, *load) for key, load in self.load.items()))
-        )
+        frames.append(self.load_frame())
         return frames
 
+    def load_frame(self) -> tuple:
+        """All loads, as a relay would tell them now."""
+        return ("load", self.epoch, True, b"".join(records.LOAD.pack(key, *load) for key, load in self.load.items()))
+
     def _take_catalogue(self, message: tuple) -> None:
         _kind, epoch, rows = message
         if epoch < self.epoch:
@@ -178,31 +208,46 @@
                 return mirror
         return None
 
-    def owners(self, *, service: str, model: str, full_hash: bytes) -> set:
-        """Keys of the replicas that keep this part."""
+    def keepers(self, *, service: str, model: str, hashes, keys) -> set:
+        """Those of the replicas (keys) that keep any of these parts, as far as the mirror names them."""
         mirror = self._mirror(service=service, model=model)
         if mirror is None:
             return set()
-        bits = mirror.bits(full_hash)
-        return {key for key, lane in mirror.lanes.items() if bits >> lane & 1}
+        found = set()
+        for full_hash in hashes:
+            owners = mirror.owners(full_hash)
+            found.update(key for key in keys if owners.names(key))
+        return found
 
-    def kept(self, *, service: str, model: str, chain, replicas) -> dict:
-        """Tokens of the prompt that each replica keeps already, by the mirror: a run from the front."""
+    def kept(self, *, service: str, model: str, chain, replicas, pool_size: int = 0) -> dict:
+        """Tokens of the prompt that each replica keeps already, by the mirror: a run from the front.
+
+        `pool_size`: how many replicas the pool has, where more than those named here.
+        """
         mirror = self._mirror(service=service, model=model) if self.is_trusted else None
         if mirror is None:
             return {}
-        lanes = {}
-        for replica in replicas:
-            lane = mirror.lanes.get(records.key_of(replica))
-            if lane is not None:
-                lanes[replica] = 1 << lane
-        found = dict.fromkeys(lanes, 0)
-        alive = list(lanes)
+        keys = {name: records.key_of(name) for name in replicas}
+        found = {name: 0 for name, key in keys.items() if mirror.knows(key)}
+        alive = list(found)
         for full_hash, tokens in chain:
-            bits = mirror.bits(full_hash)
-            alive = [replica for replica in alive if bits & lanes[replica]] if bits else ()
+            owners = mirror.owners(full_hash, pool_size=max(pool_size, len(found)))
+            alive = [name for name in alive if owners.is_most or owners.names(keys[name])] if owners.count else ()
             if not alive:
                 break
-            for replica in alive:
-                found[replica] += tokens
+            for name in alive:
+                found[name] += tokens
         return found
+
+    def named_owners(self, *, service: str, model: str, chain) -> tuple:
+        """Tags of the replicas that keep the longest run of the prompt, the few that the mirror names."""
+        mirror = self._mirror(service=service, model=model) if self.is_trusted else None
+        if mirror is None:
+            return ()
+        tags = ()
+        for full_hash, _tokens in chain:
+            longer = mirror.owners(full_hash).tags
+            if not longer:
+                break
+            tags = longer
+        return tags
--- a/pw/dat/relay/actor.py
+++ b/pw/dat/relay/actor.py
@@ -2,7 +2,9 @@
 filter. It hears no evictions, so it models them: an LRU over the replica's cacheTokens."""
 
 import collections
+import itertools
 
+from pw.base import records
 from pw.dat.relay import ckf
 
 BUCKET_COUNT = 1024  # to begin with
@@ -18,31 +20,37 @@
         self.lanes = {}  # replica id: lane
         self._kept = {}  # replica id: OrderedDict hash -> tokens, oldest first
         self._sizes = {}
-        self._owners = {}  # hash: set of replica ids
+        self._owners = {}  # hash: {replica id: True}, the first owner first
         self._groups = {}  # (fingerprint, lower bucket): hashes that share one slot
         self.omitted = 0
 
     def admit(self, replica: str) -> bool:
         if replica in self.lanes:
             return True
-        lane = self._next_lane()
-        if lane >= self.filter.words * ckf.WORD_LANES:
+        lane = 0 if self.is_wide else self._next_lane()
+        if not self.is_wide and lane >= self.filter.words * ckf.WORD_LANES:
             return False
         self.lanes[replica] = lane
         self._kept[replica] = collections.OrderedDict()
         self._sizes[replica] = 0
         return True
 
+    @property
+    def is_wide(self) -> bool:
+        """Whether slots name owners by tags: then a replica's lane says nothing."""
+        return self.filter.words == ckf.WIDE
+
     def _next_lane(self) -> int:
         held = set(self.lanes.values())
         return next(lane for lane in range(len(held) + 1) if lane not in held)
 
     def has_lanes_for(self, *, replicas) -> bool:
-        return len(set(self.lanes) | set(replicas)) <= self.filter.words * ckf.WORD_LANES
+        return self.is_wide or len(set(self.lanes) | set(replicas)) <= self.filter.words * ckf.WORD_LANES
 
     def resize(self, *, lanes: int) -> None:
-        """A larger filter, made from the exact ownership. Goes with a new generation."""
-        words = max(self.filter.words, ckf.words_for(lanes=lanes))
+        """A larger filter, made from the exact ownership. Goes with a new generation. A wide pool stays wide."""
+        wanted = ckf.words_for(lanes=lanes)
+        words = ckf.WIDE if ckf.WIDE in (wanted, self.filter.words) else max(self.filter.words, wanted)
         bucket_count = self.filter.bucket_count
         if self.is_short and bucket_count < MOST_BUCKETS:
             bucket_count *= 2
@@ -72,13 +80,15 @@
             self.omitted += 1
             return
         kept = self._kept[replica]
-        for full_hash, tokens in rows:
+        last = len(rows) - 1
+        for place, (full_hash, tokens) in enumerate(rows):
             if full_hash in kept:
                 kept.move_to_end(full_hash)
                 continue
             kept[full_hash] = tokens
             self._sizes[replica] += tokens
-            self._own(replica, full_hash)
+            # The last part is the request's own or its session's: until somebody else has it, few will look for it.
+            self._own(replica, full_hash, may_wait=place == last and full_hash not in self._owners)
         # Children are used no later than their parents: walk back so that the root is the youngest.
         for full_hash, _tokens in reversed(rows):
             if full_hash in kept:
@@ -111,30 +121,43 @@
         return fingerprint, min(first, second)
 
     def _bits(self, group: tuple) -> int:
+        """What the group's slot says of its owners."""
+        if self.is_wide:
+            return self._wide_bits(group)
         bits = 0
         for full_hash in self._groups.get(group, ()):
             for owner in self._owners.get(full_hash, ()):
                 bits |= 1 << self.lanes[owner]
         return bits
 
-    def _own(self, replica: str, full_hash: bytes) -> None:
-        owners = self._owners.setdefault(full_hash, set())
-        owners.add(replica)
+    def _wide_bits(self, group: tuple) -> int:
+        hashes = self._groups.get(group, ())
+        if len(hashes) == 1:
+            owners = self._owners.get(next(iter(hashes)), {})
+        else:
+            owners = dict.fromkeys(owner for held in hashes for owner in self._owners.get(held, ()))
+        first = itertools.islice(owners, ckf.OWNERS_NAMED)
+        return ckf.wide_value(count=len(owners), tags=[records.key_of(owner)[: ckf.TAG_SIZE] for owner in first])
+
+    def _own(self, replica: str, full_hash: bytes, *, may_wait: bool) -> None:
+        owners = self._owners.setdefault(full_hash, {})
+        owners[replica] = True
         group = self._group(full_hash)
         self._groups.setdefault(group, set()).add(full_hash)
-        if not self.filter.put(full_hash=full_hash, bits=self._bits(group)):
+        if not self.filter.put(full_hash=full_hash, bits=self._bits(group), may_wait=may_wait):
             self.omitted += 1  # an observable omission; ownership stays exact
             self.is_short = self.filter.bucket_count < MOST_BUCKETS
 
     def _disown(self, replica: str, full_hash: bytes) -> None:
+        """A subscriber that hears of it late takes a part for kept that is read again, as it would be anyway."""
         owners = self._owners[full_hash]
-        owners.discard(replica)
+        owners.pop(replica, None)
         group = self._group(full_hash)
         if not owners:
             del self._owners[full_hash]
             self._groups[group].discard(full_hash)
         if self._groups[group]:
-            self.filter.put(full_hash=full_hash, bits=self._bits(group))
+            self.filter.put(full_hash=full_hash, bits=self._bits(group), may_wait=True)
         else:
             del self._groups[group]
-            self.filter.remove(full_hash=full_hash)
+            self.filter.remove(full_hash=full_hash, may_wait=True)
--- a/pw/dat/relay/ckf.py
+++ b/pw/dat/relay/ckf.py
@@ -1,7 +1,8 @@
 """The fingerprint filter of a pool (docs/relay.md 3): a cuckoo filter whose slots also say which replicas own.
 
-The source's filter says that some replica of the pool holds a prefix. Choosing one needs to know
-which, so each slot carries a lane bit for every owner. Bucket images are absolute.
+The source's filter says that some replica of the pool holds a prefix. Choosing one needs to know which. In a pool of few
+replicas each slot carries a lane bit for every owner, in `words` of 32. In a wide pool (`words` is `WIDE`) masks would
+cost more than they tell: a slot carries how many owners there are and the tags of the first few. Bucket images are absolute.
 """
 
 import functools
@@ -10,16 +11,44 @@
 
 SLOTS = 4
 WORD_LANES = 32  # lane masks grow by such words, as many as the replicas that are listed need
+MOST_LANE_WORDS = 4  # a pool that needs more of them is wide
+WIDE = 0  # stands in place of a count of words
+OWNERS_NAMED = 4  # of a wide pool's slot
+TAG_SIZE = 3  # the front of a replica's key: of a thousand replicas two are alike once in thirty pools
+MOST_OWNERS = 255  # a slot counts no further
+_WIDE_SIZE = 1 + OWNERS_NAMED * TAG_SIZE
 MOST_KICKS = 64
 
 
+def value_size(*, words: int) -> int:
+    """Bytes of a slot beside its fingerprint."""
+    return _WIDE_SIZE if words == WIDE else 4 * words
+
+
 @functools.lru_cache(maxsize=64)
 def _shape(words: int):
-    return struct.Struct(">" + f"H{4 * words}s" * SLOTS)
+    return struct.Struct(">" + f"H{value_size(words=words)}s" * SLOTS)
 
 
 def words_for(*, lanes: int) -> int:
-    return max(1, -(-lanes // WORD_LANES))
+    words = max(1, -(-lanes // WORD_LANES))
+    return words if words <= MOST_LANE_WORDS else WIDE
+
+
+def wide_value(*, count: int, tags) -> int:
+    """What a wide pool's slot says: how many owners, and the tags of the first `OWNERS_NAMED` of them."""
+    named = b"".join(tags).ljust(OWNERS_NAMED * TAG_SIZE, b"\0")
+    return int.from_bytes(bytes([min(count, MOST_OWNERS)]) + named, "big")
+
+
+def read_wide(value: int) -> tuple:
+    """(how many owners, the tags of the first few)"""
+    if not value:
+        return 0, ()
+    data = value.to_bytes(_WIDE_SIZE, "big")
+    count = data[0]
+    tags = tuple(data[place : place + TAG_SIZE] for place in range(1, _WIDE_SIZE, TAG_SIZE))
+    return count, tags[: min(count, OWNERS_NAMED)]
 
 
 def empty_image(*, words: int) -> bytes:
@@ -62,15 +91,18 @@
 
 
 def find_in_images(*, images, words: int, full_hash: bytes) -> int:
-    """Lane bits of the owners by a list of bucket images; 0 where unknown."""
+    """What the slot of this hash says of its owners, by a list of bucket images; 0 where unknown.
+
+    A fingerprint stands in one of its two buckets at most, so no two values are mixed.
+    """
     fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=len(images))
-    lanes = 0
+    value = 0
     for index in (first, second):
         flat = _shape(words).unpack(images[index])
         for place in range(0, 2 * SLOTS, 2):
             if flat[place] == fingerprint:
-                lanes |= int.from_bytes(flat[place + 1], "big")
-    return lanes
+                value |= int.from_bytes(flat[place + 1], "big")
+    return value
 
 
 def find(*, buckets, full_hash: bytes) -> int:
@@ -91,7 +123,8 @@
         self.bucket_count = bucket_count
         self.words = words
         self.buckets = [[(0, 0)] * SLOTS for _ in range(bucket_count)]
-        self.dirty = set()
+        self.dirty = set()  # buckets that changed since they were taken
+        self.dirty_later = set()  # the same, where nobody waits for it
 
     def _locate(self, fingerprint: int, first: int, second: int):
         for index in (first, second):
@@ -100,24 +133,36 @@
                     return index, slot
         return None
 
-    def put(self, *, full_hash: bytes, bits: int) -> bool:
-        """Sets the lanes of a fingerprint, inserting it; False where there is no room."""
+    def take_dirty(self) -> tuple:
+        """(buckets that changed, those of them that may wait), since the last call."""
+        taken = self.dirty, self.dirty_later - self.dirty
+        self.dirty, self.dirty_later = set(), set()
+        return taken
+
+    def put(self, *, full_hash: bytes, bits: int, may_wait: bool = False) -> bool:
+        """Sets what a slot says of a fingerprint's owners, inserting it; False where there is no room.
+
+        `may_wait`: subscribers lose little where they are told of it later than of others.
+        """
         fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=self.bucket_count)
         found = self._locate(fingerprint, first, second)
         if found is not None:
             index, slot = found
             if self.buckets[index][slot][1] != bits:
                 self.buckets[index][slot] = (fingerprint, bits)
-                self.dirty.add(index)
+                self._marks(may_wait).add(index)
             return True
-        return self._insert(fingerprint, bits, first, second)
+        return self._insert(fingerprint, bits, first, second, self._marks(may_wait))
+
+    def _marks(self, may_wait: bool) -> set:
+        return self.dirty_later if may_wait else self.dirty
 
-    def _insert(self, fingerprint: int, bits: int, first: int, second: int) -> bool:
+    def _insert(self, fingerprint: int, bits: int, first: int, second: int, marks: set) -> bool:
         for index in (first, second):
             for slot, (held, _bits) in enumerate(self.buckets[index]):
                 if held == 0:
                     self.buckets[index][slot] = (fingerprint, bits)
-                    self.dirty.add(index)
+                    marks.add(index)
                     return True
         moves = []
         index = first
@@ -130,23 +175,23 @@
             for free, (held, _bits) in enumerate(self.buckets[index]):
                 if held == 0:
                     self.buckets[index][free] = row
-                    self.dirty.add(index)
-                    self.dirty.update(place for place, _slot, _old in moves)
+                    marks.add(index)
+                    marks.update(place for place, _slot, _old in moves)
                     return True
         for index, slot, old in reversed(moves):  # no room: nothing is left half moved
             self.buckets[index][slot] = old
         return False
 
-    def remove(self, *, full_hash: bytes) -> None:
+    def remove(self, *, full_hash: bytes, may_wait: bool = False) -> None:
         fingerprint, first, second = place_of(full_hash=full_hash, bucket_count=self.bucket_count)
         found = self._locate(fingerprint, first, second)
         if found is not None:
             index, slot = found
             self.buckets[index][slot] = (0, 0)
-            self.dirty.add(index)
+            self._marks(may_wait).add(index)
 
     def image(self, index: int) -> bytes:
         flat = []
         for held, bits in self.buckets[index]:
-            flat += (held, bits.to_bytes(4 * self.words, "big"))
+            flat += (held, bits.to_bytes(value_size(words=self.words), "big"))
         return _shape(self.words).pack(*flat)
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -4,17 +4,24 @@
 to digests, which pass it on unchanged.
 """
 
+import math
+
 from pw.base import problems
 from pw.base import records
 from pw.base import ring
 from pw.base import wire
 from pw.dat.relay import ckf
 from pw.dat.relay import hub as hubs
+from pw.dat.relay import load_feed
 from pw.dat.relay import outcomes
 from pw.dat.relay import pool_registry
 from pw.dat.relay import resolution
 
-FAR_TICKS = 2  # load crosses regions so much less often
+FAR_TICKS = 2  # what is told crosses regions so much less often
+LEAST_ROWS = 16  # loads told at a time, whatever the size of the region
+ROWS_SHARE = 1 / 16  # of the region's replicas: the same in a large one
+NEAR_BUCKETS = 12  # buckets of each pool's filter told at a time
+FAR_BUCKETS = 8
 NOTHING = (0, 0, 0)
 
 
@@ -43,7 +50,8 @@
         self.totals = {}  # replica key: [running, tokens, marks]
         self._judge = outcomes.Judge(now=now, suspect_s=suspect_s)
         self._zone_epochs = {}  # zone: the newest epoch of its digest
-        self._changed = {False: set(), True: set()}  # by whether it goes far: replica keys
+        self._feeds = {False: load_feed.LoadFeed(), True: load_feed.LoadFeed()}  # by whether it goes far
+        self._scales = {}  # replica key: load_feed.Scale
         self._ticks = 0
         self._sent = set()
         self._ids = {}  # replica key: id
@@ -54,6 +62,12 @@
         self._services = services
         self._replicas = replicas
         self._ids = {records.key_of(row["id"]): row["id"] for row in replicas}
+        self._scales = {
+            records.key_of(row["id"]): load_feed.Scale(
+                berths=row.get("berths", 0), tokens=services.get(row["service"], {}).get("cache_tokens", 1)
+            )
+            for row in replicas
+        }
         self._sent &= set(self._ids.values())
         self._judge.keep(keys=self._ids)
         self._resolve()
@@ -67,9 +81,10 @@
 
     def _join_new(self) -> None:
         for pool in self.registry.pools.values():
-            if pool.hub is None:
-                for link in list(self.subscribers):
-                    self.registry.join(pool=pool, link=link)
+            new = {is_far for is_far in (False, True) if is_far not in pool.hubs}
+            for link, known in list(self.subscribers.items()):
+                if known.is_far in new:
+                    self.registry.join(pool=pool, link=link, is_far=known.is_far)
 
     def _tell(self, message: tuple, *, links=None) -> None:
         """One frame, packed once. A subscriber that does not read loses its own stream alone."""
@@ -96,17 +111,18 @@
             for other, known in list(self.subscribers.items()):
                 if known.zone == zone and 0 < known.zone_epoch < zone_epoch and other is not link:
                     other.close(reason="a newer digest of the zone")
-        self.subscribers[link] = Subscriber(is_far=region != self.region, zone=zone, zone_epoch=zone_epoch)
+        is_far = region != self.region
+        self.subscribers[link] = Subscriber(is_far=is_far, zone=zone, zone_epoch=zone_epoch)
         self._tell(("catalogue", self.epoch, self.registry.rows()), links=[link])
-        self.registry.subscribe(link=link)
-        self._tell(("load", self.epoch, True, self._load_rows(self.totals.keys() | self._judge.failing)), links=[link])
+        for pool in self.registry.pools.values():
+            self.registry.join(pool=pool, link=link, is_far=is_far)
+        self._tell(("load", self.epoch, True, self._feeds[is_far].whole()), links=[link])
 
     def end(self, link) -> None:
         """The digest is gone: its sums are withdrawn whole."""
         known = self.subscribers.pop(link, None)
         for pool in self.registry.pools.values():
-            if pool.hub is not None:
-                pool.hub.leave(link)
+            pool.leave(link)
         if known is not None:
             for key, load in known.parts.items():
                 self._add(key, NOTHING, load)
@@ -117,8 +133,11 @@
             total[place] += load[place] - before[place]
         if not any(total):
             del self.totals[key]
-        self._changed[False].add(key)
-        self._changed[True].add(key)
+        self._note(key)
+
+    def _note(self, key: bytes) -> None:
+        for feed in self._feeds.values():
+            feed.note(key)
 
     def take_sums(self, link, message: tuple) -> None:
         """One cut of a digest; a malformed one raises before anything changes."""
@@ -158,35 +177,39 @@
         if pool is not None and name in pool.actor.lanes:
             pool.actor.read(replica=name, rows=ckf.extend(parts=parts))
 
-    def _load_rows(self, keys) -> bytes:
-        return b"".join(
-            records.LOAD.pack(
-                key,
-                *(records.short(total[0]), records.long(total[1]), records.short(total[2])),
-                int(key in self._judge.failing),
-            )
-            for key in sorted(keys)
-            for total in (self.totals.get(key, NOTHING),)
+    def _load_of(self, key: bytes) -> load_feed.Load:
+        running, tokens, marks = self.totals.get(key, NOTHING)
+        berths = self._scales.get(key, load_feed.NO_SCALE).berths
+        flags = load_feed.FAILING if key in self._judge.failing else 0
+        if berths and running >= berths * load_feed.FULL_SHARE:
+            flags |= load_feed.FULL
+        return load_feed.Load(
+            running=records.short(running), tokens=records.long(tokens), marks=records.short(marks), flags=flags
         )
 
     def tick(self) -> None:
         self.registry.grow()
         self._join_new()
-        self.registry.flush()
         self._ticks += 1
         for key in self._judge.look():
             ring.note("outcomes", replica=self._ids.get(key, ""), is_failing=key in self._judge.failing)
-            self._changed[False].add(key)
-            self._changed[True].add(key)
-        for is_far in (False, True):
-            if is_far and self._ticks % FAR_TICKS:
-                continue
-            links = [link for link, known in self.subscribers.items() if known.is_far == is_far]
-            for link in links:
-                known = self.subscribers[link]
-                if known.counted != known.told_counted:
-                    known.told_counted = known.counted
-                    link.send(("counted", known.counted))
-            changed, self._changed[is_far] = self._changed[is_far], set()
-            if changed and links:
-                self._tell(("load", self.epoch, False, self._load_rows(changed)), links=links)
+            self._note(key)
+        self._publish(is_far=False)
+        if self._ticks % FAR_TICKS == 0:
+            self._publish(is_far=True)
+
+    def _publish(self, *, is_far: bool) -> None:
+        """To all subscribers of one pace: what of the filters and of the loads is to be told now."""
+        self.registry.flush(is_far=is_far, most=FAR_BUCKETS if is_far else NEAR_BUCKETS)
+        links = [link for link, known in self.subscribers.items() if known.is_far == is_far]
+        for link in links:
+            known = self.subscribers[link]
+            if known.counted != known.told_counted:
+                known.told_counted = known.counted
+                link.send(("counted", known.counted))
+        most = max(LEAST_ROWS, math.ceil(len(self._ids) * ROWS_SHARE)) if links else len(self._ids) + len(self.totals)
+        data = self._feeds[is_far].take(
+            load_of=self._load_of, scale_of=lambda key: self._scales.get(key, load_feed.NO_SCALE), most=most
+        )
+        if data and links:
+            self._tell(("load", self.epoch, False, data), links=links)
--- a/pw/dat/relay/hub.py
+++ b/pw/dat/relay/hub.py
@@ -14,19 +14,25 @@
 
 
 class Hub:
+    """Publishes one filter to subscribers that are told at the same pace.
+
+    Buckets that changed wait here until they are told: those that subscribers wait for first, each kind in the order in
+    which they changed. A bucket that changes again while it waits is told once, as it is then.
+    """
+
     def __init__(self, *, identity: str, generation: int, actor):
         self.identity = identity
         self.generation = generation
         self._actor = actor
         self._images = [actor.filter.image(index) for index in range(actor.filter.bucket_count)]
         self._versions = [0] * actor.filter.bucket_count
-        actor.filter.dirty.clear()
+        self._waiting = {}  # bucket: True
+        self._waiting_later = {}
         self._subscribers = {}
         self.is_fenced = False
 
     def join(self, link) -> None:
-        """The subscriber's own cut: what isn't empty, with its sequence; deltas follow on the same link."""
-        self.flush()
+        """The subscriber's own cut: what was told and isn't empty, with its sequence; deltas follow on the same link."""
         blank = bytes(len(self._images[0]))
         rows = b"".join(
             ROW.pack(index, version) + image
@@ -43,22 +49,36 @@
     def subscriber_count(self) -> int:
         return len(self._subscribers)
 
-    def flush(self) -> None:
-        dirty = self._actor.filter.dirty
-        if not dirty:
-            return
-        rows = []
+    def note(self, *, dirty, dirty_later) -> None:
+        """Buckets of the filter that changed."""
         for index in sorted(dirty):
-            image = self._actor.filter.image(index)
-            if image == self._images[index]:
-                continue
-            self._images[index] = image
-            self._versions[index] += 1
-            rows.append(ROW.pack(index, self._versions[index]) + image)
-        dirty.clear()
+            self._waiting_later.pop(index, None)
+            self._waiting.setdefault(index, True)
+        for index in sorted(dirty_later):
+            if index not in self._waiting:
+                self._waiting_later.setdefault(index, True)
+
+    def waiting(self) -> int:
+        """How many buckets are still to be told."""
+        return len(self._waiting) + len(self._waiting_later)
+
+    def flush(self, *, most: int | None = None) -> None:
+        """Tells buckets that changed: all of them, or so many as `most` says."""
+        rows = []
+        for waiting in (self._waiting, self._waiting_later):
+            while waiting and (most is None or len(rows) < most):
+                index = next(iter(waiting))
+                del waiting[index]
+                image = self._actor.filter.image(index)
+                if image == self._images[index]:
+                    continue
+                self._images[index] = image
+                self._versions[index] += 1
+                rows.append((index, ROW.pack(index, self._versions[index]) + image))
         if not rows:
             return
-        frame = wire.pack(("delta", self.identity, self.generation, b"".join(rows)))
+        rows.sort()
+        frame = wire.pack(("delta", self.identity, self.generation, b"".join(row for _index, row in rows)))
         for link in list(self._subscribers):
             if link.queued() > QUEUE_LIMIT_BYTES:
                 self.leave(link)
--- a/pw/dat/relay/pool_registry.py
+++ b/pw/dat/relay/pool_registry.py
@@ -15,13 +15,23 @@
         self.model = model
         self.generation = generation
         self.actor = actor
-        self.hub = None
+        self.hubs = {}  # whether its subscribers are in other regions: hub
         self.catalogued = {}
 
     @property
     def name(self) -> str:
         return "%d/%s/%s" % self.identity
 
+    def note_changes(self) -> None:
+        """Hands to each hub what changed in the filter since the last call."""
+        dirty, dirty_later = self.actor.filter.take_dirty()
+        for hub in self.hubs.values():
+            hub.note(dirty=dirty, dirty_later=dirty_later)
+
+    def leave(self, link) -> None:
+        for hub in self.hubs.values():
+            hub.leave(link)
+
 
 def _lanes_for(replicas) -> int:
     return int(len(replicas) * actors.SPARE_LANES) + 1
@@ -62,14 +72,17 @@
                 is_changed = True
             for replica in sorted(replicas):
                 pool.actor.admit(replica)
-            if pool.actor.lanes != pool.catalogued:
-                pool.catalogued = dict(pool.actor.lanes)
+            lanes = {} if pool.actor.is_wide else pool.actor.lanes
+            if lanes != pool.catalogued:
+                pool.catalogued = dict(lanes)
                 is_changed = True
         if is_changed:
             # Cleared lanes are published before a lane can be told under another replica's name.
             for pool in self.pools.values():
-                if pool.hub is not None:
-                    pool.hub.flush()
+                if not pool.actor.is_wide:
+                    pool.note_changes()
+                    for hub in pool.hubs.values():
+                        hub.flush()
             self._on_catalogue()
 
     def _renew(self, pool, *, lanes: int):
@@ -81,7 +94,7 @@
         fresh = Pool(
             identity=pool.identity, service=pool.service, model=pool.model, generation=self._generation, actor=actor
         )
-        fresh.catalogued = dict(actor.lanes)
+        fresh.catalogued = {} if actor.is_wide else dict(actor.lanes)
         self.pools[pool.identity] = fresh
         return fresh
 
@@ -113,7 +126,7 @@
         if pool is None:
             return
         self._on_withdraw(pool)
-        pool.hub = None
+        pool.hubs = {}
         pool.actor = None
 
     def find_domain(self, *, domain: str):
@@ -122,22 +135,23 @@
                 return pool
         return None
 
-    def subscribe(self, *, link) -> None:
-        for pool in self.pools.values():
-            self.join(pool=pool, link=link)
-
-    def join(self, *, pool, link) -> None:
-        if pool.hub is None:  # lazy: the first subscriber makes it
-            pool.hub = hubs.Hub(identity=pool.name, generation=pool.generation, actor=pool.actor)
-        pool.hub.join(link)
+    def join(self, *, pool, link, is_far: bool) -> None:
+        """Hubs are lazy: the first subscriber of its kind makes one."""
+        pool.note_changes()
+        if is_far not in pool.hubs:
+            pool.hubs[is_far] = hubs.Hub(identity=pool.name, generation=pool.generation, actor=pool.actor)
+        pool.hubs[is_far].flush()  # the cut is as new as it can be
+        pool.hubs[is_far].join(link)
 
-    def flush(self) -> None:
+    def flush(self, *, is_far: bool, most: int | None = None) -> None:
         for identity, pool in list(self.pools.items()):
-            if pool.hub is None:
+            pool.note_changes()
+            hub = pool.hubs.get(is_far)
+            if hub is None:
                 continue
             try:
-                pool.hub.check(generation=pool.generation)
-                pool.hub.flush()
+                hub.check(generation=pool.generation)
+                hub.flush(most=most)
             except (hubs.Fenced, problems.FrameProblem, ValueError) as fault:
                 ring.spill(f"pool {pool.name} is fenced: {fault}")
                 self.withdraw(identity=identity)
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -1,10 +1,16 @@
 """The replicas as this proxy sees them: one owner of the table (design 5, 7, 8)."""
 
 import collections
+import math
 
 from pw.base import records
 from pw.dat import outlet as outlets
+from pw.dat import subset as subsets
 from pw.dat.adapters import counts
+from pw.dat.relay import ckf
+
+
+MOST_TRIES = 24  # suspects to which connections are opened at a time
 
 
 class Replica:
@@ -88,6 +94,11 @@
         self.services = {}
         self.adapters = {}  # service: {adapter: models}, as the list or the configuration ever named them
         self._has_list = False
+        self._subsets = subsets.Subsets(own=settings.ip, region=settings.region)
+        self._fleet = 0.0  # proxies of a region that the subsets were made for
+        self._is_subset_old = True
+        self._counts = collections.Counter()  # (service, region): listed replicas
+        self._by_tag = {}  # service: {tag of a replica's key: replica}
         self._idle_trust = {}  # service: (seconds of rest that its connections bear, until when this is believed)
 
     def install_services(self, services: dict) -> None:
@@ -106,38 +117,105 @@
         return self._settings.zones.get(zone, "")
 
     def install_list(self, rows: list) -> None:
+        """The whole list, as rows of `pw.ctl.platform.read_row`."""
+        gone = self.replicas.keys() - {row["id"] for row in rows}
+        self.change_list(rows=rows, gone=gone)
+        self._has_list = True
+
+    def change_list(self, *, rows, gone) -> None:
+        """Rows that are new or differ, and ids that are gone."""
         now = self._loop.now()
-        seen = set()
         for row in rows:
-            seen.add(row["id"])
-            replica = self.replicas.get(row["id"])
-            if replica is None:
-                host, _colon, port = row["address"].rpartition(":")
-                replica = Replica(row=row, endpoint=(host, int(port)), region=self.region_of(row["zone"]), now=now)
-                self.replicas[replica.id] = replica
-                replica.on_unproved = self.suspect
-                if self._has_list:
-                    # A life that began during traffic: unknown counts as cold.
-                    replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
-            replica.is_clearing = row["is_clearing"]
-            replica.take_adapters(row, now=now)
-            for model, adapter in replica.adapters or ():
-                self.adapters.setdefault(replica.service, {}).setdefault(adapter, set()).add(model)
-            if row["cold_ms"] > 0:
-                replica.cold_until = max(replica.cold_until, now + row["cold_ms"] / 1000.0)
-            if replica.is_clearing:
+            self._take_row(row, now=now)
+        for name in gone:
+            replica = self.replicas.pop(name, None)
+            if replica is not None:
+                replica.is_listed = False
                 replica.close_idle()
-        for gone in self.replicas.keys() - seen:
-            replica = self.replicas.pop(gone)
-            replica.is_listed = False
-            replica.close_idle()
-        self._has_list = True
+                self._subsets.forget(name)
+        self._is_subset_old = True
         self.by_service = {}
+        self._counts = collections.Counter()
         for replica in self.replicas.values():
             self.by_service.setdefault(replica.service, []).append(replica)
+            self._counts[replica.service, replica.region] += 1
+
+    def count(self, *, service: str, region: str) -> int:
+        """Replicas of a service that are listed in a region."""
+        return self._counts[service, region]
+
+    def _take_row(self, row: dict, *, now: float) -> None:
+        replica = self.replicas.get(row["id"])
+        if replica is None:
+            host, _colon, port = row["address"].rpartition(":")
+            replica = Replica(row=row, endpoint=(host, int(port)), region=self.region_of(row["zone"]), now=now)
+            self.replicas[replica.id] = replica
+            replica.on_unproved = self.suspect
+            if self._has_list:
+                # A life that began during traffic: unknown counts as cold.
+                replica.cold_until = now + self.services.get(replica.service, {}).get("warmup_s", 0.0)
+        replica.is_clearing = row["is_clearing"]
+        replica.take_adapters(row, now=now)
+        for model, adapter in replica.adapters or ():
+            self.adapters.setdefault(replica.service, {}).setdefault(adapter, set()).add(model)
+        if row["cold_ms"] > 0:
+            replica.cold_until = max(replica.cold_until, now + row["cold_ms"] / 1000.0)
+        if replica.is_clearing:
+            replica.close_idle()
+
+    # The subset that this proxy looks at.
+    def _proxies(self) -> float:
+        """About how many proxies a region has, by this one's share of what all have; rounded up to a power of two."""
+        share = self.share()
+        if share <= 0:
+            return self._fleet
+        regions = max(1, len(set(self._settings.zones.values())))
+        return 2.0 ** math.ceil(math.log2(max(1.0, 1.0 / (share * regions))))
+
+    def _refresh_subsets(self) -> None:
+        if not self._is_subset_old:
+            return
+        self._is_subset_old = False
+        self._fleet = self._proxies()
+        self._subsets.clear()
+        self._by_tag = {}
+        for service, rows in self.by_service.items():
+            usable = [replica for replica in rows if not replica.is_clearing and replica.zone not in self.out_zones]
+            self._subsets.install(service=service, replicas=usable, proxies=self._fleet)
+            if not self._subsets.is_whole(service):
+                self._by_tag[service] = {replica.key[: ckf.TAG_SIZE]: replica for replica in usable}
+
+    def look_at_fleet(self) -> None:
+        """By the clock: the subsets follow the size of the fleet."""
+        if self._proxies() != self._fleet:
+            self._is_subset_old = True
+
+    def is_whole(self, service: str) -> bool:
+        """Whether this proxy looks at all replicas of the service."""
+        self._refresh_subsets()
+        return self._subsets.is_whole(service)
+
+    def subset(self, service: str) -> list:
+        """The replicas of the service that this proxy looks at."""
+        self._refresh_subsets()
+        return self.by_service.get(service, []) if self._subsets.is_whole(service) else self._subsets.of(service)
+
+    def by_tags(self, *, service: str, tags) -> list:
+        """Replicas of a service of which the proxy looks at a subset, by the tags that a mirror names."""
+        self._refresh_subsets()
+        table = self._by_tag.get(service, {})
+        return [table[tag] for tag in tags if tag in table]
+
+    def followed_keys(self):
+        """Keys of all replicas that this proxy looks at; None: all that are listed."""
+        self._refresh_subsets()
+        if all(self._subsets.is_whole(service) for service in self.by_service):
+            return None
+        return frozenset(replica.key for service in self.by_service for replica in self.subset(service))
 
     def install_evacuations(self, zones) -> None:
         zones = frozenset(zones)
+        self._is_subset_old = True
         back = self.out_zones - zones
         now = self._loop.now()
         for replica in self.replicas.values():
@@ -240,15 +318,21 @@
         self._loop.command(act=self.try_suspects)
 
     def try_suspects(self) -> None:
-        """One connection to each suspect, in the background: no request is spent on finding out."""
-        for replica in self.replicas.values():
-            if (
-                replica.is_suspect
-                and not replica.is_clearing
-                and replica.zone not in self.out_zones
-                and not replica.outlets
-            ):
-                self.outlet(replica=replica)
+        """A connection to each suspect, some at a time, in the background: no request is spent on finding out."""
+        tried = 0
+        for service in self.by_service:
+            for replica in self.subset(service):
+                if tried < MOST_TRIES and self._is_to_be_tried(replica):
+                    tried += 1
+                    self.outlet(replica=replica)
+
+    def _is_to_be_tried(self, replica) -> bool:
+        return (
+            replica.is_suspect
+            and not replica.is_clearing
+            and replica.zone not in self.out_zones
+            and not replica.outlets
+        )
 
     def _free(self, outlet) -> None:
         replica = outlet.replica
--- /dev/null
+++ b/pw/dat/subset.py
@@ -0,0 +1,69 @@
+"""Which replicas a proxy looks at where there are many: a stable subset by rendezvous hash (docs/scale.md 5).
+
+Each proxy ranks the replicas of a service by a hash of its own address and the replica's id, and takes the first ones. A
+replica that comes or goes changes one place of the subsets that it stands in. In a small region the subset is the whole.
+"""
+
+import hashlib
+import heapq
+import math
+
+LEAST_NEAR = 48  # replicas of a service in the proxy's own region
+LEAST_FAR = 40  # the same in each other region
+COVER = 4  # proxies that look at each replica, at least, on the average
+
+
+def rank(*, own: str, replica_id: str) -> bytes:
+    """The lower, the sooner this proxy takes the replica."""
+    return hashlib.blake2b(f"{own} {replica_id}".encode(), digest_size=8).digest()
+
+
+def size(*, replicas: int, proxies: float, is_near: bool) -> int:
+    """How many of a region's replicas one of so many proxies looks at; rounded, so that it seldom changes."""
+    least = LEAST_NEAR if is_near else LEAST_FAR
+    wanted = COVER * replicas / max(1.0, proxies)
+    return min(replicas, least * max(1, math.ceil(wanted / least)))
+
+
+class Subsets:
+    """The subsets of one proxy, made anew when the list, the evacuations or the size of the fleet change."""
+
+    def __init__(self, *, own: str, region: str):
+        self._own = own
+        self._region = region
+        self._ranks = {}  # replica id: its rank here
+        self._chosen = {}  # (service, region): replicas
+        self._is_whole = {}  # service: whether its subsets leave nobody out
+
+    def clear(self) -> None:
+        self._chosen = {}
+        self._is_whole = {}
+
+    def forget(self, replica_id: str) -> None:
+        self._ranks.pop(replica_id, None)
+
+    def is_whole(self, service: str) -> bool:
+        return self._is_whole.get(service, True)
+
+    def install(self, *, service: str, replicas: list, proxies: float) -> None:
+        """`replicas` of one service that may be used; `proxies`: about how many there are in a region."""
+        by_region = {}
+        for replica in replicas:
+            by_region.setdefault(replica.region, []).append(replica)
+        self._is_whole[service] = True
+        for region, rows in by_region.items():
+            count = size(replicas=len(rows), proxies=proxies, is_near=region == self._region)
+            if count < len(rows):
+                self._is_whole[service] = False
+                rows = heapq.nsmallest(count, rows, key=self._rank)
+            self._chosen[service, region] = rows
+
+    def _rank(self, replica) -> bytes:
+        known = self._ranks.get(replica.id)
+        if known is None:
+            known = self._ranks[replica.id] = rank(own=self._own, replica_id=replica.id)
+        return known
+
+    def of(self, service: str) -> list:
+        """The replicas of a service that this proxy looks at, of all regions."""
+        return [replica for (name, _region), rows in self._chosen.items() if name == service for replica in rows]
--- a/pw/dat/test_follow.py
+++ b/pw/dat/test_follow.py
@@ -72,10 +72,13 @@
 def test_a_relay_ends_when_its_duty_goes_to_another_life():
     node = types.SimpleNamespace(
         relay=None,
+        gateway=None,
+        region_names=("north", "south"),
         settings=entry.settings(),
         life="l1",
         loop=loops.Loop(),
         contact_s=4.0,
+        silence_s=0.8,
         _waiting={},
         _sync_relay=lambda: None,
     )
--- a/pw/sim/control/recorder.py
+++ b/pw/sim/control/recorder.py
@@ -76,8 +76,8 @@
         publish = core.desk.publish
         own = (core.own, core.life)
 
-        def watched(*, topic, epoch, number, data):
-            is_new = publish(topic=topic, epoch=epoch, number=number, data=data)
+        def watched(*, topic, epoch, number, data, change=None):
+            is_new = publish(topic=topic, epoch=epoch, number=number, data=data, change=change)
             if is_new:
                 self.published(own, topic, epoch, number, data)
             return is_new
