--- a/pw/ctl/duties.py
+++ b/pw/ctl/duties.py
@@ -53,20 +53,30 @@
     return rows
 
 
+def _holders(*, zone: str, duty) -> list:
+    """(holder, its life) of each digest that the zone ever had, in order."""
+    found = []
+    while True:
+        epoch, *held = duty(digest_name(zone=zone, number=len(found)))
+        if not epoch:
+            return found
+        found.append(tuple(held))
+
+
 def _digests(*, zone: str, live: list, duty) -> dict:
     """The digests of one zone that want a holder, or that are not needed any more."""
     rows = {}
     wanted = math.ceil(len(live) / CELL)
-    holders = {tuple(duty(digest_name(zone=zone, number=number))[1:]) for number in range(wanted)}
-    free = sorted((proxy for proxy in live if proxy not in holders), reverse=True)
+    busy = set(_holders(zone=zone, duty=duty))
+    free = sorted((proxy for proxy in live if proxy not in busy), reverse=True)
     number = 0
     while True:
         name = digest_name(zone=zone, number=number)
         epoch, *held = duty(name)
         holder = tuple(held)
         if number < wanted:
-            if holder not in live and len(live) > FEW:
-                rows[name] = (epoch, *(free.pop(0) if free else max(live)))
+            if holder not in live and len(live) > FEW and free:
+                rows[name] = (epoch, *free.pop(0))
         elif not epoch:
             return rows
         elif holder != NOBODY and len(live) < number * CELL * KEPT_SHARE:
--- /dev/null
+++ b/pw/ctl/test_digest_duties.py
@@ -0,0 +1,106 @@
+"""How many digests a zone has, who holds them and whom they serve, while proxies come and go."""
+
+import random
+
+import pytest
+
+from pw.ctl import duties
+
+
+class Register:
+    """The duties' register as the watch keeps it."""
+
+    def __init__(self):
+        self.held = {}
+
+    def duty(self, name):
+        return self.held.get(name, (0, "", ""))
+
+    def tend(self, listed):
+        rows = duties.named(proxies=listed, duty=self.duty)
+        for name, (epoch, holder, life) in rows.items():
+            assert epoch == self.duty(name)[0]
+            self.held[name] = (epoch + 1, holder, life)
+        return rows
+
+    def holders(self, zone="za"):
+        return {
+            name: holder
+            for name, (_epoch, holder, _life) in self.held.items()
+            if holder and duties.is_digest_of(name=name, zone=zone)
+        }
+
+
+def listed(count, *, zone="za"):
+    return [(f"10.0.{number // 200}.{number % 200 + 10}", f"l{number}", zone, "north") for number in range(count)]
+
+
+@pytest.mark.parametrize("count, digests", [(3, 0), (4, 1), (14, 1), (15, 2), (33, 3), (50, 4), (120, 9)])
+def test_a_zone_has_as_many_digests_as_its_proxies_need(count, digests):
+    register = Register()
+    register.tend(listed(count))
+    holders = register.holders()
+    assert len(holders) == len(set(holders.values())) == digests
+    assert register.tend(listed(count)) == {}  # settled
+    if digests:
+        assert duties.digest_name(zone="za") == "digest/za" and "digest/za" in holders
+
+
+def test_proxies_are_spread_over_the_digests_and_few_change_when_one_is_added():
+    addresses = [address for address, *_about in listed(150)]
+    names = [duties.digest_name(zone="za", number=number) for number in range(10)]
+    before = {address: duties.digest_for(names=names, address=address) for address in addresses}
+    sizes = [sum(1 for name in before.values() if name == one) for one in names]
+    assert min(sizes) > 0 and max(sizes) <= 30
+    more = [*names, duties.digest_name(zone="za", number=10)]
+    after = {address: duties.digest_for(names=more, address=address) for address in addresses}
+    moved = [address for address in addresses if before[address] != after[address]]
+    assert 0 < len(moved) < 45 and all(after[address] == more[-1] for address in moved)
+
+
+def test_a_lost_holder_is_replaced_by_one_that_holds_no_other_digest():
+    register = Register()
+    proxies = listed(40)
+    register.tend(proxies)
+    gone = register.holders()["digest/za/1"]
+    left = [row for row in proxies if row[0] != gone]
+    rows = register.tend(left)
+    assert list(rows) == ["digest/za/1"] and len(set(register.holders().values())) == 3
+    newer = [
+        (address, "another life" if address == register.holders()["digest/za"] else life, zone, region)
+        for address, life, zone, region in left
+    ]
+    assert list(register.tend(newer)) == ["digest/za"]  # a new life is another holder, under the next epoch
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_while_proxies_come_and_go_every_digest_named_is_held_by_a_live_one(seed):
+    chance = random.Random(seed)
+    register = Register()
+    everybody = listed(90)
+    live = everybody[:40]
+    changes = 0
+    for _ in range(60):
+        size = min(90, max(4, len(live) + chance.randint(-12, 12)))
+        live = chance.sample(everybody, size)
+        register.tend(live)
+        changes += len(register.tend(live))  # a second look changes nothing
+        addresses = {address for address, *_about in live}
+        holders = register.holders()
+        assert set(holders.values()) <= addresses
+        assert len(holders) >= -(-len(live) // duties.CELL)
+        assert len(set(holders.values())) == len(holders) or len(live) < len(holders) * 2
+    assert changes == 0
+
+
+def test_a_zone_that_shrinks_a_little_keeps_its_digests():
+    register = Register()
+    register.tend(listed(30))
+    assert len(register.holders()) == 3
+    holders = set(register.holders().values())
+    few = [row for row in listed(30) if row[0] in holders] + [row for row in listed(30) if row[0] not in holders][:22]
+    assert register.tend(few) == {}
+    fewer = few[:8]
+    register.tend(fewer)
+    assert len(register.holders()) == 1
+    assert register.duty("digest/za/2")[0] == 2  # an end is told under an epoch too
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -58,25 +58,37 @@
         )
 
     def candidates(self, *, service: str, permitted, model: str, avoid, chain=()) -> list:
-        """Replicas that may be chosen: of the subset that this proxy looks at and of those that keep most of the prompt;
-        of all, where that leaves nobody."""
-        rows = self._usable(self._table.subset(service), permitted=permitted, model=model, avoid=avoid)
+        """Replicas that may be chosen: of the subset that this proxy looks at and of those that keep most of the prompt
+        or are to read it first; of all, where that leaves nobody."""
+
+        def usable(replicas) -> list:
+            return self._usable(replicas, permitted=permitted, model=model, avoid=avoid)
+
+        rows = usable(self._table.subset(service))
         if self._table.is_whole(service):
             return rows
         if not rows:
-            return self._usable(self._table.by_service.get(service, ()), permitted=permitted, model=model, avoid=avoid)
+            return usable(self._table.by_service.get(service, ()))
         known = {replica.id for replica in rows}
-        owners = [replica for replica in self._owners(service, model, chain) if replica.id not in known]
-        return rows + self._usable(owners, permitted=permitted, model=model, avoid=avoid)
-
-    def _owners(self, service: str, model: str, chain) -> list:
-        """Replicas that the mirrors name as keeping the longest run of the prompt."""
-        found = {}
+        depth, owners = self._owners(service, model, chain)
+        if depth < len(chain) - 1:
+            first = self._table.first_reader(
+                service=service, part=chain[-2][0], permitted=permitted, is_usable=lambda one: bool(usable([one]))
+            )
+            if first is not None and first not in owners:
+                owners.append(first)
+        return rows + usable([replica for replica in owners if replica.id not in known])
+
+    def _owners(self, service: str, model: str, chain) -> tuple:
+        """(parts in the longest run of the prompt that is kept anywhere, replicas that the mirrors name for the longest
+        run in each region)."""
+        found, most = {}, 0
         for region in self._regions.values() if chain else ():
-            tags = region.named_owners(service=service, model=model, chain=chain)
+            depth, tags = region.named_owners(service=service, model=model, chain=chain)
+            most = max(most, depth)
             for replica in self._table.by_tags(service=service, tags=tags):
                 found[replica.id] = replica
-        return list(found.values())
+        return most, list(found.values())
 
     def _usable(self, replicas, *, permitted, model: str, avoid) -> list:
         now = self._now()
@@ -111,7 +123,7 @@
         now = self._now()
         shared = chain[:-1]
         if shared:
-            self._name_owner(rows, shared, kept)
+            self._name_owner(rows, shared, kept, service, permitted)
         best = None
         most_kept = max(kept.values(), default=0)
         for replica in rows:
@@ -134,14 +146,21 @@
             return None, 0, True
         return best[1], best[2], True
 
-    def _name_owner(self, rows: list, shared, kept: dict) -> None:
+    def _name_owner(self, rows: list, shared, kept: dict, service: str, permitted) -> None:
         """Shared parts that no replica keeps yet: all proxies agree on who is to read them first."""
         tokens = sum(count for _hash, count in shared)
         if any(kept.get(replica.id, 0) >= tokens or self._own_kept(replica, shared) >= tokens for replica in rows):
             return
         last = shared[-1][0]
-        owner = max(rows, key=lambda replica: hashlib.blake2b(last + replica.id.encode(), digest_size=8).digest())
-        kept[owner.id] = max(kept.get(owner.id, 0), tokens)
+        if self._table.is_whole(service):
+            owner = max(rows, key=lambda replica: hashlib.blake2b(last + replica.id.encode(), digest_size=8).digest())
+        else:
+            known = {replica.id for replica in rows}
+            owner = self._table.first_reader(
+                service=service, part=last, permitted=permitted, is_usable=lambda replica: replica.id in known
+            )
+        if owner is not None:
+            kept[owner.id] = max(kept.get(owner.id, 0), tokens)
 
     def note_read(self, *, service: str, tokens: int, took_s: float) -> None:
         """The reading rate of a service, as its quicker answers show it: a maximum that fades."""
--- /dev/null
+++ b/pw/dat/digest/test_fanout.py
@@ -0,0 +1,110 @@
+"""What members of a digest are told: publications unchanged, loads of the replicas that they follow and of full ones."""
+
+import random
+
+import pytest
+
+from pw.base import records
+from pw.base import wire
+from pw.dat import mirror
+from pw.dat.digest import fanout as fanouts
+from pw.dat.relay import hub as hubs
+from pw.dat.relay import load_feed
+from pw.sim import wires
+
+KEYS = [records.key_of(f"i{number}") for number in range(40)]
+
+
+def load(rows, *, is_whole=False):
+    data = b"".join(load_feed.Load(running=running, flags=flags).pack(key) for key, (running, flags) in rows.items())
+    return ("load", 1, is_whole, data)
+
+
+class Member(wires.Wire):
+    """A link, and what its member's mirror makes of it."""
+
+    def __init__(self):
+        super().__init__()
+        self.region = mirror.Region(now=lambda: 0.0, trust_s=5.0)
+        self.region.take(("catalogue", 1, ()))
+
+    def send_bytes(self, data):
+        kind, _region, frame = wire.unpack(data)
+        assert kind == "relayed"
+        self.region.take(wire.unpack(frame))
+        self.told.append(frame)
+
+
+def make(*follows):
+    fanout = fanouts.Fanout()
+    members = []
+    for number, keys in enumerate(follows):
+        member = Member()
+        fanout.admit(member, address=f"p{number}")
+        fanout.follow(member, keys=keys)
+        members.append(member)
+    return fanout, members
+
+
+def publish(fanout, message):
+    fanout.tell_publication(region="north", frame=wire.pack(message), message=message)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_members_hold_the_loads_that_they_follow_and_those_of_full_replicas(seed):
+    chance = random.Random(seed)
+    follows = [None, frozenset(KEYS[:10]), frozenset(KEYS[5:25]), frozenset()]
+    fanout, members = make(*follows)
+    truth = {}
+    for _ in range(80):
+        rows = {key: (chance.randint(0, 9), 0) for key in chance.sample(KEYS, 6)}
+        rows = {key: (running, load_feed.FULL if running > 7 else 0) for key, (running, _flags) in rows.items()}
+        is_whole = chance.random() < 0.05
+        if is_whole:
+            truth = {}
+        truth.update(rows)
+        publish(fanout, load(rows, is_whole=is_whole))
+        for keys, member in zip(follows, members, strict=True):
+            for key, (running, flags) in truth.items():
+                held = member.region.load.get(key, (0, 0, 0, 0))
+                if keys is None or key in keys or flags:
+                    assert held == (running, 0, 0, flags)
+                else:
+                    assert not held[3], "it was told that the replica is no longer full"
+
+
+def test_a_member_that_follows_others_now_is_told_how_they_stand():
+    fanout, (member,) = make(frozenset(KEYS[:2]))
+    mirrored = mirror.Region(now=lambda: 0.0, trust_s=5.0)
+    mirrored.take(("catalogue", 1, ()))
+    first = load({key: (number, 0) for number, key in enumerate(KEYS[:6], start=1)}, is_whole=True)
+    mirrored.take(first)
+    publish(fanout, first)
+    assert set(member.region.load) == set(KEYS[:2])
+    fanout.follow(member, keys=frozenset(KEYS[3:5]))
+    fanout.tell_one(member, region="north", message=mirrored.load_frame())
+    assert member.region.load == {KEYS[3]: (4, 0, 0, 0), KEYS[4]: (5, 0, 0, 0)}
+    fanout.follow(member, keys=None)
+    fanout.tell_one(member, region="north", message=mirrored.load_frame())
+    assert set(member.region.load) == set(KEYS[:6])
+
+
+def test_bytes_to_a_member_do_not_grow_with_the_region():
+    sizes = {}
+    for count in (50, 500):
+        keys = [records.key_of(f"r{number}") for number in range(count)]
+        fanout, (member,) = make(frozenset(keys[:20]))
+        publish(fanout, load({key: (3, 0) for key in keys}))
+        sizes[count] = sum(len(frame) for frame in member.told)
+    assert sizes[50] == sizes[500]
+
+
+def test_a_newer_link_of_a_member_ends_the_older_and_a_slow_one_is_closed_alone():
+    fanout, (first, other) = make(None, None)
+    again = Member()
+    fanout.admit(again, address="p0")
+    assert not first.is_open and other.is_open
+    assert fanout.end(first) and not fanout.end(first)
+    other.queue = hubs.QUEUE_LIMIT_BYTES + 1
+    publish(fanout, load({KEYS[0]: (1, 0)}))
+    assert not other.is_open and again.is_open and again.region.load
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -1,6 +1,7 @@
 """A proxy's mirror of the pools of all regions (docs/relay.md 5). Frames are checked and installed whole."""
 
 import dataclasses
+import itertools
 
 from pw.base import problems
 from pw.base import records
@@ -28,6 +29,13 @@
         lane = self.lanes.get(key)
         return lane is not None and bool(self.bits >> lane & 1)
 
+    def some_tags(self) -> tuple:
+        """Tags of the first few that are named."""
+        if self.lanes is None:
+            return self.tags
+        keys = (key for key, lane in self.lanes.items() if self.bits >> lane & 1)
+        return tuple(key[: ckf.TAG_SIZE] for key in itertools.islice(keys, ckf.OWNERS_NAMED))
+
 
 class Mirror:
     """One pool generation as this proxy sees it. Bucket images are read only where a prompt asks for them."""
@@ -240,14 +248,14 @@
         return found
 
     def named_owners(self, *, service: str, model: str, chain) -> tuple:
-        """Tags of the replicas that keep the longest run of the prompt, the few that the mirror names."""
+        """(parts in the longest run of the prompt that some replica keeps, tags of the few such that the mirror names)."""
         mirror = self._mirror(service=service, model=model) if self.is_trusted else None
         if mirror is None:
-            return ()
-        tags = ()
+            return 0, ()
+        depth, longest = 0, None
         for full_hash, _tokens in chain:
-            longer = mirror.owners(full_hash).tags
-            if not longer:
+            owners = mirror.owners(full_hash)
+            if not owners.count:
                 break
-            tags = longer
-        return tags
+            depth, longest = depth + 1, owners
+        return depth, longest.some_tags() if longest is not None else ()
--- a/pw/dat/relay/test_relay.py
+++ b/pw/dat/relay/test_relay.py
@@ -401,12 +401,12 @@
         return region.kept(service="llm", model="m", chain=rows("root", "leaf"), replicas=chosen, pool_size=len(names))
 
     assert kept("r0", "r3", "r6", "r150") == {"r0": 20, "r3": 20, "r6": 10, "r150": 10}
-    tags = region.named_owners(service="llm", model="m", chain=rows("root", "leaf"))
-    assert tags == tuple(records.key_of(name)[: ckf.TAG_SIZE] for name in names[:4])
+    depth, tags = region.named_owners(service="llm", model="m", chain=rows("root", "leaf"))
+    assert depth == 2 and tags == tuple(records.key_of(name)[: ckf.TAG_SIZE] for name in names[:4])
     host.sync(services=SERVICES, replicas=[replica(name) for name in names if name not in ("r1", "r2")])
     drain(host)
     feed(region, reader)
-    tags = region.named_owners(service="llm", model="m", chain=rows("root", "leaf"))
+    _depth, tags = region.named_owners(service="llm", model="m", chain=rows("root", "leaf"))
     expected = ("r0", "r3", "r4", "r5")  # others take the place of those that are gone
     assert tags == tuple(records.key_of(name)[: ckf.TAG_SIZE] for name in expected)
     assert kept("r6") == {"r6": 10}
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -98,6 +98,7 @@
         self._fleet = 0.0  # proxies of a region that the subsets were made for
         self._is_subset_old = True
         self._counts = collections.Counter()  # (service, region): listed replicas
+        self._rings = {}  # (service, region): subset.Ring, of services of which this proxy looks at a subset
         self._by_tag = {}  # service: {tag of a replica's key: replica}
         self._idle_trust = {}  # service: (seconds of rest that its connections bear, until when this is believed)
 
@@ -179,11 +180,34 @@
         self._fleet = self._proxies()
         self._subsets.clear()
         self._by_tag = {}
+        self._rings = {}
         for service, rows in self.by_service.items():
             usable = [replica for replica in rows if not replica.is_clearing and replica.zone not in self.out_zones]
             self._subsets.install(service=service, replicas=usable, proxies=self._fleet)
             if not self._subsets.is_whole(service):
                 self._by_tag[service] = {replica.key[: ckf.TAG_SIZE]: replica for replica in usable}
+                self._make_rings(service, usable)
+
+    def _make_rings(self, service: str, usable: list) -> None:
+        by_region = {}
+        for replica in usable:
+            by_region.setdefault(replica.region, []).append(replica)
+        for region, rows in by_region.items():
+            self._rings[service, region] = subsets.Ring(replicas=rows)
+
+    def first_reader(self, *, service: str, part: bytes, permitted, is_usable):
+        """The replica that all proxies of this region agree on for a part that nobody keeps: here, or where it is permitted."""
+        self._refresh_subsets()
+        own = self._settings.region
+        regions = sorted(
+            {region for name, region in self._rings if name == service}, key=lambda name: (name != own, name)
+        )
+        for region in regions:
+            if permitted is None or region in permitted:
+                found = self._rings[service, region].first(part=part, is_usable=is_usable)
+                if found is not None:
+                    return found
+        return None
 
     def look_at_fleet(self) -> None:
         """By the clock: the subsets follow the size of the fleet."""
--- a/pw/dat/subset.py
+++ b/pw/dat/subset.py
@@ -4,12 +4,14 @@
 replica that comes or goes changes one place of the subsets that it stands in. In a small region the subset is the whole.
 """
 
+import bisect
 import hashlib
 import heapq
 import math
 
 LEAST_NEAR = 48  # replicas of a service in the proxy's own region
 LEAST_FAR = 40  # the same in each other region
+RING_POINTS = 4  # places of each replica on the ring of its region
 COVER = 4  # proxies that look at each replica, at least, on the average
 
 
@@ -67,3 +69,27 @@
     def of(self, service: str) -> list:
         """The replicas of a service that this proxy looks at, of all regions."""
         return [replica for (name, _region), rows in self._chosen.items() if name == service for replica in rows]
+
+
+class Ring:
+    """Replicas of one region in an order that all proxies share: who is to read a part first that nobody keeps."""
+
+    def __init__(self, *, replicas):
+        points = [
+            (hashlib.blake2b(f"{number} {replica.id}".encode(), digest_size=8).digest(), replica.id, replica)
+            for replica in replicas
+            for number in range(RING_POINTS)
+        ]
+        points.sort(key=lambda point: point[:2])
+        self._places = [place for place, _name, _replica in points]
+        self._replicas = [replica for _place, _name, replica in points]
+
+    def first(self, *, part: bytes, is_usable):
+        """The first replica from this part's place on that may be used, or None."""
+        begin = bisect.bisect(self._places, part)
+        count = len(self._replicas)
+        for step in range(count):
+            replica = self._replicas[(begin + step) % count]
+            if is_usable(replica):
+                return replica
+        return None
--- a/pw/dat/test_quota.py
+++ b/pw/dat/test_quota.py
@@ -254,7 +254,9 @@
     for order in (rows, rows[::-1]):
         chooser, _table = make_chooser(order)
         kept = {}
-        chooser._name_owner(list(_table.replicas.values()), ckf.chain(model="m", parts=(("doc", 500),)), kept)
+        chooser._name_owner(
+            list(_table.replicas.values()), ckf.chain(model="m", parts=(("doc", 500),)), kept, "llm", None
+        )
         named |= set(kept)
     assert len(named) == 1
 
--- /dev/null
+++ b/pw/dat/test_subset.py
@@ -0,0 +1,164 @@
+"""The subset of replicas that a proxy looks at: stable, even, and no bound on what a request may reach."""
+
+import collections
+import types
+
+import pytest
+
+from pw.base import loop as loops
+from pw.base import records
+from pw.dat import choice
+from pw.dat import mirror
+from pw.dat import quota as quotas
+from pw.dat import replicas as tables
+from pw.dat import subset as subsets
+from pw.dat.relay import ckf
+from pw.sim import entry
+
+SERVICES = {"llm": {"warmup_s": 0.0, "cache_tokens": 100000, "max_conns": 1000, "models": ("m",)}}
+CHAIN = ckf.chain(model="m", parts=(("doc", 3000), ("own", 100)))
+
+
+def row(name, zone="za", **more):
+    return {
+        "id": name,
+        "service": "llm",
+        "address": "127.0.0.1:9",
+        "zone": zone,
+        "berths": 8,
+        "is_clearing": False,
+        "cold_ms": 0,
+        "left_ms": None,
+        "models": ["m"],
+        **more,
+    }
+
+
+def make(*, rows, own="10.0.0.1", proxies=20):
+    """A proxy's table in a fleet of so many proxies in each of two regions."""
+    loop = loops.Loop()
+    settings = entry.settings(ip=own)
+    table = tables.Table(loop=loop, settings=settings, share=lambda: 0.5 / proxies)
+    table.install_services(SERVICES)
+    table.install_list(rows)
+    return table, loop, settings
+
+
+def names(replicas):
+    return {replica.id for replica in replicas}
+
+
+def test_a_small_region_is_looked_at_whole():
+    table, _loop, _settings = make(rows=[row(f"i{number}") for number in range(subsets.LEAST_NEAR)])
+    assert table.is_whole("llm") and table.followed_keys() is None and len(table.subset("llm")) == subsets.LEAST_NEAR
+
+
+def test_one_replica_that_comes_or_goes_changes_one_place():
+    rows = [row(f"i{number}") for number in range(400)]
+    table, _loop, _settings = make(rows=rows, proxies=64)
+    before = names(table.subset("llm"))
+    assert len(before) == subsets.LEAST_NEAR and not table.is_whole("llm")
+    gone = sorted(before)[7]
+    table.change_list(rows=(), gone=(gone,))
+    after = names(table.subset("llm"))
+    assert before - after == {gone} and len(after - before) == 1
+    table.change_list(rows=(row(gone),), gone=())
+    assert names(table.subset("llm")) == before
+
+
+@pytest.mark.parametrize("replicas, proxies", [(150, 60), (330, 32), (1000, 100)])
+def test_every_replica_has_enough_proxies_and_none_too_many(replicas, proxies):
+    rows = [row(f"i{number}") for number in range(replicas)]
+    looked_at = collections.Counter({one["id"]: 0 for one in rows})
+    sizes = set()
+    for number in range(proxies):
+        table, _loop, _settings = make(rows=rows, own=f"10.0.1.{number}", proxies=proxies)
+        chosen = names(table.subset("llm"))
+        sizes.add(len(chosen))
+        looked_at.update(chosen)
+    mean = sum(looked_at.values()) / replicas
+    assert len(sizes) == 1 and mean >= subsets.COVER / 2  # the fleet is rounded up to a power of two
+    assert max(looked_at.values()) <= mean * 4 + 4
+    assert sum(1 for count in looked_at.values() if count == 0) <= replicas * 0.15
+
+
+def test_the_size_follows_the_fleet_in_steps():
+    sizes = [subsets.size(replicas=3000, proxies=proxies, is_near=True) for proxies in (10, 20, 60, 61, 100, 300)]
+    assert sizes == sorted(sizes, reverse=True) and sizes[-1] == subsets.LEAST_NEAR
+    assert all(size % subsets.LEAST_NEAR == 0 for size in sizes)
+    assert subsets.size(replicas=30, proxies=1, is_near=False) == 30
+
+
+def test_replicas_that_leave_or_are_evacuated_give_their_places_to_others():
+    rows = [row(f"i{number}", zone="za" if number % 2 else "zb") for number in range(300)]
+    table, _loop, settings = make(rows=rows)
+    table._settings = types.SimpleNamespace(**{**vars(settings), "zones": {"za": "north", "zb": "north"}})
+    for replica in table.replicas.values():
+        replica.region = "north"
+    table.change_list(rows=(), gone=())
+    table.install_evacuations(["zb"])
+    assert {replica.zone for replica in table.subset("llm")} == {"za"}
+    assert len(table.subset("llm")) == subsets.LEAST_NEAR
+    clearing = sorted(names(table.subset("llm")))[0]
+    table.change_list(rows=(row(clearing, is_clearing=True),), gone=())
+    assert clearing not in names(table.subset("llm")) and len(table.subset("llm")) == subsets.LEAST_NEAR
+
+
+def chooser_for(table, loop, settings, regions):
+    quota = quotas.Quota(now=loop.now, settings=settings)
+    return choice.Chooser(table=table, settings=settings, regions=regions, quota=quota, now=loop.now)
+
+
+def choose(chooser, *, chain=(), permitted=None, avoid=()):
+    return chooser.choose(
+        service="llm", permitted=permitted, model="m", chain=chain, prompt_tokens=3100, avoid=set(avoid)
+    )[0]
+
+
+def test_what_keeps_the_prompt_is_chosen_though_it_is_outside_the_subset():
+    table, loop, settings = make(rows=[row(f"i{number}") for number in range(300)])
+    outside = sorted(set(table.replicas) - names(table.subset("llm")))[0]
+    region = mirror.Region(now=loop.now, trust_s=5.0)
+    one = mirror.Mirror(name="p", service="llm", model="m", generation=1)
+    filled = ckf.Filter(bucket_count=64, words=ckf.WIDE)
+    tag = records.key_of(outside)[: ckf.TAG_SIZE]
+    filled.put(full_hash=CHAIN[0][0], bits=ckf.wide_value(count=1, tags=[tag]))
+    one.words, one.buckets, one.versions = ckf.WIDE, [filled.image(index) for index in range(64)], [0] * 64
+    region.mirrors["p"] = one
+    region.broken_at = None
+    chooser = chooser_for(table, loop, settings, {"north": region})
+    assert choose(chooser, chain=CHAIN).id == outside
+    assert choose(chooser).id in names(table.subset("llm"))
+    assert choose(chooser, chain=CHAIN, avoid=[outside]).id in names(table.subset("llm"))
+
+
+def test_where_nobody_of_the_subset_may_be_used_any_replica_may():
+    table, loop, settings = make(rows=[row(f"i{number}") for number in range(300)])
+    chooser = chooser_for(table, loop, settings, {})
+    subset = names(table.subset("llm"))
+    for replica in table.replicas.values():
+        replica.is_suspect = replica.id in subset
+    assert choose(chooser).id not in subset
+    for replica in table.replicas.values():
+        replica.is_suspect = True
+    assert choose(chooser) is None
+
+
+def test_all_proxies_name_the_same_first_reader_of_a_part_that_nobody_keeps():
+    rows = [row(f"i{number}") for number in range(300)]
+    chosen = set()
+    for number in range(12):
+        table, loop, settings = make(rows=rows, own=f"10.0.2.{number}")
+        chosen.add(choose(chooser_for(table, loop, settings, {}), chain=CHAIN).id)
+    assert len(chosen) == 1
+
+
+def test_suspects_of_a_lost_zone_are_tried_some_at_a_time():
+    table, loop, _settings = make(rows=[row(f"i{number}") for number in range(300)], proxies=4)
+    opened = []
+    table.outlet = lambda *, replica, request_id=b"": opened.append(replica)
+    for replica in table.replicas.values():
+        replica.is_suspect = True
+    assert len(table.subset("llm")) > tables.MOST_TRIES
+    table.try_suspects()
+    assert len(opened) == tables.MOST_TRIES and names(opened) <= names(table.subset("llm"))
