--- a/pw/dat/digest/digest.py
+++ b/pw/dat/digest/digest.py
@@ -153,6 +153,8 @@
             self._credit(message[1], message[2])
         elif kind == "broke":
             self._broke(message[1])
+            # The region's next relay counts for all members anew, also for those with nothing new to tell.
+            link.send(("report", *self.sums.checkpoint(region=message[1])))
 
     def _gateway_broke(self, holder: Holder) -> None:
         if self._gateway is None or self._gateway[0] != holder or not self._is_enrolled:
--- a/pw/dat/relay/host.py
+++ b/pw/dat/relay/host.py
@@ -20,8 +20,8 @@
 FAR_TICKS = 2  # what is told crosses regions so much less often
 LEAST_ROWS = 16  # loads told at a time, whatever the size of the region
 ROWS_SHARE = 1 / 16  # of the region's replicas: the same in a large one
-NEAR_BUCKETS = 12  # buckets of each pool's filter told at a time
-FAR_BUCKETS = 8
+NEAR_BUCKETS = 8  # buckets of each pool's filter told at a time
+FAR_BUCKETS = 6
 NOTHING = (0, 0, 0)
 
 
--- a/pw/dat/relay/load_feed.py
+++ b/pw/dat/relay/load_feed.py
@@ -1,6 +1,7 @@
 """Loads of replicas as they are told to subscribers at one pace: what moved most first, a bounded number at a time."""
 
 import dataclasses
+import typing
 
 from pw.base import records
 
@@ -9,8 +10,7 @@
 AGE_WEIGHT = 1 / 16  # of a whole replica's places, for each time that a row was passed over
 
 
-@dataclasses.dataclass(frozen=True)
-class Load:
+class Load(typing.NamedTuple):
     """One replica's load, summed over all proxies, as a load frame carries it."""
 
     running: int = 0
--- a/pw/dat/test_zone.py
+++ b/pw/dat/test_zone.py
@@ -42,8 +42,10 @@
     """A proxy without its traffic and without the core: duties are handed to it."""
 
     def __init__(self, *, loop, ip, zone, ports, life):
-        region = {"za": "north", "zb": "south"}[zone]
-        self.settings = dataclasses.replace(entry.settings(), ip=ip, zone=zone, region=region, inner_ports=ports)
+        zones = {"za": "north", "zc": "north", "zb": "south"}
+        self.settings = dataclasses.replace(
+            entry.settings(), ip=ip, zone=zone, region=zones[zone], zones=zones, inner_ports=ports
+        )
         self.loop = Pausable(loop=loop)
         self.contact_s = 1.0
         self.silence_s = 0.25
@@ -143,13 +145,13 @@
 class Zones:
     """Five proxies of one zone, one of another; duties as the watch would name them."""
 
-    def __init__(self):
+    def __init__(self, *, more=()):
         self.loop = loopback.new_loop()
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
         ports = (port, port + 2)
-        self.places = {f"127.0.4.{number}": "za" for number in range(1, 6)} | {"127.0.4.9": "zb"}
+        self.places = {f"127.0.4.{number}": "za" for number in range(1, 6)} | {"127.0.4.9": "zb"} | dict(more)
         self.nodes = {
             ip: Node(loop=self.loop, ip=ip, zone=zone, ports=ports, life=f"l{ip}") for ip, zone in self.places.items()
         }
@@ -355,3 +357,121 @@
         left = [row for row in listed if row[0] != rows["digest/za"][1]]
         again = duties.named(proxies=left, duty=lambda name: held.get(name, (0, "", "")))
         assert ("digest/za" in again) == (count - 1 > duties.FEW)
+
+
+class Gates(Zones):
+    """A second zone of the north: two digests share the gateway beside the north's relay."""
+
+    def __init__(self, *, more=()):
+        super().__init__(more={f"127.0.4.{number}": "zc" for number in range(20, 25)} | dict(more))
+
+    def relay(self, region):
+        return self.nodes[self.duties[f"relay/{region}"][1]]
+
+    def far_subscribers(self):
+        """Duties whose streams the south's relay serves."""
+        return sorted(known.zone for known in self.relay("south").relay.subscribers.values())
+
+
+def test_one_stream_goes_to_the_other_region_however_many_digests_there_are():
+    zones = Gates()
+    zones.work(seed=20)
+    zones.settle()
+    gateway = zones.relay("north").gateway
+    assert loopback.until(zones.loop, lambda: len(gateway.digest.fanout.members) == 2)
+    assert loopback.until(zones.loop, lambda: zones.far_subscribers() == ["relay/north", "zb"])
+    assert not zones.relay("south").gateway.digest.is_dialled  # without members it keeps no streams
+    zones.work(seed=21)
+    zones.settle()
+
+
+def test_a_gateway_that_ends_takes_its_streams_along_and_its_successor_counts_nothing_twice():
+    zones = Gates()
+    zones.work(seed=22)
+    zones.settle()
+    zones.stop(zones.duties["relay/north"][1])
+    zones.work(seed=23)
+    zones.name_duties()
+    zones.work(seed=24)
+    zones.settle()
+    gateway = zones.relay("north").gateway
+    assert loopback.until(zones.loop, lambda: len(gateway.digest.fanout.members) == 2)
+    zones.settle()
+
+
+def test_a_frozen_gateway_is_refused_when_it_thaws():
+    zones = Gates()
+    zones.work(seed=25)
+    zones.settle()
+    former = zones.relay("north")
+    former.loop.is_frozen = True
+    zones.live.discard(former.settings.ip)
+    zones.name_duties()
+    zones.work(seed=26)
+    zones.settle()
+    former.loop.thaw()
+    zones.settle()  # it takes itself for the gateway still; the south's relay refuses its older epoch
+    assert loopback.until(zones.loop, lambda: zones.far_subscribers() == ["relay/north", "zb"])
+    epochs = [known.zone_epoch for known in zones.relay("south").relay.subscribers.values() if known.zone_epoch]
+    assert epochs == [2]
+
+
+def test_the_far_relay_is_lost_and_its_region_read_anew_by_way_of_the_gateway():
+    zones = Gates(more={"127.0.4.8": "zb"})
+    zones.work(seed=27)
+    zones.settle()
+    former = zones.duties["relay/south"][1]
+    zones.stop(former)
+    zones.work(seed=28)
+    assert loopback.until(
+        zones.loop, lambda: all(zones.nodes[ip].regions["south"].broken_at is not None for ip in zones.live)
+    )
+    zones.name_duties()
+    assert zones.duties["relay/south"][1] != former
+    zones.settle()
+
+
+def test_nonsense_from_a_gateway_closes_its_link_and_changes_nothing():
+    zones = Gates()
+    zones.work(seed=28)
+    zones.settle()
+    gateway = zones.relay("north").gateway
+    assert loopback.until(zones.loop, lambda: len(gateway.digest.fanout.members) == 2)
+    link = next(iter(gateway.digest.fanout.members))
+    before = {ip: dict(zones.nodes[ip].regions["south"].load) for ip in zones.live}
+    link.send(("relayed", "south", wire.pack(("load", gateway.digest._mirrors["south"].epoch, False, b"nonsense"))))
+    assert loopback.until(zones.loop, lambda: not link.is_open)
+    assert {ip: dict(zones.nodes[ip].regions["south"].load) for ip in zones.live} == before
+    zones.settle()  # and the digest comes back with its whole state
+
+
+def test_a_digest_of_an_older_epoch_is_not_admitted_by_the_gateway():
+    zones = Gates()
+    zones.work(seed=29)
+    zones.settle()
+    gateway = zones.relay("north").gateway
+    assert loopback.until(zones.loop, lambda: len(gateway.digest.fanout.members) == 2)
+
+    class Late:
+        is_open = True
+
+        def close(self, *, reason=""):
+            self.is_open = False
+
+    late = Late()
+    gateway.enroll(late, zone="digest/za", zone_epoch=0)
+    assert not late.is_open and late not in gateway.digest.fanout.members
+
+
+def test_members_that_follow_some_replicas_see_those_exactly():
+    zones = Gates()
+    member = zones.nodes["127.0.4.1"]
+    assert loopback.until(zones.loop, lambda: member.is_enrolled)
+    member.table.followed_keys = lambda: frozenset([member.table.replicas["i1"].key])
+    zones.work(seed=30)
+    assert loopback.until(zones.loop, lambda: all(member.sees("i1") == zones.truth("i1") for _ in (0,)))
+    others = [node for ip, node in zones.nodes.items() if ip != "127.0.4.1"]
+    assert loopback.until(
+        zones.loop, lambda: all(node.sees(row["id"]) == zones.truth(row["id"]) for node in others for row in ROWS)
+    )
+    assert member.sees("i1") == zones.truth("i1")
--- a/pw/sim/capacity.py
+++ b/pw/sim/capacity.py
@@ -15,6 +15,7 @@
 
 from pw.base import records
 from pw.base import wire
+from pw.ctl import duties
 from pw.ctl import grants
 from pw.ctl.news import desk as desks
 from pw.ctl.news import replica_list
@@ -22,10 +23,13 @@
 from pw.dat import mirror as mirrors
 from pw.dat import quota as quotas
 from pw.dat import replicas as tables
+from pw.dat import subset as subsets
+from pw.dat.digest import fanout as fanouts
 from pw.dat.digest import source as sources
 from pw.dat.digest import sums as digests
 from pw.dat.relay import ckf
 from pw.dat.relay import host as hosts
+from pw.dat.relay import load_feed
 from pw.sim import entry
 from pw.sim import wires
 
@@ -72,7 +76,7 @@
 
 def fit_square(points) -> tuple:
     """(of the square, slope, base): the curve through three points, for what grows with the square."""
-    (x1, y1), (x2, y2), (x3, y3) = points
+    (x1, y1), (x2, y2), (x3, y3) = points[0], points[len(points) // 2], points[-1]
     square = ((y3 - y1) / (x3 - x1) - (y2 - y1) / (x2 - x1)) / (x3 - x2)
     slope = (y2 - y1) / (x2 - x1) - square * (x1 + x2)
     return square, slope, y1 - square * x1 * x1 - slope * x1
@@ -120,7 +124,9 @@
 
 def choice_time(count: int) -> float:
     """One choice among so many replicas."""
-    table = tables.Table(loop=Loop(), settings=entry.settings(), share=lambda: 1.0)
+    regions = len(set(entry.settings().zones.values()))
+    share = TARGET["regions"] / TARGET["proxies"] / regions  # the table takes it for a region of so many proxies
+    table = tables.Table(loop=Loop(), settings=entry.settings(), share=lambda: share)
     table.install_services({"llm": {"models": ("m",), "cache_tokens": 200000, "max_conns": 500}})
     table.install_list(rows(count))
     quota = quotas.Quota(now=time.monotonic, settings=entry.settings())
@@ -182,6 +188,62 @@
     return took, (reader.bytes - before) / (4 * TURNS)
 
 
+def published_bytes(count: int) -> float:
+    """What a subscriber in the region is told in a tick, where all of so many replicas changed and many prompts were read."""
+    host = relay(count)
+    chance = random.Random(5)
+    reader = Frames()
+    host.subscribe(reader, region="north")
+    names = [row["id"] for row in rows(count)]
+    number = 1
+    for _ in range(20):
+        number += 1
+        loads = [wires.load_row(name, running=chance.randint(1, 50)) for name in names]
+        reads = [wires.read_row(chance.choice(names), ("all", 500), *chain(chance, parts=2)) for _ in range(40)]
+        if number == 12:
+            before = reader.bytes
+        host.take_sums(host.feeder, wires.sums(number, loads=loads, reads=reads))
+        host.tick()
+    return (reader.bytes - before) / 10
+
+
+def member_bytes(count: int) -> float:
+    """What a digest tells one member in a tick of a region of so many replicas, of which the member follows its subset."""
+    keys = [records.key_of(row["id"]) for row in rows(count)]
+    fanout = fanouts.Fanout()
+    member = Frames()
+    fanout.admit(member, address="p")
+    fanout.follow(member, keys=frozenset(keys[: subsets.LEAST_NEAR]))
+    chance = random.Random(6)
+    for _ in range(20):
+        told = chance.sample(keys, min(count, max(hosts.LEAST_ROWS, int(count * hosts.ROWS_SHARE))))
+        message = ("load", 1, False, b"".join(load_feed.Load(running=3).pack(key) for key in told))
+        fanout.tell_publication(region="north", frame=wire.pack(message), message=message)
+    return member.bytes / 20
+
+
+def fanout_time(members: int) -> float:
+    """A digest passes a load frame of a sixteenth of 920 replicas on to so many members that follow a subset each."""
+    keys = [records.key_of(row["id"]) for row in rows(920)]
+    chance = random.Random(7)
+    fanout = fanouts.Fanout()
+    for number in range(members):
+        member = Frames()
+        fanout.admit(member, address=f"p{number}")
+        fanout.follow(member, keys=frozenset(chance.sample(keys, subsets.LEAST_NEAR)))
+    message = ("load", 1, False, b"".join(load_feed.Load(running=3).pack(key) for key in keys[:58]))
+    frame = wire.pack(message)
+    return clocked(lambda: fanout.tell_publication(region="north", frame=frame, message=message), repeats=20)
+
+
+def change_bytes(count: int) -> float:
+    """One replica of so many changes: the step of the list."""
+    told = replica_list.of_rows(rows=rows(count), read_at=0.0)
+    changed = [{**row, "is_clearing": row["id"].endswith("7")} for row in rows(count)[:8]] + rows(count)[8:]
+    change = told.change_to(rows=changed, read_at=1.0, is_same_clock=True)
+    return len(wire.pack(("changes", "list", 1, 1, ((1, 2, change.pack()),))))
+
+
 def sums_time(count: int) -> float:
     """One cut with so many changed replicas, taken and published at the relay."""
     host = relay(count)
@@ -312,6 +374,10 @@
     ("core: a beat of leases", "proxies", "us", lease_time, (60, 160, 330), 1e6),
     ("core: a change offered and acknowledged", "proxies", "us", offer_time, (60, 160, 330), 1e6),
     ("core: the list as one image", "replicas", "bytes", list_bytes, (60, 240, 920), 1),
+    ("core: a step of the list", "replicas", "bytes", change_bytes, (60, 240, 920), 1),
+    ("relay: told in a tick", "replicas", "bytes", published_bytes, (30, 100, 300, 900), 1),
+    ("digest: loads told to a member in a tick", "replicas", "bytes", member_bytes, (30, 100, 300, 900), 1),
+    ("digest: a frame passed on", "members", "us", fanout_time, (4, 14, 28), 1e6),
 )
 
 
@@ -343,15 +409,17 @@
     def at(name, count):
         return found[name]["square"] * count * count + found[name]["slope"] * count + found[name]["base"]
 
-    ticks = 1 / TICK_S
+    pace = 2  # of a zone with two digests, as a zone of the target has
+    ticks = 1 / TICK_S / pace
     by_region = size["replicas"] / size["regions"]
     per_proxy = size["requests_s"] / size["proxies"]
-    members = size["proxies"] / size["zones"]
-    changed = min(by_region, 3 * size["requests_s"] / size["regions"] * TICK_S)
-    load_bytes = changed * records.LOAD.size * ticks * size["regions"]
-    read_bytes = (
-        at("relay: published for reads", size["requests_s"] / size["regions"] * TICK_S) * ticks * size["regions"]
-    )
+    members = min(duties.CELL, size["proxies"] / size["zones"])
+    cells = pace * size["zones"] / size["regions"]
+    per_tick = size["requests_s"] / size["regions"] / ticks
+    changed = min(by_region, 3 * per_tick)
+    near_bytes = at("relay: told in a tick", by_region) * ticks
+    far_bytes = (size["regions"] - 1) * near_bytes / hosts.FAR_TICKS
+    proxy_bytes = near_bytes + far_bytes
     lists_s = size["restarts_day"] * 3 / 86400
     lines = [
         (
@@ -369,30 +437,36 @@
         (
             "proxy",
             "load frames, part of a core",
-            ticks * size["regions"] * at("proxy: a load frame", changed) / 1e6,
+            ticks * size["regions"] * at("proxy: a load frame", hosts.LEAST_ROWS) / 1e6,
             size["cpu_part"],
         ),
-        ("proxy", "load frames, bytes a second", load_bytes, size["bytes_s"]),
-        ("proxy", "bucket images, bytes a second", read_bytes, size["bytes_s"]),
+        ("proxy", "loads and buckets of all regions, at most, bytes a second", proxy_bytes, size["bytes_s"]),
         (
             "digest",
-            "reports of the zone, part of a core",
+            "reports of its members, part of a core",
             ticks * at("digest: a tick", members) / 1e6,
             size["cpu_part"],
         ),
-        ("digest", "passed on to members, bytes a second", (load_bytes + read_bytes) * members, size["bytes_s"]),
         (
-            "relay",
-            "sums of %d zones, part of a core" % size["zones"],
-            ticks * size["zones"] * at("relay: a cut with loads", changed) / 1e6,
+            "digest",
+            "frames passed on, part of a core",
+            ticks * size["regions"] * at("digest: a frame passed on", members) / 1e6,
             size["cpu_part"],
         ),
+        ("digest", "passed on to members, at most, bytes a second", proxy_bytes * members, size["bytes_s"]),
         (
             "relay",
-            "reads, part of a core",
-            ticks * at("relay: reads in a tick", size["requests_s"] / size["regions"] * TICK_S) / 1e6,
+            "sums of the region's digests and gateways, part of a core",
+            ticks * (cells + size["regions"] - 1) * at("relay: a cut with loads", changed / cells) / 1e6,
             size["cpu_part"],
         ),
+        ("relay", "reads, part of a core", ticks * at("relay: reads in a tick", per_tick) / 1e6, size["cpu_part"]),
+        (
+            "gateway",
+            "passed on to the region's digests, at most, bytes a second",
+            far_bytes * cells,
+            size["bytes_s"],
+        ),
         ("relay", "exact ownership, MB", at("relay: exact ownership", by_region * 200) / 1e6, size["memory_mb"]),
         ("core", "leases, part of a core", at("core: a beat of leases", size["proxies"]) / 1e6 / 0.4, size["cpu_part"]),
         (
@@ -404,7 +478,7 @@
         (
             "core",
             "the list told, bytes a second to each proxy",
-            at("core: the list as one image", size["replicas"]) * lists_s,
+            at("core: a step of the list", size["replicas"]) * lists_s,
             size["bytes_s"],
         ),
     ]
