--- a/pw/dat/relaying.py
+++ b/pw/dat/relaying.py
@@ -31,8 +31,8 @@
         names = tuple(sorted(set(self.settings.zones.values()) | {self.settings.region}))
         self.relay = None
         self.gateway = None
-        self.regions = {}  # region: its mirror
         self.region_names = names
+        self.regions = {name: mirror.Region(now=self.loop.now, trust_s=self.contact_s) for name in names}
         self.source = sources.Source(now=self.loop.now, regions=names, suspect_s=self.contact_s / 4)
         self.digest_duty = ""  # the duty that this proxy holds
         self.digest = self._new_digest(digests.Place(region=self.settings.region, zone=self.settings.zone))
@@ -78,9 +78,6 @@
         return found
 
     def _follow_duties(self) -> None:
-        for region in self._relays():
-            if region not in self.regions:
-                self.regions[region] = mirror.Region(now=self.loop.now, trust_s=self.contact_s)
         own = duty_names.relay_name(region=self.settings.region)
         if own in self.duties:
             self._keep_relay(*self.duties[own])
@@ -255,7 +252,7 @@
             if region == own or not is_holder:
                 self.digest.follow_relay(region=region, holder=holder)
         if is_holder:
-            far = [region for region in relays if region != own]
+            far = [region for region in self.region_names if region != own]
             self.digest.follow_gateway(holder=relays.get(own), regions=far)
         if is_fresh and self.digest.is_dialled:
             self.digest.end_own()
