--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -8,7 +8,7 @@
 from pw.ctl.register import ballots
 
 
-ENTRY_BEAT_SHARE = 1 / 6  # of the silence bound: an entry sent so lately stands for a beat
+BEAT_SHARE = 1 / 3  # of the silence bound: from one beat to the next
 
 
 class Peer:
@@ -202,7 +202,7 @@
             self._repair(registers.CORE_SET)
 
     def _beat(self) -> None:
-        entry_age_s = self.silence_s * ENTRY_BEAT_SHARE
+        entry_age_s = self.silence_s * BEAT_SHARE
         for link, peer in list(self.peers.items()):
             if self.loop.now() - peer.told_at > entry_age_s:
                 link.send(("beat", 0))
