--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -8,9 +8,6 @@
 from pw.ctl.register import ballots
 
 
-BEAT_SHARE = 1 / 3  # of the silence bound: from one beat to the next
-
-
 class Peer:
     """What this core node knows of one proxy or core node, while its link lives."""
 
@@ -24,7 +21,6 @@
         self.public = public
         self.is_ready = False
         self.is_leaving = False
-        self.told_at = 0.0  # when it was last sent an entry, which stands for a beat
 
 
 class MembersMixin:
@@ -202,10 +198,8 @@
             self._repair(registers.CORE_SET)
 
     def _beat(self) -> None:
-        entry_age_s = self.silence_s * BEAT_SHARE
         for link, peer in list(self.peers.items()):
-            if self.loop.now() - peer.told_at > entry_age_s:
-                link.send(("beat", 0))
+            link.send(("beat", 0))
             if peer.role == "proxy" and not peer.is_ready:
                 self._tell_floor(link)
         heartbeat = self.contact.next_heartbeat(version=self.agreed_set()[1])
@@ -226,7 +220,6 @@
         peer = self.peers.get(link)
         if peer is None or peer.role != "proxy" or peer.is_leaving or not self.has_majority_contact():
             return
-        peer.told_at = self.loop.now()
         link.send(("entry", *self._grant(peer), message[1]))
 
     def part_of(self, members) -> float:
