A long list of the platform is read by zones, all beside each other

Cause, by reading: at 3,002 replicas the list has 61 pages; read one after the other by a core node of another region (55 ms one way) it takes 6.7 s, longer than contactMs, and is thrown away each time. Lists of up to two pages a zone are read as before.

--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -61,6 +61,7 @@
             gap_s=max(settings.bound_s(name="drainMs") / 8, 4 / settings.cloud_per_s),
             limit_s=self.contact_s / 4,
             on_list=lambda rows, at: self.watch_duty.take_list(rows, at),
+            zones=settings.zones,
         )
         self.is_leaving = False
         self.wanted_voters = 2 * settings.tolerated_machines + 1
--- a/pw/ctl/platform.py
+++ b/pw/ctl/platform.py
@@ -9,6 +9,7 @@
 from pw.base import problems
 
 MOST_PAGES = 200
+PAGES_A_ZONE = 2  # a list of more pages than so many for each zone is read by zones, all beside each other
 
 
 class Caller:
@@ -83,15 +84,84 @@
         self._loop.command(act=lambda: done(fault, status, body.getvalue()))
 
 
+class Reading:
+    """One reading of the whole list: page by page, or the pages of each zone beside those of the others.
+
+    `on_end` (rows, or None where a page is missing; how many pages) is called once.
+    """
+
+    def __init__(self, *, get, zones, is_by_zone: bool, on_end):
+        self._pages = 0
+        self._get = get  # (zone or "", token or None, done)
+        self._zones = tuple(zones)
+        self._on_end = on_end
+        self._rows = []
+        self._open = 0
+        self._is_over = False
+        self._turn = 0  # answers to calls of an earlier turn are not listened to
+        self._begin(self._zones if is_by_zone else ("",))
+
+    def _begin(self, zones) -> None:
+        self._turn += 1
+        self._pages = 0
+        self._rows = []
+        self._open = len(zones)
+        for zone in zones:
+            self._page(zone, None, self._turn)
+
+    def _page(self, zone: str, token, turn: int) -> None:
+        self._get(zone, token, lambda fault, status, body: self._take(zone, turn, fault, status, body))
+
+    def _take(self, zone: str, turn: int, fault, status: int, body: bytes) -> None:
+        if self._is_over or turn != self._turn:
+            return
+        rows, token = (None, None) if fault is not None or status != 200 else _read_page(body)
+        if rows is None:
+            self._end(None)
+            return
+        self._pages += 1
+        self._rows += rows
+        if token is not None and len(self._rows) <= MOST_PAGES * 1000:
+            if not zone and is_long(pages=self._pages, zones=self._zones):
+                self._begin(self._zones)  # one page after the other would take too long
+            else:
+                self._page(zone, token, turn)
+            return
+        self._open -= 1
+        if not self._open:
+            self._end(self._rows)
+
+    def _end(self, rows) -> None:
+        self._is_over = True
+        self._on_end(rows, self._pages)
+
+
+def is_long(*, pages: int, zones) -> bool:
+    """Whether a list of so many pages is read by zones: the platform may be a long way off, and each page waits for the
+    one before it."""
+    return bool(zones) and pages > PAGES_A_ZONE * len(zones)
+
+
+def _read_page(body: bytes) -> tuple:
+    """(rows, token of the next page or None); (None, None) where it can't be read."""
+    try:
+        answer = json.loads(body)
+        return [read_row(entry=entry) for entry in answer["replicas"]], answer.get("nextPage")
+    except (ValueError, KeyError, TypeError):
+        return None, None
+
+
 class Watch:
-    """Reads the whole list, page by page, and tells it. One node does it, by duty."""
+    """Reads the whole list and tells it. One node does it, by duty."""
 
-    def __init__(self, *, loop, address: str, gap_s: float, limit_s: float, on_list):
+    def __init__(self, *, loop, address: str, gap_s: float, limit_s: float, on_list, zones=()):
         self._loop = loop
         self._address = address
         self._gap_s = gap_s
         self._limit_s = limit_s
         self._on_list = on_list  # (rows, taken at)
+        self._zones = tuple(sorted(zones))
+        self._pages = 0  # of the last whole list
         self._caller = None
         self._run = 0
         self._pause_s = gap_s
@@ -113,33 +183,26 @@
     def _begin(self, run: int) -> None:
         if run != self._run:
             return
-        self._page(run, None, [], self._loop.now())
+        begun_at = self._loop.now()
+        Reading(
+            get=lambda zone, token, done: self._call(run, zone, token, done),
+            zones=self._zones,
+            is_by_zone=is_long(pages=self._pages, zones=self._zones),
+            on_end=lambda rows, pages: self._ended(run, begun_at, rows, pages),
+        )
 
-    def _page(self, run: int, token, rows: list, begun_at: float) -> None:
-        url = f"http://{self._address}/replicas" + (f"?page={token}" if token else "")
+    def _call(self, run: int, zone: str, token, done) -> None:
+        query = "&".join(f"{name}={value}" for name, value in (("zone", zone), ("page", token)) if value)
+        url = f"http://{self._address}/replicas" + (f"?{query}" if query else "")
         self._caller.get(
             url=url,
             limit_s=self._limit_s,
-            done=lambda fault, status, body: self._take(run, rows, begun_at, fault, status, body),
+            done=lambda fault, status, body: done(fault, status, body) if run == self._run else None,
         )
 
-    def _take(self, run, rows, begun_at, fault, status, body) -> None:
-        if run != self._run:
-            return
-        token = None
-        is_whole = False
-        if fault is None and status == 200:
-            try:
-                answer = json.loads(body)
-                rows = rows + [read_row(entry=entry) for entry in answer["replicas"]]
-                token = answer.get("nextPage")
-                is_whole = token is None or len(rows) > MOST_PAGES * 1000
-            except (ValueError, KeyError, TypeError):
-                token = None
-        if token is not None and not is_whole:
-            self._page(run, token, rows, begun_at)
-            return
-        if is_whole:
+    def _ended(self, run: int, begun_at: float, rows, pages: int) -> None:
+        if rows is not None:
+            self._pages = pages
             self._pause_s = self._gap_s
             self._on_list(rows, begun_at)
         else:
