A leaving proxy begins nothing long after SIGTERM that its end may cut

Now what comes later than 2.8 s after SIGTERM is taken only if its time ends before the process does; the rest gets 503 at once, not run, with when to come back.

--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -19,6 +19,7 @@
 AGAIN_PART = 0.05  # of the aim, between two looks for a replica
 COME_BACK_PART = 0.3  # of the aim: the pause that a refused client is told
 LEAST_PATIENCE_S = 0.2
+LEAVING_PAUSE_S = 0.02  # the pause that a client is told whose node ends: another one takes it at once
 LATE_PAUSE_S = 0.1  # the pause that a client is told whose time is over
 
 
@@ -91,6 +92,8 @@
         self.deadline, self.aim_s = times.deadline, times.aim_s
         if self.loop.now() >= self.deadline:
             return filters.Refused(status=503, after_s=LATE_PAUSE_S)  # read late, by a freeze or a slow client
+        if not self.proxy.leaving.may_take(deadline=self.deadline):
+            return filters.Refused(status=503, after_s=LEAVING_PAUSE_S)
         self.prompt = filters.read_prompt(request=self.request, model_text=self.model.text, is_sticky=route.is_sticky)
         return None
 
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -10,6 +10,7 @@
 from pw.dat import choice
 from pw.dat import custody
 from pw.dat import follow
+from pw.dat import leaving as leavings
 from pw.dat import quota as quotas
 from pw.dat import relaying
 from pw.dat import replicas
@@ -27,6 +28,7 @@
         self.reach_s = self.contact_s / 16  # in about this time somebody else is found, or it comes back
         self.is_serving = False
         self.is_leaving = False
+        self.leaving = leavings.Leaving(now=self.loop.now, grace_s=settings.bound(name="graceS"))
         self.duties = {}
         self.routes = route_tables.Routes()
         self.older_homes = []  # (until, homes by route name)
--- a/pw/dat/serving.py
+++ b/pw/dat/serving.py
@@ -2,6 +2,7 @@
 
 from pw.base import inlet
 from pw.base import ring
+from pw.dat import leaving as leavings
 from pw.dat import passage as passages
 
 
@@ -68,11 +69,12 @@
         if self.is_leaving:
             return
         self.is_leaving = True
+        self.leaving.begin()
         self._tell_core(("state", False, True))
         self.hall.leave()
         grace_s = self.settings.bound(name="graceS")
         self.loop.after(delay=grace_s * 0.6, act=self._last_calls)
-        self.loop.after(delay=grace_s * 0.92, act=self._end)
+        self.loop.after(delay=grace_s * leavings.END_SHARE, act=self._end)
 
     def _end(self) -> None:
         self.has_ended = True
--- a/pw/dat/test_requests.py
+++ b/pw/dat/test_requests.py
@@ -754,3 +754,42 @@
     scene.request("unsafe")
     assert settled(scene)
     assert statuses(scene.client) == [503] and scene.arrivals() == 0
+
+
+def leave(scene, *, since_s):
+    """SIGTERM came so many seconds ago."""
+    scene.entry.hall.leave()
+    scene.entry.leaving.begin()
+    scene.loop.skip(seconds=since_s)
+
+
+@pytest.mark.parametrize("since_s, is_taken", [(1.0, True), (2.5, True), (3.1, False), (5.1, False), (7.0, False)])
+def test_long_after_sigterm_no_stream_is_begun_that_the_end_of_the_process_may_cut(since_s, is_taken):
+    """graceS is 8, the stream's time 5 s. One that was begun 5.1 s after SIGTERM was cut at 7.5 s by a bbs-ploverward day."""
+    scene = test_way.Scene(test_way.replying)
+    leave(scene, since_s=since_s)
+    scene.request("once", left_ms=5000)
+    assert settled(scene)
+    if is_taken:
+        assert scene.arrivals() == 1
+        return
+    assert statuses(scene.client) == [503] and scene.arrivals() == 0
+    head = scene.client.got.lower()
+    assert b"retry-after: 0.0" in head and b"connection: close" in head
+
+
+def test_long_after_sigterm_what_ends_in_time_is_still_taken():
+    scene = test_way.Scene(test_way.replying)
+    leave(scene, since_s=4.0)
+    scene.request("safe", left_ms=3000)
+    assert scene.until(b"\r\n\r\nok")
+    assert statuses(scene.client) == [200]
+
+
+def test_a_second_sigterm_gives_no_more_time():
+    scene = test_way.Scene(test_way.replying)
+    leave(scene, since_s=4.0)
+    scene.entry.leaving.begin()
+    scene.request("once", left_ms=5000)
+    assert settled(scene)
+    assert statuses(scene.client) == [503]
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -8,6 +8,7 @@
 from pw.dat import custody
 from pw.dat import passage as passages
 from pw.dat import follow
+from pw.dat import leaving as leavings
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import routes as route_tables
@@ -81,6 +82,7 @@
         self.reach_s = 1.0
         self.is_serving = True
         self.is_leaving = False
+        self.leaving = leavings.Leaving(now=loop.now, grace_s=self.settings.bound(name="graceS"))
         self.routes = route_tables.Routes(body=CONFIGURATION)
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
         self.quota.take_entry("core", ("entry", share, share, 1000.0, 1.0, 0, 8))
