--- a/pw/dat/relay/ckf.py
+++ b/pw/dat/relay/ckf.py
@@ -11,7 +11,8 @@
 
 SLOTS = 4
 WORD_LANES = 32  # lane masks grow by such words, as many as the replicas that are listed need
-MOST_LANE_WORDS = 4  # a pool that needs more of them is wide
+MOST_LANES = 16  # a pool that needs more is wide: when many replicas leave at once, their lanes cost a burst to clear
+MOST_LANE_WORDS = 4  # of an image that a mirror takes
 WIDE = 0  # stands in place of a count of words
 OWNERS_NAMED = 4  # of a wide pool's slot
 TAG_SIZE = 3  # the front of a replica's key: of a thousand replicas two are alike once in thirty pools
@@ -31,8 +32,7 @@
 
 
 def words_for(*, lanes: int) -> int:
-    words = max(1, -(-lanes // WORD_LANES))
-    return words if words <= MOST_LANE_WORDS else WIDE
+    return max(1, -(-lanes // WORD_LANES)) if lanes <= MOST_LANES else WIDE
 
 
 def wide_value(*, count: int, tags) -> int:
