--- a/pw/dat/digest/digest.py
+++ b/pw/dat/digest/digest.py
@@ -4,6 +4,7 @@
 gateway of a region, whose members are digests and which keeps the streams to the relays of the other regions for them.
 """
 
+import collections
 import dataclasses
 
 from pw.base import link as links
@@ -14,6 +15,7 @@
 from pw.dat.digest import sums
 
 OWN = "own"  # the proxy itself, as a member of its own sums
+CUT_BYTES_A_TICK = 16 * 1024  # of pools' cuts to members: many at once would hold up the clients' answers on this link
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +51,8 @@
         self._streams = {}  # region: (Holder, dialer to its relay)
         self._gateway = None  # (Holder, dialer)
         self._is_enrolled = False
+        self._cuts = collections.deque()  # (link, region, pool) whose cut is still to be sent
+        self._cut_room = 0  # bytes of cuts that may be sent now; below 0 after a large one
         self._by_gateway = ()  # regions whose relays are reached by way of the gateway
 
     # Streams to relays.
@@ -180,7 +184,32 @@
             ring.note("relay stream broken", fault=str(failure))
             link.close(reason=str(failure))
             return
-        self.fanout.tell_publication(region=region, frame=frame, message=message)
+        if message[0] == "cut":
+            for member in self.fanout.members:
+                self._queue_cut(member, region, message[1])
+        else:
+            self.fanout.tell_publication(region=region, frame=frame, message=message)
+
+    def _queue_cut(self, link, region: str, pool: str) -> None:
+        member = self.fanout.members[link]
+        if (region, pool) not in member.waits_for:
+            member.waits_for.add((region, pool))
+            self._cuts.append((link, region, pool))
+
+    def _send_cuts(self) -> None:
+        """Cuts that wait, as the mirrors stand now, inside the bytes of this tick."""
+        self._cut_room = min(CUT_BYTES_A_TICK, self._cut_room + CUT_BYTES_A_TICK)
+        while self._cuts and self._cut_room > 0:
+            link, region, pool = self._cuts.popleft()
+            member = self.fanout.members.get(link)
+            if member is None:
+                continue
+            member.waits_for.discard((region, pool))
+            mirror = self._mirrors[region].mirrors.get(pool)
+            if mirror is not None and mirror.buckets is not None:
+                frame = wire.pack(("relayed", region, wire.pack(mirror.frame())))
+                link.send_bytes(frame)
+                self._cut_room -= len(frame)
 
     def _broke(self, region: str) -> None:
         self._on_broke(region)
@@ -196,8 +225,10 @@
             if mirror.broken_at is not None:
                 link.send(("broke", region))
                 continue
-            for frame in mirror.frames():
+            for frame in (mirror.catalogue(), mirror.load_frame()):
                 link.send(("relayed", region, wire.pack(frame)))
+            for pool in mirror.mirrors:
+                self._queue_cut(link, region, pool)
 
     def follow(self, link, *, keys: frozenset | None) -> None:
         """A member wishes loads of these replicas alone, or of all; it is told how they stand."""
@@ -235,6 +266,7 @@
                 self._send_cut(region, self._gateway[1].link, "report")
             else:
                 self.sums.discard(region=region)
+        self._send_cuts()
 
     def _send_cut(self, region: str, link, kind: str) -> None:
         if link is None or not link.is_up:
--- a/pw/dat/digest/fanout.py
+++ b/pw/dat/digest/fanout.py
@@ -14,6 +14,7 @@
 
     address: str
     follows: frozenset | None = None  # keys of the replicas whose load it is told of; None: all
+    waits_for: set = dataclasses.field(default_factory=set)  # (region, pool) whose cut it is still to be sent
 
 
 class Fanout:
@@ -62,6 +63,9 @@
         """`frame` holds the message, as the region's relay sent it."""
         if not self.members:
             return
+        if message[0] == "delta":
+            self._tell_delta(region, message[1], frame)
+            return
         if message[0] != "load" or not self._followers:
             self.tell(wire.pack(("relayed", region, frame)))
             return
@@ -75,6 +79,13 @@
                 _kind, epoch, is_whole, _data = message
                 self._send(link, wire.pack(("relayed", region, wire.pack(("load", epoch, is_whole, parts[link])))))
 
+    def _tell_delta(self, region: str, pool: str, frame: bytes) -> None:
+        """To all but those that wait for the cut: it will hold what the delta says."""
+        packed = wire.pack(("relayed", region, frame))
+        for link, member in list(self.members.items()):
+            if (region, pool) not in member.waits_for:
+                self._send(link, packed)
+
     def tell_one(self, link, *, region: str, message: tuple) -> None:
         """A load frame, to one member."""
         follows = self.members[link].follows
--- a/pw/dat/mirror.py
+++ b/pw/dat/mirror.py
@@ -167,8 +167,8 @@
             else:
                 self.load.pop(key, None)
 
-    def frames(self) -> list:
-        """All that a later member of the zone needs to stand where this one stands."""
+    def catalogue(self) -> tuple:
+        """What the relay published last of its pools, for a later member of the zone. Each pool's cut goes beside it."""
         rows = tuple(
             (
                 mirror.name,
@@ -179,10 +179,7 @@
             )
             for mirror in self.mirrors.values()
         )
-        frames = [("catalogue", self.epoch, rows)]
-        frames += [mirror.frame() for mirror in self.mirrors.values() if mirror.buckets is not None]
-        frames.append(self.load_frame())
-        return frames
+        return ("catalogue", self.epoch, rows)
 
     def load_frame(self) -> tuple:
         """All loads, as a relay would tell them now."""
--- a/pw/dat/relay/actor.py
+++ b/pw/dat/relay/actor.py
@@ -7,11 +7,23 @@
 from pw.base import records
 from pw.dat.relay import ckf
 
-BUCKET_COUNT = 1024  # to begin with
+BUCKET_COUNT = 1024  # to begin with, at least
+MOST_TO_BEGIN = 1 << 14
+PART_TOKENS = 512  # of a kept part: what a filter is sized for, since one that grows is told anew to all
+FILL = 0.7  # of a filter's slots
 MOST_BUCKETS = 1 << 17
 SPARE_LANES = 1.5  # of the replicas listed: a roll-out has old and new lives side by side
 
 
+def buckets_for(*, cache_tokens: int, replicas: int) -> int:
+    """Buckets of a filter for all that so many replicas keep, a power of two."""
+    wanted = cache_tokens / PART_TOKENS * replicas / (ckf.SLOTS * FILL)
+    count = BUCKET_COUNT
+    while count < min(wanted, MOST_TO_BEGIN):
+        count *= 2
+    return count
+
+
 class Actor:
     def __init__(self, *, cache_tokens: int, bucket_count: int = BUCKET_COUNT, words: int = 1):
         self.cache_tokens = cache_tokens
--- a/pw/dat/relay/pool_registry.py
+++ b/pw/dat/relay/pool_registry.py
@@ -61,7 +61,11 @@
                     service=service,
                     model=model,
                     generation=self._generation,
-                    actor=actors.Actor(cache_tokens=cache_tokens, words=ckf.words_for(lanes=_lanes_for(replicas))),
+                    actor=actors.Actor(
+                        cache_tokens=cache_tokens,
+                        bucket_count=actors.buckets_for(cache_tokens=cache_tokens, replicas=len(replicas)),
+                        words=ckf.words_for(lanes=_lanes_for(replicas)),
+                    ),
                 )
                 self.pools[identity] = pool
                 is_changed = True
--- a/pw/dat/relaying.py
+++ b/pw/dat/relaying.py
@@ -316,7 +316,7 @@
         link = self._digest_link()
         if link is not None and link.is_up:
             link.send(("beat", 0))
-        for link in self.relay.subscribers if self.relay is not None else ():
+        for link in list(self.relay.subscribers) if self.relay is not None else ():
             link.send(("beat", 0))
 
     def _sync_relay(self) -> None:
--- a/pw/dat/test_zone.py
+++ b/pw/dat/test_zone.py
@@ -13,6 +13,7 @@
 from pw.dat import relaying
 from pw.dat import quota as quotas
 from pw.dat import replicas
+from pw.dat.digest import digest as digests
 from pw.dat.digest import source as sources
 from pw.sim import entry
 from pw.sim import loopback
@@ -475,3 +476,49 @@
         zones.loop, lambda: all(node.sees(row["id"]) == zones.truth(row["id"]) for node in others for row in ROWS)
     )
     assert member.sees("i1") == zones.truth("i1")
+
+
+def test_a_link_that_ends_at_a_beat_harms_no_other():
+    zones = Gates()
+    zones.settle()
+    node = zones.relay("north")
+    assert loopback.until(zones.loop, lambda: len(node.relay.subscribers) == 3)
+    links = [*node.relay.subscribers, *node.digest.fanout.members, *node.gateway.digest.fanout.members]
+    for link in links:
+        link.send = lambda message, link=link: link.close(reason="ended as it was written to")
+    node._beat_inner()
+    assert not any(link.is_open for link in links)
+    zones.settle()
+
+
+def test_cuts_go_to_members_a_bounded_number_of_bytes_at_a_time():
+    zones = Zones()
+    zones.settle()
+    holder = zones.nodes[zones.digest()]
+    assert loopback.until(zones.loop, lambda: len(holder.digest.fanout.members) == 4)
+    node = zones.nodes["127.0.4.9"]
+    node.begin("i0")
+    zones.settle()
+    for number in range(600):
+        parts = ((f"doc{number}", 100), (f"own{number}", 10))
+        node.tell_read(replica=node.table.replicas["i0"], service="llm", model="m", parts=parts)
+    assert loopback.until(zones.loop, lambda: holder.regions["north"].mirrors)
+    sent = []
+    send_bytes = type(next(iter(holder.digest.fanout.members))).send_bytes
+    for link in holder.digest.fanout.members:
+        link.send_bytes = lambda data, link=link: (sent.append((id(link), wire.unpack(data))), send_bytes(link, data))
+    for link in holder.digest.fanout.members:
+        for name in holder.regions["north"].mirrors:
+            holder.digest._queue_cut(link, "north", name)
+    holder.digest._cut_room = -digests.CUT_BYTES_A_TICK  # a large one was sent just before
+    holder.digest._send_cuts()
+    assert not sent and len(holder.digest._cuts) == 4
+    zones.work(seed=40)
+    zones.settle()
+    assert not holder.digest._cuts
+    kinds = {}
+    for link, message in sent:
+        if message[0] == "relayed" and message[1] == "north":
+            kinds.setdefault(link, []).append(wire.unpack(message[2])[0])
+    for told in kinds.values():
+        assert "cut" in told and "delta" not in told[: told.index("cut")]  # nothing that builds on it comes before it
