--- a/pw/ctl/duties.py
+++ b/pw/ctl/duties.py
@@ -79,8 +79,6 @@
                 rows[name] = (epoch, *free.pop(0))
         elif not epoch:
             return rows
-        elif holder != NOBODY and len(live) < number * CELL * KEPT_SHARE:
-            rows[name] = (epoch, *NOBODY)
-        elif holder != NOBODY and holder not in live:
+        elif holder != NOBODY and (holder not in live or len(live) < number * CELL * KEPT_SHARE):
             rows[name] = (epoch, *NOBODY)
         number += 1
--- a/pw/dat/leaving.py
+++ b/pw/dat/leaving.py
@@ -18,10 +18,6 @@
         if self._begun_at is None:
             self._begun_at = self._now()
 
-    @property
-    def is_begun(self) -> bool:
-        return self._begun_at is not None
-
     def may_take(self, *, deadline: float) -> bool:
         """Whether a request that comes now is taken. Late ones are only if their time ends before this process does:
         its client goes to another node at once, while one that is cut off later is lost."""
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -175,6 +175,10 @@
         regions = max(1, len(set(self._settings.zones.values())))
         return 2.0 ** math.ceil(math.log2(max(1.0, 1.0 / (share * regions))))
 
+    def _is_in_service(self, replica) -> bool:
+        """Neither leaving nor in an evacuated zone."""
+        return not replica.is_clearing and replica.zone not in self.out_zones
+
     def _refresh_subsets(self) -> None:
         if not self._is_subset_old:
             return
@@ -184,7 +188,7 @@
         self._by_tag = {}
         self._rings = {}
         for service, rows in self.by_service.items():
-            usable = [replica for replica in rows if not replica.is_clearing and replica.zone not in self.out_zones]
+            usable = [replica for replica in rows if self._is_in_service(replica)]
             self._subsets.install(service=service, replicas=usable, proxies=self._fleet)
             if not self._subsets.is_whole(service):
                 self._by_tag[service] = {replica.key[: ckf.TAG_SIZE]: replica for replica in usable}
@@ -192,11 +196,8 @@
     def _ring(self, service: str, region: str):
         ring = self._rings.get((service, region))
         if ring is None:
-            usable = [
-                replica
-                for replica in self.by_service[service]
-                if replica.region == region and not replica.is_clearing and replica.zone not in self.out_zones
-            ]
+            rows = self.by_service[service]
+            usable = [replica for replica in rows if replica.region == region and self._is_in_service(replica)]
             ring = self._rings[service, region] = subsets.Ring(replicas=usable, points=self._points)
         return ring
 
@@ -354,12 +355,7 @@
                     self.outlet(replica=replica)
 
     def _is_to_be_tried(self, replica) -> bool:
-        return (
-            replica.is_suspect
-            and not replica.is_clearing
-            and replica.zone not in self.out_zones
-            and not replica.outlets
-        )
+        return replica.is_suspect and self._is_in_service(replica) and not replica.outlets
 
     def _free(self, outlet) -> None:
         replica = outlet.replica
