Roll-outs: admitted versions, a leased canary, a judge of each kind of request, delivery

Cause: orders of roll-outs got 404, and any version on the list got requests (docs/rollouts.md says what was weighed).

--- a/ploverward.py
+++ b/ploverward.py
@@ -29,7 +29,9 @@
 flags.DEFINE_string("model", "", "pins: only this model")
 flags.DEFINE_string("zone", "", "pins: only replicas of this zone")
 flags.DEFINE_string("replica", "", "pins: only this replica")
+flags.DEFINE_float("over_s", 0.0, "rollout start: seconds within which the traffic is to have moved")
 flags.DEFINE_float("watch_s", 10.0, "drill: how long the zone stays out after evacuateMs")
+flags.DEFINE_enum("world", "control", ["control", "rollouts"], "simulate: which model is played")
 flags.DEFINE_integer("seeds", 100, "simulate: how many days are played")
 flags.DEFINE_integer("first", 0, "simulate: the first day's seed")
 flags.DEFINE_integer("machines", 0, "simulate: core machines, 3, 5, 6 or 7; 0: drawn by the seed")
@@ -51,6 +53,9 @@
   drill ZONE         takes a zone out, watches the promises, takes it back
   evacuate ZONE      takes a zone out; restore ZONE takes it back
   nodes              the nodes in touch with each core node
+  rollout start SERVICE VERSION --over_s S   moves a service to another version of its software, if it proves good
+  rollout status [SERVICE]                   where each roll-out stands, why, and on which evidence
+  rollout watch SERVICE                      the same, until it is delivered (0) or returned (1)
   core-set           who votes, who learns, how far each core node is, and how many further losses are borne
   pins               which adapters keep arriving cold, and which each replica should keep pinned
   keep FOLDER        keeps the configuration in force in a Git repository; keep FOLDER EDITION prints a kept one
@@ -165,10 +170,32 @@
     return 0
 
 
+def _rollout(what: str, *about: str) -> int:
+    from pw.ops import rollout
+
+    caller = _caller()
+
+    def call(method: str, path: str, data: bytes) -> tuple:
+        return caller.any(method=method, path=path, data=data)
+
+    if what == "start" and len(about) == 2 and FLAGS.over_s > 0:
+        return rollout.start(call=call, service=about[0], edition=about[1], over_s=FLAGS.over_s, out=print)
+    if what == "status" and len(about) <= 1:
+        return rollout.status(call=call, service="".join(about), as_json=FLAGS.json, out=print)
+    if what == "watch" and len(about) == 1:
+        return rollout.watch(call=call, service=about[0], as_json=FLAGS.json, out=print)
+    print(USAGE, file=sys.stderr)
+    return 2
+
+
 def _simulate() -> int:
     from pw.ops import simulate
 
     simulate.fix_hash_seed()
+    if FLAGS.world == "rollouts":
+        from pw.ops import rollout_days
+
+        return rollout_days.run(first=FLAGS.first, seeds=FLAGS.seeds, jobs=FLAGS.jobs, out=print)
     if FLAGS.planted:
         return simulate.run_planted(jobs=FLAGS.jobs, out=print)
     is_one = FLAGS.history >= 0
@@ -215,6 +242,8 @@
             previous=FLAGS.previous,
             wanted=pins.Filter(service=FLAGS.service, model=FLAGS.model, zone=FLAGS.zone, replica=FLAGS.replica),
         )
+    if verb == "rollout" and rest:
+        return _rollout(*rest)
     if verb == "core-set" and not rest:
         from pw.ops import core_set
 
--- a/pw/base/problems.py
+++ b/pw/base/problems.py
@@ -37,6 +37,14 @@
         self.place = place
 
 
+class RolloutUnderWay(Problem):
+    """Another roll-out of the service is not done; `target` is its version."""
+
+    def __init__(self, *, target: str, step: str = "roll-out", peer: str = ""):
+        super().__init__(f"a roll-out to {target} is under way", step=step, peer=peer)
+        self.target = target
+
+
 class StaleBase(Problem):
     """The change was built on another version than the current one."""
 
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -53,6 +53,12 @@
     # core to core: contact with a majority (pw/ctl/contact.py); number, version of the core set
     "heartbeat": (33, (NUMBER, NUMBER)),
     "heartbeat_answer": (34, (NUMBER, NUMBER)),
+    # roll-outs: a proxy's evidence to the holder of the watch duty (pw/base/evidence.py), which asks for leases, and these
+    "evidence": (35, (NUMBER, BLOB)),  # number, reports
+    "leases": (
+        36,
+        (NUMBER, REAL, NUMBER, BLOB),
+    ),  # number answered, for how many seconds, beats between reports, leases
     # custody
     "trails": (60, (TEXT, TEXT, NUMBER, FLAG, rows(TEXT, BLOB))),  # node, life, batch, is last, trails
     "keeps": (61, (NUMBER, TEXT, TEXT, rows(BLOB))),  # service, model, canonical hashes
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -11,8 +11,10 @@
 from pw.ctl import runtime as runtimes
 from pw.ctl import voting
 from pw.ctl import watch_duty as watch_duties
+from pw.ctl.configuration import evacuations
 from pw.ctl.news import desk as desks
 from pw.ctl.register import ballots
+from pw.ctl.rollouts import duty as rollout_duties
 
 LEAVE_SHARE = 0.85  # of graceS: a leaving node ends by then, whatever is under way
 RATE_WINDOW_S = 1.5  # the cold bound is stated for one second
@@ -53,6 +55,7 @@
             holds=self.desk.serial,
         )
         self.spec = None
+        self.out_zones = set()
         self._beats = 0
         self.file_watch = self.runtime.file_watch()
         self.watch = self.runtime.watch(
@@ -91,12 +94,28 @@
             stale_after_s=self.contact_s,
         )
 
+        self.rollout_duty = rollout_duties.RolloutDuty(
+            settings=self.settings,
+            now=self.loop.now,
+            change=lambda **about: self.proposer.change(**about),
+            listed=self.watch_duty.listed,
+            zones=lambda: self.settings.zones,
+            out_zones=lambda: self.out_zones,
+            proxies=self.proxy_origins,
+            contact_s=self.contact_s,
+            receipt_s=self.receipt_s,
+        )
+
     def _apply(self, name: str, payload, members: tuple) -> None:
         if name == "duty":
             self.duty_table.install(payload=payload)
             self.loop.command(act=self._watch_over)
         elif name == "spec":
             self.spec = payload["body"] if payload else None
+        elif name == registers.EVACUATIONS:
+            self.out_zones = evacuations.zones_of(payload)
+        elif name == registers.ROLLOUTS:
+            self.rollout_duty.install(payload)
         elif name == registers.ARCHIVE:
             self.interfaces.dispatch.learn_archive(payload)
         elif name == "cores":
--- a/pw/ctl/dispatch.py
+++ b/pw/ctl/dispatch.py
@@ -9,6 +9,8 @@
 from pw.ctl.configuration import archive
 from pw.ctl.configuration import evacuations
 from pw.ctl.configuration import orders
+from pw.ctl.rollouts import orders as rollout_orders
+from pw.ctl.rollouts import state as rollout_states
 
 CALLER_SILENCE_S = 1.0  # after so long a silence a caller goes to another node (the protocol's figure)
 ROUND_PART = 0.8  # of that silence: a round that has not ended by then is answered with 503
@@ -137,6 +139,9 @@
             router.Rule("GET", "/ploverward/evacuation", self._get_evacuations),
             router.Rule("POST", "/ploverward/evacuation/<zone>", self._post_evacuation),
             router.Rule("DELETE", "/ploverward/evacuation/<zone>", self._delete_evacuation),
+            router.Rule("POST", "/ploverward/rollouts", self._post_rollout),
+            router.Rule("GET", "/ploverward/rollouts", self._get_rollouts),
+            router.Rule("GET", "/ploverward/rollouts/<path:service>", self._get_rollout),
         ]
 
     def leave(self) -> None:
@@ -182,6 +187,8 @@
             return
         if isinstance(error, problems.StaleBase):
             call.answer(status=412, body={"error": str(error), "edition": error.current})
+        elif isinstance(error, problems.RolloutUnderWay):
+            call.answer(status=409, body={"error": str(error), "targetEdition": error.target})
         elif isinstance(error, problems.InvalidConfiguration):
             call.answer(status=400, body={"error": error.text, "place": error.place})
         else:
@@ -368,6 +375,84 @@
         edit = evacuations.edit_for(zone=zone, is_out=is_out, is_late=lambda: reply.is_over)
         self._registers.change(name=registers.EVACUATIONS, edit=edit, done=done, is_wanted=lambda: not reply.is_over)
 
+    # Roll-outs.
+
+    def _get_rollouts(self, call) -> None:
+        self._read_back(call, name=registers.ROLLOUTS, answer=_answer_rollouts)
+
+    def _get_rollout(self, call, service: str) -> None:
+        def answer(waiting, payload):
+            _answer_rollout(waiting, payload, service)
+
+        self._read_back(call, name=registers.ROLLOUTS, answer=answer)
+
+    def _post_rollout(self, call) -> None:
+        try:
+            order = rollout_orders.read(data=call.body)
+        except problems.InvalidConfiguration as error:
+            call.answer(status=400, body={"error": error.text, "place": error.place})
+            return
+        if self._is_sent_on(call):
+            return
+        reply = self._reply_to(call)
+        if _has_service(self._applied(), order.service):
+            self._begin_rollout(order, reply)
+            return
+
+        def read(error, _version, payload, _result):
+            if error is not None:
+                self._refuse(reply, error)
+            elif _has_service(payload["body"] if payload else None, order.service):
+                self._begin_rollout(order, reply)
+            else:
+                text = f"unknown service '{order.service}'"
+                self._refuse(reply, problems.InvalidConfiguration(text, place="destination"))
+
+        self._registers.read(name=registers.CONFIGURATION, done=read)
+
+    def _begin_rollout(self, order, reply) -> None:
+        def done(error, version, _payload, _result):
+            if error is not None:
+                self._refuse(reply, error)
+            else:
+                self._acknowledge(reply, registers.ROLLOUTS, version)
+
+        edit = rollout_orders.edit_for(order=order, is_late=lambda: reply.is_over)
+        self._registers.change(name=registers.ROLLOUTS, edit=edit, done=done, is_wanted=lambda: not reply.is_over)
+
+
+def _has_service(body, name: str) -> bool:
+    """Whether a configuration names this service."""
+    return any(row["name"] == name for row in (body or {}).get("destinations", ()))
+
+
+def _rollout_view(rollout) -> dict:
+    """The protocol's two fields, and what operators want to know besides."""
+    return {
+        "condition": rollout.condition,
+        "targetEdition": rollout.target,
+        "stage": str(rollout.stage),
+        "overS": rollout.over_s,
+        "admitted": list(rollout.admitted),
+        "reason": rollout.reason,
+        "ageS": round(rollout.age_s, 3),
+        "number": rollout.number,
+        "record": list(rollout.record),
+    }
+
+
+def _answer_rollout(call, payload, service: str) -> None:
+    rollout = rollout_states.rollouts_of(payload).get(service)
+    if rollout is None or not rollout.number:
+        call.answer(status=404, body={"error": f"no roll-out of '{service}'"})
+        return
+    call.answer(status=200, body=_rollout_view(rollout))
+
+
+def _answer_rollouts(call, payload) -> None:
+    rollouts = rollout_states.rollouts_of(payload)
+    call.answer(status=200, body={"rollouts": {name: _rollout_view(row) for name, row in sorted(rollouts.items())}})
+
 
 def _answer_configuration(call, payload) -> None:
     if not payload:
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -6,6 +6,7 @@
 from pw.ctl import registers
 from pw.ctl import watch_duty
 from pw.ctl.register import ballots
+from pw.ctl.rollouts import ledger as ledgers
 
 
 class Peer:
@@ -122,6 +123,8 @@
             self.interfaces.custody.take_kept(number=message[1], rows=message[2])
         elif kind == "renew":
             self._renew(link, message)
+        elif kind == "evidence":
+            self._take_evidence(link, message)
         elif kind == "heartbeat":
             self._answer_heartbeat(link, message)
         elif kind == "heartbeat_answer":
@@ -222,6 +225,22 @@
             return
         link.send(("entry", *self._grant(peer), message[1]))
 
+    def proxy_origins(self) -> list:
+        """The lives of proxies in touch, as they sign their evidence."""
+        return [ledgers.Origin(address=peer.address, life=peer.life) for peer in self.proxies(is_listed=False)]
+
+    def _take_evidence(self, link, message: tuple) -> None:
+        """A proxy tells what it counted of roll-outs; where this node may hand out leases, they are the answer."""
+        peer = self.peers.get(link)
+        if peer is None or peer.role != "proxy":
+            return
+        _kind, number, data = message
+        origin = ledgers.Origin(address=peer.address, life=peer.life)
+        leases = self.rollout_duty.take_evidence(origin=origin, data=data)
+        if leases is not None and self.has_majority_contact():
+            pace = self.rollout_duty.pace(proxies=self.proxy_count)
+            link.send(("leases", number, self.rollout_duty.lease_s, pace, leases))
+
     def part_of(self, members) -> float:
         """The part of every bound that this node owns under a core set."""
         return 1.0 / len(members) if self.own in members else 0.0
@@ -266,12 +285,14 @@
             may_take=self.acceptor.votes and not self.is_leaving,
         )
         if not is_acting:
+            self.rollout_duty.rest()
             return
         if self.is_leaving:
             self._hand_over()
             return
         listed = self.proxies()
         self.watch_duty.name_holders(proxies=[(peer.address, peer.life, peer.zone, peer.region) for peer in listed])
+        self.rollout_duty.tend()
         self._tend_core_set()
 
     def core_view(self) -> core_sets.View:
--- a/pw/ctl/platform.py
+++ b/pw/ctl/platform.py
@@ -218,6 +218,7 @@
         "service": str(entry["destination"]),
         "address": str(entry["address"]),
         "zone": str(entry["zone"]),
+        "edition": str(entry.get("edition") or ""),
         "berths": int(entry.get("berths", 1)),
         "is_clearing": entry.get("condition") != "accepting",
         "cold_ms": float(entry.get("warmupLeftMs") or 0),
--- a/pw/ctl/register/test_learning.py
+++ b/pw/ctl/register/test_learning.py
@@ -66,6 +66,8 @@
     node._seeds = ("x", "y", "z")
     node.start(is_first_start=True)
     assert node.voting.acceptor.incarnation == incarnation and node.voting.proposer.seeds == SEEDS
+    model.call("a", kind="change")  # a record behind the first one: without it, damage looks like a torn tail
+    model.world.run(until=model.world.now() + 4.0)
     node.stop()
     path, data = next(iter(node.files._names.items()))
     data.data[20] ^= 0xFF
--- /dev/null
+++ b/pw/ctl/rollouts/orders.py
@@ -0,0 +1,141 @@
+"""Orders of roll-outs and the edits of the register that orders and steps make (docs/rollouts.md 2)."""
+
+import dataclasses
+import math
+
+import pydantic
+
+from pw.base import problems
+from pw.ctl.configuration import reading
+from pw.ctl.rollouts import state
+
+MOST_NAME = 200  # characters
+MOST_TERM_S = 30 * 86400.0
+TAKEN = "taken"
+KNOWN = "known"
+
+
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="allow", strict=True)
+
+    destination: str = pydantic.Field(min_length=1, max_length=MOST_NAME)
+    targetEdition: str = pydantic.Field(min_length=1, max_length=MOST_NAME)
+    overS: float = pydantic.Field(gt=0, le=MOST_TERM_S)
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """Move the traffic of `service` to replicas of version `target` within `over_s` seconds."""
+
+    service: str
+    target: str
+    over_s: float
+
+
+def read(*, data: bytes) -> Order:
+    """The order in a call's body. Raises InvalidConfiguration, with the place of the fault."""
+    body = reading.read_json(data=data)
+    try:
+        checked = _Body.model_validate(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise problems.InvalidConfiguration(first["msg"], place=place) from None
+    if not math.isfinite(checked.overS):
+        raise problems.InvalidConfiguration("not a finite number", place="overS")
+    return Order(service=checked.destination, target=checked.targetEdition, over_s=checked.overS)
+
+
+def edit_for(*, order: Order, is_late):
+    """The edit for an order. Raises RolloutUnderWay where another order for the service is not done.
+
+    The same order again changes nothing, so a round may make several attempts and the caller may send it twice.
+    """
+
+    def edit(payload):
+        held = state.rollouts_of(payload).get(order.service, state.Rollout())
+        if _is_same(held, order):
+            return payload, KNOWN
+        if held.is_under_way:
+            raise problems.RolloutUnderWay(target=held.target, peer=order.service)
+        if is_late():
+            raise problems.Unreachable("no majority in time", step="roll-out", peer=order.service)
+        return state.with_rollout(payload, service=order.service, rollout=_begun(held, order)), TAKEN
+
+    return edit
+
+
+def _is_same(held: state.Rollout, order: Order) -> bool:
+    if held.stage == state.Stage.IDLE or held.is_settled:
+        return False
+    return (held.target, held.over_s) == (order.target, order.over_s)
+
+
+def _begun(held: state.Rollout, order: Order) -> state.Rollout:
+    is_there = held.admitted == (order.target,)
+    return dataclasses.replace(
+        held,
+        target=order.target,
+        over_s=order.over_s,
+        stage=state.Stage.DELIVERED if is_there else state.Stage.CANARY,
+        number=held.number + 1,
+        step=held.step + 1,
+        age_s=0.0,
+        reason="this version serves already" if is_there else "",
+        record=(),
+        is_settled=False,
+        admitted=tuple(name for name in held.admitted if name != order.target or is_there),
+        refused=tuple(name for name in held.refused if name != order.target),
+    )
+
+
+def edit_to_stage(*, service: str, seen: state.Rollout, known: state.Evidence):
+    """The edit for a step, to the stage that `known` names. It changes nothing where the row changed since the holder
+    saw it."""
+    stage = state.Stage(known.stage)
+
+    def edit(payload):
+        held = state.rollouts_of(payload).get(service, state.Rollout())
+        if held.step != seen.step or stage not in state.NEXT_STAGES.get(held.stage, ()):
+            return payload, None
+        record = (*held.record, dataclasses.asdict(known))
+        moved = dataclasses.replace(
+            held, stage=stage, step=held.step + 1, age_s=known.age_s, reason=known.reason, record=record
+        )
+        if stage == state.Stage.DELIVERED:
+            moved = dataclasses.replace(moved, admitted=(held.target,), refused=())
+        elif stage == state.Stage.RETURNED:
+            moved = dataclasses.replace(moved, refused=(*held.refused, held.target))
+        return state.with_rollout(payload, service=service, rollout=moved), None
+
+    return edit
+
+
+def edit_to_settle(*, service: str, seen: state.Rollout):
+    """The edit that lets the same order be given again."""
+
+    def edit(payload):
+        held = state.rollouts_of(payload).get(service, state.Rollout())
+        if held.step != seen.step or held.stage not in state.ENDED:
+            return payload, None
+        settled = dataclasses.replace(held, step=held.step + 1, is_settled=True)
+        return state.with_rollout(payload, service=service, rollout=settled), None
+
+    return edit
+
+
+def edit_to_admit(*, seen: dict, editions: dict):
+    """The edit that admits versions of services: `editions`, service: versions, instead of what `seen` has."""
+
+    def edit(payload):
+        rollouts = state.rollouts_of(payload)
+        changed = payload
+        for service, names in editions.items():
+            held = rollouts.get(service, state.Rollout())
+            if held.is_under_way or held.step != seen.get(service, state.Rollout()).step:
+                continue
+            admitted = dataclasses.replace(held, admitted=tuple(sorted(names)), step=held.step + 1)
+            changed = state.with_rollout(changed, service=service, rollout=admitted)
+        return changed, None
+
+    return edit
--- /dev/null
+++ b/pw/ctl/test_rollout_calls.py
@@ -0,0 +1,163 @@
+"""Calls about roll-outs at a node that serves dispatch: what is acknowledged, what is refused, what changes nothing."""
+
+import json
+import types
+
+import pytest
+
+from pw.base import problems
+from pw.ctl import dispatch
+from pw.ctl import registers
+from pw.ctl.rollouts import orders
+from pw.ctl.rollouts import state
+
+CONFIGURATION = {"body": {"destinations": [{"name": "pool"}, {"name": "portal"}]}}
+
+
+class Call:
+    def __init__(self, body=b""):
+        self.body = body
+        self.told = None
+
+    def answer(self, *, status, body, headers=()):
+        assert self.told is None
+        self.told = (status, body)
+
+    def unavailable(self, *, why):
+        self.answer(status=503, body={"error": why})
+
+    def see_other_node(self, *, address):
+        self.answer(status=307, body={"location": address})
+
+
+class Loop:
+    """Timers that nobody runs, and rounds that end when they are told to."""
+
+    def __init__(self):
+        self.timers = []
+
+    def now(self):
+        return 0.0
+
+    def after(self, *, delay, act):
+        self.timers.append(act)
+        return act
+
+    def cancel(self, *, timer):
+        if timer in self.timers:
+            self.timers.remove(timer)
+
+
+class Node:
+    def __init__(self, *, applied=CONFIGURATION["body"], contact=True):
+        self.values = {registers.CONFIGURATION: CONFIGURATION, registers.ROLLOUTS: None}
+        self.error = None
+        self.changes = 0
+        self.loop = Loop()
+        desk = types.SimpleNamespace(lagging=lambda **_about: [])
+        self.dispatch = dispatch.Dispatch(
+            loop=self.loop,
+            registers=types.SimpleNamespace(change=self.change, read=self.read),
+            applying=dispatch.Applying(desk=desk, proxies=lambda is_listed: []),
+            redirect=dispatch.Redirect(own="a", port=1, members=lambda: ("a", "b"), is_live=lambda host: True),
+            applied=lambda: applied,
+            zones=lambda: {"z": "r"},
+            receipt_s=8.0,
+            is_learned=lambda: True,
+            has_majority_contact=lambda: contact,
+        )
+
+    def change(self, *, name, edit, done, is_wanted):
+        if self.error is not None:
+            done(self.error, 0, None, None)
+            return
+        try:
+            value, _said = edit(self.values[name])
+        except problems.Problem as failure:
+            done(failure, 0, None, None)
+            return
+        self.changes += value is not self.values[name]
+        self.values[name] = value
+        done(None, self.changes, value, None)
+
+    def read(self, *, name, done):
+        done(self.error, 1, self.values[name], None)
+
+    def post(self, **body):
+        call = Call(json.dumps(body).encode())
+        self.dispatch._post_rollout(call)
+        return call.told
+
+    def get(self, service):
+        call = Call()
+        self.dispatch._get_rollout(call, service)
+        return call.told
+
+
+ORDER = {"destination": "pool", "targetEdition": "v2", "overS": 14.0}
+
+
+def test_an_order_is_taken_once_and_acknowledged_each_time():
+    node = Node()
+    assert [node.post(**ORDER)[0] for _turn in range(3)] == [200, 200, 200]
+    assert node.changes == 1
+    status, body = node.get("pool")
+    assert (status, body["condition"], body["targetEdition"]) == (200, "in_service", "v2")
+
+
+def test_another_order_for_the_same_service_is_refused_and_one_for_another_is_taken():
+    node = Node()
+    node.post(**ORDER)
+    status, body = node.post(**{**ORDER, "targetEdition": "v3"})
+    assert status == 409 and body["targetEdition"] == "v2"
+    assert node.post(**{**ORDER, "destination": "portal"})[0] == 200
+    assert node.get("pool")[1]["targetEdition"] == "v2"
+
+
+@pytest.mark.parametrize(
+    "about, place",
+    [
+        ({"destination": "nobody"}, "destination"),
+        ({"targetEdition": None}, "targetEdition"),
+        ({"overS": "soon"}, "overS"),
+        ({"overS": -1}, "overS"),
+    ],
+)
+def test_what_is_no_order_changes_nothing(about, place):
+    node = Node()
+    status, body = node.post(**{**ORDER, **about})
+    assert (status, body["place"], node.changes) == (400, place, 0)
+
+
+def test_a_service_that_this_node_has_not_heard_of_is_looked_up():
+    node = Node(applied=None)
+    assert node.post(**ORDER)[0] == 200
+    assert node.post(**{**ORDER, "destination": "nobody"})[0] == 400
+
+
+def test_a_node_that_is_not_sure_says_503_and_one_that_is_cut_off_names_another():
+    node = Node()
+    node.error = problems.Unreachable("no majority answered in time")
+    assert node.post(**ORDER)[0] == 503 and node.get("pool")[0] == 503
+    cut_off = Node(contact=False)
+    assert cut_off.post(**ORDER)[0] == 307 and cut_off.get("pool")[0] == 307 and cut_off.changes == 0
+
+
+@pytest.mark.parametrize("stage", [state.Stage.DELIVERED, state.Stage.RETURNED])
+def test_ends_are_read_back(stage):
+    node = Node()
+    node.post(**ORDER)
+    row = state.rollouts_of(node.values[registers.ROLLOUTS])["pool"]
+    for step in (state.Stage.PROMOTING, state.Stage.DRAINING, stage):
+        known = state.Evidence(stage=step, age_s=1.0, reason="so", routes={"r": [1, 0, 2, 1, 0]})
+        edit = orders.edit_to_stage(service="pool", seen=row, known=known)
+        node.values[registers.ROLLOUTS] = edit(node.values[registers.ROLLOUTS])[0]
+        row = state.rollouts_of(node.values[registers.ROLLOUTS])["pool"]
+    status, body = node.get("pool")
+    assert (status, body["condition"], body["reason"]) == (200, str(stage), "so")
+    assert [step["stage"] for step in body["record"]] == ["promoting", "draining", str(stage)]
+    assert node.post(**ORDER)[0] == 200 and node.get("pool")[1]["condition"] == str(stage)
+
+
+def test_a_service_without_a_roll_out_is_told_so():
+    assert Node().get("pool")[0] == 404
--- a/pw/ctl/watch_duty.py
+++ b/pw/ctl/watch_duty.py
@@ -156,6 +156,10 @@
         told = self._held_list().changed_by(replica_list.unpack_change(data))
         self._publish_list(told, epoch=epoch, number=number, change=data)
 
+    def listed(self) -> list:
+        """Rows of the newest list that this node holds; none before it has one."""
+        return list(self._held_list().rows.values()) if LIST in self._desk.topics else []
+
     def _held_list(self) -> replica_list.ReplicaList:
         """The list that the desk holds; it is read once for each version."""
         data = self._desk.get(LIST)[2]
--- a/pw/dat/attempts.py
+++ b/pw/dat/attempts.py
@@ -80,8 +80,13 @@
         self.is_known_not_run = False  # by a whole answer of the replica that says so
         self.is_over = False
         self.is_read = False
+        self.is_complete = False  # a whole answer came, of whatever meaning
+        self.pieces = 0  # events of a stream
+        self.first_at = None  # when the first one came
+        self.last_at = None
         self.sent_at = now
         self.heard_at = now
+        self.was_connected = outlet.is_up  # else its connection had to come up first
         self.row = None
         self.arrival = None  # of an adapter (docs/pins.md 2)
 
@@ -93,6 +98,12 @@
         self.meaning = meaning_of(status=status, table=table, is_framed=is_framed)
         self.passage.take_head(self, headers=headers, table=table)
 
+    def note_piece(self, *, now: float) -> None:
+        """One event of a stream came whole."""
+        self.pieces += 1
+        self.first_at = self.first_at if self.first_at is not None else now
+        self.last_at = now
+
     def on_data(self, data: bytes) -> None:
         if not self.is_over:
             self.heard_at = self.passage.loop.now()
@@ -100,6 +111,7 @@
 
     def on_end(self) -> None:
         if not self.is_over:
+            self.is_complete = True
             self.passage.take_end(self)
 
     def on_fail(self, *, reason: str, was_sent: bool, was_up: bool) -> None:
--- a/pw/dat/choice.py
+++ b/pw/dat/choice.py
@@ -8,6 +8,8 @@
 BESIDE_PART = 4.0  # of a read, for a replica whose places are all taken
 WAY_PART = 0.25  # of the way, where a prompt is to be read
 AGAIN_PART = 1.0  # of the reading time, for tokens that another replica keeps
+TRIED_BERTHS_PART = 0.75  # of its places, that a replica of a version on trial may have taken
+MOST_TRIED_READING_MS = 900.0  # of prompts that wait there
 LEAST_READ = 500  # fewer tokens say more of the way than of the reading
 
 
@@ -57,13 +59,17 @@
             bool(total[3] & load_feed.FAILING),
         )
 
-    def candidates(self, *, service: str, permitted, model: str, avoid, chain=()) -> list:
+    def candidates(self, *, service: str, permitted, model: str, avoid, chain=(), pool=None) -> list:
         """Replicas that may be chosen: of the subset that this proxy looks at and of those that keep most of the prompt
-        or are to read it first; of all, where that leaves nobody."""
+        or are to read it first; of all, where that leaves nobody. `pool`: the versions that may be asked, None: all."""
 
         def usable(replicas) -> list:
-            return self._usable(replicas, permitted=permitted, model=model, avoid=avoid)
+            rows = replicas if pool is None else [replica for replica in replicas if pool.has(replica)]
+            return self._usable(rows, permitted=permitted, model=model, avoid=avoid)
 
+        if pool is not None and pool.replicas:
+            named = [self._table.replicas[name] for name in pool.replicas if name in self._table.replicas]
+            return usable([replica for replica in named if self._bears_more(replica)])
         rows = usable(self._table.subset(service))
         if self._table.is_whole(service):
             return rows
@@ -79,6 +85,12 @@
                 owners.append(first)
         return rows + usable([replica for replica in owners if replica.id not in known])
 
+    def _bears_more(self, replica) -> bool:
+        """Whether a replica that is tried out has room for one more request: it shows nothing by being overrun."""
+        running, to_read, _is_bad, _is_failing = self.load(replica)
+        reading_ms = to_read / self.rates.get(replica.service, FIRST_RATE)
+        return running < TRIED_BERTHS_PART * replica.berths and reading_ms < MOST_TRIED_READING_MS
+
     def _owners(self, service: str, model: str, chain) -> tuple:
         """(parts in the longest run of the prompt that is kept anywhere, replicas that the mirrors name for the longest
         run in each region)."""
@@ -106,11 +118,21 @@
         return [replica for replica in rows if replica.away_until <= now] or rows
 
     def choose(
-        self, *, service: str, permitted, model: str, chain, prompt_tokens: int, avoid, aim_s: float = 1.0, load_s=None
+        self,
+        *,
+        service: str,
+        permitted,
+        model: str,
+        chain,
+        prompt_tokens: int,
+        avoid,
+        aim_s: float = 1.0,
+        load_s=None,
+        pool=None,
     ) -> tuple:
         """(replica or None, tokens to read there, whether any could be named at all)."""
         service_row = self._table.services.get(service, {})
-        rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid, chain=chain)
+        rows = self.candidates(service=service, permitted=permitted, model=model, avoid=avoid, chain=chain, pool=pool)
         if not rows:
             return None, 0, False
         kept = {}
@@ -162,6 +184,13 @@
         if owner is not None:
             kept[owner.id] = max(kept.get(owner.id, 0), tokens)
 
+    def expected_s(self, *, replica, tokens: int, is_connected: bool) -> float:
+        """Seconds to the first event at an idle replica: the way, twice by a new connection, and the reading."""
+        way_s = (self._table.way(replica) or 0.0) * (1 if is_connected else 2)
+        if not self._table.services.get(replica.service, {}).get("cache_tokens"):
+            return way_s
+        return way_s + tokens / self.rates.get(replica.service, FIRST_RATE) / 1000.0
+
     def note_read(self, *, service: str, tokens: int, took_s: float) -> None:
         """The reading rate of a service, as its quicker answers show it: a maximum that fades."""
         if took_s > 0 and tokens >= LEAST_READ:
--- a/pw/dat/follow.py
+++ b/pw/dat/follow.py
@@ -5,9 +5,11 @@
 from pw.base import residency
 from pw.base import ring
 from pw.ctl import registers
+from pw.ctl import watch_duty
 from pw.ctl.news import desk as desks
 from pw.ctl.news import replica_list
 from pw.ctl.register import ballots
+from pw.ctl.rollouts import leases as rollout_leases
 from pw.dat import routes as route_tables
 
 
@@ -87,6 +89,10 @@
             link.send(("kept", message[1], self._keepers(message[2], message[3], message[4])))
         elif kind == "entry":
             self._take_entry(link, message)
+        elif kind == "leases":
+            _kind, number, life_s, pace, data = message
+            self.rollouts.pace = max(1, pace)
+            self.rollouts.take_leases(number=number, life_s=life_s, leases=rollout_leases.unpack(data))
 
     def _tell_held(self, topic: str) -> None:
         if not self.is_serving:
@@ -106,6 +112,16 @@
             # By the core node's address: the entry of an ended link and that of its successor are one.
             self.quota.take_entry(link.peer, message[:-1], sent_at=sent_at)
 
+    def tell_evidence(self) -> None:
+        """What was counted of roll-outs under way, to the holder of the watch duty, which answers with leases."""
+        _epoch, holder, _life = self.duties.get(watch_duty.WATCH, (0, "", ""))
+        dialer = self.core_dialers.get(holder)
+        if dialer is None or dialer.link is None or not dialer.link.is_up:
+            return
+        report = self.rollouts.report()
+        if report is not None:
+            dialer.link.send(("evidence", *report))
+
     def _keepers(self, service: str, model: str, hashes) -> tuple:
         """Replicas that, by the mirrors, still keep any of these parts."""
         by_key = {replica.key: replica for replica in self.table.replicas.values()}
@@ -138,7 +154,7 @@
             return
         if not ballots.has_majority(of=self.core_members, among=self.floors):
             return
-        for name in ("spec", "evac"):
+        for name in registers.FLOORED:
             floor = max(floors.get(name, 0) for floors in self.floors.values())
             if self.follower.serials.get(name, (0, 0))[1] < floor:
                 return
@@ -151,7 +167,7 @@
         self._tell_core(("state", True, self.is_leaving))
 
     def _on_image(self, topic: str, epoch: int, number: int, data: bytes) -> None:
-        if topic in ("spec", "evac", "duty", "cores"):
+        if topic in (*registers.FLOORED, registers.DUTIES, registers.CORE_SET):
             members, payload = ballots.unpack(data)
             if topic == "spec" and payload:
                 self._keep_older_homes()
@@ -160,6 +176,8 @@
                 self._set_limits(payload["body"].get("limits") or {})
             elif topic == "evac":
                 self.table.install_evacuations((payload or {}).get("zones", ()))
+            elif topic == registers.ROLLOUTS:
+                self.rollouts.install(payload)
             elif topic == "duty":
                 self.duties = payload or {}
                 self._follow_duties()
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -151,7 +151,18 @@
         return True
 
     def choose(self, *, avoid=None) -> tuple:
+        """(replica or None, tokens to read there, whether any could be named), of the versions that may be asked."""
+        is_any = False
+        for pool in self.proxy.rollouts.pools(service=self.service, is_first=self.arrivals_next() == 1):
+            replica, to_read, is_named = self._choose_of(pool=pool, avoid=avoid)
+            if replica is not None:
+                return replica, to_read, True
+            is_any = is_any or is_named
+        return None, 0, is_any
+
+    def _choose_of(self, *, pool, avoid) -> tuple:
         return self.proxy.chooser.choose(
+            pool=pool,
             service=self.service,
             permitted=self.permitted,
             model=self.model.name if self.route.is_sticky else "",
@@ -178,6 +189,7 @@
         self.attempt = attempt
         replica.running += 1
         replica.to_read[attempt.number] = to_read
+        self.proxy.rollouts.note_send(service=self.service, replica=replica)
         self.proxy.quota.note_send(replica=replica, service=self.proxy.table.services.get(self.service, {}))
         self.mark("send", replica.id, replica.zone, to_read, *self.proxy.chooser.load(replica))
         self.proxy.chooser.note_send(replica=replica, chain=self.prompt.chain)
@@ -257,6 +269,16 @@
         )
         if attempt.arrival is not None:
             self.proxy.adapters.not_run(attempt.arrival)  # nothing where it has run already
+        self.proxy.rollouts.note_end(
+            service=self.service,
+            route=self.route.name,
+            attempt=attempt,
+            kind=kind,
+            aim_s=self.aim_s,
+            expected_s=self.proxy.chooser.expected_s(
+                replica=attempt.replica, tokens=attempt.to_read, is_connected=attempt.was_connected
+            ),
+        )
         attempt.replica.running -= 1
         attempt.replica.to_read.pop(attempt.number, None)
         if not attempt.outlet.is_unsent:
@@ -305,6 +327,7 @@
         if self.stream is not None and attempt.meaning is attempts.Meaning.SUCCESS:
             self.mark_read(attempt)
             for event in self.stream.take(data):
+                attempt.note_piece(now=self.loop.now())
                 self.pass_event(event)
             return
         if self.buffer is None:
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -1,5 +1,6 @@
 """The proxy program: its parts put together, its start and its beat (design 1)."""
 
+import random
 import signal
 import uuid
 
@@ -14,6 +15,7 @@
 from pw.dat import quota as quotas
 from pw.dat import relaying
 from pw.dat import replicas
+from pw.dat import rollouts
 from pw.dat import routes as route_tables
 from pw.dat import serving
 
@@ -35,6 +37,7 @@
         self.batches = custody.Batches(most=200)
         self._set_limits({})
         self.quota = quotas.Quota(now=self.loop.now, settings=settings)
+        self.rollouts = rollouts.Rollouts(now=self.loop.now, chance=random.random, running=self._running_elsewhere)
         self.table = replicas.Table(loop=self.loop, settings=settings, share=self.quota.rate_share)
 
     def run(self) -> int:
@@ -58,7 +61,17 @@
         self.loop.run()
         return 0
 
+    def _running_elsewhere(self, service: str, target: str) -> int:
+        """Attempts under way at replicas of a service that have another version than the target."""
+        found = 0
+        for passage in self.passages:
+            replica = passage.attempt.replica if passage.attempt is not None else None
+            found += replica is not None and replica.service == service and replica.edition != target
+        return found
+
     def _beat(self) -> None:
+        if self.beats % self.rollouts.pace == 0:
+            self.tell_evidence()
         self.renew_entries()  # core nodes hear of this proxy by it
         self._beat_inner()
         self.table.sweep()
--- a/pw/dat/replicas.py
+++ b/pw/dat/replicas.py
@@ -22,6 +22,7 @@
         self.zone = row["zone"]
         self.region = region
         self.berths = row["berths"]
+        self.edition = row.get("edition", "")
         self.models = row["models"]
         self.adapters = None
         self.take_adapters(row, now=now)
--- /dev/null
+++ b/pw/dat/test_rollouts.py
@@ -0,0 +1,250 @@
+"""Which versions a proxy's requests go to, its leases, and what it counts."""
+
+import dataclasses
+import random
+import types
+
+import pytest
+
+from pw.base import evidence
+from pw.base import records
+from pw.ctl.rollouts import leases
+from pw.ctl.rollouts import state
+from pw.dat import attempts
+from pw.dat import rollouts
+from pw.dat.digest import source as sources
+
+CANARY = state.Rollout(
+    admitted=("v1",), target="v2", over_s=16.0, stage=state.Stage.CANARY, number=1, step=2, age_s=0.0
+)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 50.0
+
+    def __call__(self):
+        return self.now
+
+
+def replica(edition, name="i1"):
+    return types.SimpleNamespace(id=name, key=records.key_of(name), edition=edition)
+
+
+def payload(rollout):
+    return state.with_rollout(None, service="pool", rollout=rollout)
+
+
+def made(*, rollout=CANARY, chance=0.5, began=50.0):
+    clock = Clock()
+    clock.now = began
+    held = rollouts.Rollouts(now=clock, chance=lambda: chance, running=lambda service, target: 3)
+    held.install(payload(rollout))
+    return held, clock
+
+
+def lease(*, share=0.1, replicas=(), number=1, step=2):
+    return leases.Lease(service="pool", number=number, step=step, share=share, replicas=replicas)
+
+
+def give(held, *, life_s=2.5, **about):
+    number, _data = held.report()
+    held.take_leases(number=number, life_s=life_s, leases=[lease(**about)])
+
+
+def editions(held, *, is_first=True):
+    """Which of v1, v2, v3 each pool has, the preferred one first."""
+    return [
+        "".join(name for name in ("v1", "v2", "v3") if pool is None or pool.has(replica(name)))
+        for pool in held.pools(service="pool", is_first=is_first)
+    ]
+
+
+def test_a_service_that_nobody_knows_of_may_go_anywhere():
+    assert made()[0].pools(service="other", is_first=True) == (None,)
+
+
+def test_a_version_that_nobody_let_in_gets_nothing():
+    idle = state.Rollout(admitted=("v1",), step=1)
+    assert editions(made(rollout=idle)[0]) == ["v1"]
+    assert editions(made()[0]) == ["v1"]  # ordered, and no lease
+
+
+@pytest.mark.parametrize(
+    "stage, wanted", [(state.Stage.DRAINING, ["v2"]), (state.Stage.RETURNED, ["v1"]), (state.Stage.PROMOTING, ["v1"])]
+)
+def test_where_requests_go_without_a_lease(stage, wanted):
+    held, _clock = made(rollout=dataclasses.replace(CANARY, stage=stage, step=3))
+    assert editions(held) == wanted
+
+
+def test_after_delivery_the_former_version_gets_nothing():
+    held, _clock = made(
+        rollout=dataclasses.replace(CANARY, stage=state.Stage.DELIVERED, admitted=("v2",), refused=(), step=5)
+    )
+    assert editions(held) == ["v2"]
+
+
+def test_a_lease_of_all_prefers_the_new_version():
+    held, _clock = made(rollout=dataclasses.replace(CANARY, stage=state.Stage.PROMOTING, step=3))
+    give(held, share=1.0, step=3)
+    assert editions(held) == ["v2", "v1"]
+
+
+def test_what_failed_once_goes_to_the_former_version():
+    held, _clock = made(chance=0.99)
+    give(held, share=0.1)
+    assert editions(held, is_first=True) == ["v2", "v1"]
+    assert editions(held, is_first=False) == ["v1"]
+
+
+def test_a_lease_counts_from_when_its_report_was_sent():
+    held, clock = made(chance=0.99)
+    number, _data = held.report()
+    clock.now += 2.4
+    held.take_leases(number=number, life_s=2.5, leases=[lease()])
+    assert editions(held) == ["v2", "v1"]
+    clock.now += 0.2
+    assert editions(held) == ["v1"]
+
+
+def test_a_lease_that_was_not_asked_for_or_is_of_an_older_order_or_step_counts_for_nothing():
+    held, _clock = made(chance=0.99)
+    held.take_leases(number=7, life_s=9.0, leases=[lease()])
+    give(held, number=2)
+    give(held, step=1)
+    assert editions(held) == ["v1"]
+
+
+def test_a_late_answer_does_not_take_the_place_of_a_newer_lease():
+    held, clock = made(chance=0.99)
+    first, _data = held.report()
+    clock.now += 0.4
+    give(held, share=0.0)
+    held.take_leases(number=first, life_s=2.5, leases=[lease(share=0.5)])
+    assert editions(held) == ["v1"]
+
+
+def test_a_canary_names_the_replicas_that_it_may_go_to():
+    held, _clock = made(chance=0.99)
+    give(held, replicas=("i7",))
+    assert held.pools(service="pool", is_first=True)[0].replicas == ("i7",)
+
+
+@pytest.mark.parametrize("proxies", [1, 60, 330])
+@pytest.mark.parametrize("share", [0.05, 0.1, 0.3])
+def test_the_sum_over_all_proxies_keeps_to_the_share(proxies, share):
+    """Whatever each one's rate, and although some restart in the midst."""
+    chance = random.Random(proxies)
+    sent, sent_new = 0, 0
+    for _proxy in range(proxies):
+        requests = chance.randint(0, 80)
+        held, _clock = made(chance=chance.random())
+        give(held, share=share)
+        for turn in range(requests):
+            if turn == requests // 2 and chance.random() < 0.2:
+                held, _clock = made(chance=chance.random())
+                give(held, share=share)
+            edition = "v2" if editions(held)[0] == "v2" else "v1"
+            held.note_send(service="pool", replica=replica(edition))
+            sent += 1
+            sent_new += edition == "v2"
+    spread = 4.0 * (0.25 * proxies * 1.2) ** 0.5 + 1
+    assert abs(sent_new - share * sent) <= spread
+
+
+def test_what_could_not_be_sent_is_not_made_up_for_later():
+    held, _clock = made(chance=0.0)
+    give(held, share=0.5)
+    for _turn in range(200):
+        held.note_send(service="pool", replica=replica("v1"))
+    burst = 0
+    for _turn in range(4):
+        if editions(held)[0] == "v2":
+            held.note_send(service="pool", replica=replica("v2"))
+            burst += 1
+        else:
+            held.note_send(service="pool", replica=replica("v1"))
+    assert burst <= 3
+
+
+def attempt(edition="v2", **about):
+    told = {
+        "replica": replica(edition),
+        "outlet": types.SimpleNamespace(is_unsent=False),
+        "meaning": attempts.Meaning.SUCCESS,
+        "status": 200,
+        "is_complete": True,
+        "sent_at": 49.0,
+        "first_at": 49.5,
+        "last_at": 50.0,
+        "pieces": 6,
+        "arrival": None,
+    }
+    return types.SimpleNamespace(**{**told, **about})
+
+
+def counted(one, *, kind=sources.DONE, began=40.0):
+    """The tallies after one attempt's end; the order came at `began`."""
+    held, clock = made(began=began)
+    clock.now = 50.0
+    held.note_end(service="pool", route="r", attempt=one, kind=kind, aim_s=0.6, expected_s=0.1)
+    reports = evidence.unpack(held.report()[1])
+    return [tally for tally in reports[0].tallies.values()]
+
+
+def test_a_whole_answer_counts_with_its_times():
+    (tally,) = counted(attempt())
+    assert (tally.ended, tally.failed, tally.broken) == (1, 0, 0)
+    assert sum(tally.firsts.values()) == sum(tally.paces.values()) == 1
+
+
+def test_the_load_of_an_adapter_says_nothing_of_a_version():
+    (tally,) = counted(attempt(arrival=object()))
+    assert tally.ended == 1 and not tally.firsts and sum(tally.paces.values()) == 1
+
+
+@pytest.mark.parametrize(
+    "about, kind, wanted",
+    [
+        ({"meaning": attempts.Meaning.FAILURE, "status": 500}, sources.FAILED, (1, 1, 0)),
+        ({"is_complete": False}, sources.FAILED, (1, 0, 1)),
+        ({"is_complete": False, "first_at": None, "sent_at": 47.0}, sources.DONE, (1, 0, 0)),
+    ],
+)
+def test_how_ends_are_counted(about, kind, wanted):
+    (tally,) = counted(attempt(**about), kind=kind)
+    assert (tally.ended, tally.failed, tally.broken) == wanted
+
+
+@pytest.mark.parametrize(
+    "about",
+    [
+        {"outlet": types.SimpleNamespace(is_unsent=True)},
+        {"meaning": attempts.Meaning.NOT_RUN, "status": 503},
+        {"is_complete": False},  # its client left in good time: that says nothing of the replica
+    ],
+)
+def test_what_says_nothing_is_not_counted(about):
+    assert sum(tally.ended for tally in counted(attempt(**about))) == 0
+
+
+def test_an_attempt_that_began_before_the_order_is_not_counted():
+    assert counted(attempt(), began=49.5) == []
+
+
+def test_reports_are_of_roll_outs_under_way_alone():
+    held, _clock = made()
+    (report,) = evidence.unpack(held.report()[1])
+    assert (report.service, report.number, report.step, report.running_old) == ("pool", 1, 2, 3)
+    held.install(payload(dataclasses.replace(CANARY, stage=state.Stage.RETURNED, step=3)))
+    assert held.report() is None
+
+
+def test_counts_begin_anew_with_each_order():
+    held, clock = made(began=40.0)
+    clock.now = 50.0
+    held.note_end(service="pool", route="r", attempt=attempt(), kind=sources.DONE, aim_s=0.6, expected_s=0.1)
+    held.install(payload(dataclasses.replace(CANARY, number=2, step=9)))
+    (report,) = evidence.unpack(held.report()[1])
+    assert report.number == 2 and not report.tallies and report.sent == 0
--- a/pw/ops/caller.py
+++ b/pw/ops/caller.py
@@ -20,7 +20,7 @@
         self.addresses = tuple(addresses)
         self._limit_s = limit_s
 
-    def one(self, *, address: str, method: str, path: str, most_turns: int = 3) -> tuple:
+    def one(self, *, address: str, method: str, path: str, data: bytes = b"", most_turns: int = 3) -> tuple:
         """(status, body) of one node, or raises Unreachable."""
         url = f"http://{address}{path}"
         for _turn in range(most_turns):
@@ -28,6 +28,9 @@
             body = io.BytesIO()
             curl.setopt(pycurl.URL, url)
             curl.setopt(pycurl.CUSTOMREQUEST, method)
+            if data:
+                curl.setopt(pycurl.POSTFIELDS, data)
+                curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
             curl.setopt(pycurl.NOPROXY, "*")
             curl.setopt(pycurl.NOSIGNAL, 1)
             curl.setopt(pycurl.TIMEOUT_MS, int(self._limit_s * 1000))
@@ -49,12 +52,12 @@
         except ValueError:
             return status, None
 
-    def any(self, *, method: str, path: str) -> tuple:
+    def any(self, *, method: str, path: str, data: bytes = b"") -> tuple:
         """(status, body) of the first node that gives a clear answer."""
         last = None
         for address in self.addresses:
             try:
-                status, body = self.one(address=address, method=method, path=path)
+                status, body = self.one(address=address, method=method, path=path, data=data)
             except problems.Unreachable as fault:
                 last = fault
                 continue
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -11,6 +11,7 @@
 from pw.dat import leaving as leavings
 from pw.dat import quota as quotas
 from pw.dat import replicas
+from pw.dat import rollouts
 from pw.dat import routes as route_tables
 from pw.dat.adapters import counts
 from pw.sim import loopback
@@ -86,6 +87,7 @@
         self.routes = route_tables.Routes(body=CONFIGURATION)
         self.quota = quotas.Quota(now=loop.now, settings=self.settings)
         self.quota.take_entry("core", ("entry", share, share, 1000.0, 1.0, 0, 8))
+        self.rollouts = rollouts.Rollouts(now=loop.now, chance=lambda: 0.5, running=lambda service, target: 0)
         self.table = replicas.Table(loop=loop, settings=self.settings, share=self.quota.rate_share)
         self.table.install_services(route_tables.services(body=CONFIGURATION))
         self.chooser = choice.Chooser(
