--- a/ploverward.py
+++ b/ploverward.py
@@ -56,6 +56,7 @@
   rollout start SERVICE VERSION --over_s S   moves a service to another version of its software, if it proves good
   rollout status [SERVICE]                   where each roll-out stands, why, and on which evidence
   rollout watch SERVICE                      the same, until it is delivered (0) or returned (1)
+  tenants            limits of tenants, how they stand, their keys by digest
   core-set           who votes, who learns, how far each core node is, and how many further losses are borne
   pins               which adapters keep arriving cold, and which each replica should keep pinned
   keep FOLDER        keeps the configuration in force in a Git repository; keep FOLDER EDITION prints a kept one
@@ -248,6 +249,10 @@
         from pw.ops import core_set
 
         return core_set.run(caller=_caller(), as_json=FLAGS.json, out=print)
+    if verb == "tenants" and not rest:
+        from pw.ops import tenants
+
+        return tenants.run(caller=_caller(), as_json=FLAGS.json, out=print)
     if verb == "nodes" and not rest:
         return _nodes()
     if verb == "simulate" and not rest:
--- a/pw/base/wire.py
+++ b/pw/base/wire.py
@@ -49,10 +49,16 @@
     # share of slacks, share of rates, for how many seconds, the core node's own part, slot and slots (0: none), and the
     # number of the renewal that it answers: the seconds run from when that was sent
     "entry": (31, (REAL, REAL, REAL, REAL, NUMBER, NUMBER, NUMBER)),
-    "renew": (32, (NUMBER,)),  # a proxy asks for its entry
+    "renew": (
+        32,
+        (NUMBER, BLOB),
+    ),  # a proxy asks for its entry, and tells what it admitted of tenants (pw/base/tenants.py)
     # core to core: contact with a majority (pw/ctl/contact.py); number, version of the core set
     "heartbeat": (33, (NUMBER, NUMBER)),
-    "heartbeat_answer": (34, (NUMBER, NUMBER)),
+    "heartbeat_answer": (34, (NUMBER, NUMBER, NUMBER)),  # and the newest version of the configuration that it accepted
+    # how a proxy stands: the renewal answered, the newest configuration chosen, for how many seconds none may have been
+    # newer, proxies that count, credits for tenants close to their limits
+    "standing": (37, (NUMBER, NUMBER, REAL, NUMBER, BLOB)),
     # roll-outs: a proxy's evidence to the holder of the watch duty (pw/base/evidence.py), which asks for leases, and these
     "evidence": (35, (NUMBER, BLOB)),  # number, reports
     "leases": (
--- a/pw/ctl/configuration/models.py
+++ b/pw/ctl/configuration/models.py
@@ -39,6 +39,7 @@
     urgency: Whole = 0
     tries: Whole = pydantic.Field(default=1, ge=1)
     sticky: bool = False
+    keyless: bool = False
     resume: bool = False
     gapTargetMs: Number = 0
     homeRegions: list[str] = []
@@ -59,6 +60,17 @@
     warmupPerS: Number = pydantic.Field(default=0, ge=0)
 
 
+class Sender(_Open):
+    """A tenant: who may ask, and how much."""
+
+    name: str = pydantic.Field(min_length=1)
+    apiKeys: list[typing.Annotated[str, pydantic.Field(min_length=1)]] = []
+    urgency: Whole | None = None
+    perS: Number = pydantic.Field(default=0, ge=0)
+    burst: Number = pydantic.Field(default=0, ge=0)
+    homeRegions: list[str] = []
+
+
 class Limits(_Open):
     labelBytes: Whole = pydantic.Field(default=16384, ge=256)
     parcelBytes: Whole = pydantic.Field(default=4194304, ge=0)
@@ -71,15 +83,22 @@
     routes: list[Route]
     destinations: list[Destination]
     limits: Limits = Limits()
+    senders: list[Sender] | None = None
 
 
-def check(*, body: dict) -> Configuration:
+def validated(model: type, body: dict):
+    """`body` as this pydantic model. Raises InvalidConfiguration with the place of the first fault."""
     try:
-        configuration = Configuration.model_validate(body)
+        return model.model_validate(body)
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         place = ".".join(str(part) for part in first["loc"])
         raise problems.InvalidConfiguration(first["msg"], place=place) from None
+
+
+def check(*, body: dict) -> Configuration:
+    """A whole configuration. Raises InvalidConfiguration, and nothing else."""
+    configuration = validated(Configuration, body)
     names = set()
     for index, destination in enumerate(configuration.destinations):
         if destination.name in names:
@@ -109,4 +128,19 @@
                 )
         if sum(share for _name, share in portions) <= 0:
             raise problems.InvalidConfiguration("the shares sum to 0", place=f"routes.{index}.apportion")
+    _check_senders(configuration.senders or ())
     return configuration
+
+
+def _check_senders(senders) -> None:
+    """Names and keys stand once. What is said of a key never repeats it."""
+    names, holders = set(), {}
+    for index, sender in enumerate(senders):
+        if sender.name in names:
+            raise problems.InvalidConfiguration(f"'{sender.name}' stands twice", place=f"senders.{index}.name")
+        names.add(sender.name)
+        for number, key in enumerate(sender.apiKeys):
+            if holders.setdefault(key, sender.name) != sender.name:
+                raise problems.InvalidConfiguration(
+                    f"the key is held by '{holders[key]}' too", place=f"senders.{index}.apiKeys.{number}"
+                )
--- a/pw/ctl/configuration/patches.py
+++ b/pw/ctl/configuration/patches.py
@@ -3,7 +3,7 @@
 from pw.base import problems
 
 LIMITS = "limits"
-LISTS = ("routes", "destinations")
+LISTS = ("routes", "destinations", "senders")
 
 
 def merge(*, body: dict, patch: dict) -> dict:
--- a/pw/ctl/configuration/test_models.py
+++ b/pw/ctl/configuration/test_models.py
@@ -8,6 +8,7 @@
 from pw.base import problems
 from pw.ctl.configuration import models
 from pw.ctl.configuration import orders
+from pw.ctl.configuration import patches
 from pw.ctl.configuration import reading
 
 GOOD = {
@@ -126,3 +127,41 @@
         ],
     )
     assert len(models.check(body=body).routes) == 400
+
+
+def with_senders(*senders):
+    return models.check(body={"edition": 1, "routes": [], "destinations": [], "senders": list(senders)})
+
+
+def test_tenants_are_read():
+    senders = with_senders({"name": "a", "apiKeys": ["k", "l"], "perS": 2}, {"name": "b", "apiKeys": ["m"]}).senders
+    assert [(sender.name, len(sender.apiKeys)) for sender in senders] == [("a", 2), ("b", 1)]
+
+
+@pytest.mark.parametrize(
+    "senders, place",
+    [
+        (({"name": "a", "apiKeys": ["secret"]}, {"name": "b", "apiKeys": ["secret"]}), "senders.1.apiKeys.0"),
+        (({"name": "a"}, {"name": "a"}), "senders.1.name"),
+        (({"name": ""},), "senders.0.name"),
+        (({"name": "a", "perS": -1},), "senders.0.perS"),
+        (({"name": "a", "perS": "9"},), "senders.0.perS"),
+        (({"name": "a", "apiKeys": [7]},), "senders.0.apiKeys.0"),
+        (({"apiKeys": ["secret"]},), "senders.0.name"),
+    ],
+)
+def test_tenants_that_are_none_name_the_place_and_never_a_key(senders, place):
+    with pytest.raises(problems.InvalidConfiguration) as caught:
+        with_senders(*senders)
+    assert caught.value.place == place and "secret" not in str(caught.value)
+
+
+def test_a_patch_that_gives_a_key_to_a_second_tenant_is_invalid():
+    body = {"edition": 1, "routes": [], "destinations": [], "senders": [{"name": "a", "apiKeys": ["secret"]}]}
+    merged = patches.merge(
+        body=body, patch={"edition": 2, "upsert": {"senders": [{"name": "b", "apiKeys": ["secret"]}]}}
+    )
+    with pytest.raises(problems.InvalidConfiguration):
+        models.check(body=merged)
+    freed = patches.merge(body=body, patch={"edition": 2, "withdraw": {"senders": ["a"]}})
+    assert models.check(body=freed).senders == []
--- a/pw/ctl/contact.py
+++ b/pw/ctl/contact.py
@@ -24,10 +24,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Answer:
-    """A voter's answer; `version` is the newest version of the core set that it has accepted."""
+    """A voter's answer: the newest versions of the core set and of the configuration that it has accepted."""
 
     number: int
     version: int
+    configuration: int = 0
 
 
 class Contact:
@@ -40,6 +41,8 @@
         self._number = 0
         self._sent = {}  # number: time of sending
         self._heard = {}  # member: (sent at, version) of the newest heartbeat that it answered
+        self._configurations = {}  # member: the configuration that it told with that answer
+        self._fresh_as_of = float("-inf")
         self.newest_version = 0  # the newest version that any voter told
 
     def next_heartbeat(self, *, version: int) -> Heartbeat:
@@ -58,6 +61,7 @@
         held = self._heard.get(member)
         if held is None or sent_at > held[0]:
             self._heard[member] = (sent_at, answer.version)
+            self._configurations[member] = answer.configuration
 
     def answered_within(self, *, member: str, span_s: float) -> bool:
         """Whether this voter answered a heartbeat sent within the last `span_s` seconds."""
@@ -90,6 +94,25 @@
             return 0.0
         return sorted(supported, reverse=True)[needed - 1] + self._lease_s
 
+    def fresh_as_of(
+        self, *, members: tuple, version: int, known: int, accepted: int, is_supporting: bool = True
+    ) -> float:
+        """The latest moment, on this node's clock, at which no configuration newer than `known` was acknowledged.
+
+        What is acknowledged was accepted by a majority before; so a majority of answers to heartbeats sent later names it.
+        `known`: the newest version that this node knows to be chosen; `accepted`: the newest that it accepted itself.
+        """
+        rows = [(self._now(), accepted)] if is_supporting and self._own in members else []
+        for member in members:
+            sent_at, told_version = self._heard.get(member, (0.0, 0))
+            if member != self._own and sent_at and told_version <= version:
+                rows.append((sent_at, self._configurations[member]))
+        needed = ballots.majority(members) if members else 1
+        newest = sorted(rows, reverse=True)[:needed]
+        if len(newest) == needed and all(told <= known for _sent_at, told in newest):
+            self._fresh_as_of = max(self._fresh_as_of, newest[-1][0])
+        return self._fresh_as_of
+
     def has_majority(self, *, members: tuple, version: int, is_supporting: bool = True) -> bool:
         """Whether a majority of these members confirmed this version within the lease."""
         return self._now() < self.lease_until(members=members, version=version, is_supporting=is_supporting)
--- a/pw/ctl/core.py
+++ b/pw/ctl/core.py
@@ -7,6 +7,7 @@
 from pw.ctl import core_set as core_sets
 from pw.ctl import interfaces
 from pw.ctl import membership
+from pw.ctl import metering
 from pw.ctl import registers
 from pw.ctl import runtime as runtimes
 from pw.ctl import voting
@@ -56,6 +57,7 @@
         )
         self.spec = None
         self.out_zones = set()
+        self.has_tenants = False
         self._beats = 0
         self.file_watch = self.runtime.file_watch()
         self.watch = self.runtime.watch(
@@ -94,6 +96,15 @@
             stale_after_s=self.contact_s,
         )
 
+        self.meter = metering.Meter(
+            now=self.loop.now,
+            bounds=metering.Bounds(
+                window_s=self.settings.bound(name="quotaWindowS", default=5),
+                excess=self.settings.bound(name="quotaExcess"),
+                slack=self.settings.bound(name="quotaSlack"),
+            ),
+            part=self.rate_parts.value,
+        )
         self.rollout_duty = rollout_duties.RolloutDuty(
             settings=self.settings,
             now=self.loop.now,
@@ -112,6 +123,8 @@
             self.loop.command(act=self._watch_over)
         elif name == "spec":
             self.spec = payload["body"] if payload else None
+            self.has_tenants = (self.spec or {}).get("senders") is not None
+            self.meter.install(self.spec)
         elif name == registers.EVACUATIONS:
             self.out_zones = evacuations.zones_of(payload)
         elif name == registers.ROLLOUTS:
@@ -158,6 +171,7 @@
             configuration=lambda: self.spec,
             duties=lambda: self.duties,
             votes=lambda: self.acceptor.votes,
+            meter=self.meter,
             ttl_s=self.ttl_s,
             contact_s=self.contact_s,
             receipt_s=self.receipt_s,
--- a/pw/ctl/interfaces.py
+++ b/pw/ctl/interfaces.py
@@ -8,6 +8,7 @@
 from pw.ctl import dispatch
 from pw.ctl import reports
 from pw.ctl import router
+from pw.ctl import tenant_views
 
 HEAD_BYTES = 65536
 BODY_BYTES = 16 * 1024 * 1024
@@ -50,6 +51,7 @@
         duties,
         votes,
         core_set,
+        meter,
         ttl_s: int,
         contact_s: float,
         receipt_s: float,
@@ -89,7 +91,8 @@
         self.custody = reports.Custody(
             loop=loop, proxies=proxies, settings=settings, contact_s=contact_s, receipt_s=receipt_s
         )
-        parts = (self.dispatch, self.directory, self.views, self.adapters, self.custody)
+        self.tenants = tenant_views.TenantViews(configuration=configuration, meter=meter)
+        parts = (self.dispatch, self.directory, self.views, self.adapters, self.custody, self.tenants)
         self._router = router.Router(rules=[rule for part in parts for rule in part.rules()])
         self._loop = loop
         self._make_hall = make_hall
--- a/pw/ctl/membership.py
+++ b/pw/ctl/membership.py
@@ -1,6 +1,7 @@
 """Links to proxies and core nodes, leases, duties and the core set (design 4, 5)."""
 
 from pw.base import ring
+from pw.base import tenants
 from pw.ctl import contact as contacts
 from pw.ctl import core_set as core_sets
 from pw.ctl import registers
@@ -9,6 +10,9 @@
 from pw.ctl.rollouts import ledger as ledgers
 
 
+UNKNOWN_AGE_S = 1e6  # of a configuration of which this node knows nothing certain
+
+
 class Peer:
     """What this core node knows of one proxy or core node, while its link lives."""
 
@@ -169,7 +173,9 @@
     def has_majority_contact(self) -> bool:
         """Whether a majority of the agreed core set confirmed it to this node within the lease (docs/control.md 2)."""
         members, version = self.agreed_set()
-        is_supporting = self.voting.is_voter and self._accepted_version() <= version  # as any other voter's answer
+        is_supporting = (
+            self.voting.is_voter and self._accepted_version(registers.CORE_SET) <= version
+        )  # as any other voter's answer
         return self.contact.has_majority(members=members, version=version, is_supporting=is_supporting)
 
     def agreed_set(self) -> tuple:
@@ -177,21 +183,23 @@
         version = self.desk.serial(registers.CORE_SET)[1]
         return (self.core_members if version else self.members()), version
 
-    def _accepted_version(self) -> int:
-        """The newest version of the core set that this node accepted, chosen or not."""
-        return max(self.acceptor.get(registers.CORE_SET)[2], self.desk.serial(registers.CORE_SET)[1])
+    def _accepted_version(self, name: str) -> int:
+        """The newest version of a register that this node accepted, chosen or not."""
+        return max(self.acceptor.get(name)[2], self.desk.serial(name)[1])
 
     def _answer_heartbeat(self, link, message: tuple) -> None:
         _kind, number, version = message
         if self.voting.is_voter:
-            link.send(("heartbeat_answer", number, self._accepted_version()))
+            configuration = self._accepted_version(registers.CONFIGURATION)
+            link.send(("heartbeat_answer", number, self._accepted_version(registers.CORE_SET), configuration))
         self._catch_up(version)
 
     def _take_heartbeat_answer(self, link, message: tuple) -> None:
-        _kind, number, version = message
+        _kind, number, version, configuration = message
         member = self._member_of(link)
         if member:
-            self.contact.take_answer(member=member, answer=contacts.Answer(number=number, version=version))
+            answer = contacts.Answer(number=number, version=version, configuration=configuration)
+            self.contact.take_answer(member=member, answer=answer)
         self._catch_up(version)
 
     def _catch_up(self, version: int) -> None:
@@ -221,9 +229,28 @@
         None is told without contact with a majority of the agreed core set; older ones run out by themselves.
         """
         peer = self.peers.get(link)
-        if peer is None or peer.role != "proxy" or peer.is_leaving or not self.has_majority_contact():
+        if peer is None or peer.role != "proxy" or not self.has_majority_contact():
             return
-        link.send(("entry", *self._grant(peer), message[1]))
+        _kind, number, usage = message
+        if not peer.is_leaving:
+            link.send(("entry", *self._grant(peer), number))
+        if self.has_tenants:
+            self.meter.take(proxy=peer.address, life=peer.life, rows=tenants.unpack_usage(usage))
+            credits = tenants.pack_credits(self.meter.credits(proxy=peer.address))
+            link.send(("standing", number, *self._freshness(), self.meter.proxies(), credits))
+
+    def _freshness(self) -> tuple:
+        """(newest configuration known as chosen, for how many seconds none newer may have been acknowledged)."""
+        members, version = self.agreed_set()
+        known = self.desk.serial(registers.CONFIGURATION)[1]
+        as_of = self.contact.fresh_as_of(
+            members=members,
+            version=version,
+            known=known,
+            accepted=self._accepted_version(registers.CONFIGURATION),
+            is_supporting=self.voting.is_voter and self._accepted_version(registers.CORE_SET) <= version,
+        )
+        return known, min(UNKNOWN_AGE_S, self.loop.now() - as_of)
 
     def proxy_origins(self) -> list:
         """The lives of proxies in touch, as they sign their evidence."""
--- a/pw/ctl/rollouts/orders.py
+++ b/pw/ctl/rollouts/orders.py
@@ -1,11 +1,11 @@
 """Orders of roll-outs and the edits of the register that orders and steps make (docs/rollouts.md 2)."""
 
 import dataclasses
-import math
 
 import pydantic
 
 from pw.base import problems
+from pw.ctl.configuration import models
 from pw.ctl.configuration import reading
 from pw.ctl.rollouts import state
 
@@ -34,15 +34,7 @@
 
 def read(*, data: bytes) -> Order:
     """The order in a call's body. Raises InvalidConfiguration, with the place of the fault."""
-    body = reading.read_json(data=data)
-    try:
-        checked = _Body.model_validate(body)
-    except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        place = ".".join(str(part) for part in first["loc"])
-        raise problems.InvalidConfiguration(first["msg"], place=place) from None
-    if not math.isfinite(checked.overS):
-        raise problems.InvalidConfiguration("not a finite number", place="overS")
+    checked = models.validated(_Body, reading.read_json(data=data))
     return Order(service=checked.destination, target=checked.targetEdition, over_s=checked.overS)
 
 
--- /dev/null
+++ b/pw/ctl/test_metering.py
@@ -0,0 +1,180 @@
+"""Counts of tenants merged at a core node, and the credits that it hands out."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from pw.base import problems
+from pw.base import tenants
+from pw.ctl import metering
+from pw.sim import quota_world
+
+BOUNDS = metering.Bounds(window_s=5.0, excess=0.1, slack=20.0)
+NAMES = ("a", "b", "c")
+BODY = {"senders": [{"name": name, "perS": 10, "burst": 10} for name in NAMES] + [{"name": "free", "perS": 0}]}
+
+
+class Clock:
+    def __init__(self):
+        self.now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def meter(*, part=1.0, body=BODY):
+    clock = Clock()
+    made = metering.Meter(now=clock, bounds=BOUNDS, part=lambda: part)
+    made.install(body)
+    clock.now += 60.0  # all buckets are full
+    return made, clock
+
+
+def usage(name="a", *, demand=1, admitted=1):
+    return tenants.Usage(tenant=tenants.tenant_key(name), demand=demand, admitted=admitted)
+
+
+def level(made, name="a"):
+    return made.view()[tenants.tenant_key(name).hex()]["level"]
+
+
+reports = st.lists(
+    st.tuples(st.sampled_from(("p", "q")), st.sampled_from(("1", "2")), st.sampled_from(NAMES), st.integers(0, 9)),
+    max_size=30,
+)
+
+
+@hypothesis.given(reports, st.randoms(use_true_random=False))
+def test_merging_is_the_same_after_repeats_and_in_any_order(rows, chance):
+    """Within one life of each proxy; the greatest count of each stands."""
+    rows = [(proxy, "1", name, admitted) for proxy, _life, name, admitted in rows]
+    first, _clock = meter()
+    second, _clock = meter()
+    shuffled = rows + rows[: len(rows) // 2]
+    chance.shuffle(shuffled)
+    for made, told in ((first, rows), (second, shuffled)):
+        for proxy, life, name, admitted in told:
+            made.take(proxy=proxy, life=life, rows=[usage(name, demand=0, admitted=admitted)])
+    assert [level(first, name) for name in NAMES] == [level(second, name) for name in NAMES]
+    for name in NAMES:
+        most = {proxy: max([row[3] for row in rows if row[0] == proxy and row[2] == name], default=0) for proxy in "pq"}
+        depth = first.view()[tenants.tenant_key(name).hex()]["depth"]
+        assert level(first, name) == pytest.approx(depth - sum(most.values()), abs=0.02)
+
+
+def test_a_new_life_counts_from_nothing():
+    made, _clock = meter()
+    made.take(proxy="p", life="1", rows=[])
+    made.take(proxy="p", life="1", rows=[usage(admitted=7)])
+    before = level(made)
+    made.take(proxy="p", life="2", rows=[usage(admitted=3)])
+    assert level(made) == pytest.approx(before - 3, abs=0.02)
+
+
+def test_a_tenant_far_from_its_limit_wants_no_credits_and_one_close_to_it_does():
+    made, clock = meter()
+    made.take(proxy="p", life="1", rows=[usage(admitted=3)])
+    assert made.credits(proxy="p") == []
+    made.take(proxy="p", life="1", rows=[usage(admitted=16)])
+    assert [row.tenant for row in made.credits(proxy="p")] == [tenants.tenant_key("a")]
+    clock.now += 60.0
+    made.take(proxy="p", life="1", rows=[])
+    assert made.credits(proxy="p") == []
+
+
+@pytest.mark.parametrize("proxies", [1, 10, 200])
+def test_credits_of_all_proxies_add_up_to_this_nodes_part(proxies):
+    made, clock = meter(part=0.2)
+    chance = random.Random(proxies)
+    given = 0.0
+    names = [f"p{number}" for number in range(proxies)]
+    elsewhere = 14  # let in by the credits of the other core nodes, which give out what this one does not
+    made.take(proxy="p0", life="1", rows=[usage(admitted=elsewhere)])
+    left = level(made)
+    for _beat in range(25):
+        for name in names:
+            clock.now += 0.4 / proxies
+            elsewhere += 10 * 0.8 * 0.4 / proxies
+            spent = int(elsewhere + given) if name == "p0" else 0
+            made.take(proxy=name, life="1", rows=[usage(demand=chance.randint(1, 9), admitted=spent)])
+            given += sum(row.tokens for row in made.credits(proxy=name))
+    assert (
+        0 < given <= 0.2 * 10 * 10.0 + left + 2.0
+    )  # its part of the rate, what was in the bucket, and what one beat hides
+
+
+def test_in_debt_nothing_is_given_and_the_debt_has_an_end():
+    made, clock = meter()
+    made.take(proxy="p", life="1", rows=[usage(demand=50, admitted=1000)])
+    assert [row.tokens for row in made.credits(proxy="p")] == [0.0]
+    clock.now += 5.5
+    made.take(proxy="p", life="1", rows=[usage(demand=50, admitted=1000)])
+    assert [row.tokens > 0 for row in made.credits(proxy="p")] == [True]
+
+
+def test_proxies_out_of_touch_have_their_even_part_set_aside():
+    made, clock = meter()
+    for name in ("p", "q"):
+        made.take(proxy=name, life="1", rows=[])
+    clock.now += 3.0
+    made.take(proxy="p", life="1", rows=[])
+    assert made.proxies() == 2 and made._share() == pytest.approx(0.5)
+
+
+def test_a_lowered_limit_takes_off_what_was_saved_up():
+    made, _clock = meter()
+    made.install({"senders": [{"name": "a", "perS": 2, "burst": 1}]})
+    assert level(made) <= 1 + metering.MOST_DEPTH_PART * BOUNDS.error(tenants.Limit(per_s=2, burst=1))
+    assert set(made.view()) == {tenants.tenant_key("a").hex()}
+
+
+def test_rows_come_back_as_they_were_packed():
+    rows = [usage("a", demand=3, admitted=70000), usage("b")]
+    assert tenants.unpack_usage(tenants.pack_usage(rows)) == rows
+    assert tenants.unpack_credits(tenants.pack_credits([tenants.Credit(b"12345678", 0.5)])) == [
+        tenants.Credit(b"12345678", 0.5)
+    ]
+    for data in (b"x", b"x" * 15):
+        with pytest.raises(problems.FrameProblem):
+            tenants.unpack_usage(data)
+
+
+@pytest.mark.parametrize(
+    "troubles",
+    [("none",), ("hot",), ("cut_region", "hot"), ("restart_all", "hot"), ("restart_core", "hot"), ("lower", "hot")],
+)
+def test_no_window_passes_the_bound(troubles):
+    for seed in range(2):
+        report = quota_world.play(seed, troubles=troubles)
+        assert not report.over, report
+        if troubles == ("none",):
+            assert report.refused_below <= 0.004 * report.asked, report
+
+
+def test_a_restart_of_all_core_nodes_costs_the_tenants_little():
+    """What proxies admitted in their whole lives is no debt of now."""
+    for seed in range(2):
+        report = quota_world.play(seed, troubles=("restart_core",))
+        assert not report.over and report.refused_below <= 0.03 * report.asked, report
+
+
+def test_planted_run_ahead_without_a_bound_is_found(monkeypatch):
+    from pw.dat import tenants as proxy_tenants
+
+    monkeypatch.setattr(proxy_tenants.Allowance, "_may", lambda self, tenant, limit: True)
+    assert any(quota_world.play(seed, troubles=("hot",)).over for seed in range(4))
+
+
+def test_planted_merging_by_adding_is_found(monkeypatch):
+    """Each report counts as if it were new: tenants are refused although they ask little."""
+
+    def take(self, *, proxy, life, rows):
+        self._admitted[proxy] = {}
+        real(self, proxy=proxy, life=life, rows=rows)
+
+    real = metering.Meter.take
+    monkeypatch.setattr(metering.Meter, "take", take)
+    report = quota_world.play(0, troubles=("none",))
+    assert report.refused_below > 0.01 * report.asked
--- a/pw/dat/attempts.py
+++ b/pw/dat/attempts.py
@@ -16,6 +16,9 @@
         b"x-urgency",
     )
 )
+TENANT_NAMES = frozenset(
+    (b"authorization", b"x-sender")
+)  # a key goes nowhere, and a tenant is named by this system alone
 MOST_URGENCY = 9
 
 
@@ -48,15 +51,22 @@
     ]
 
 
-def request_head(*, request, route, replica_id: str, left_s: float, last_id) -> h11.Request:
-    """The client's head as one replica gets it."""
+def request_head(
+    *, request, route, replica_id: str, left_s: float, last_id, has_tenants: bool = False, sender=None
+) -> h11.Request:
+    """The client's head as one replica gets it. `sender`: the tenant; `has_tenants`: whether there are any."""
+    dropped = NOT_PASSED_ON | TENANT_NAMES if has_tenants else NOT_PASSED_ON
     headers = [
-        (name, value) for name, value in request.headers if name not in outlets.HOP_NAMES and name not in NOT_PASSED_ON
+        (name, value) for name, value in request.headers if name not in outlets.HOP_NAMES and name not in dropped
     ]
+    urgency = route.urgency
+    if sender is not None:
+        headers.append((b"X-Sender", sender.name.encode()))
+        urgency = route.urgency if sender.urgency is None else sender.urgency
     headers.append((b"X-Time-Left-Ms", b"%d" % max(1, int(left_s * 1000))))
     headers.append((b"X-Addressed-Replica", replica_id.encode()))
     if route.is_sticky:
-        headers.append((b"X-Urgency", b"%d" % max(0, min(MOST_URGENCY, route.urgency))))
+        headers.append((b"X-Urgency", b"%d" % max(0, min(MOST_URGENCY, urgency))))
     if last_id is not None:
         headers.append((b"Last-Event-Id", last_id))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
--- a/pw/dat/filters.py
+++ b/pw/dat/filters.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from pw.dat import tenants
 from pw.dat.relay import ckf
 
 NOT_SERVING_PAUSE_S = 0.5  # until the client may come back while this proxy serves nothing yet
@@ -54,6 +55,22 @@
     return routes.find(host=request.text(b"host"), target=request.target)
 
 
+def read_sender(*, request, route, proxy):
+    """The tenant whose key the request bears, None where none is wanted, or Refused."""
+    senders = proxy.routes.senders
+    if senders is None or route.is_keyless:
+        return None
+    rows = [value for name, value in request.headers if name == b"authorization"]
+    key = tenants.key_of(rows[0]) if len(rows) == 1 else b""
+    sender = senders.find(key) if key else None
+    verdict = proxy.trust.verdict(sender=sender, has_key=bool(key), age_s=proxy.configuration_age_s())
+    if verdict is tenants.Verdict.UNKNOWN:
+        return Refused(status=401)
+    if verdict is tenants.Verdict.UNSURE:
+        return Refused(status=503, after_s=proxy.reach_s)
+    return sender
+
+
 def read_times(*, request, route):
     """Times, or Refused where the time left is not a number."""
     left_s = route.expiry_s
--- a/pw/dat/follow.py
+++ b/pw/dat/follow.py
@@ -4,6 +4,7 @@
 from pw.base import link as links
 from pw.base import residency
 from pw.base import ring
+from pw.base import tenants as tenant_rows
 from pw.ctl import registers
 from pw.ctl import watch_duty
 from pw.ctl.news import desk as desks
@@ -46,7 +47,7 @@
                 address=(host, self.settings.core_port),
                 on_up=self._hail,
                 on_message=lambda link, message, host=host: self._take_news(host, link, message),
-                on_end=self._core_gone,
+                on_end=lambda link, _reason, host=host: self._core_gone(host, link),
                 silence_s=self.silence_s,
             )
         for host in [host for host in self.core_dialers if host not in wanted]:
@@ -57,7 +58,8 @@
         link.send(("hello", "proxy", self.settings.ip, self.settings.zone, self.settings.region, self.life, public))
         link.send(("state", self.is_serving and not self.is_leaving, self.is_leaving))
 
-    def _core_gone(self, link, _reason) -> None:
+    def _core_gone(self, host: str, link) -> None:
+        self.allowance.forget(core=host)
         self.near_links.discard(link)
         self.follower.drop(link)
 
@@ -89,6 +91,8 @@
             link.send(("kept", message[1], self._keepers(message[2], message[3], message[4])))
         elif kind == "entry":
             self._take_entry(link, message)
+        elif kind == "standing":
+            self._take_standing(host, message)
         elif kind == "leases":
             _kind, number, life_s, pace, data = message
             self.rollouts.pace = max(1, pace)
@@ -104,7 +108,11 @@
         self._renewal += 1
         self._renewed_at[self._renewal] = self.loop.now()
         self._renewed_at.pop(self._renewal - RENEWALS_KEPT, None)
-        self._tell_core(("renew", self._renewal))
+        for host, dialer in self.core_dialers.items():
+            if dialer.link is not None and dialer.link.is_up:
+                usage = self.allowance.report(core=host) if self.allowance.is_on else b""
+                dialer.link.send(("renew", self._renewal, usage))
+        self.allowance.end_report()
 
     def _take_entry(self, link, message: tuple) -> None:
         sent_at = self._renewed_at.get(message[-1])
@@ -112,6 +120,20 @@
             # By the core node's address: the entry of an ended link and that of its successor are one.
             self.quota.take_entry(link.peer, message[:-1], sent_at=sent_at)
 
+    def _take_standing(self, host: str, message: tuple) -> None:
+        """How fresh the configuration here is, and what may be admitted: as of when it was asked."""
+        _kind, number, version, age_s, proxies, credits = message
+        asked_at = self._renewed_at.get(number)
+        if asked_at is not None:
+            self.standing.take(core=host, version=version, asked_at=asked_at, age_s=age_s)
+            self.allowance.take(
+                core=host, asked_at=asked_at, proxies=proxies, credits=tenant_rows.unpack_credits(credits)
+            )
+
+    def configuration_age_s(self) -> float:
+        """Seconds since a moment at which nothing newer was acknowledged than what this proxy has."""
+        return self.standing.age_s(version=self.follower.serials.get(registers.CONFIGURATION, (0, 0))[1])
+
     def tell_evidence(self) -> None:
         """What was counted of roll-outs under way, to the holder of the watch duty, which answers with leases."""
         _epoch, holder, _life = self.duties.get(watch_duty.WATCH, (0, "", ""))
@@ -174,6 +196,7 @@
                 self.routes = route_tables.Routes(body=payload["body"])
                 self.table.install_services(route_tables.services(body=payload["body"]))
                 self._set_limits(payload["body"].get("limits") or {})
+                self.allowance.install(payload["body"])
             elif topic == "evac":
                 self.table.install_evacuations((payload or {}).get("zones", ()))
             elif topic == registers.ROLLOUTS:
@@ -202,12 +225,20 @@
         now = self.loop.now()
         self.older_homes = [row for row in self.older_homes if row[0] > now]
         if self.routes.edition:
-            self.older_homes.append((now + self.settings.bound_s(name="applyMs"), self.routes.homes()))
+            until = now + self.settings.bound_s(name="applyMs")
+            self.older_homes.append((until, self.routes.homes(), self.routes.sender_homes()))
 
-    def permitted(self, *, route, first_homes):
+    def permitted(self, *, route, first_homes, sender=None):
+        """The regions that a request of this route and tenant may go to, None for all; both bind, and so do older ones."""
         now = self.loop.now()
-        older = [homes.get(route.name, ()) for until, homes in self.older_homes if until > now]
-        return residency.permitted(homes=route.homes, older=(*older, first_homes))
+        bound = [first_homes]
+        for until, homes, sender_homes in self.older_homes:
+            if until > now:
+                bound.append(homes.get(route.name, ()))
+                bound.append(sender_homes.get(sender.name, ()) if sender is not None else ())
+        if sender is not None:
+            bound.append(sender.homes)
+        return residency.permitted(homes=route.homes, older=tuple(bound))
 
     def _set_limits(self, body: dict) -> None:
         self.limits = inlet.Limits(
--- a/pw/dat/passage.py
+++ b/pw/dat/passage.py
@@ -12,6 +12,7 @@
 
 BUFFER_LIMIT = 512 * 1024
 LIMITED_STATUSES = (408, 421, 429, 503)
+PROMISES = (429, 503)  # said here, they mean that the request has not run
 MOST_ATTEMPTS = 6  # with those of which no byte left
 LEAST_LEFT_S = 0.05  # of a request's time, for one more attempt
 WAIT_PART = 0.2  # of the aim: how long a request waits for a replica that can be named
@@ -33,6 +34,8 @@
         self.request_id = request.header(b"x-attempt-id")
         self.route = None
         self.service = ""
+        self.sender = None
+        self.is_counted = False  # against the tenant's quota
         self.permitted = None
         self.first_homes = ()
         self.model = filters.NO_MODEL
@@ -65,8 +68,8 @@
     def begin(self) -> None:
         refused = self.filter()
         if refused is not None:
-            if refused.status == 503:
-                self.reject(after_s=refused.after_s)
+            if refused.status in (429, 503):
+                self.answer(status=refused.status, headers=[(b"Retry-After", b"%.2f" % refused.after_s)])
             else:
                 self.answer(status=refused.status)
             return
@@ -82,8 +85,12 @@
         route = filters.find_route(request=self.request, routes=self.proxy.routes)
         if route is None:
             return filters.Refused(status=404)
+        sender = filters.read_sender(request=self.request, route=route, proxy=self.proxy)
+        if isinstance(sender, filters.Refused):
+            return sender
         self.route = route
-        self.first_homes = tuple(sorted(self.proxy.permitted(route=route, first_homes=()) or ()))
+        self.sender = sender
+        self.first_homes = tuple(sorted(self.proxy.permitted(route=route, first_homes=(), sender=sender) or ()))
         self.service = route.pick(random.random())
         self.resolve_model()
         times = filters.read_times(request=self.request, route=route)
@@ -94,9 +101,18 @@
             return filters.Refused(status=503, after_s=LATE_PAUSE_S)  # read late, by a freeze or a slow client
         if not self.proxy.leaving.may_take(deadline=self.deadline):
             return filters.Refused(status=503, after_s=LEAVING_PAUSE_S)
+        if not self.is_within_quota():
+            return filters.Refused(status=429, after_s=self.aim_s * COME_BACK_PART)
         self.prompt = filters.read_prompt(request=self.request, model_text=self.model.text, is_sticky=route.is_sticky)
         return None
 
+    def is_within_quota(self) -> bool:
+        """The last filter: what it lets in counts against the tenant's quota."""
+        if self.sender is None or self.sender.limit is None:
+            return True
+        self.is_counted = self.proxy.allowance.admit(self.sender.key)
+        return self.is_counted
+
     def resolve_model(self) -> None:
         self.model = filters.read_model(
             text=self.request.text(b"x-model"), service=self.service, table=self.proxy.table
@@ -117,7 +133,7 @@
             self.give_up()
             return
         self.turns += 1
-        self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes)
+        self.permitted = self.proxy.permitted(route=self.route, first_homes=self.first_homes, sender=self.sender)
         replica, to_read, is_any = self.choose()
         if replica is None:
             # Nobody in reach comes back less soon than somebody full.
@@ -144,6 +160,10 @@
             return False
         if self.unclear and not route.is_repeatable:
             return False
+        sender = filters.read_sender(request=self.request, route=route, proxy=self.proxy)
+        if isinstance(sender, filters.Refused):
+            return False  # its key was taken away meanwhile
+        self.sender = sender
         if not any(name == self.service for name, _share in route.portions):
             self.service = route.pick(random.random())
             self.resolve_model()
@@ -211,6 +231,8 @@
             replica_id=replica.id,
             left_s=self.deadline - now,
             last_id=self.stream.last_id if self.stream is not None else self.last_id,
+            has_tenants=self.proxy.routes.senders is not None,
+            sender=self.sender,
         )
         outlet.take(attempt, head=head, body=self.request.body)
         if attempt is self.attempt and self.is_repeatable:
@@ -545,6 +567,8 @@
         for timer in (self.retry_timer, self.watch_timer, self.limit_timer):
             self.loop.cancel(timer=timer)
         self.proxy.passages.discard(self)
+        if self.is_counted and not self.unclear and not self.has_head and status in PROMISES:
+            self.proxy.allowance.give_back(self.sender.key)
         if self.route is not None:
             self.proxy.batches.add(custody.trail_of(passage=self, proxy=self.proxy, status=status))
 
--- a/pw/dat/proxy.py
+++ b/pw/dat/proxy.py
@@ -18,6 +18,7 @@
 from pw.dat import rollouts
 from pw.dat import routes as route_tables
 from pw.dat import serving
+from pw.dat import tenants
 
 
 class Proxy(follow.FollowMixin, relaying.RelayMixin, serving.ServeMixin):
@@ -33,7 +34,10 @@
         self.leaving = leavings.Leaving(now=self.loop.now, grace_s=settings.bound(name="graceS"))
         self.duties = {}
         self.routes = route_tables.Routes()
-        self.older_homes = []  # (until, homes by route name)
+        self.older_homes = []  # (until, homes by route name, homes by tenant)
+        self.standing = tenants.Standing(now=self.loop.now)
+        self.trust = tenants.Trust.of(settings)
+        self.allowance = tenants.Allowance(now=self.loop.now, lease_s=self.contact_s * tenants.LEASE_CONTACTS)
         self.batches = custody.Batches(most=200)
         self._set_limits({})
         self.quota = quotas.Quota(now=self.loop.now, settings=settings)
--- a/pw/dat/routes.py
+++ b/pw/dat/routes.py
@@ -1,5 +1,7 @@
 """Routes of the configuration in force: by host and longest prefix (design 7)."""
 
+from pw.dat import tenants
+
 
 class Route:
     def __init__(self, *, body: dict):
@@ -10,6 +12,7 @@
         self.gap_s = float(body.get("gapTargetMs") or 0) / 1000.0
         self.urgency = int(body.get("urgency") or 0)
         self.tries = int(body.get("tries") or 1)
+        self.is_keyless = bool(body.get("keyless"))
         self.is_sticky = bool(body.get("sticky"))
         self.is_stream = self.kind == "streaming"
         self.is_resumable = bool(body.get("resume"))
@@ -32,6 +35,7 @@
 class Routes:
     def __init__(self, *, body=None):
         self.edition = body["edition"] if body else 0
+        self.senders = tenants.senders_of(body)  # None: nobody needs a key
         self._hosts = {}
         for row in (body or {}).get("routes", ()):
             self._hosts.setdefault(row["host"].lower(), {})[row["pathLead"]] = Route(body=row)
@@ -40,6 +44,11 @@
         """Route name: its home regions."""
         return {route.name: route.homes for table in self._hosts.values() for route in table.values()}
 
+    def sender_homes(self) -> dict:
+        """Tenant: its home regions."""
+        named = self.senders.by_name if self.senders is not None else {}
+        return {name: sender.homes for name, sender in named.items()}
+
     def find(self, *, host: str, target: bytes):
         prefixes = self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0])
         if not prefixes:
--- a/pw/dat/test_follow.py
+++ b/pw/dat/test_follow.py
@@ -61,7 +61,7 @@
 def test_older_homes_bind_until_their_time_is_over():
     clock = [0.0]
     loop = types.SimpleNamespace(now=lambda: clock[0])
-    node = types.SimpleNamespace(loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)})])
+    node = types.SimpleNamespace(loop=loop, settings=entry.settings(), older_homes=[(2.5, {"chat": ("north",)}, {})])
     route = types.SimpleNamespace(name="chat", homes=("north", "south"))
     assert follow.FollowMixin.permitted(node, route=route, first_homes=()) == {"north"}
     clock[0] = 2.6
--- a/pw/ops/keep.py
+++ b/pw/ops/keep.py
@@ -7,11 +7,22 @@
 from dulwich import repo as repos
 
 from pw.base import problems
+from pw.base import tenants
 
 FILE_NAME = "configuration.json"
 AUTHOR = b"ploverward <ploverward@localhost>"
 
 
+def without_keys(body: dict) -> dict:
+    """The configuration with a digest in place of each key of a tenant."""
+    if not body.get("senders"):
+        return body
+    senders = [
+        {**row, "apiKeys": [tenants.key_digest(key) for key in row.get("apiKeys") or ()]} for row in body["senders"]
+    ]
+    return {**body, "senders": senders}
+
+
 class Keeper:
     def __init__(self, *, folder: str):
         self.folder = folder
@@ -39,7 +50,8 @@
         return [(self._body_at(commit)["edition"], commit.id.decode()) for commit in self._commits()]
 
     def keep(self, *, body: dict):
-        """The new commit's id, or None where the newest one holds the same."""
+        """The new commit's id, or None where the newest one holds the same. Keys of tenants are kept as digests."""
+        body = without_keys(body)
         commits = self._commits()
         if commits:
             newest = self._body_at(commits[0])
--- a/pw/ops/test_keep.py
+++ b/pw/ops/test_keep.py
@@ -31,3 +31,14 @@
             keeper.keep(body=older)
     assert [edition for edition, _commit in keeper.log()] == [7]
     keeper.close()
+
+
+def test_keys_of_tenants_are_kept_as_digests(tmp_path):
+    keeper = keeps.Keeper(folder=str(tmp_path))
+    body = {"edition": 3, "senders": [{"name": "clerks", "apiKeys": ["a-key"], "perS": 2}]}
+    assert keeper.keep(body=body) and keeper.keep(body=body) is None
+    kept = keeper.show(edition=3)
+    assert kept["senders"][0]["apiKeys"][0].startswith("digest:") and "a-key" not in str(kept)
+    assert body["senders"][0]["apiKeys"] == ["a-key"]
+    for path in tmp_path.rglob("*"):
+        assert not path.is_file() or b"a-key" not in path.read_bytes()
--- /dev/null
+++ b/pw/ops/test_tenants.py
@@ -0,0 +1,53 @@
+"""The operators' view of tenants, from what core nodes answer."""
+
+import json
+
+import pytest
+
+from pw.base import problems
+from pw.ops import tenants
+
+ROW = {"keys": ["digest:ab"], "perS": 5, "burst": 5, "homeRegions": [], "level": 4.5, "depth": 9.0}
+
+
+def answer(*, level=4.5, wants=False):
+    row = {**ROW, "level": level, "wantsCredits": wants}
+    return 200, {"edition": 7, "proxies": 12, "tenants": {"clerks": row}}
+
+
+class Caller:
+    def __init__(self, **answers):
+        self.answers = answers
+
+    def all(self, *, path):
+        assert path == "/ploverward/tenants"
+        told = {name: row for name, row in self.answers.items() if row is not None}
+        return told, {name: "no answer" for name, row in self.answers.items() if row is None}
+
+
+def run(as_json=False, **answers):
+    lines = []
+    code = tenants.run(caller=Caller(**answers), as_json=as_json, out=lines.append)
+    return code, "\n".join(lines)
+
+
+def test_limits_and_standing_of_all_core_nodes_are_told():
+    code, text = run(a=answer(), b=answer(level=-3.0, wants=True))
+    assert code == 0
+    for wanted in ("edition 7", "12 proxies", "5 a second", "left -3 to 4.5", "wants credits by 1 of 2", "digest:ab"):
+        assert wanted in text
+
+
+def test_a_node_out_of_reach_is_named_and_exits_3():
+    code, text = run(a=answer(), b=None)
+    assert code == 3 and "b: out of reach" in text
+
+
+def test_no_node_at_all_is_a_problem():
+    with pytest.raises(problems.Problem):
+        run(a=None)
+
+
+def test_json_is_what_the_nodes_said():
+    code, text = run(as_json=True, a=answer())
+    assert code == 0 and json.loads(text)["told"]["a"]["tenants"]["clerks"]["perS"] == 5
--- a/pw/sim/control/proxies.py
+++ b/pw/sim/control/proxies.py
@@ -82,7 +82,7 @@
         self._renewal += 1
         self._renewed_at[self._renewal] = self.loop.now()
         self._renewed_at.pop(self._renewal - follow.RENEWALS_KEPT, None)
-        self._tell(("renew", self._renewal))
+        self._tell(("renew", self._renewal, b""))
         self.follower.tick()
 
     def _take(self, host: str, link, message: tuple) -> None:
--- a/pw/sim/entry.py
+++ b/pw/sim/entry.py
@@ -12,6 +12,7 @@
 from pw.dat import quota as quotas
 from pw.dat import replicas
 from pw.dat import rollouts
+from pw.dat import tenants
 from pw.dat import routes as route_tables
 from pw.dat.adapters import counts
 from pw.sim import loopback
@@ -99,6 +100,9 @@
         self.number = 0
         self.faults = []
         self.older_homes = []
+        self.trust = tenants.Trust.of(self.settings)
+        self.configuration_age = 0.0
+        self.allowance = tenants.Allowance(now=loop.now, lease_s=1.0)
         self.rows = [
             {
                 "id": f"i{number}",
@@ -132,6 +136,9 @@
         self._keep_older_homes()
         self.routes = route_tables.Routes(body=body)
 
+    def configuration_age_s(self):
+        return self.configuration_age
+
     def list_rows(self, *, clearing=()):
         return [{**row, "is_clearing": row["id"] in clearing} for row in self.rows]
 
--- a/pw/sim/rollout_world.py
+++ b/pw/sim/rollout_world.py
@@ -4,33 +4,21 @@
 duty, proxies with traffic, replicas of two versions. Troubles cut, freeze and kill nodes. `play(seed)` is one day.
 """
 
-import collections
 import dataclasses
 import random
 import types
 
-from pw.base import records
 from pw.ctl.rollouts import duty as duties
-from pw.ctl.rollouts import ledger as ledgers
-from pw.ctl.rollouts import leases
 from pw.ctl.rollouts import orders
 from pw.ctl.rollouts import plan
 from pw.ctl.rollouts import state
 from pw.dat import attempts
-from pw.dat import rollouts
-from pw.dat.digest import source as sources
+from pw.sim import rollout_nodes as nodes
 from pw.sim import world as worlds
 
-SERVICE, FORMER, NEW = "pool", "v1", "v2"
 BEAT_S = 0.4
-CONTACT_S = 6.0
-RECEIPT_S = 8.0
-ROLLBACK_S = 5.0
-EXPOSURE = plan.Exposure(share=0.1, slack=50.0)
 ORDER_AT = 2.0
 END_AT = 30.0
-ZONES = {"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
-ROUTES = ("draft", "query")
 BAD_KINDS = ("errors", "slow", "one_class", "late")
 TROUBLES = (
     "none",
@@ -73,205 +61,6 @@
     findings: list = dataclasses.field(default_factory=list)
 
 
-class Settings:
-    """Bounds of the model deployment."""
-
-    def bound(self, *, name, default=0.0):
-        return {"exposureShare": EXPOSURE.share, "exposureSlack": EXPOSURE.slack}.get(name, default)
-
-    def bound_s(self, *, name, default=0.0):
-        return {"rollbackMs": ROLLBACK_S}.get(name, default)
-
-
-class Replica:
-    """One replica; `fault` is its own, whatever its version."""
-
-    def __init__(self, *, name: str, zone: str, edition: str):
-        self.id = name
-        self.key = records.key_of(name)
-        self.zone = zone
-        self.edition = edition
-        self.is_gone = False
-        self.is_faulty = False
-
-    def row(self, *, cold: bool) -> dict:
-        return {
-            "id": self.id,
-            "service": SERVICE,
-            "zone": self.zone,
-            "edition": self.edition,
-            "berths": 16,
-            "is_clearing": False,
-            "cold_ms": 100.0 if cold else 0.0,
-        }
-
-
-class Core:
-    """A core node: what it knows of the register, and the duty while it holds it."""
-
-    def __init__(self, *, day, name: str):
-        self.day = day
-        self.name = name
-        self.is_cut = False
-        self.contact_until = 0.0
-        self.start()
-
-    def start(self) -> None:
-        day = self.day
-        self.is_up = True
-        self.proxies = {}  # Origin: when it was heard
-        self.duty = duties.RolloutDuty(
-            settings=Settings(),
-            now=day.world.now,
-            change=self._change,
-            listed=day.listed,
-            zones=lambda: ZONES,
-            out_zones=lambda: (),
-            proxies=self._in_touch,
-            contact_s=CONTACT_S,
-            receipt_s=RECEIPT_S,
-        )
-        self.duty.install(day.payload)
-
-    def _in_touch(self) -> list:
-        now = self.day.world.now()
-        return [origin for origin, when in self.proxies.items() if now - when < CONTACT_S / 5]
-
-    def _change(self, *, name, edit, done) -> None:
-        day, duty = self.day, self.duty
-        if self.is_cut:
-            day.world.later(RECEIPT_S / 2, lambda: done(TimeoutError("no majority"), 0, None, None))
-            return
-        # The round's end comes to the holder later than the choice.
-        day.world.later(day.chance.uniform(0.02, 0.3), lambda: day.edit(edit))
-        day.world.later(day.chance.uniform(0.3, 0.6), lambda: done(None, 0, None, None) if duty is self.duty else None)
-
-    def beat(self) -> None:
-        now = self.day.world.now()
-        if not self.is_cut:
-            self.contact_until = now + 0.3 * CONTACT_S
-        if self.is_up and self.day.holds_duty(self) and now < self.contact_until:
-            self.duty.tend()
-        else:
-            self.duty.rest()
-
-
-class Proxy:
-    """A proxy: its roll-outs, its traffic and its beat."""
-
-    def __init__(self, *, day, name: str, per_s: float):
-        self.day = day
-        self.name = name
-        self.per_s = per_s
-        self.is_cut = False
-        self.frozen_until = 0.0
-        self.cut_since = None
-        self.life = 0
-        self.start()
-
-    def start(self) -> None:
-        self.life += 1
-        self.running = collections.Counter()  # edition: attempts under way
-        self.asked_at = 0.0  # when its last report was sent
-        self.answered_at = 0.0  # the latest of its reports that was answered by leases
-        self.rollouts = rollouts.Rollouts(
-            now=self.day.world.now,
-            chance=self.day.chance.random,
-            running=lambda service, target: self._elsewhere(target),
-        )
-        self.install(self.day.payload)
-        self.core = "k1"
-
-    def _elsewhere(self, target: str) -> int:
-        return sum(count for edition, count in self.running.items() if edition != target)
-
-    def install(self, payload) -> None:
-        if payload is not None:
-            self.rollouts.install(payload)
-
-    @property
-    def is_in_touch(self) -> bool:
-        return not self.is_cut and self.day.world.now() >= self.frozen_until
-
-    def beat(self) -> None:
-        day = self.day
-        if self.is_cut or day.world.now() < self.frozen_until:
-            return
-        report = self.rollouts.report()
-        self.asked_at = day.world.now()
-        origin = ledgers.Origin(address=self.name, life=str(self.life))
-        if day.chance.random() < 0.3 or not day.cores[self.core].is_up:
-            self.core = day.holder  # news of the duty come late
-        core = day.cores[self.core]
-        rollout = self.rollouts
-        day.world.later(day.chance.uniform(0.005, 0.08), lambda: self._told(core, origin, report, rollout))
-
-    def _told(self, core: Core, origin, report, rollout) -> None:
-        if not core.is_up:
-            return
-        core.proxies[origin] = self.day.world.now()
-        if report is None:
-            return
-        number, data = report
-        answer = core.duty.take_evidence(origin=origin, data=data)
-        if answer is None:
-            return
-        self.day.note_answered(core)
-        asked_at = self.asked_at
-
-        def take():
-            if rollout is self.rollouts and not self.is_cut:
-                self.answered_at = max(self.answered_at, asked_at)
-                rollout.take_leases(number=number, life_s=core.duty.lease_s, leases=leases.unpack(answer))
-
-        self.day.world.later(self.day.chance.uniform(0.005, 0.4), take)
-
-    def request(self) -> None:
-        """One request: to a pool's replica, and on to the former version where it fails."""
-        day = self.day
-        if day.world.now() < self.frozen_until:
-            return
-        self.send(route=day.chance.choice(ROUTES), is_first=True)
-
-    def send(self, *, route: str, is_first: bool) -> None:
-        day = self.day
-        replica = None
-        for pool in self.rollouts.pools(service=SERVICE, is_first=is_first):
-            there = [
-                one
-                for one in day.replicas
-                if (pool is None or pool.has(one))
-                and not one.is_gone
-                and one.id in day.seen_rows
-                and (pool is None or not pool.replicas or one.id in pool.replicas)
-            ]
-            if there:
-                replica = day.chance.choice(there)
-                break
-        if replica is None:
-            day.unserved += 1
-            return
-        self.rollouts.note_send(service=SERVICE, replica=replica)
-        self.running[replica.edition] += 1
-        day.note_send(self, replica)
-        attempt = day.attempt(replica, route)
-        rollout, life = self.rollouts, self.life
-
-        def end():
-            if life != self.life:
-                return
-            self.running[replica.edition] -= 1
-            is_cut_off = replica.is_gone
-            kind = sources.FAILED if is_cut_off or attempt.status >= 500 else sources.DONE
-            attempt.is_complete = not is_cut_off
-            rollout.note_end(service=SERVICE, route=route, attempt=attempt, kind=kind, aim_s=0.8, expected_s=0.05)
-            day.note_answer(replica, attempt)
-            if kind == sources.FAILED and is_first:
-                self.send(route=route, is_first=False)
-
-        day.world.later(attempt.last_at - attempt.sent_at, end)
-
-
 class Day:
     """One day, with all its nodes."""
 
@@ -285,35 +74,35 @@
         self.report = Report(seed=seed, kind=self.kind, troubles=self.troubles)
         self.over_s = self.chance.uniform(12.0, 18.0)
         self.late_s = self.chance.uniform(2.0, 3.5)
-        admitted = state.Rollout(admitted=(FORMER,), step=1)
-        self.payload = state.with_rollout(None, service=SERVICE, rollout=admitted)
+        admitted = state.Rollout(admitted=(nodes.FORMER,), step=1)
+        self.payload = state.with_rollout(None, service=nodes.SERVICE, rollout=admitted)
         self.stages = []
-        self.replicas = [self._replica(FORMER, number) for number in range(24)]
+        self.replicas = [self._replica(nodes.FORMER, number) for number in range(24)]
         self.seen_rows = {one.id for one in self.replicas}
         self.new_from = None
         self.unserved = 0
         self.sends = []  # (when, is new, is in touch)
         self.bad_answers = []
-        self.cores = {name: Core(day=self, name=name) for name in CORES}
+        self.cores = {name: nodes.Core(day=self, name=name) for name in CORES}
         self.holder = "k1"
         self.holder_lost_at = None
         self.is_slow = self.former_fails = False
         per_s = self.chance.choice((40.0, 120.0, 200.0))
         count = self.chance.choice((12, 30, 60))
         self.proxies = [
-            Proxy(day=self, name=f"p{number}", per_s=per_s / count * self.chance.uniform(0.3, 1.7))
+            nodes.Proxy(day=self, name=f"p{number}", per_s=per_s / count * self.chance.uniform(0.3, 1.7))
             for number in range(count)
         ]
 
-    def _replica(self, edition: str, number: int) -> Replica:
-        zones = tuple(ZONES)
-        return Replica(name=f"{edition}-{number}", zone=zones[number % len(zones)], edition=edition)
+    def _replica(self, edition: str, number: int) -> nodes.Replica:
+        zones = tuple(nodes.ZONES)
+        return nodes.Replica(name=f"{edition}-{number}", zone=zones[number % len(zones)], edition=edition)
 
     # The world.
     def listed(self) -> list:
         now = self.world.now()
         return [
-            one.row(cold=one.edition == NEW and now < self.new_from + 2.0)
+            one.row(cold=one.edition == nodes.NEW and now < self.new_from + 2.0)
             for one in self.replicas
             if one.id in self.seen_rows and not one.is_gone
         ]
@@ -324,14 +113,14 @@
         if chosen is self.payload:
             return
         self.payload = chosen
-        row = state.rollouts_of(chosen).get(SERVICE, state.Rollout())
+        row = state.rollouts_of(chosen).get(nodes.SERVICE, state.Rollout())
         self._note_stage(row)
         for core in self.cores.values():
             self._tell_core(core, chosen)
         for proxy in self.proxies:
             self._tell_proxy(proxy, chosen)
 
-    def _tell_core(self, core: Core, chosen) -> None:
+    def _tell_core(self, core: nodes.Core, chosen) -> None:
         def tell():
             if core.is_cut:
                 self.world.later(0.3, tell)
@@ -340,7 +129,7 @@
 
         self.world.later(self.chance.uniform(0.0, 0.1), tell)
 
-    def _tell_proxy(self, proxy: Proxy, chosen) -> None:
+    def _tell_proxy(self, proxy: nodes.Proxy, chosen) -> None:
         life = proxy.life
 
         def tell():
@@ -353,10 +142,10 @@
 
         self.world.later(self.chance.uniform(0.02, 0.8), tell)
 
-    def holds_duty(self, core: Core) -> bool:
+    def holds_duty(self, core: nodes.Core) -> bool:
         return self.holder == core.name or core.name == getattr(self, "former_holder", None)
 
-    def attempt(self, replica: Replica, route: str):
+    def attempt(self, replica: nodes.Replica, route: str):
         now = self.world.now()
         is_bad = self._is_bad(replica, route, now)
         failed = is_bad and self.kind != "slow"
@@ -387,11 +176,11 @@
             pieces=pieces,
         )
 
-    def _is_bad(self, replica: Replica, route: str, now: float) -> bool:
-        if self.kind == "good" or replica.edition != NEW or self.chance.random() >= 0.5:
+    def _is_bad(self, replica: nodes.Replica, route: str, now: float) -> bool:
+        if self.kind == "good" or replica.edition != nodes.NEW or self.chance.random() >= 0.5:
             return False
         if self.kind == "one_class":
-            return route == ROUTES[0]
+            return route == nodes.ROUTES[0]
         return self.kind != "late" or now >= self.new_from + self.late_s
 
     # Checks.
@@ -413,41 +202,41 @@
     def _deliver(self) -> None:
         """The former replicas stop at once."""
         is_forced = self.world.now() - ORDER_AT >= plan.DELIVER_SILENT_PART * self.over_s
-        running = sum(proxy.running[FORMER] for proxy in self.proxies if proxy.is_in_touch)
+        running = sum(proxy.running[nodes.FORMER] for proxy in self.proxies if proxy.is_in_touch)
         if running and not is_forced and not self._had_losses():
             self._find("delivered", f"{running} attempts run at the former version")
         for replica in self.replicas:
-            replica.is_gone = replica.is_gone or replica.edition == FORMER
+            replica.is_gone = replica.is_gone or replica.edition == nodes.FORMER
 
     def _had_losses(self) -> bool:
         return bool({"cut_proxies", "freeze_proxies", "kill_proxies", "kill_all"} & set(self.troubles))
 
-    def note_send(self, proxy: Proxy, replica: Replica) -> None:
+    def note_send(self, proxy: nodes.Proxy, replica: nodes.Replica) -> None:
         now = self.world.now()
-        is_new = replica.edition == NEW
+        is_new = replica.edition == nodes.NEW
         if is_new and not self.stages:
             self._find("admitted", "a request to a version that nobody let in")
         self._check_lease(proxy, is_new, now)
         is_in_touch = proxy.is_in_touch
         self.sends.append((now, is_new, is_in_touch))
         if is_new and is_in_touch and self.kind != "good" and len(self.bad_answers) >= BAD_ANSWERS:
-            if now > self.bad_answers[BAD_ANSWERS - 1] + ROLLBACK_S:
+            if now > self.bad_answers[BAD_ANSWERS - 1] + nodes.ROLLBACK_S:
                 self._find("rollback", f"{now - self.bad_answers[BAD_ANSWERS - 1]:.2f} s after the bad answers")
 
-    def _check_lease(self, proxy: Proxy, is_new: bool, now: float) -> None:
+    def _check_lease(self, proxy: nodes.Proxy, is_new: bool, now: float) -> None:
         """Before all are to go there, a request to the new version wants a lease that was asked for lately."""
         is_leased = self.stages and self.stages[-1] in (state.Stage.CANARY, state.Stage.PROMOTING, state.Stage.RETURNED)
-        if is_new and is_leased and now - proxy.answered_at > ROLLBACK_S * duties.LEASE_PART + 0.01:
+        if is_new and is_leased and now - proxy.answered_at > nodes.ROLLBACK_S * duties.LEASE_PART + 0.01:
             if state.Stage.DRAINING not in self.stages:
                 self._find("lease", f"{now - proxy.answered_at:.2f} s after its last lease was asked for")
 
-    def note_answered(self, core: Core) -> None:
+    def note_answered(self, core: nodes.Core) -> None:
         """A core node hands out leases: it must be in contact, or have been so a moment ago."""
-        if self.world.now() > core.contact_until + CONTACT_S / 5:
+        if self.world.now() > core.contact_until + nodes.CONTACT_S / 5:
             self._find("holder", f"{core.name} hands out leases without contact")
 
-    def note_answer(self, replica: Replica, attempt) -> None:
-        if replica.edition == NEW and attempt.is_bad:
+    def note_answer(self, replica: nodes.Replica, attempt) -> None:
+        if replica.edition == nodes.NEW and attempt.is_bad:
             self.bad_answers.append(self.world.now())
 
     def _check_exposure(self) -> None:
@@ -455,7 +244,7 @@
         during = [row for row in self.sends if ORDER_AT <= row[0] <= term]
         self.report.sent = len(during)
         self.report.sent_new = sum(is_new for _when, is_new, is_in_touch in during if is_in_touch)
-        allowed = EXPOSURE.share * len(during) + EXPOSURE.slack
+        allowed = nodes.EXPOSURE.share * len(during) + nodes.EXPOSURE.slack
         if self.kind != "good" and self.report.sent_new > allowed:
             self._find("exposure", f"{self.report.sent_new} of {len(during)}, {allowed:.0f} allowed")
 
@@ -484,7 +273,7 @@
         self.world.later(for_s, lambda: setattr(self, name, False))
 
     def _make_faulty(self, for_s: float) -> None:
-        fresh = [one for one in self.replicas if one.edition == NEW] or self.replicas
+        fresh = [one for one in self.replicas if one.edition == nodes.NEW] or self.replicas
         replica = self.chance.choice(fresh)
         replica.is_faulty = True
         self.world.later(for_s, lambda: setattr(replica, "is_faulty", False))
@@ -498,7 +287,7 @@
         for proxy in proxies:
             proxy.frozen_until = self.world.now() + for_s
 
-    def _kill(self, core: Core, down_s: float) -> None:
+    def _kill(self, core: nodes.Core, down_s: float) -> None:
         core.is_up = False
         core.duty.rest()
 
@@ -527,12 +316,12 @@
 
     # The day.
     def _order(self) -> None:
-        order = orders.Order(service=SERVICE, target=NEW, over_s=self.over_s)
+        order = orders.Order(service=nodes.SERVICE, target=nodes.NEW, over_s=self.over_s)
         self.edit(orders.edit_for(order=order, is_late=lambda: False))
 
     def _start_new(self) -> None:
         self.new_from = self.world.now()
-        fresh = [self._replica(NEW, number) for number in range(24)]
+        fresh = [self._replica(nodes.NEW, number) for number in range(24)]
         self.replicas += fresh
         self.world.later(self.chance.uniform(0.0, 1.0), lambda: self.seen_rows.update(one.id for one in fresh))
 
@@ -543,7 +332,7 @@
 
         self.world.later(self.chance.uniform(0.0, gap), again)
 
-    def _arrive(self, proxy: Proxy) -> None:
+    def _arrive(self, proxy: nodes.Proxy) -> None:
         proxy.request()
         self.world.later(self.chance.expovariate(proxy.per_s), lambda: self._arrive(proxy))
 
@@ -561,7 +350,7 @@
             self._trouble(name)
         self.world.run(until=END_AT)
         self._check_exposure()
-        row = state.rollouts_of(self.payload)[SERVICE]
+        row = state.rollouts_of(self.payload)[nodes.SERVICE]
         self.report.stage = str(row.stage)
         return self.report
 
