--- a/pw/ctl/metering.py
+++ b/pw/ctl/metering.py
@@ -128,10 +128,6 @@
             elif bucket.limit != limit:
                 bucket.change_limit(limit=limit, now=now, part=self._share())
 
-    @property
-    def is_on(self) -> bool:
-        return bool(self._buckets)
-
     def proxies(self) -> int:
         """Those that may be admitting requests, in touch or not."""
         now = self._now()
--- a/pw/dat/rollouts.py
+++ b/pw/dat/rollouts.py
@@ -195,10 +195,3 @@
             if asked_at + life_s >= held.lease_until:
                 held.lease = lease
                 held.lease_until = asked_at + life_s
-
-    def status(self) -> dict:
-        """Service: [stage, share, sent, sent to the new version], for logs."""
-        return {
-            service: [str(held.rollout.stage), self._share(held), held.sent, held.sent_new]
-            for service, held in self._held.items()
-        }
--- a/pw/dat/tenants.py
+++ b/pw/dat/tenants.py
@@ -152,7 +152,6 @@
         self._rates = {}  # tenant: requests let in a second
         self._rated = {}  # tenant: admitted, when its rate was reckoned last
         self._rated_at = now()
-        self.refused = 0
 
     def install(self, body) -> None:
         self._limits = tenants.limits_of(body)
@@ -173,7 +172,6 @@
         if self._has_unused(tenant):
             return True
         if not self._may(tenant, limit):
-            self.refused += 1
             return False
         self._admitted[tenant] += 1
         return True
