Connections that still send their last answer are not idle; failed accepts are logged at once

Change: idle means that nothing is queued; the idle time-out is armed again meanwhile, and a client that takes nothing ends by TCP_USER_TIMEOUT. ConnectionAcceptor logs the first failure of a spell as an error and its end.

--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -100,8 +100,8 @@
         return self._state is not _CLOSED
 
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return self._state is _IDLE or self._state is _CLOSING
+        """Whether no request is being read or answered, and its last answer was sent."""
+        return self._state is _IDLE and not self._out
 
     def queued(self) -> int:
         """Returns how many bytes of answers wait to be sent."""
@@ -220,6 +220,8 @@
             return
         if self._has_unread_bytes():
             self._arm(delay=IDLE_RECHECK_S)  # this process is late, not the client
+        elif self._out:
+            self._arm(delay=self._limits.idle_s)  # a client that takes nothing any more ends by TCP_USER_TIMEOUT
         elif self._state in _READING:
             self._refuse(ClientRequestError(status=408))
         else:
--- a/ploverward/transport/http_server.py
+++ b/ploverward/transport/http_server.py
@@ -87,6 +87,9 @@
         self._max_connections = max_connections
         self._on_request = on_request
         self._sock = peer_connection.listen(address=address)
+        self._acceptor = peer_connection.ConnectionAcceptor(
+            sock=self._sock, now=loop.now, on_accepted=self._handle_accepted
+        )
         self._is_listening = True
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, callback=self._ready)
 
@@ -125,7 +128,7 @@
             self._sock.close()
 
     def _ready(self, _mask: int) -> None:
-        peer_connection.accept_all(sock=self._sock, callback=self._handle_accepted)
+        self._acceptor.accept_all()
 
     def _handle_accepted(self, sock: socket.socket, _address: SocketAddress) -> None:
         if len(self.connections) >= self._max_connections:
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -72,18 +72,53 @@
     return sock
 
 
-def accept_all(*, sock: socket.socket, callback: Callable[[socket.socket, SocketAddress], object]) -> None:
-    """Accepts all connections that wait; calls `callback(socket, address)` for each."""
-    while True:
-        try:
-            accepted, address = sock.accept()
-        except (BlockingIOError, ConnectionError):
-            return
-        except OSError as error:
-            _log.debug("accept_failed", extra={"fault": str(error)})
-            return
-        accepted.setblocking(False)
-        callback(accepted, address)
+class ConnectionAcceptor:
+    """Accepts connections on a listening socket.
+
+    A process without file descriptors can't accept, and its socket stays readable, so each step of the loop tries
+    again: only the first failure and the first success after it are logged.
+
+    Args:
+        sock: Listens; it does not block.
+        now: The clock, in seconds.
+        on_accepted: Called with each accepted socket and the address of its other end.
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        now: Callable[[], float],
+        on_accepted: Callable[[socket.socket, SocketAddress], object],
+    ) -> None:
+        self._sock = sock
+        self._now = now
+        self._on_accepted = on_accepted
+        self._failing_since: float | None = None
+
+    def accept_all(self) -> None:
+        """Accepts all connections that wait."""
+        while True:
+            try:
+                accepted, address = self._sock.accept()
+            except (BlockingIOError, ConnectionError):
+                return
+            except OSError as error:
+                self._note_failure(error)
+                return
+            self._note_success()
+            accepted.setblocking(False)
+            self._on_accepted(accepted, address)
+
+    def _note_failure(self, error: OSError) -> None:
+        if self._failing_since is None:
+            self._failing_since = self._now()
+            _log.error("accept_failed", extra={"fault": str(error)})
+
+    def _note_success(self) -> None:
+        if self._failing_since is not None:
+            _log.info("accept_recovered", extra={"failing_s": round(self._now() - self._failing_since, 1)})
+            self._failing_since = None
 
 
 class State(enum.Enum):
@@ -368,10 +403,11 @@
         self._on_message = on_message
         self._on_end = on_end
         self._peer_timeout_s = peer_timeout_s
+        self._acceptor = ConnectionAcceptor(sock=self._sock, now=loop.now, on_accepted=self._handle_accepted)
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, callback=self._ready)
 
     def _ready(self, _mask: int) -> None:
-        accept_all(sock=self._sock, callback=self._handle_accepted)
+        self._acceptor.accept_all()
 
     def _handle_accepted(self, sock: socket.socket, address: SocketAddress) -> None:
         self._on_link(
--- a/ploverward/transport/test_http_server.py
+++ b/ploverward/transport/test_http_server.py
@@ -1,5 +1,7 @@
 """The HTTP server: refusals by whose fault, the memory of bodies, pipelined requests, time-outs."""
 
+import socket
+
 import h11
 import pytest
 
@@ -73,6 +75,48 @@
     assert b"close" in scene.client.got and scene.client.got.endswith(b"ok")
 
 
+class SlowClient:
+    """Takes its answer only when told to; its small buffers leave the rest of a large answer with the server."""
+
+    def __init__(self, *, address):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.sock.connect(address)
+        self.sock.setblocking(False)
+        self.got = b""
+
+    def take(self) -> bool:
+        """Takes what has arrived; returns whether the server closed the connection."""
+        try:
+            while data := self.sock.recv(1 << 16):
+                self.got += data
+        except BlockingIOError:
+            return False
+        return True
+
+
+@pytest.mark.parametrize("is_last", [False, True])
+@pytest.mark.parametrize("by", ["close_idle", "idle time"])
+def test_a_connection_that_still_sends_its_last_answer_is_not_idle(by, is_last):
+    scene = Scene()
+    slow = SlowClient(address=scene.server.address)
+    slow.sock.send(REQUEST)
+    assert scene.until(lambda: scene.requests)
+    connection = scene.requests[0].http_connection
+    scene.requests[0].reply(status=200, body=b"x" * (8 << 20), is_last=is_last)
+    assert connection.queued() and not connection.is_idle()
+    if by == "close_idle":
+        scene.server.close_idle()
+    else:
+        connection._on_timeout()
+    assert connection.is_open
+    assert scene.until(lambda: slow.take() or slow.got.endswith(b"x") and not connection.queued())
+    assert scene.until(lambda: slow.take() or len(slow.got) >= 8 << 20)
+    assert slow.got.count(b"x") == 8 << 20
+    scene.server.close_idle()
+    assert scene.until(lambda: not scene.server.connections)
+
+
 @pytest.mark.parametrize(
     "text, status",
     [
--- a/ploverward/transport/test_peer_connection.py
+++ b/ploverward/transport/test_peer_connection.py
@@ -1,5 +1,9 @@
 """Connections between nodes: half-open ones, stopped peers, malformed frames, backoff."""
 
+import errno
+import logging
+import socket
+
 import pytest
 
 from ploverward.simulation import loopback
@@ -140,3 +144,38 @@
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
+
+
+class ExhaustedSocket:
+    """A listening socket of a process that has no file descriptors for a while."""
+
+    def __init__(self, *, outcomes):
+        self.outcomes = list(outcomes)
+
+    def accept(self):
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, OSError):
+            raise outcome
+        return outcome, ("127.0.0.1", 1)
+
+
+def test_failures_to_accept_are_logged_once_and_so_is_their_end(caplog):
+    caplog.set_level(logging.INFO, logger="ploverward")
+    exhausted = OSError(errno.EMFILE, "Too many open files")
+    clock = [5.0]
+    with socket.socket() as accepted:
+        sock = ExhaustedSocket(outcomes=[exhausted, exhausted, exhausted, accepted, BlockingIOError()])
+        sockets = []
+        acceptor = peer_connection.ConnectionAcceptor(
+            sock=sock, now=lambda: clock[0], on_accepted=lambda one, _address: sockets.append(one)
+        )
+        for _step in range(3):
+            acceptor.accept_all()
+        clock[0] = 7.5
+        acceptor.accept_all()
+    assert sockets == [accepted]
+    assert [(record.levelname, record.message) for record in caplog.records] == [
+        ("ERROR", "accept_failed"),
+        ("INFO", "accept_recovered"),
+    ]
+    assert caplog.records[1].failing_s == 2.5
