--- a/ploverward/control_plane/adapter_cache/pin_assignment.py
+++ b/ploverward/control_plane/adapter_cache/pin_assignment.py
@@ -100,7 +100,7 @@
         without_capacity = []
         waiting = set(self.claims.weights.keys())
         while waiting:
-            claim = max(waiting, key=lambda one: (self.value(one), one.pair, one.region))
+            claim = max(waiting, key=lambda one: (self.value(one), *one))
             if self._place(claim) or self._replace(claim):
                 continue
             waiting.discard(claim)
--- a/ploverward/control_plane/adapter_cache/pin_suggestion.py
+++ b/ploverward/control_plane/adapter_cache/pin_suggestion.py
@@ -5,6 +5,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import typing
 
 from ploverward.control_plane.adapter_cache import adapter_demand
@@ -24,6 +25,21 @@
 Demand: typing.TypeAlias = dict[AdapterKey, dict[str, RegionDemand]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wanted:
+    """What the demand asks for.
+
+    Attributes:
+        claims: what some replica may load.
+        without_replica: rows on adapters that no replica may load, one for each region in which one could.
+        without_evidence: rows on adapters of which there is too little evidence, one for each region.
+    """
+
+    claims: Claims
+    without_replica: list[Json]
+    without_evidence: list[Json]
+
+
 def suggest(
     *,
     windows: collections.abc.Collection[Json],
@@ -49,23 +65,21 @@
     demand = adapter_demand.demand(windows=windows, routes=routes)
     homes = adapter_demand.homes_of(windows=windows, routes=routes)
     pins_before = _previous_pins(rows, previous)
-    claims, without_evidence = _claims(demand, homes, rows, pins_before)
-    assignment = PinAssignment(claims=claims, replicas=rows, capacity=capacity)
+    wanted = _wanted(demand, homes, rows, pins_before)
+    assignment = PinAssignment(claims=wanted.claims, replicas=rows, capacity=capacity)
     assignment.keep(pins_before)
-    missing = assignment.assign()
+    without_room = [
+        _adapter_body(
+            AdapterKey(claim.service, *claim.pair), claim.region, why="no room: raise the capacity or add replicas"
+        )
+        for claim in assignment.assign()
+    ]
     return {
         "replicas": {replica.id: _replica_body(replica, assignment.pins[replica.id]) for replica in rows},
         "new": _loads_of_new_replicas(assignment, rows, capacity),
         "saving": _saving(demand, assignment.pins, rows),
-        "missing": [
-            _adapter_body(
-                AdapterKey(claim.service, *claim.pair),
-                claim.region,
-                why="no room: raise the capacity or add replicas",
-            )
-            for claim in missing
-        ],
-        "too_little_evidence": without_evidence,
+        "missing": without_room + wanted.without_replica,
+        "too_little_evidence": wanted.without_evidence,
     }
 
 
@@ -109,15 +123,14 @@
     return [typing.cast(Pair, tuple(row)) for row in rows]
 
 
-def _claims(
+def _wanted(
     demand: Demand,
     homes: dict[AdapterKey, frozenset[str] | None],
     replicas: list[Replica],
     pins_before: dict[str, list[Pair]],
-) -> tuple[Claims, list[Json]]:
-    """What is wanted, and the adapters of which there is too little evidence, in a row for each region."""
-    claims = Claims(weights={}, allowed={})
-    without_evidence: list[Json] = []
+) -> Wanted:
+    """What the demand asks for."""
+    wanted = Wanted(claims=Claims(weights={}, allowed={}), without_replica=[], without_evidence=[])
     for adapter, regions in demand.items():
         if not adapter.adapter:
             continue
@@ -126,16 +139,22 @@
         allowed = {replica.region for replica in of_service if permitted is None or replica.region in permitted}
         was_pinned = any(adapter.pair in pins_before.get(replica.id, ()) for replica in of_service)
         if sum(row.counts.arrivals for row in regions.values()) < MIN_ARRIVALS and not was_pinned:
-            without_evidence += [
+            wanted.without_evidence.extend(
                 _adapter_body(adapter, region, arrivals=row.counts.arrivals) for region, row in regions.items()
-            ]
+            )
+            continue
+        if not allowed:
+            wanted.without_replica.extend(
+                _adapter_body(adapter, region, why="no replica may load it: add one in this region")
+                for region in sorted(permitted or regions)
+            )
             continue
         is_known = was_pinned or any(replica.has(adapter.pair) for replica in of_service)
         weights = _weights_by_region(regions, allowed=allowed, is_known=is_known)
         for region, weight in weights.items():
-            claims.weights[Claim(adapter.service, adapter.pair, region)] = weight
-            claims.allowed[(adapter.service, adapter.pair)] = allowed
-    return claims, without_evidence
+            wanted.claims.weights[Claim(adapter.service, adapter.pair, region)] = weight
+            wanted.claims.allowed[(adapter.service, adapter.pair)] = allowed
+    return wanted
 
 
 def _weights_by_region(
@@ -155,7 +174,7 @@
         if region in allowed:
             weights[region] += row.weight  # type: ignore[assignment]  # a Counter of floats
         else:  # its requests are served in any allowed region
-            for other in allowed:
+            for other in sorted(allowed):
                 weights[other] += row.weight / len(allowed)  # type: ignore[assignment]
     return weights
 
--- a/ploverward/control_plane/adapter_cache/test_pin_suggestion.py
+++ b/ploverward/control_plane/adapter_cache/test_pin_suggestion.py
@@ -1,7 +1,10 @@
 """From counts to a suggestion: evidence, room, zones, homes, steadiness; and the ledger that the counts come from."""
 
 import json
+import os
 import random
+import subprocess
+import sys
 
 import pytest
 
@@ -71,6 +74,56 @@
     assert zones_of(suggestion, "a") == {"s1"}
 
 
+def test_an_adapter_whose_home_regions_have_no_replica_is_reported_as_missing():
+    northern = [one for one in replicas() if one["region"] == "north"]
+    suggestion = made([window(row("a", route="home"), row("b"))], rows=northern)
+    assert zones_of(suggestion, "a") == set() and zones_of(suggestion, "b")
+    assert suggestion["missing"] == [
+        {
+            "service": "llm",
+            "model": "m",
+            "adapter": "a",
+            "region": "south",
+            "why": "no replica may load it: add one in this region",
+        }
+    ]
+
+
+def test_an_adapter_of_a_service_without_replicas_is_reported_where_it_is_requested():
+    suggestion = made([window(row("a", service="gone"), region="south")])
+    assert [(one["service"], one["region"]) for one in suggestion["missing"]] == [("gone", "south")]
+
+
+TIED_SUGGESTION = """
+import json
+from ploverward.control_plane.adapter_cache import test_pin_suggestion as given
+rows = [
+    {**one, "id": f"{service}-{one['id']}", "service": service}
+    for service in ("llm", "tts")
+    for one in given.replicas()
+]
+windows = [given.window(*[given.row("a", service=service) for service in ("tts", "llm")], region="west")]
+suggestion = given.pin_suggestion.suggest(
+    windows=windows, replicas=rows, routes=given.ROUTES, capacity={"llm": 1, "tts": 1}
+)
+print(json.dumps(suggestion))
+"""
+
+
+def test_ties_between_services_and_regions_do_not_depend_on_the_hash_seed():
+    printed = {
+        subprocess.run(
+            [sys.executable, "-c", TIED_SUGGESTION],
+            env={**os.environ, "PYTHONHASHSEED": str(seed)},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for seed in range(6)
+    }
+    assert len(printed) == 1
+
+
 def test_too_little_evidence_pins_nothing_and_says_so():
     suggestion = made([window(row("a", cold=2))])
     assert zones_of(suggestion, "a") == set() and suggestion["too_little_evidence"][0]["adapter"] == "a"
