Roll-outs: doubt about a promoted version ends with its term

Change: from 0.85 of the term on, 100 answers on the doubted route that did not condemn the version let it drain; with fewer it is returned at 0.94.

--- a/ploverward/control_plane/rollouts/manager.py
+++ b/ploverward/control_plane/rollouts/manager.py
@@ -214,14 +214,16 @@
         origins = set(self._proxies())
         reporting = origins & evidence.reports.keys()
         gathered_s = self._now() - trial.begun_at
+        answers = evidence_summary.answer_counts(totals, sent=evidence.sent, sent_new=evidence.sent_new)
         return planner.RolloutView(
             rollout=rollout,
             age_s=age_s,
             stage_age_s=self._ages.stage_age_s(service=service),
             first_answer_s=trial.first_answer_s,
-            answers=evidence_summary.answer_counts(totals, sent=evidence.sent, sent_new=evidence.sent_new),
+            answers=answers,
             verdict=trial.verdict,
             finding=f"{finding.fault} on {finding.route}: {finding.score:.1f}" if finding.fault else "",
+            doubted_answers=answers.new.get(finding.route, 0),
             has_capacity=has_capacity,
             has_reports=(
                 gathered_s >= self._acting_s and len(reporting) >= planner.MIN_REPORTING_SHARE * max(1, len(origins))
--- a/ploverward/control_plane/rollouts/planner.py
+++ b/ploverward/control_plane/rollouts/planner.py
@@ -17,6 +17,8 @@
 MIN_JUDGED_S = 4.5  # from the first answer of the new version to its promotion
 RAMP = 0.08  # of the term: how long the share takes to rise from the canary's to all
 DELIVERY_WITHOUT_SILENT = 0.85  # of the term: from then on proxies that do not report are not waited for
+DOUBT_ENDS = 0.85  # of the term: from then on doubt about a promoted version is settled by how much it has answered
+TELLING_ANSWERS = 100  # on the doubted route; a bad version would have shown itself by so many
 LAST_DELIVERY = 0.94  # of the term: the last moment for a step
 MIN_ROUTE_ANSWERS = 8  # of the new version, on each route that the former one serves
 MIN_ANSWERED_SHARE = 0.5  # of the answers that are due, below which they are missing
@@ -35,6 +37,7 @@
         answers: Answers of the new version, and those that are due, by route.
         verdict: What the canary shows.
         finding: The fault with the highest score, as text; may be empty.
+        doubted_answers: Answers of the new version on the route of that fault.
         has_capacity: Whether warm replicas of the new version can carry the traffic of each region.
         has_reports: Whether this coordinator has the counts of most proxies; one that has just acquired the role has
             not.
@@ -49,6 +52,7 @@
     answers: evidence_summary.AnswerCounts
     verdict: judge.Verdict
     finding: str
+    doubted_answers: int
     has_capacity: bool
     has_reports: bool
     is_drained: bool
@@ -120,11 +124,18 @@
 
 def _after_promoting(view: RolloutView) -> Move | None:
     term_s = view.rollout.over_s
-    if view.age_s >= LAST_DELIVERY * term_s and not view.has_capacity:
+    is_last = view.age_s >= LAST_DELIVERY * term_s
+    if is_last and not view.has_capacity:
         return Move(stage=state.Stage.RETURNED, reason="too few replicas of the new version at the end of the term")
-    if view.stage_age_s < RAMP * term_s or not view.has_capacity or view.verdict is judge.Verdict.DOUBTFUL:
+    if view.stage_age_s < RAMP * term_s or not view.has_capacity:
         return None
-    return Move(stage=state.Stage.DRAINING, reason="all traffic is at the new version")
+    if view.verdict is not judge.Verdict.DOUBTFUL:
+        return Move(stage=state.Stage.DRAINING, reason="all traffic is at the new version")
+    if view.age_s >= DOUBT_ENDS * term_s and view.doubted_answers >= TELLING_ANSWERS:
+        return Move(stage=state.Stage.DRAINING, reason=f"{view.doubted_answers} answers did not confirm {view.finding}")
+    if is_last:
+        return Move(stage=state.Stage.RETURNED, reason=f"not cleared by the end of the term: {view.finding}")
+    return None
 
 
 def _after_draining(view: RolloutView) -> Move | None:
--- a/ploverward/control_plane/rollouts/test_planner.py
+++ b/ploverward/control_plane/rollouts/test_planner.py
@@ -23,6 +23,7 @@
     answers=evidence_summary.AnswerCounts(new={"r": 40}, expected={"r": 44.0, "rare": 2.0}),
     verdict=judges.Verdict.CLEAR,
     finding="",
+    doubted_answers=0,
     has_capacity=True,
     has_reports=True,
     is_drained=False,
@@ -70,6 +71,46 @@
     assert planner.next_move(at(stage, verdict=judges.Verdict.BAD)).stage == state.Stage.RETURNED
 
 
+def promoted(age_s, **about):
+    return planner.next_move(at(state.Stage.PROMOTING, age_s=age_s, stage_age_s=5.0, **about))
+
+
+DOUBTED = {"verdict": judges.Verdict.DOUBTFUL, "finding": "failed on r: 3.1"}
+
+
+def test_a_promoted_version_in_doubt_waits_while_its_term_allows():
+    assert promoted(12.0, **DOUBTED, doubted_answers=5000) is None
+    assert promoted(14.9, **DOUBTED, doubted_answers=planner.TELLING_ANSWERS - 1) is None
+
+
+def test_a_promoted_version_that_many_answers_did_not_condemn_goes_on_in_time_to_drain():
+    move = promoted(13.7, **DOUBTED, doubted_answers=planner.TELLING_ANSWERS)
+    assert move.stage == state.Stage.DRAINING and "did not confirm failed on r" in move.reason
+
+
+def test_a_promoted_version_that_few_answers_leave_in_doubt_is_rolled_back_before_its_term_ends():
+    move = promoted(15.1, **DOUBTED, doubted_answers=planner.TELLING_ANSWERS - 1)
+    assert move.stage == state.Stage.RETURNED and "not cleared" in move.reason
+
+
+@pytest.mark.parametrize("stage", state.IN_PROGRESS_STAGES)
+@pytest.mark.parametrize("verdict", judges.Verdict)
+@pytest.mark.parametrize("has_capacity", [True, False])
+@pytest.mark.parametrize("doubted_answers", [0, 5000])
+def test_no_order_outlasts_its_term(stage, verdict, has_capacity, doubted_answers):
+    move = planner.next_move(
+        at(
+            stage,
+            age_s=planner.LAST_DELIVERY * VIEW.rollout.over_s,
+            stage_age_s=5.0,
+            verdict=verdict,
+            has_capacity=has_capacity,
+            doubted_answers=doubted_answers,
+        )
+    )
+    assert move is not None and move.stage in state.NEXT_STAGES[stage]
+
+
 def test_delivered_is_announced_only_when_nothing_runs_at_the_former_version_or_the_term_is_over():
     assert planner.next_move(at(state.Stage.DRAINING, age_s=12.0)) is None
     assert planner.next_move(at(state.Stage.DRAINING, age_s=12.0, is_drained_without_silent=True)) is None
--- a/ploverward/simulation/rollout_checks.py
+++ b/ploverward/simulation/rollout_checks.py
@@ -21,6 +21,7 @@
 ALLOWED_STAGES = dict(state.NEXT_STAGES)  # a copy: a seeded bug may change the original
 MAX_BAD_ANSWERS = 50  # after which a bad version has rollbackMs to get nothing more
 CLOCK_TOLERANCE_S = 0.01
+MAX_OVERTIME_S = 4.0  # past the term: until another coordinator has the role, its contact and the reports
 LOSSES = frozenset(("cut_proxies", "freeze_proxies", "kill_proxies", "kill_all"))  # of proxies, or of all counts
 
 
@@ -153,3 +154,8 @@
         allowed = rollout_nodes.EXPOSURE.share * len(during) + rollout_nodes.EXPOSURE.slack
         if self.report.kind != "good" and self.report.sent_new > allowed:
             self._find("exposure", f"{self.report.sent_new} of {len(during)}, {allowed:.0f} allowed")
+
+    def check_term(self) -> None:
+        """The term is over: the order has ended one way or the other."""
+        if self._stages and self._stages[-1] not in state.FINAL_STAGES:
+            self._find("term", f"still {self._stages[-1]}")
--- a/ploverward/simulation/rollout_simulation.py
+++ b/ploverward/simulation/rollout_simulation.py
@@ -37,7 +37,9 @@
     "faulty_replica",
     "former_fails",
     "slow_all",
+    "some_fail",
 )
+SOME_FAIL_RATE = 0.08  # of the answers of all versions: enough for doubt, too little to condemn a version
 
 
 class RolloutSimulation:
@@ -67,7 +69,7 @@
         self.cores = {name: rollout_nodes.Core(simulation=self, name=name) for name in CORES}
         self.coordinator = "k1"
         self.former_coordinator: str | None = None  # one that does not know yet that it lost the role
-        self.is_slow = self.former_fails = False
+        self.is_slow = self.former_fails = self.some_fail = False
         per_s = self.chance.choice((40.0, 120.0, 200.0))
         count = self.chance.choice((12, 30, 60))
         self.proxies = [
@@ -156,6 +158,8 @@
             is_failed = is_failed or self.chance.random() < 0.5
         if self.former_fails:
             is_failed = is_failed or self.chance.random() < 0.15
+        if self.some_fail:
+            is_failed = is_failed or self.chance.random() < SOME_FAIL_RATE
         return is_failed
 
     def _is_bad(self, replica: rollout_nodes.Replica, route: str, now: float) -> bool:
@@ -189,6 +193,7 @@
             "faulty_replica": lambda: self._make_faulty(for_s),
             "former_fails": lambda: self._set_for("former_fails", for_s),
             "slow_all": lambda: self._set_for("is_slow", for_s),
+            "some_fail": lambda: self._set_for("some_fail", END_AT_S),
         }
         self.world.later(at_s, acts[name])
 
@@ -285,6 +290,8 @@
         self.world.later(rollout_checks.ORDER_AT_S, self._order)
         # The platform's list may show the new version before the order comes.
         self.world.later(rollout_checks.ORDER_AT_S + self.chance.uniform(-1.0, 0.5), self._start_new_replicas)
+        term_end_s = rollout_checks.ORDER_AT_S + self.over_s
+        self.world.later(term_end_s + rollout_checks.MAX_OVERTIME_S, self.checks.check_term)
         for name in self.report.fault_kinds:
             self._schedule_fault(name)
         self.world.run(until=END_AT_S)
--- a/ploverward/simulation/test_rollout_simulation.py
+++ b/ploverward/simulation/test_rollout_simulation.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ploverward.control_plane.rollouts import canary_trial
 from ploverward.control_plane.rollouts import evidence_table
 from ploverward.control_plane.rollouts import judge
 from ploverward.control_plane.rollouts import manager
@@ -82,6 +83,40 @@
     monkeypatch.setattr(judge.CanaryJudge, "record", record)
 
 
+def doubt_that_never_ends(monkeypatch):
+    """Of a promoted version: nothing that it answers clears or condemns it."""
+    real = canary_trial.CanaryTrial.evaluate
+
+    def evaluate(self, *, is_canary, **about):
+        real(self, is_canary=is_canary, **about)
+        self.is_promoted = not is_canary
+
+    def verdict(self):
+        return judge.Verdict.DOUBTFUL if getattr(self, "is_promoted", False) else judge.Verdict.CLEAR
+
+    monkeypatch.setattr(canary_trial.CanaryTrial, "evaluate", evaluate)
+    monkeypatch.setattr(canary_trial.CanaryTrial, "verdict", property(verdict))
+
+
+def a_promoted_version_in_doubt_that_waits_for_ever(monkeypatch):
+    doubt_that_never_ends(monkeypatch)
+    real = planner.next_move
+
+    def next_move(view):
+        is_waiting = view.rollout.stage == state.Stage.PROMOTING and view.verdict is judge.Verdict.DOUBTFUL
+        return None if is_waiting else real(view)
+
+    monkeypatch.setattr(planner, "next_move", next_move)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_doubt_that_never_ends_does_not_outlast_the_term(monkeypatch, seed):
+    doubt_that_never_ends(monkeypatch)
+    report = rollout_simulation.run_simulation(seed, kind="good", fault_kinds=("none",))
+    assert not report.findings
+    assert report.stage in state.FINAL_STAGES and report.ended_s < 18.0
+
+
 @pytest.mark.parametrize(
     "plant, kind, fault_kinds, check",
     [
@@ -91,6 +126,7 @@
         (delivered_with_work_running, "good", ("none",), "delivered"),
         (the_list_before_the_order, "errors", ("none",), "admitted"),
         (a_judge_that_looks_only_at_the_beginning, "late", ("none",), "exposure"),
+        (a_promoted_version_in_doubt_that_waits_for_ever, "good", ("none",), "term"),
     ],
 )
 def test_planted_faults_are_found(monkeypatch, plant, kind, fault_kinds, check):
