core-set counts who votes, and an emptied disk founds no second core set

Cause: votes, and the losses that may still come, went by connections, so a node whose disk refuses writes counted. Change: a node counts while it replied to a heartbeat within the lease, itself while it is a voter; disk_accepts_writes says why not. Cause: an empty disk beside firstStart=true took the seeds as the first set and voted. Change: seeds ask each other (docs/register.md 4): without identity on n - majority + 1 others nothing is founded. What a first start may grant early now follows the founding, not the settings. Model cluster: its disks have an identity from the start; first starts have tests of their own. Simulation: emptied machines start with their settings of the first start in 0.3 of the cases, new mutant 'founds without asking'.

--- a/ploverward/command_line/core_set.py
+++ b/ploverward/command_line/core_set.py
@@ -1,5 +1,6 @@
 """`ploverward core-set`: who votes, who learns, how far each node is, what may be lost (docs/core-set.md)."""
 
+import enum
 from typing import Any
 
 from ploverward.command_line import core_client as core_clients
@@ -13,6 +14,22 @@
 Responses = dict[str, Body]  # by the node's address
 
 
+class Silence(enum.Enum):
+    """Why a member does not vote.
+
+    Attributes:
+        role: What the node's line says.
+        reason: How the sentence on the fault ends.
+    """
+
+    LEARNS = ("learns", " yet: it learns")
+    DISK = ("disk refuses writes", ": its disk refuses writes")
+
+    def __init__(self, role: str, reason: str) -> None:
+        self.role = role
+        self.reason = reason
+
+
 def command(_verb: str, arguments: list[str]) -> int:
     """Prints the core set as the core nodes see it."""
     if arguments:
@@ -80,12 +97,19 @@
             faults.append(
                 f"register '{name}' stands under {', '.join(row['members']) or 'no set'}: a move is under way"
             )
-    for body in responses.values():
-        if body["address"] in newest["members"] and not body["votes"]:
-            faults.append(f"{body['address']} is a member and does not vote yet: it learns")
+    faults += [
+        f"{body['address']} is a member and does not vote{_silence(body).reason}"
+        for body in responses.values()
+        if body["address"] in newest["members"] and not body["votes"]
+    ]
     return newest, faults
 
 
+def _silence(body: Body) -> Silence:
+    """Why a node that answers does not vote. Nodes of older versions don't report on their disk."""
+    return Silence.LEARNS if body.get("disk_accepts_writes", True) else Silence.DISK
+
+
 def table(*, responses: Responses, missed: core_clients.Missed, newest: Body | None) -> list[str]:
     """Returns lines for people: the set, then a line for each node."""
     lines = []
@@ -99,7 +123,7 @@
 
 def _node_line(address: str, body: Body, members: tuple | list) -> str:
     voting_role = "votes" if body["address"] in members else "outside the set"
-    role = voting_role if body["votes"] else "learns"
+    role = voting_role if body["votes"] else _silence(body).role
     contact = "in contact" if body["has_majority_contact"] else "no majority"
     versions = " ".join(f"{name}={row['on_disk']}/{row['known']}" for name, row in sorted(body["registers"].items()))
-    return f"{address}  {role:15}  {contact:11}  {versions}"
+    return f"{address}  {role:19}  {contact:11}  {versions}"
--- a/ploverward/command_line/test_core_set.py
+++ b/ploverward/command_line/test_core_set.py
@@ -63,6 +63,10 @@
         ([node("a", borne=0), node("b"), node("c")], "0 further losses are borne now, 1 are wanted"),
         ([node("a", spec="bcd"), node("b"), node("c")], "register 'spec' stands under b, c, d"),
         ([node("a"), node("b"), node("c", votes=False, contact=False)], "c is a member and does not vote yet"),
+        (
+            [node("a", borne=0), node("b"), {**node("c", votes=False), "disk_accepts_writes": False}],
+            "c is a member and does not vote: its disk refuses writes",
+        ),
     ],
 )
 def test_what_is_not_as_it_should_be_is_said_and_exits_1(nodes, said):
--- a/ploverward/control_plane/cluster/core_set_status.py
+++ b/ploverward/control_plane/cluster/core_set_status.py
@@ -7,6 +7,7 @@
 
 from ploverward.control_plane.cluster import core_membership
 from ploverward.control_plane.cluster import core_set_reconciler
+from ploverward.control_plane.cluster import majority_lease
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import voting_set
 from ploverward.control_plane.consensus import consensus_node
@@ -21,11 +22,13 @@
         node_name: Returns the name of this node.
         sessions: Which core nodes are connected.
         membership: The core set as this node knows it.
+        lease: Which members reply to heartbeats; only a node that votes replies.
         consensus: This node's registers.
         reconciler: What this node sees of the core machines.
         changer: Whether a move is in progress.
         coordinator_address: Returns the address of the cluster coordinator; empty where there is none.
         wanted_voters: 2 t + 1, where t machines may be lost at once.
+        reply_span_s: A member counts as voting that replied to a heartbeat sent within so many seconds.
     """
 
     def __init__(
@@ -35,21 +38,25 @@
         node_name: Callable[[], str],
         sessions: peer_sessions.PeerSessions,
         membership: core_membership.CoreMembership,
+        lease: majority_lease.MajorityLease,
         consensus: consensus_node.ConsensusNode,
         reconciler: core_set_reconciler.CoreSetReconciler,
         changer: voting_set.CoreSetChanger,
         coordinator_address: Callable[[], str],
         wanted_voters: int,
+        reply_span_s: float,
     ) -> None:
         self._own = own
         self._node_name = node_name
         self._sessions = sessions
         self._membership = membership
+        self._lease = lease
         self._consensus = consensus
         self._reconciler = reconciler
         self._changer = changer
         self._coordinator_address = coordinator_address
         self._wanted_voters = wanted_voters
+        self._reply_span_s = reply_span_s
 
     def report(self) -> dict:
         """Returns the body of the interface."""
@@ -57,16 +64,19 @@
         agreed = self._membership.agreed()
         known = set(self._membership.members()) | self._sessions.core_addresses() | {self._own}
         in_touch = sorted(host for host in known if self._sessions.is_core_live(host))
+        voting = [host for host in in_touch if self._is_voting(host)]
         return {
             "node": self._node_name(),
             "address": self._own,
-            "votes": self._consensus.acceptor.votes,
+            "votes": self._consensus.is_voter,
+            "disk_accepts_writes": not self._consensus.write_ahead_log.is_hindered,
             "members": list(agreed.members),
             "version": agreed.version,
             "has_majority_contact": self._membership.has_majority_lease(),
             "wanted_voters": self._wanted_voters,
-            "losses_borne": voting_set.tolerated_losses(members=agreed.members, in_touch=in_touch),
+            "losses_borne": voting_set.tolerated_losses(members=agreed.members, voting=voting),
             "in_touch": in_touch,
+            "voting": voting,
             "learners": list(view.learners),
             "leaving": list(view.leaving),
             "is_moving": self._changer.is_moving,
@@ -74,6 +84,12 @@
             "registers": self._registers(),
         }
 
+    def _is_voting(self, host: str) -> bool:
+        """Whether a majority may count on this core node: it learns no more, and its disk accepts writes."""
+        if host == self._own:
+            return self._consensus.is_voter
+        return self._lease.has_reply_within(member=host, span_s=self._reply_span_s)
+
     def _registers(self) -> dict[str, dict]:
         on_disk = dict(self._consensus.minimum_versions())
         return {
--- a/ploverward/control_plane/cluster/share_lease_granter.py
+++ b/ploverward/control_plane/cluster/share_lease_granter.py
@@ -19,6 +19,7 @@
 from ploverward.transport import messages
 
 RATE_WINDOW_S = 1.5  # a rate counts for one second at the proxy; the rest is slack for late clocks
+FIRST_START_WITHHOLD_TIMEOUTS = 2  # peer time-outs from the start of a process until it grants, at a first start
 OUTLIVED_LEASES = 2  # of `lease_s`: until an evicted member's majority lease ends, then until its last share lease ends
 
 
@@ -31,7 +32,6 @@
         own: Address of this node.
         now: The clock, in seconds.
         timing: Durations of this node.
-        first_members: The core set of a first start; empty for any other start, which owns nothing at first.
 
     Attributes:
         slack: The share of the retry slack.
@@ -44,18 +44,16 @@
         own: str,
         now: Callable[[], float],
         timing: core_timing.CoreTiming,
-        first_members: Collection[str],
     ) -> None:
         self._own = own
-        initial_share = self._share_under(first_members)
         # An evicted member may grant leases until its majority lease ends; each counts for its duration and its window.
         outlived_s = OUTLIVED_LEASES * timing.lease_s
-        self.slack = share_leases.OwnedShare(
-            now=now, transfer_wait_s=outlived_s + timing.retry_window_s, initial_share=initial_share
-        )
-        self.rate = share_leases.OwnedShare(
-            now=now, transfer_wait_s=outlived_s + RATE_WINDOW_S, initial_share=initial_share
-        )
+        self.slack = share_leases.OwnedShare(now=now, transfer_wait_s=outlived_s + timing.retry_window_s)
+        self.rate = share_leases.OwnedShare(now=now, transfer_wait_s=outlived_s + RATE_WINDOW_S)
+
+    def begin_first_start(self, members: Collection[str]) -> None:
+        """This node is one of those that founded the core set: nobody else can have its share."""
+        self.resume(core_membership.AgreedCoreSet(members=tuple(members), version=0))
 
     def install(self, agreed: core_membership.AgreedCoreSet) -> None:
         """Installs this node's share under the agreed core set."""
@@ -85,7 +83,6 @@
         timing: Durations of this node.
         started_at: When this process started, on that clock; leases of its earlier incarnation are waited for from
             then.
-        is_first_start: Whether the system starts for the first time: there are no leases of an earlier incarnation.
         owned: This node's share of every limit.
         membership: The agreed core set, and whether this node has the majority lease.
         sessions: The connected proxies.
@@ -99,7 +96,6 @@
         now: Callable[[], float],
         timing: core_timing.CoreTiming,
         started_at: float,
-        is_first_start: bool,
         owned: OwnedShares,
         membership: core_membership.CoreMembership,
         sessions: peer_sessions.PeerSessions,
@@ -113,17 +109,27 @@
         self._sessions = sessions
         self._meter = meter
         self._has_tenants = has_tenants
-        withhold_s = timing.peer_timeout_s * 2 if is_first_start else timing.lease_s + timing.retry_window_s
-        rate_withhold_s = min(withhold_s, timing.lease_s + RATE_WINDOW_S)
-        self._rates_from = started_at + rate_withhold_s
+        self._started_at = started_at
+        self._first_start_withhold_s = timing.peer_timeout_s * FIRST_START_WITHHOLD_TIMEOUTS
+        self._rates_from = started_at + timing.lease_s + RATE_WINDOW_S
         self._slack_table = share_leases.ShareTable(
-            now=now, lease_s=timing.lease_s, window_s=timing.retry_window_s, withheld_until=started_at + withhold_s
+            now=now,
+            lease_s=timing.lease_s,
+            window_s=timing.retry_window_s,
+            withheld_until=started_at + timing.lease_s + timing.retry_window_s,
         )
         self._rate_table = share_leases.ShareTable(
             now=now, lease_s=timing.lease_s, window_s=RATE_WINDOW_S, withheld_until=self._rates_from
         )
         self._slots = rate_slots.RateSlots(now=now, reserved_s=timing.lease_s + RATE_WINDOW_S)
 
+    def begin_first_start(self) -> None:
+        """The system starts for the first time: there are no leases of an earlier incarnation to wait for."""
+        granted_from = self._started_at + self._first_start_withhold_s
+        self._rates_from = min(self._rates_from, granted_from)
+        self._slack_table.withhold_until(granted_from)
+        self._rate_table.withhold_until(self._rates_from)
+
     def handle_renewal(self, connection: interfaces.Connection, message: messages.RenewShares) -> None:
         """Replies to a proxy with its share lease, and with its quota status where there are tenants.
 
--- a/ploverward/control_plane/cluster/test_voting_set.py
+++ b/ploverward/control_plane/cluster/test_voting_set.py
@@ -58,9 +58,9 @@
 
 
 def test_losses_tolerated_are_reported():
-    assert voting_set.tolerated_losses(members=tuple("abcde"), in_touch="abcde") == 2
-    assert voting_set.tolerated_losses(members=tuple("abcde"), in_touch="abc") == 0
-    assert voting_set.tolerated_losses(members=tuple("abc"), in_touch="a") == -1
+    assert voting_set.tolerated_losses(members=tuple("abcde"), voting="abcde") == 2
+    assert voting_set.tolerated_losses(members=tuple("abcde"), voting="abc") == 0
+    assert voting_set.tolerated_losses(members=tuple("abc"), voting="a") == -1
 
 
 @pytest.mark.parametrize("seed", range(200))
--- a/ploverward/control_plane/cluster/voting_set.py
+++ b/ploverward/control_plane/cluster/voting_set.py
@@ -56,10 +56,14 @@
     return tuple(sorted(target))
 
 
-def tolerated_losses(*, members: Collection[str], in_touch: Collection[str]) -> int:
-    """Returns how many further members may be lost now with a majority left; -1 where there is none."""
-    live = sum(1 for member in members if member in in_touch)
-    return live - ballots.majority(members)
+def tolerated_losses(*, members: Collection[str], voting: Collection[str]) -> int:
+    """Returns how many further members may be lost now with a majority left; negative where there is none.
+
+    Args:
+        members: The agreed set.
+        voting: Core nodes on whose vote a majority may count now; others may be among them.
+    """
+    return sum(1 for member in members if member in voting) - ballots.majority(members)
 
 
 class CoreSetChanger:
--- a/ploverward/control_plane/consensus/catch_up.py
+++ b/ploverward/control_plane/consensus/catch_up.py
@@ -4,6 +4,11 @@
 above all ballots in those rows, and send their rows again. From then on none of them accepts what this node may have
 accepted, or have promised to accept, before its disk was emptied. A request names the values that were sent already;
 replies leave those out.
+
+At the first start of the whole system no disk has an identity and there is nothing to learn. Then the seeds answer each
+other that they have none (`handle_without_identity`); such an answer counts like one without rows, and as there is
+nothing to fence off, DONE follows LOOK. So a disk that was emptied later founds nothing, also where the settings still
+say that this is the first start: the members of a set that exists answer with their rows, or do not answer.
 """
 
 import collections.abc
@@ -50,17 +55,20 @@
     Args:
         own: the learner's name.
         registers: names of all registers.
+        founding_set: the set to be founded, if the settings say that this is the first start; else ().
 
     Attributes:
         stage: the present stage; `answers` is complete at `Stage.DONE`.
         answers: member to its rows in this stage.
         fences: register to the ballot that voters are requested to promise.
         first_set: the set in force before any value was chosen, once a voter has named it.
+        founding_set: as given.
     """
 
-    def __init__(self, *, own: str, registers: tuple[str, ...]) -> None:
+    def __init__(self, *, own: str, registers: tuple[str, ...], founding_set: tuple[str, ...] = ()) -> None:
         self._own = own
         self._registers = registers
+        self.founding_set = founding_set
         self._number = 0  # of the request; a stage has its own, so that replies to an older one are not counted
         self.first_set: tuple[str, ...] = ()
         self.start()
@@ -71,6 +79,7 @@
         self.stage = Stage.LOOK
         self.fences: dict[str, Ballot] = {}
         self.answers: dict[str, tuple[messages.RegisterRow, ...]] = {}
+        self._without_identity: set[str] = set()  # of `answers`: those of nodes that are to found the set as well
         # register: all values received since the beginning, by ballot
         self._values: dict[str, dict[Ballot, AcceptedValue]] = {}
 
@@ -118,14 +127,42 @@
         if number != self._number or self.stage is Stage.DONE:
             return
         self.answers[member] = self._with_values(rows)
+        self._without_identity.discard(member)
         self.first_set = first_set or self.first_set
+        self._advance()
+
+    def handle_without_identity(self, *, member: str, number: int, founding_set: tuple[str, ...]) -> None:
+        """Processes the reply of a node that has no identity either and is to found a set.
+
+        It counts where both are to found the same set. What such a node may have voted for before its disk was emptied
+        needs no fence: accepts name the incarnation that promised, and it will have another one.
+
+        Args:
+            member: the node.
+            number: of the request that it answers.
+            founding_set: the set that it is to found.
+        """
+        if number != self._number or self.stage is Stage.DONE:
+            return
+        if not self.founding_set or founding_set != self.founding_set or member not in founding_set:
+            return
+        self.answers[member] = ()
+        self._without_identity.add(member)
+        self._advance()
+
+    def _advance(self) -> None:
         if not self.has_enough():
             return
-        if self.stage is Stage.LOOK:
+        if self.stage is Stage.LOOK and self._without_identity != self.answers.keys():
             self._raise_fence()
         else:
             self.stage = Stage.DONE
 
+    @property
+    def has_found_values(self) -> bool:
+        """Whether any reply had a value: then the system did not start just now."""
+        return any(self._values.values())
+
     def _raise_fence(self) -> None:
         highest = dict.fromkeys(self._registers, 0)
         for rows in self.answers.values():
@@ -135,6 +172,7 @@
         self.stage = Stage.FENCE
         self.fences = {name: Ballot(number + 1, f"{self._own}{PROPOSER_SUFFIX}") for name, number in highest.items()}
         self.answers = {}
+        self._without_identity = set()
 
     def has_enough(self) -> bool:
         """Whether enough members of each register's newest set answered, as far as any answer shows that set."""
@@ -144,7 +182,7 @@
                 if row.value and row.accepted > newest.get(row.register, NO_VALUE).ballot:
                     newest[row.register] = AcceptedValue(row.accepted, row.revision, row.value)
         for name in self._registers:
-            sets = ballots.member_sets(newest[name].value) if name in newest else (self.first_set,)
+            sets = ballots.member_sets(newest[name].value) if name in newest else (self.first_set or self.founding_set,)
             if not all(self._has_enough_of(members) for members in sets):
                 return False
         return True
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -43,7 +43,8 @@
         own: address of this node, its name as a member.
         store: the acceptor's storage.
         seeds: the first core set, if this is the first start of all.
-        is_first_start: whether all nodes start now for the first time, with empty disks and the same seeds.
+        is_first_start: whether the settings say that all nodes start for the first time, with empty disks and the
+            same seeds. The seeds are asked whether that is so before they found a set.
         chance: returns a random number from 0 to 1.
         unique_id: a new unique id.
         receipt_s: within how many seconds an order has to be acknowledged.
@@ -54,6 +55,7 @@
         publish: takes a register, revision and value known to be chosen; returns whether it is a newer one.
         on_value: called with register, payload and members of each newer value.
         version: the newest revision of a register known to be chosen.
+        on_founded: called once with the first set, if this node is one of those that found it.
 
     Attributes:
         acceptor: in memory, ahead of the disk.
@@ -80,6 +82,7 @@
         publish: collections.abc.Callable[[str, int, bytes], bool],
         on_value: collections.abc.Callable[[str, typing.Any, tuple[str, ...]], object],
         version: collections.abc.Callable[[str], int],
+        on_founded: collections.abc.Callable[[tuple[str, ...]], object] = lambda _first_set: None,
     ) -> None:
         self._loop = loop
         self.own = own
@@ -91,6 +94,7 @@
         self._publish = publish
         self._on_value = on_value
         self._version = version
+        self._on_founded = on_founded
         self._reading: set[str] = set()  # registers that are being read to learn what is chosen
         # register: (revision, heartbeats for which it has been accepted here and not known as chosen)
         self._behind: dict[str, tuple[int, int]] = {}
@@ -144,13 +148,19 @@
             _log.error("registers_unreadable", extra={"fault": str(error)})
             image = acceptor_storage.Image()
             self.is_damaged = True
-        if not image.incarnation and is_first_start and not self.is_damaged:
-            # All start at once with empty disks and the same seeds: only then are the seeds the first set.
-            image = acceptor_storage.Image(incarnation=self._unique_id(), first_set=tuple(sorted(seeds)))
         if image.incarnation:
             self._begin(image)
+            return
+        first_set = tuple(sorted(seeds))
+        if is_first_start and not self.is_damaged and self.own in first_set:
+            self._catch_up = catch_up.LearnerCatchUp(
+                own=self.own, registers=register_names.REGISTERS, founding_set=first_set
+            )
+        self.proposer.is_learner = True
+        if self._catch_up.founding_set == (self.own,):
+            self._catch_up.first_set = first_set
+            self._finish_catch_up()  # there is nobody to ask
         else:
-            self.proposer.is_learner = True
             self._look()
 
     def _begin(
@@ -257,6 +267,8 @@
         if durable.votes:
             known = {fence.register: fence.known for fence in request.fences}
             rows = (catch_up.first_set_row(self.proposer.known_sets.seeds), *durable.rows(known=known))
+        elif self._catch_up.founding_set:
+            rows = (catch_up.first_set_row(self._catch_up.founding_set),)
         link.send(messages.CatchUpReply(number=request.number, is_voter=durable.votes, rows=rows))
 
     def _look(self) -> None:
@@ -265,6 +277,7 @@
             return
         if self._loop.now() - self._catch_up_begun_at > self._contact_s:
             self._catch_up_begun_at = self._loop.now()
+            self._note_founding_waits()
             self._catch_up.start()
         _log.debug(
             "catch_up_requested", extra={"had": {member: len(rows) for member, rows in self._catch_up.answers.items()}}
@@ -272,14 +285,22 @@
         self._broadcast_to_cores(self._catch_up.request())
         self._loop.after(delay=self._contact_s * CATCH_UP_INTERVAL_SHARE, callback=self._look)
 
+    def _note_founding_waits(self) -> None:
+        if self._catch_up.founding_set:
+            answered = sorted(self._catch_up.answers)
+            _log.error("founding_waits", extra={"seeds": list(self._catch_up.founding_set), "answered": answered})
+
     def _handle_catch_up_reply(
         self, member: str, _link: interfaces.Connection | None, reply: messages.CatchUpReply
     ) -> None:
-        if self.acceptor.votes or not reply.is_voter:
+        if self.acceptor.votes:
             return
         stage = self._catch_up.stage
         first_set, rows = catch_up.split_first_set(reply.rows)
-        self._catch_up.handle(member=member, number=reply.number, first_set=first_set, rows=rows)
+        if reply.is_voter:
+            self._catch_up.handle(member=member, number=reply.number, first_set=first_set, rows=rows)
+        else:
+            self._catch_up.handle_without_identity(member=member, number=reply.number, founding_set=first_set)
         if self._catch_up.stage is catch_up.Stage.DONE:
             self._finish_catch_up()
         elif self._catch_up.stage is not stage:
@@ -288,12 +309,17 @@
     def _finish_catch_up(self) -> None:
         gathered = acceptors.Acceptor()
         rows = gathered.catch_up(incarnation="", states=self._catch_up.answers.values())
-        image = acceptor_storage.Image(incarnation=self._unique_id(), first_set=self._catch_up.first_set, rows=rows)
+        first_set = self._catch_up.first_set or self._catch_up.founding_set
+        image = acceptor_storage.Image(incarnation=self._unique_id(), first_set=first_set, rows=rows)
         self._begin(image, on_durable=self._on_caught_up)
 
     def _on_caught_up(self) -> None:
         _log.debug("catch_up_finished", extra={"incarnation": self.acceptor.incarnation})
         self.proposer.is_learner = False
+        if self._catch_up.founding_set and not self._catch_up.has_found_values:
+            first_set = self.proposer.known_sets.seeds
+            _log.info("core_set_founded", extra={"members": list(first_set)})
+            self._on_founded(first_set)
         for name in register_names.REGISTERS:
             self.repair(name)
 
--- a/ploverward/control_plane/consensus/test_catch_up.py
+++ b/ploverward/control_plane/consensus/test_catch_up.py
@@ -81,6 +81,93 @@
     assert node.voting.is_damaged and not node.voting.acceptor.votes and node.voting.proposer.is_learner
 
 
+def first_start(*, names=SEEDS, seed=5):
+    """Nodes with empty disks whose settings say that all start for the first time; those in `names` run."""
+    model = consensus_cluster.Model(seed=seed, seeds=SEEDS)
+    for name, node in model.nodes.items():
+        node.stop(is_wiped=True)
+        if name in names:
+            node.start(is_first_start=True)
+    return model
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_seeds_with_empty_disks_found_the_set_together(seed):
+    model = first_start(seed=seed)
+    assert not any(node.votes for node in model.nodes.values())
+    model.world.run(until=1.5)
+    assert all(node.votes for node in model.nodes.values())
+    assert {node.voting.proposer.known_sets.seeds for node in model.nodes.values()} == {SEEDS}
+    model.call("a", kind="change")
+    model.world.run(until=3.0)
+    assert model.history[-1]["ended"] is not None
+
+
+def test_a_seed_that_is_missing_at_the_first_start_is_waited_for_and_named(caplog):
+    model = first_start(names="ab")
+    model.world.run(until=2 * register_node.CONTACT_S)
+    assert not any(model.nodes[name].votes for name in "ab")
+    waits = [record for record in caplog.records if record.message == "founding_waits"]
+    assert waits and {(*record.seeds, *record.answered) for record in waits} == {(*SEEDS, "a"), (*SEEDS, "b")}
+    model.nodes["c"].start(is_first_start=True)
+    model.world.run(until=2 * register_node.CONTACT_S + 2.0)
+    assert all(node.votes for node in model.nodes.values())
+
+
+def test_a_lone_seed_founds_its_set_at_once():
+    model = consensus_cluster.Model(seed=4, seeds=("a",))
+    model.nodes["a"].stop(is_wiped=True)
+    model.nodes["a"].start(is_first_start=True)
+    model.world.run(until=0.1)
+    assert model.nodes["a"].votes
+
+
+@pytest.mark.parametrize("others", ["cut off", "one emptied too", "down"])
+def test_an_emptied_disk_founds_nothing_whatever_its_settings_say(others):
+    model = settled()
+    model.call("b", kind="change")
+    model.world.run(until=4.0)
+    a = model.nodes["a"]
+    a.stop(is_wiped=True)
+    if others == "cut off":
+        model.world.partitions |= {("a", "b"), ("b", "a"), ("a", "c"), ("c", "a")}
+    elif others == "one emptied too":
+        model.nodes["b"].stop(is_wiped=True)
+        model.nodes["b"].start(is_first_start=True)
+        model.nodes["c"].stop()
+    else:
+        model.nodes["b"].stop()
+        model.nodes["c"].stop()
+    a.start(is_first_start=True)
+    model.world.run(until=20.0)
+    assert not a.votes and not a.voting.acceptor.votes
+    assert not model.nodes["b"].votes or others == "cut off"
+
+
+def test_an_emptied_disk_with_settings_of_the_first_start_learns_from_the_others():
+    model = settled()
+    model.nodes["a"].stop(is_wiped=True)
+    model.nodes["a"].start(is_first_start=True)
+    model.world.run(until=8.0)
+    node = model.nodes["a"]
+    assert node.votes
+    assert all(node.voting.write_ahead_log.durable.get(name).revision >= 1 for name in register_names.REGISTERS)
+
+
+def test_a_set_that_moved_away_is_not_founded_again_by_its_former_members():
+    model = settled(others=("d", "e", "f"))
+    move(model, "a", ("d", "e", "f"), until=8.0)
+    for name in "abc":
+        model.nodes[name].stop(is_wiped=name != "c")
+    for name in "ab":
+        model.nodes[name].start(is_first_start=True)
+    for old in "ab":
+        for new in "def":
+            model.world.partitions |= {(old, new), (new, old)}
+    model.world.run(until=20.0)
+    assert not model.nodes["a"].votes and not model.nodes["b"].votes
+
+
 def test_a_disk_that_is_emptied_in_the_first_seconds_is_filled_by_the_others():
     model = consensus_cluster.Model(seed=3, seeds=SEEDS)
     model.world.run(until=0.2)
@@ -96,7 +183,7 @@
     for late in "def":
         model.world.partitions |= {(late, other) for other in model.nodes} | {(other, late) for other in model.nodes}
     newcomer = register_node.Node(
-        world=model.world, name="g", nodes=model.nodes, seeds=("d", "e", "f"), is_first_start=False
+        world=model.world, name="g", nodes=model.nodes, seeds=("d", "e", "f"), has_identity=False
     )
     model.nodes["g"] = newcomer
     results = []
@@ -161,6 +248,36 @@
     assert handle(catch_up, {others[-1]: rows}) == refills.Stage.DONE
 
 
+def answer_without_identity(catch_up, members, *, founding_set=SEEDS):
+    for member in members:
+        number = catch_up.request().number
+        catch_up.handle_without_identity(member=member, number=number, founding_set=founding_set)
+    return catch_up.stage
+
+
+def test_seeds_without_an_identity_count_as_answers_and_leave_nothing_to_fence():
+    catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS, founding_set=SEEDS)
+    assert answer_without_identity(catch_up, "b") == refills.Stage.LOOK
+    assert answer_without_identity(catch_up, "d") == refills.Stage.LOOK  # no seed
+    assert answer_without_identity(catch_up, "c", founding_set=("a", "c", "d")) == refills.Stage.LOOK
+    assert answer_without_identity(catch_up, "c") == refills.Stage.DONE
+    assert not catch_up.has_found_values
+
+
+def test_beside_a_voter_they_count_and_the_voter_is_fenced():
+    catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS, founding_set=SEEDS)
+    assert answer_without_identity(catch_up, "b") == refills.Stage.LOOK
+    assert handle(catch_up, {"c": rows_of(SEEDS)}) == refills.Stage.FENCE
+    assert handle(catch_up, {"c": rows_of(SEEDS)}) == refills.Stage.FENCE
+    assert answer_without_identity(catch_up, "b") == refills.Stage.DONE
+    assert catch_up.has_found_values
+
+
+def test_a_learner_that_founds_nothing_does_not_count_them():
+    catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS)
+    assert answer_without_identity(catch_up, "bc") == refills.Stage.LOOK and not catch_up.answers
+
+
 def test_an_evicted_machine_counts_only_for_the_set_that_it_is_in():
     catch_up = refills.LearnerCatchUp(own="c", registers=register_names.REGISTERS)
     old, new = rows_of(SEEDS), rows_of(MOVED, ballot=(4, "y"))
--- a/ploverward/control_plane/consensus/test_durability.py
+++ b/ploverward/control_plane/consensus/test_durability.py
@@ -1,5 +1,7 @@
 """Disk faults lose nothing that was acknowledged: seeded histories on simulated files (docs/register.md 3)."""
 
+import logging
+
 import pytest
 
 from ploverward.common.identifiers import NO_BALLOT
@@ -97,7 +99,8 @@
 
 
 @pytest.mark.parametrize("kind", ["full", "refuse", "sync", "rename", "folder"])
-def test_a_node_whose_disk_fails_for_long_withdraws_and_rejoins(kind):
+def test_a_node_whose_disk_fails_for_long_withdraws_and_rejoins(kind, caplog):
+    caplog.set_level(logging.INFO, logger="ploverward")
     model = consensus_cluster.Model(seed=7, seeds=SEEDS)
     model.world.run(until=1.0)
     model.fault("a", kind, duration_s=20.0)
@@ -110,6 +113,9 @@
     assert len(model.nodes["a"].voting.write_ahead_log._waiting) <= 2
     model.world.run(until=24.0)
     assert model.nodes["a"].voting.is_voter
+    events = [record for record in caplog.records if record.message.startswith("disk_write_")]
+    assert [record.message for record in events] == ["disk_write_failed", "disk_write_recovered"]
+    assert 5.0 < events[1].failing_s < 24.0  # some faults show only once the file is rewritten
     model.restart("b", restart_after_s=90.0)  # now a is needed
     model.call("c", kind="change")
     model.call("a", kind="read")
--- a/ploverward/control_plane/consensus/write_ahead_log.py
+++ b/ploverward/control_plane/consensus/write_ahead_log.py
@@ -57,6 +57,7 @@
         self._waiting: dict[collections.abc.Hashable, tuple[int, Callback]] = {}
         self._writing_since: float | None = None
         self._is_failing = False
+        self._failing_since = 0.0
         self._on_begun: Callback | None = None
 
     @property
@@ -124,6 +125,8 @@
         self._loop.offload(work=lambda: self._storage.write(rows=rows, image=image), done=done)
 
     def _on_written(self, image: acceptor_storage.Image, change: int) -> None:
+        if self._is_failing:
+            _log.info("disk_write_recovered", extra={"failing_s": round(self._loop.now() - self._failing_since, 1)})
         self._is_failing = False
         self._durable_change = change
         self.durable = acceptors.Acceptor(incarnation=image.incarnation, rows=image.rows)
@@ -139,6 +142,7 @@
 
     def _on_failed(self, error: BaseException) -> None:
         if not self._is_failing:
+            self._failing_since = self._loop.now()
             _log.error("disk_write_failed", extra={"fault": str(error)})
         self._is_failing = True
         self._waiting.clear()
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -125,6 +125,7 @@
             publish=self._publish_chosen,
             on_value=self._install_chosen,
             version=self._chosen_version,
+            on_founded=self._on_founded,
         )
         self.lease = majority_lease.MajorityLease(own=self.own, now=self.loop.now, lease_s=self.timing.lease_s)
         self.membership = core_membership.CoreMembership(
@@ -205,12 +206,7 @@
 
     def _make_granters(self, settings: node_settings.Settings) -> None:
         """What is granted to proxies."""
-        self.owned_shares = share_lease_granter.OwnedShares(
-            own=self.own,
-            now=self.loop.now,
-            timing=self.timing,
-            first_members={host for host, _port in settings.seeds} if settings.first_start else (),
-        )
+        self.owned_shares = share_lease_granter.OwnedShares(own=self.own, now=self.loop.now, timing=self.timing)
         self.meter = quota_meter.QuotaMeter(
             now=self.loop.now,
             tolerance=token_bucket.QuotaTolerance(
@@ -224,7 +220,6 @@
             now=self.loop.now,
             timing=self.timing,
             started_at=self.started_at,
-            is_first_start=settings.first_start,
             owned=self.owned_shares,
             membership=self.membership,
             sessions=self.sessions,
@@ -242,11 +237,13 @@
             node_name=lambda: self.settings.current.node,
             sessions=self.sessions,
             membership=self.membership,
+            lease=self.lease,
             consensus=self.consensus,
             reconciler=self.core_set,
             changer=self.core_set_changer,
             coordinator_address=lambda: self.coordinator.address,
             wanted_voters=self.wanted_voters,
+            reply_span_s=self.timing.lease_s,
         )
         self.operator_api = server.OperatorApi(
             loop=self.loop,
@@ -349,6 +346,10 @@
         members, _payload = ballots.unpack(state.value)
         self.owned_shares.resume(core_membership.AgreedCoreSet(members=members, version=state.revision))
 
+    def _on_founded(self, first_set: tuple[str, ...]) -> None:
+        self.owned_shares.begin_first_start(first_set)
+        self.share_granter.begin_first_start()
+
     def _end(self) -> None:
         self.watch.stop()
         self.loop.stop()
--- a/ploverward/control_plane/quotas/share_leases.py
+++ b/ploverward/control_plane/quotas/share_leases.py
@@ -46,6 +46,10 @@
         self._expirations: list[tuple[float, str]] = []  # heap of (binds until, node)
         self._changes = 0
 
+    def withhold_until(self, when: float) -> None:
+        """Replaces the time before which nothing is leased."""
+        self._withheld_until = when
+
     def total(self) -> float:
         """The sum of all shares that bind, each node by its largest."""
         self._expire()
--- a/ploverward/simulation/consensus_cluster.py
+++ b/ploverward/simulation/consensus_cluster.py
@@ -47,7 +47,7 @@
                 name=name,
                 nodes=self.nodes,
                 seeds=seeds,
-                is_first_start=True,
+                has_identity=True,
                 node_type=node_type,
             )
 
--- a/ploverward/simulation/control_plane/fleet.py
+++ b/ploverward/simulation/control_plane/fleet.py
@@ -21,6 +21,7 @@
 
 START_SPREAD_S = 0.3  # within which the machines of a run start
 MAX_SEEDS = 3  # core nodes that a settings file names
+STALE_SETTINGS_CHANCE = 0.3  # that an emptied machine starts with its settings of the first start
 REWRITE_CHANCE = 0.5  # that the settings of a machine that starts again name other seeds
 
 
@@ -33,11 +34,13 @@
         faults: How many faults have it now.
         lost_until: Until when it counts as lost after its last fault, by the simulated time in seconds.
         settings: With which its machine was last started.
+        first_settings: Those of the first start, if that was of this machine.
     """
 
     def __init__(self, *, machine: machines.Machine, settings: settings_files.Settings) -> None:
         self.machine = machine
         self.settings = settings
+        self.first_settings: settings_files.Settings | None = settings
         self.is_down = False
         self.faults = 0
         self.lost_until = 0.0
@@ -178,10 +181,15 @@
 
         Args:
             slot: The slot.
-            is_emptied: Whether its disk lost its content: then its settings are new too.
+            is_emptied: Whether its disk lost its content: then its settings are new too, or those of the first start,
+                which an operator put there again.
         """
         if not slot.is_down or slot.machine.is_removed:
             return
+        if is_emptied and slot.first_settings is not None and self._chance.random() < STALE_SETTINGS_CHANCE:
+            slot.settings = slot.first_settings
+            self._start(slot)
+            return
         is_rewritten = is_emptied or self._chance.random() < REWRITE_CHANCE
         seeds = self._draw_seeds() if is_rewritten else tuple(host for host, _port in slot.settings.seeds)
         slot.settings = self._settings(slot.machine, seeds=seeds)
@@ -191,6 +199,7 @@
         """Puts a new machine into a slot and starts it."""
         seeds = tuple(host for host in self._draw_seeds() if host != slot.machine.host)
         slot.machine = self._new_machine()
+        slot.first_settings = None
         slot.settings = self._settings(slot.machine, seeds=seeds or self._draw_seeds())
         self._start(slot)
 
--- a/ploverward/simulation/control_plane/mutant_patches.py
+++ b/ploverward/simulation/control_plane/mutant_patches.py
@@ -37,6 +37,11 @@
 Patches = list[AbstractContextManager[Any]]
 
 
+def _votes_at_once(node: Any, seeds: Iterable[str]) -> None:  # noqa: ANN401  # its methods are private
+    node._begin(acceptor_storage.Image(incarnation=node._unique_id(), first_set=tuple(sorted(seeds))))
+    node.proposer.is_learner = False
+
+
 def seeds_as_default_set() -> Patches:
     """A node with an empty disk takes the seeds of its settings for the set in force, whenever it starts."""
     load = consensus_node.ConsensusNode._load
@@ -45,9 +50,28 @@
         self: consensus_node.ConsensusNode,
         store: acceptor_storage.AcceptorStorage,
         seeds: Iterable[str],
-        _is_first_start: bool,
+        is_first_start: bool,
     ) -> None:
-        load(self, store, seeds, True)
+        load(self, store, seeds, is_first_start)
+        if self.proposer.is_learner:
+            _votes_at_once(self, seeds)
+
+    return [mock.patch.object(consensus_node.ConsensusNode, "_load", _load)]
+
+
+def founds_without_asking() -> Patches:
+    """A node with an empty disk founds a set where its settings say that this is the first start."""
+    load = consensus_node.ConsensusNode._load
+
+    def _load(
+        self: consensus_node.ConsensusNode,
+        store: acceptor_storage.AcceptorStorage,
+        seeds: Iterable[str],
+        is_first_start: bool,
+    ) -> None:
+        load(self, store, seeds, is_first_start)
+        if self.proposer.is_learner and is_first_start:
+            _votes_at_once(self, seeds)
 
     return [mock.patch.object(consensus_node.ConsensusNode, "_load", _load)]
 
--- a/ploverward/simulation/control_plane/mutants.py
+++ b/ploverward/simulation/control_plane/mutants.py
@@ -66,6 +66,12 @@
         plan=scenario.Plan(seed=0, troubles=("empty", "replace", "cut")),
         max_seeds=200,
     ),
+    "founds without asking": Mutant(
+        patches=mutant_patches.founds_without_asking,
+        checks=HISTORY,
+        plan=scenario.Plan(seed=0, troubles=("empty", "cut", "freeze"), closing=("disks_lost",)),
+        max_seeds=200,
+    ),
     "votes before refill": Mutant(
         patches=mutant_patches.votes_before_catch_up,
         checks=HISTORY,
@@ -77,7 +83,14 @@
     "grants without contact": Mutant(
         patches=mutant_patches.grant_without_lease,
         checks=("grants",),
-        plan=scenario.Plan(seed=0, troubles=("cut", "replace", "replace_at_once")),
+        # A set with a member more than it needs drops the one that is cut off, which goes on granting.
+        plan=scenario.Plan(
+            seed=0,
+            machines=6,
+            tolerated=2,
+            troubles=("cut", "replace", "replace_at_once"),
+            gap_s=scenario.FAULT_GAPS_S[1],
+        ),
     ),
     "a moved part at once": Mutant(
         patches=mutant_patches.grown_share_at_once,
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -33,6 +33,7 @@
 SIZES, SIZE_WEIGHTS = (3, 5, 6, 7), (4, 4, 1, 1)  # core machines
 DISK_SPEED_WEIGHTS = (2, 1, 1)  # of the first speeds; the slowest is never drawn
 SPAN_S = (15.0, 30.0)  # for how long faults begin
+FAULT_GAPS_S = (0.5, 1.5, 4.0)  # mean times between two faults; a run has one of them
 FAULTS_FROM_S = 5.0
 CLOSING_STEP_S = 0.25  # between two checks whether the closing fault began
 AFTER_CLOSING_S = 4.0
@@ -52,6 +53,7 @@
         closing: Closing faults to draw from; empty: none.
         span_s: For how long faults begin, in seconds; 0: drawn.
         disk: Index of the disks' speed; -1: drawn.
+        gap_s: Mean time between two faults, in seconds; 0: drawn.
         keeps_history: Whether the report has a history.
     """
 
@@ -62,6 +64,7 @@
     closing: tuple[str, ...] = faults.CLOSING
     span_s: float = 0.0
     disk: int = -1
+    gap_s: float = 0.0
     keeps_history: bool = False
 
 
@@ -170,7 +173,8 @@
         self.probes = isolation_probes.IsolationProbes(
             network=self.network, recorder=self.recorder, operators=self.operators, faults=self.fault_log
         )
-        self.faults = faults.FaultInjector(simulation=self, kinds=plan.troubles, gap_s=chance.choice((0.5, 1.5, 4.0)))
+        drawn_gap_s = chance.choice(FAULT_GAPS_S)
+        self.faults = faults.FaultInjector(simulation=self, kinds=plan.troubles, gap_s=plan.gap_s or drawn_gap_s)
 
     def build(self) -> None:
         """Adds the machines and schedules their starts."""
--- a/ploverward/simulation/register_cost.py
+++ b/ploverward/simulation/register_cost.py
@@ -122,7 +122,7 @@
     world, late = model.world, "c"
     if is_new:
         late = "d"
-        node = register_node.Node(world=world, name="d", nodes=model.nodes, seeds=("a", "b", "c"), is_first_start=False)
+        node = register_node.Node(world=world, name="d", nodes=model.nodes, seeds=("a", "b", "c"), has_identity=False)
         node.stop(is_wiped=True)
         model.nodes["d"] = node
     begun_s = 2.0
--- a/ploverward/simulation/register_node.py
+++ b/ploverward/simulation/register_node.py
@@ -126,7 +126,7 @@
         name: its address.
         nodes: all nodes by name, also those that are added later.
         seeds: the set in force before any value was chosen.
-        is_first_start: whether its disk may be given an identity without a catch-up.
+        has_identity: whether its disk has an identity, as if the first set had been founded just now.
         node_type: another class than `ConsensusNode` is a seeded bug.
 
     Attributes:
@@ -149,7 +149,7 @@
         name: str,
         nodes: "dict[str, Node]",
         seeds: tuple[str, ...],
-        is_first_start: bool,
+        has_identity: bool,
         node_type: type[ConsensusNode] = ConsensusNode,
     ) -> None:
         self.world = world
@@ -163,24 +163,37 @@
         self.lost: list[tuple] = []
         self.versions: dict[str, int] = {}
         self._ids = 0
-        self.start(is_first_start=is_first_start)
+        if has_identity:
+            self._write_identity()
+        self.start()
 
     def _unique_id(self) -> str:
         self._ids += 1
         return f"{self.name}{self._ids}"
 
+    def _write_identity(self) -> None:
+        image = acceptor_storage.Image(incarnation=self._unique_id(), first_set=tuple(sorted(self._seeds)))
+        self._open_store().write(rows=(), image=image)
+
+    def _open_store(self) -> acceptor_storage.AcceptorStorage:
+        # The cast: the register uses no more of `os` than these files have.
+        system = typing.cast(types.ModuleType, self.files)
+        return acceptor_storage.AcceptorStorage(
+            disk=disk.Disk(folder=simulated_files.FOLDER, system=system), limit_bytes=LIMIT_BYTES
+        )
+
     def start(self, *, is_first_start: bool = False) -> None:
-        """Starts the process again, from what the disk has."""
+        """Starts the process again, from what the disk has.
+
+        Args:
+            is_first_start: what its settings say.
+        """
         self.incarnation += 1
         self.loop = Loop(node=self)
         self.versions = {}
-        # The casts: the register uses no more of `os` and of a loop than these have.
-        system = typing.cast(types.ModuleType, self.files)
-        self.store = acceptor_storage.AcceptorStorage(
-            disk=disk.Disk(folder=simulated_files.FOLDER, system=system), limit_bytes=LIMIT_BYTES
-        )
+        self.store = self._open_store()
         voting = self.voting = self._voting_type(
-            loop=typing.cast(interfaces.Loop, self.loop),
+            loop=typing.cast(interfaces.Loop, self.loop),  # it has all that the register uses of a loop
             own=self.name,
             store=self.store,
             seeds=self._seeds,
