Moves of the voting set go before rounds that only wait, and others let them pass

Cause: a move waited behind the rounds queued at the coordinator, competed with orders and with the reads that a heartbeat sets off at all nodes at once, and so could outlast catchUpS. Change: a move is queued first and takes the place of a round that pauses; rounds of a register that is about to move or is in the middle of a move pause for two attempts (known from the node's own registers, no new message); a move that a round of another node completed is done. Bound: half of receiptMs in a calm stretch, argued in docs/set-moves.md 9, checked in each simulated run ('moves in time'). Also: votes and losses_borne keep the published body of /ploverward/core-set; core-set tells a refusing disk from a learner by what is on the disk. The golden fixture's world waits until its nodes are in contact instead of 0.35 s, as the seeds now found their set by messages; its fixtures are unchanged. Dead members: table in set-moves.md 10, test.

--- a/ploverward/command_line/core_set.py
+++ b/ploverward/command_line/core_set.py
@@ -106,8 +106,9 @@
 
 
 def _silence(body: Body) -> Silence:
-    """Why a node that answers does not vote. Nodes of older versions don't report on their disk."""
-    return Silence.LEARNS if body.get("disk_accepts_writes", True) else Silence.DISK
+    """Why a node that answers does not vote: a learner has nothing on its disk."""
+    has_registers = any(row["on_disk"] for row in body["registers"].values())
+    return Silence.DISK if has_registers else Silence.LEARNS
 
 
 def table(*, responses: Responses, missed: core_clients.Missed, newest: Body | None) -> list[str]:
@@ -126,4 +127,4 @@
     role = voting_role if body["votes"] else _silence(body).role
     contact = "in contact" if body["has_majority_contact"] else "no majority"
     versions = " ".join(f"{name}={row['on_disk']}/{row['known']}" for name, row in sorted(body["registers"].items()))
-    return f"{address}  {role:19}  {contact:11}  {versions}"
+    return f"{address}  {role:15}  {contact:11}  {versions}"
--- a/ploverward/command_line/test_core_set.py
+++ b/ploverward/command_line/test_core_set.py
@@ -24,6 +24,11 @@
     }
 
 
+def learner(address):
+    body = node(address, votes=False, contact=False)
+    return {**body, "registers": {name: {**row, "on_disk": 0} for name, row in body["registers"].items()}}
+
+
 class CoreClient:
     """Nodes by address; the others are out of reach."""
 
@@ -62,9 +67,9 @@
         ([node("a", contact=False)], "no node is in contact with a majority"),
         ([node("a", borne=0), node("b"), node("c")], "0 further losses are borne now, 1 are wanted"),
         ([node("a", spec="bcd"), node("b"), node("c")], "register 'spec' stands under b, c, d"),
-        ([node("a"), node("b"), node("c", votes=False, contact=False)], "c is a member and does not vote yet"),
+        ([node("a"), node("b"), learner("c")], "c is a member and does not vote yet: it learns"),
         (
-            [node("a", borne=0), node("b"), {**node("c", votes=False), "disk_accepts_writes": False}],
+            [node("a", borne=0), node("b"), node("c", votes=False)],
             "c is a member and does not vote: its disk refuses writes",
         ),
     ],
--- a/ploverward/command_line/test_golden_interfaces.py
+++ b/ploverward/command_line/test_golden_interfaces.py
@@ -66,6 +66,8 @@
         self.day.build()
         self.core_client = simulated_http.Caller(network=self.day.network, host="operators")
         self.run(0.35)
+        while not all(self.core(node).membership.has_majority_lease() for node in range(3)):
+            self.run(0.05)  # the seeds found their set together, which takes them two rounds of messages
 
     def run(self, seconds: float) -> None:
         self.day.clock.run(until=self.day.clock.time + seconds)
--- a/ploverward/control_plane/cluster/test_core_set_status.py
+++ b/ploverward/control_plane/cluster/test_core_set_status.py
@@ -24,8 +24,7 @@
 def test_all_members_of_a_calm_set_vote():
     run = calm_run(machines=3)
     for report in reports(run.fleet).values():
-        assert report["votes"] and report["disk_accepts_writes"]
-        assert report["voting"] == report["members"] and report["losses_borne"] == 1
+        assert report["votes"] and report["in_touch"] == report["members"] and report["losses_borne"] == 1
 
 
 def test_a_member_whose_disk_refuses_writes_is_connected_and_does_not_count():
@@ -34,11 +33,34 @@
     refusing.disk.fault = "refuse"
     run.clock.run(until=CALM_S + REFUSED_FOR_S)
     by_host = reports(run.fleet)
-    assert not by_host[refusing.host]["votes"] and not by_host[refusing.host]["disk_accepts_writes"]
+    assert not by_host[refusing.host]["votes"]
+    assert any(row["on_disk"] for row in by_host[refusing.host]["registers"].values())
     for report in by_host.values():
         assert refusing.host in report["in_touch"]
-        assert refusing.host not in report["voting"]
         assert report["losses_borne"] == 0
     refusing.disk.fault = ""
     run.clock.run(until=CALM_S + 2 * REFUSED_FOR_S)
     assert all(report["losses_borne"] == 1 for report in reports(run.fleet).values())
+
+
+def test_what_dead_members_cost_is_shown():
+    """Two of five are removed for good; one successor dies while it learns, and another one arrives later."""
+    run = calm_run(machines=5)
+    fleet = run.fleet
+    first, second = fleet.slots[3], fleet.slots[4]
+    for slot in (first, second):
+        fleet.remove(slot.machine, is_in_order=False)
+    fleet.start_successor(first)
+    fleet.remove(first.machine, is_in_order=False)
+    run.clock.run(until=CALM_S + 6.0)
+    survivors = [slot.machine.host for slot in fleet.slots[:3]]
+    for host, report in reports(fleet).items():
+        if host in survivors:
+            assert report["losses_borne"] == 0 and report["in_touch"] == survivors
+            assert len(report["members"]) == 5
+    fleet.start_successor(second)
+    run.clock.run(until=CALM_S + 14.0)
+    for host in survivors:
+        report = reports(fleet)[host]
+        assert report["losses_borne"] == 1 and second.machine.host in report["members"]
+        assert len(report["members"]) == 5
--- a/ploverward/control_plane/cluster/test_voting_set.py
+++ b/ploverward/control_plane/cluster/test_voting_set.py
@@ -110,7 +110,7 @@
             done("no majority")
             return
         self.sets[name] = next_set
-        done(None, 1, edit(None)[0], None)
+        done(None, 1, None if edit is None else edit(None)[0], None)
 
     def known_set(self, name):
         return self.sets.get(name, ("a", "b", "c"))
--- a/ploverward/control_plane/cluster/voting_set.py
+++ b/ploverward/control_plane/cluster/voting_set.py
@@ -116,8 +116,8 @@
         )
 
 
-def _edit_for(name: str) -> Callable:
+def _edit_for(name: str) -> Callable | None:
     """Returns the edit of a move: payloads stay, but the core set's own is a counter that has to differ."""
     if name == register_names.CORE_SET:
         return lambda payload: ((payload or 0) + 1, None)
-    return lambda payload: (payload, None)
+    return None
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -118,6 +118,7 @@
             limit_s=receipt_s * PROPOSAL_LIMIT_SHARE,
             attempt_timeout_s=attempt_timeout_s,
             accepted_value=lambda name: self.write_ahead_log.durable.get(name).accepted_value,
+            is_move_expected=self._is_move_expected,
         )
         self.acceptor = acceptors.Acceptor()
         self._handlers: dict[type, Handler] = {
@@ -323,6 +324,20 @@
         for name in register_names.REGISTERS:
             self.repair(name)
 
+    def _is_move_expected(self, name: str) -> bool:
+        """Whether the coordinator is moving a register to another set, as far as this node can tell.
+
+        Either the register is still under another set than the core set itself, or this node accepted a move of it that
+        is not known to be over. A process that knows no chosen value yet waits for nobody: after a restart of all there
+        is no coordinator that could be moving it.
+        """
+        if not self._version(name):
+            return False
+        if self.proposer.members(name) != self.proposer.members(register_names.CORE_SET):
+            return True
+        value = self.acceptor.get(name).value
+        return bool(value) and len(ballots.member_sets(value)) > 1
+
     @property
     def is_voter(self) -> bool:
         """Whether a majority may count on this node now: its identity is on its disk, and the disk accepts writes."""
--- a/ploverward/control_plane/consensus/known_sets.py
+++ b/ploverward/control_plane/consensus/known_sets.py
@@ -23,6 +23,7 @@
         self.members_by_register: dict[str, tuple[str, ...]] = {}
         # register: revision of the chosen value that the set is known from; 0 where only the set is known
         self._revisions: dict[str, int] = {}
+        self._half_moved: set[str] = set()  # registers whose newest chosen value still names the set before its own
 
     def members(self, register: str) -> tuple[str, ...]:
         """The set in force, as far as it is known."""
@@ -32,16 +33,25 @@
         """The revision of the newest value known to be chosen, or 0."""
         return self._revisions.get(register, 0)
 
+    def is_move_over(self, *, register: str, revision: int) -> bool:
+        """Whether a value at or after this revision was chosen that no longer names the set before its own."""
+        return self.revision(register) >= revision and register not in self._half_moved
+
     def learn_chosen(self, *, register: str, revision: int, value: bytes) -> None:
         """This value was chosen, and so is its set."""
         if revision >= self._revisions.get(register, 0):
             self._revisions[register] = revision
             self.members_by_register[register] = ballots.members_of(value)
+            if len(ballots.member_sets(value)) > 1:
+                self._half_moved.add(register)
+            else:
+                self._half_moved.discard(register)
 
     def learn_accepted(self, *, register: str, value: bytes) -> None:
         """This value was found accepted; only the set before a move is known to be chosen."""
         self.members_by_register[register] = ballots.member_sets(value)[0]
         self._revisions[register] = 0
+        self._half_moved.add(register)
 
 
 def is_chosen_set(*, value: bytes, known_revision: int) -> bool:
--- a/ploverward/control_plane/consensus/proposal.py
+++ b/ploverward/control_plane/consensus/proposal.py
@@ -82,6 +82,8 @@
         deadline: loop time in seconds after which no further attempt begins.
         stage: the present stage.
         attempts: how many were started.
+        yields_until: loop time in seconds until which it lets a move by another node go first; None: no move was
+            expected.
         has_deferred: whether its quorum read has already let other nodes go first.
         ballot: of the attempt.
         required_sets: of each of these sets the attempt needs a majority. The first is the one that was known as chosen
@@ -106,6 +108,7 @@
     deadline: float
     stage: Stage = Stage.QUEUED
     attempts: int = 0
+    yields_until: float | None = None
     has_deferred: bool = False
     ballot: Ballot = NO_BALLOT
     required_sets: list[tuple[str, ...]] = dataclasses.field(default_factory=list)
@@ -123,6 +126,11 @@
         """Whether a quorum read may answer it."""
         return self.edit is None and self.next_set is None
 
+    @property
+    def is_move(self) -> bool:
+        """Whether it moves the register to another set, or removes the older set once that is done."""
+        return self.next_set is not None or self.move_outcome is not None
+
     def begin_quorum_read(self, *, members: tuple[str, ...], known_revision: int) -> None:
         """Resets what belongs to one attempt, for a quorum read of these members."""
         self.stage = Stage.QUORUM_READ
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -10,6 +10,10 @@
 An attempt needs a majority of every set that it finds: the one that this node knew as chosen, those of the values
 found, and the one that it writes. Each attempt has a ballot and a number of its own; replies to an older one are not
 counted.
+
+A move of the core set goes before rounds that only wait (docs/set-moves.md 9): it is queued in front of them, takes the
+place of one that pauses, and other nodes let it pass: their rounds of a register that is about to be moved, or is in
+the middle of a move, pause for the time of two attempts, and reads ask once more without a round.
 """
 
 import collections
@@ -36,6 +40,8 @@
 MAX_BACKOFF_FACTOR = 8  # how many times longer the random part becomes
 READ_TIMEOUT_SHARE = 0.5  # how long a quorum read waits for a majority
 RANK_DEFERRAL_SHARE = 0.35  # for each member that is listed before this node
+YIELD_SHARE = 2.0  # how long a round lets a move of its register go first: an attempt of it, a pause, and another
+YIELD_RECHECK_SHARE = 0.1  # between two checks whether the move is over
 
 Send = collections.abc.Callable[[str, tuple], object]  # (member, message)
 CallLater = collections.abc.Callable[[float, collections.abc.Callable[[], object]], object]  # (delay in seconds, what)
@@ -47,6 +53,11 @@
     """The default of `done`: the outcome is not needed."""
 
 
+def _lets_moves_pass(proposal: Proposal) -> bool:
+    """Whether it only waits: no acceptor is asked for it now."""
+    return not proposal.is_move and proposal.stage in (Stage.QUEUED, Stage.BACKOFF)
+
+
 class Proposer:
     """Changes and reads registers.
 
@@ -62,6 +73,7 @@
         attempt_timeout_s: how long an attempt waits for a majority.
         accepted_value: register to the value on this node's disk, which replies may leave out. None: replies are
             complete.
+        is_move_expected: register to whether another node is about to move it to another set. None: never.
 
     Attributes:
         known_sets: the core set of each register.
@@ -81,11 +93,13 @@
         limit_s: float,
         attempt_timeout_s: float,
         accepted_value: collections.abc.Callable[[str], AcceptedValue] | None = None,
+        is_move_expected: collections.abc.Callable[[str], bool] | None = None,
     ) -> None:
         self.own = own
         self.known_sets = known_sets.KnownSets(seeds=seeds)
         self.is_learner = False
         self._accepted_value = accepted_value
+        self._is_move_expected = is_move_expected
         self._send = send
         self._later = later
         self._now = now
@@ -118,10 +132,12 @@
     ) -> None:
         """Changes a register, after the proposals for it that this node began before.
 
+        A move goes before those of them that wait.
+
         Args:
             name: the register.
-            edit: from the payload found to (new payload, result). A further attempt may find what an earlier one of the
-                same change has written, so an edit has to recognise its own work.
+            edit: from the payload found to (new payload, result); None: the payload stays. A further attempt may find
+                what an earlier one of the same change has written, so an edit has to recognise its own work.
             done: called once with (error or None, revision, payload, result). Errors are what `edit` raised, and
                 `QuorumUnavailableError`: then the change may have been made, or may still be.
             next_set: the core set to move the register to.
@@ -138,8 +154,7 @@
             deadline=self._now() + self._limit_s,
         )
         queue = self._queues.setdefault(name, collections.deque())
-        queue.append(proposal)
-        if len(queue) == 1:
+        if self._enqueue(queue, proposal):
             self._start(proposal)
 
     def read(self, *, name: str, done: Done) -> None:
@@ -155,6 +170,34 @@
         self.change(name=name, edit=unchanged, done=_ignore_outcome)
 
     # The queue.
+    def _enqueue(self, queue: collections.deque[Proposal], proposal: Proposal) -> bool:
+        """Queues a proposal; returns whether it is the first, which is to start."""
+        position = len(queue)
+        if proposal.is_move:
+            position = next((index for index, waiting in enumerate(queue) if _lets_moves_pass(waiting)), position)
+        if position == 0 and queue:
+            self._deactivate(queue[0])
+        queue.insert(position, proposal)
+        return position == 0
+
+    def _deactivate(self, proposal: Proposal) -> None:
+        """Puts a proposal that pauses back to waiting in the queue."""
+        self._active.pop(proposal.number, None)
+        proposal.stage = Stage.QUEUED
+
+    def _let_move_pass(self, proposal: Proposal) -> bool:
+        """Requeues a proposal that pauses behind the moves that wait behind it; returns whether there are any."""
+        queue = self._queues[proposal.register]
+        if proposal.is_move or not any(waiting.is_move for waiting in queue):
+            return False
+        queue.remove(proposal)
+        following = queue[0]
+        self._deactivate(proposal)
+        position = next((index for index, waiting in enumerate(queue) if not waiting.is_move), len(queue))
+        queue.insert(position, proposal)
+        self._later(0, lambda: self._start_queued(following))
+        return True
+
     def _start(self, proposal: Proposal) -> None:
         if self.is_learner or not self.members(proposal.register):
             proposal.stage = Stage.REFUSED
@@ -181,7 +224,8 @@
         proposal.done(*(proposal.move_outcome or outcome))
 
     def _start_queued(self, proposal: Proposal) -> None:
-        if proposal.stage is Stage.QUEUED:
+        # A move may have been queued in front of it meanwhile.
+        if proposal.stage is Stage.QUEUED and self._queues[proposal.register][0] is proposal:
             self._start(proposal)
 
     def _activate(self, proposal: Proposal) -> int:
@@ -252,10 +296,38 @@
         elif verdict is quorum_read.Verdict.UNDECIDED:
             self._end_quorum_read(proposal, proposal.number)
 
+    def _yields(self, proposal: Proposal) -> bool:
+        """Whether a round pauses first, as another node is about to move its register."""
+        if proposal.is_move or self._is_move_expected is None or not self._is_move_expected(proposal.register):
+            return False
+        if proposal.yields_until is None:
+            proposal.yields_until = self._now() + self._attempt_timeout_s * YIELD_SHARE
+        if self._now() >= proposal.yields_until:
+            return False
+        proposal.stage = Stage.BACKOFF
+        resume = self._resume_quorum_read if proposal.is_read else self._resume_prepare
+        self._later(self._attempt_timeout_s * YIELD_RECHECK_SHARE, lambda: resume(proposal))
+        return True
+
+    def _is_done_by_others(self, proposal: Proposal) -> bool:
+        """Whether rounds of other nodes completed a move that this node began.
+
+        A round that finds a move accepted makes it chosen before it writes its own value, which names one set only.
+        """
+        name = proposal.register
+        if proposal.move_outcome is not None:
+            return self.known_sets.is_move_over(register=name, revision=proposal.move_outcome.revision)
+        return bool(proposal.attempts) and self.members(name) == proposal.next_set
+
     # Phase 1.
     def _prepare(self, proposal: Proposal) -> None:
-        if proposal.stage is Stage.FINISHED:
+        if proposal.stage is Stage.FINISHED or self._yields(proposal):
             return
+        if self._is_done_by_others(proposal):
+            if proposal.edit is None:
+                self._finish(proposal, Outcome(None, self.known_sets.revision(proposal.register)))
+                return
+            proposal.next_set = None  # what is left is the edit
         proposal.attempts += 1
         is_given_up = proposal.is_wanted is not None and not proposal.is_wanted()
         if is_given_up or self._now() >= proposal.deadline or proposal.attempts > MAX_ATTEMPTS:
@@ -289,10 +361,11 @@
         if proposal.stage in (Stage.FINISHED, Stage.BACKOFF):
             return
         proposal.stage = Stage.BACKOFF
+        if self._let_move_pass(proposal):
+            return
         # An attempt takes about half of its time-out: the attempts of two competing proposers have to be further apart
         # than that. The pauses of a move of the set do not grow, so that it succeeds while orders keep coming.
-        is_move = proposal.next_set is not None
-        steps = 1 if is_move else min(2 ** (proposal.attempts - 1), MAX_BACKOFF_FACTOR)
+        steps = 1 if proposal.is_move else min(2 ** (proposal.attempts - 1), MAX_BACKOFF_FACTOR)
         pause_s = self._attempt_timeout_s * (MIN_BACKOFF_SHARE + self._chance() * BACKOFF_STEP_SHARE * steps)
         self._later(pause_s, lambda: self._resume_prepare(proposal))
 
--- a/ploverward/simulation/control_plane/checks.py
+++ b/ploverward/simulation/control_plane/checks.py
@@ -15,6 +15,7 @@
 from ploverward.simulation.control_plane import recorder as recorders
 from ploverward.simulation.control_plane import value_checks
 
+MOVE_SHARE = 0.5  # of `receipt_s`: how long the registers of a calm core may stand under different sets
 ACK_SLACK_S = 0.05  # what an acknowledgement may be late, for its way
 SHOWN_ATTEMPTS = 4  # of an order that waited too long
 
@@ -207,6 +208,44 @@
                 break
 
 
+def check_moves(evidence: Evidence, *, calm: Sequence[Stretch], receipt_s: float, until: float) -> None:
+    """In one calm stretch all registers follow the core set within a bound (docs/set-moves.md 9).
+
+    Args:
+        evidence: Of the run.
+        calm: Stretches without a fault of the core.
+        receipt_s: Within which an order is to be acknowledged; the bound is a share of it.
+        until: The end of the run.
+    """
+    for begin, end in _moves(evidence.values.set_changes, until=until):
+        for stretch in calm:
+            waited = min(end, stretch.end) - max(begin, stretch.begin)
+            if waited > receipt_s * MOVE_SHARE:
+                evidence.recorder.find(
+                    "moves in time",
+                    f"the registers stood under different sets from {begin:.3f} to {end:.3f}, {waited:.3f} s of it "
+                    f"in a calm stretch from {stretch.begin:.3f} to {stretch.end:.3f}",
+                )
+
+
+def _moves(changes: Sequence[value_checks.SetChange], *, until: float) -> list[Stretch]:
+    """The stretches in which the registers that have a value stood under different sets."""
+    sets: dict[str, tuple[str, ...]] = {}
+    begun_at: float | None = None
+    found = []
+    for change in changes:
+        sets[change.register] = change.members
+        is_moving = len(set(sets.values())) > 1
+        if is_moving and begun_at is None:
+            begun_at = change.at
+        elif not is_moving and begun_at is not None:
+            found.append(Stretch(begun_at, change.at))
+            begun_at = None
+    if begun_at is not None:
+        found.append(Stretch(begun_at, until))
+    return found
+
+
 def check_end(evidence: Evidence, last_reads: Sequence[LastRead]) -> None:
     """Each node answers after all was healed, with the newest configuration."""
     newest = max((chosen.edition for chosen in evidence.values.configurations), default=0)
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -259,9 +259,9 @@
         checks.check_chain(evidence)
         checks.check_reads(evidence)
         checks.check_evacuation_reads(evidence)
-        checks.check_acknowledgements(
-            evidence, calm=self.fault_log.calm_stretches(until=now), receipt_s=self._receipt_s, until=now
-        )
+        calm = self.fault_log.calm_stretches(until=now)
+        checks.check_acknowledgements(evidence, calm=calm, receipt_s=self._receipt_s, until=now)
+        checks.check_moves(evidence, calm=calm, receipt_s=self._receipt_s, until=now)
         checks.check_end(evidence, last_reads)
 
     def _report(self, took_s: float) -> Report:
--- a/ploverward/simulation/control_plane/value_checks.py
+++ b/ploverward/simulation/control_plane/value_checks.py
@@ -43,6 +43,20 @@
     payload: Any
 
 
+class SetChange(NamedTuple):
+    """A register's newest value stands under another core set than the one before.
+
+    Attributes:
+        at: When that value was first published, by the simulated time in seconds.
+        register: Its name.
+        members: The core set.
+    """
+
+    at: float
+    register: str
+    members: tuple[str, ...]
+
+
 class Incarnation(NamedTuple):
     """One life of a core node.
 
@@ -85,12 +99,14 @@
         values: By register and version.
         newest: The newest version by register.
         configurations: In the order in which they were first seen.
+        set_changes: Of all registers, by time.
     """
 
     def __init__(self, *, clock: simulated_clock.Clock, recorder: recorders.Recorder) -> None:
         self.values: dict[tuple[str, int], RegisterValue] = {}
         self.newest: dict[str, int] = {}
         self.configurations: list[ChosenConfiguration] = []
+        self.set_changes: list[SetChange] = []
         self._clock = clock
         self._recorder = recorder
         self._by_edition: dict[int, ChosenConfiguration] = {}
@@ -126,6 +142,9 @@
         self.values[name, version] = value
         self._recorder.record("chosen", register=name, version=version, node=node, members=",".join(value.members))
         if version > self.newest.get(name, 0):
+            former = self.values.get((name, self.newest.get(name, 0)))
+            if former is None or former.members != value.members:
+                self.set_changes.append(SetChange(self._clock.time, name, value.members))
             self.newest[name] = version
         if name == register_names.CONFIGURATION and value.payload:
             self._handle_configuration(version, value.payload)
