Roll-outs: a loss of power of all machines, proxies too, does not move the term

Cause: the age of an order is known to proxies and core nodes in memory and stored with steps only. Change: the coordinator stores the age each 0.15 of the term, which is no step. At most six more values of the register a roll-out.

--- a/ploverward/control_plane/rollouts/manager.py
+++ b/ploverward/control_plane/rollouts/manager.py
@@ -35,6 +35,7 @@
 _log = logging.getLogger(__name__)
 
 LEASE_SHARE = 0.5  # of rollbackMs: how long a lease lets a proxy send to a new version
+AGE_NOTE_SHARE = 0.15  # of the term: how much of an order's age may be lost where all machines lose power at once
 SETTLED_RECEIPTS = 4  # an order may be repeated for receiptMs; after so many of them the same one is new
 MAX_REPORTS_PER_S = 150  # evidence that a coordinator accepts: proxies report less often where there are more
 DEFAULT_ROLLBACK_S = 5.0
@@ -184,6 +185,9 @@
         view = self._view(service, rollout, trial, age_s=age_s, totals=totals, has_capacity=has_capacity)
         move = planner.next_move(view)
         if move is None:
+            if age_s - rollout.age_s >= AGE_NOTE_SHARE * rollout.over_s:
+                edit = orders.edit_to_note_age(service=service, seen=rollout, age_s=round(age_s, 3))
+                self._change_row(service, edit)
             return
         known = state.Evidence(
             stage=str(move.stage),
--- a/ploverward/control_plane/rollouts/orders.py
+++ b/ploverward/control_plane/rollouts/orders.py
@@ -135,6 +135,23 @@
     return edit
 
 
+def edit_to_note_age(*, service: str, seen: state.Rollout, age_s: float) -> Edit:
+    """The edit that stores how old an order is by now; it is no step, and changes nothing else.
+
+    Where all machines lose power at once nobody is left who knows the age, and the term would end later by all that
+    passed since the last step.
+    """
+
+    def edit(payload: state.Payload) -> tuple[state.Payload, None]:
+        current = state.rollouts_of(payload).get(service, state.Rollout())
+        if current.step != seen.step or not current.is_in_progress or age_s <= current.age_s:
+            return payload, None
+        aged = dataclasses.replace(current, age_s=age_s)
+        return state.with_rollout(payload, service=service, rollout=aged), None
+
+    return edit
+
+
 def edit_to_settle(*, service: str, seen: state.Rollout) -> Edit:
     """The edit after which the same order again is a new one."""
 
--- a/ploverward/control_plane/rollouts/state.py
+++ b/ploverward/control_plane/rollouts/state.py
@@ -69,7 +69,7 @@
         stage: The order's present stage.
         number: Counts the service's orders.
         step: Counts the changes of the row of any kind.
-        age_s: Seconds from the order to this step.
+        age_s: Seconds from the order to this step, or to a later moment without one.
         reason: Why the last step was taken.
         record: Of this order: the `Evidence` of each step, as dictionaries.
         is_settled: Whether it ended so long ago that the same order again is a new one.
--- a/ploverward/control_plane/rollouts/test_orders.py
+++ b/ploverward/control_plane/rollouts/test_orders.py
@@ -1,5 +1,7 @@
 """Orders of roll-outs and the stages: which edits count on which row."""
 
+import dataclasses
+
 import pytest
 
 from ploverward.common import errors
@@ -99,6 +101,17 @@
     assert late(returned) == (returned, None)
 
 
+def test_a_noted_age_is_no_step_and_counts_only_on_the_row_it_was_noted_for():
+    payload = rollout_samples.given(rollout_samples.admitted("v1"), rollout_samples.ORDER)[0]
+    seen = rollout_samples.row_of(payload)
+    aged, _result = orders.edit_to_note_age(service="pool", seen=seen, age_s=2.5)(payload)
+    assert rollout_samples.row_of(aged) == dataclasses.replace(seen, age_s=2.5)
+    assert orders.edit_to_note_age(service="pool", seen=seen, age_s=2.0)(aged) == (aged, None)
+    for stage in (state.Stage.PROMOTING, state.Stage.RETURNED):
+        moved = rollout_samples.moved(payload, stage)
+        assert orders.edit_to_note_age(service="pool", seen=seen, age_s=9.0)(moved) == (moved, None)
+
+
 def test_admitted_versions_through_a_roll_out():
     payload = rollout_samples.given(rollout_samples.admitted("v1"), rollout_samples.ORDER)[0]
     assert rollout_samples.row_of(payload).is_admitted("v1") and not rollout_samples.row_of(payload).is_admitted("v2")
--- a/ploverward/simulation/rollout_checks.py
+++ b/ploverward/simulation/rollout_checks.py
@@ -22,7 +22,9 @@
 MAX_BAD_ANSWERS = 50  # after which a bad version has rollbackMs to get nothing more
 CLOCK_TOLERANCE_S = 0.01
 MAX_OVERTIME_S = 4.0  # past the term: until another coordinator has the role, its contact and the reports
-LOSSES = frozenset(("cut_proxies", "freeze_proxies", "kill_proxies", "kill_all"))  # of proxies, or of all counts
+LOSSES = frozenset(
+    ("cut_proxies", "freeze_proxies", "kill_proxies", "kill_all", "all_power")
+)  # of proxies, or of all counts
 
 
 @dataclasses.dataclass(frozen=True)
--- a/ploverward/simulation/rollout_simulation.py
+++ b/ploverward/simulation/rollout_simulation.py
@@ -38,6 +38,7 @@
     "former_fails",
     "slow_all",
     "some_fail",
+    "all_power",
 )
 SOME_FAIL_RATE = 0.08  # of the answers of all versions: enough for doubt, too little to condemn a version
 
@@ -190,6 +191,7 @@
             "kill_holder": lambda: self._end(self.cores[self.coordinator], 1.0),
             "cut_holder": lambda: self._partition_coordinator(for_s),
             "kill_all": self._end_all,
+            "all_power": self._end_everything,
             "faulty_replica": lambda: self._make_faulty(for_s),
             "former_fails": lambda: self._set_for("former_fails", for_s),
             "slow_all": lambda: self._set_for("is_slow", for_s),
@@ -235,6 +237,11 @@
         for core in self.cores.values():
             self._end(core, 0.8)
 
+    def _end_everything(self) -> None:
+        """All machines lose power at once: no proxy is left that knows counts or the age of the order."""
+        self._end_all()
+        self._restart(self.proxies)
+
     def _partition_coordinator(self, for_s: float) -> None:
         """It acts on until its contact expires; another one takes the role before it knows."""
         core = self.cores[self.coordinator]
--- a/ploverward/simulation/test_rollout_simulation.py
+++ b/ploverward/simulation/test_rollout_simulation.py
@@ -35,6 +35,13 @@
         assert report.stage == state.Stage.DELIVERED and report.ended_s < 18.0, (seed, report)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_loss_of_power_of_all_machines_does_not_move_the_term(seed):
+    """No proxy is left that knows the order's age; those of these seeds that broke 'term' before ages were stored."""
+    report = rollout_simulation.run_simulation(seed, kind="good", fault_kinds=("all_power",))
+    assert not report.findings and report.stage in state.FINAL_STAGES
+
+
 def leases_without_end(monkeypatch):
     real = version_routing.VersionRouter.handle_leases
     monkeypatch.setattr(
