Simulation: disks lost while all machines lose power, also in mid-run; failing runs shorten themselves

The closing fault as the operators described it (disks lost, all other machines without power at the same moment, those that don't count too) is a closing kind and, like the loss of disks alone, a fault at a moment that matters in the middle of a run. The kinds change what seeds draw.

--- a/ploverward/command_line/simulate.py
+++ b/ploverward/command_line/simulate.py
@@ -14,9 +14,11 @@
 from ploverward.simulation.control_plane import faults
 from ploverward.simulation.control_plane import mutants
 from ploverward.simulation.control_plane import scenario
+from ploverward.simulation.control_plane import shrinking
 
 HASH_SEED = "0"
 MAX_REPORTED_SEEDS = 20  # broken seeds that are printed with their findings
+MAX_SHORTENED_SEEDS = 3  # broken seeds that are shortened; each takes a minute or two
 CHUNK_RUNS = 4  # runs handed to a process at a time
 
 
@@ -95,6 +97,8 @@
             if report.findings:
                 broken.append(report)
     output.print_lines(map(_broken_line, broken[:MAX_REPORTED_SEEDS]), out=out)
+    for report in broken[:MAX_SHORTENED_SEEDS]:
+        out(_shortened_line(shrinking.Shortening(report=report).shorten()))
     out(
         f"{totals['days']} days, {totals['orders']} orders, {totals['chosen']} versions,"
         f" {totals['troubles']} moments of trouble,"
@@ -112,6 +116,15 @@
     )
 
 
+def _shortened_line(shortened: shrinking.ShortenedRun) -> str:
+    kept = ", ".join(f"{fault.kind} at {fault.at:.1f}" for fault in shortened.kept) or "none"
+    closing = "with" if shortened.has_closing else "without"
+    return (
+        f"seed {shortened.plan.seed}, {shortened.check}: {len(shortened.kept)} of {shortened.drawn} troubles are left"
+        f" after {shortened.runs} days ({kept}), {closing} the closing one"
+    )
+
+
 def show(*, plan: scenario.Plan, out: output.Out) -> int:
     """Plays one plan and prints all that happened; `BROKEN` where a check broke."""
     report = scenario.run_simulation(dataclasses.replace(plan, keeps_history=True))
--- a/ploverward/simulation/control_plane/faults.py
+++ b/ploverward/simulation/control_plane/faults.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -20,7 +21,14 @@
     from ploverward.simulation.control_plane import scenario
 
 CLOSING_S = 3.0  # how long the closing fault may last
-CLOSING = ("all_killed", "all_power", "disks_lost", "disks_lost_others_power", "")
+CLOSING = (
+    "all_killed",
+    "all_power",
+    "disks_lost",
+    "disks_lost_others_power",
+    "disks_lost_all_power",  # the others, and the machines that don't count too
+    "",
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,28 +65,56 @@
     "probe": FaultKind(weight=2, begin=outside_faults.probe_isolated),
     "all_killed": FaultKind(weight=0.3, begin=machine_faults.kill_all),
     "all_power": FaultKind(weight=0.3, begin=machine_faults.lose_all_power),
+    "disks_lost": FaultKind(weight=0.3, begin=machine_faults.lose_disks_at_moment),
+    "disks_lost_all_power": FaultKind(weight=0.3, begin=machine_faults.lose_disks_and_all_power),
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DrawnFault:
+    """One fault of a run.
+
+    Attributes:
+        number: Its place among those that were drawn, from 0.
+        kind: A key of `KINDS`.
+        at: When it begins, by the simulated time in seconds.
+    """
+
+    number: int
+    kind: str
+    at: float
+
+
 class FaultInjector:
     """Draws faults by their weights and begins them in one run.
 
     Attributes:
         is_over: Whether no further fault begins.
+        drawn: What was drawn so far, skipped faults included.
     """
 
-    def __init__(self, *, simulation: scenario.SimulationRun, kinds: Sequence[str], gap_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        simulation: scenario.SimulationRun,
+        kinds: Sequence[str],
+        gap_s: float,
+        skipped: Collection[int] = frozenset(),
+    ) -> None:
         """Prepares the faults of a run.
 
         Args:
             simulation: The run.
             kinds: Names of `KINDS` to draw from.
             gap_s: About how long it takes from one fault's begin to the next.
+            skipped: Numbers of faults that are drawn and not begun (`shrinking.py`).
         """
         self.is_over = False
+        self.drawn: list[DrawnFault] = []
+        self._skipped = skipped
         self._scene = FaultScene(simulation=simulation)
-        self._kinds = [KINDS[name] for name in kinds if name in KINDS]
-        self._weights = [kind.weight for kind in self._kinds]
+        self._kinds = [name for name in kinds if name in KINDS]
+        self._weights = [KINDS[name].weight for name in self._kinds]
         self._gap_s = gap_s
 
     def start(self, *, begin: float, until: float) -> None:
@@ -91,8 +127,11 @@
         scene = self._scene
         if self.is_over or scene.clock.time >= scene.until:
             return
-        kind = scene.chance.choices(self._kinds, self._weights)[0]
-        kind.begin(scene)
+        name = scene.chance.choices(self._kinds, self._weights)[0]
+        fault = DrawnFault(number=len(self.drawn), kind=name, at=scene.clock.time)
+        self.drawn.append(fault)
+        if fault.number not in self._skipped:
+            KINDS[name].begin(scene)
         scene.after(scene.chance.uniform(0.1, 2.0) * self._gap_s, self._begin_next)
 
     def close(self, kind: str) -> None:
@@ -102,10 +141,10 @@
         if kind in ("all_killed", "all_power"):
             machine_faults.stop_all(scene, kind)
             return
-        free = scene.free_losses()
-        healthy = scene.healthy_slots()
-        emptied = scene.chance.sample(healthy, min(free, len(healthy))) if free > 0 else []
+        emptied = machine_faults.pick_emptied(scene)
         if kind == "disks_lost_others_power":
             machine_faults.stop_all(scene, "all_power", emptied=emptied)
+        elif kind == "disks_lost_all_power":
+            machine_faults.stop_all(scene, "all_power", emptied=emptied, has_proxies=True)
         elif emptied:
             machine_faults.stop_slots(scene, "disks lost", emptied, is_power_lost=True, is_emptied=True)
--- a/ploverward/simulation/control_plane/machine_faults.py
+++ b/ploverward/simulation/control_plane/machine_faults.py
@@ -167,13 +167,38 @@
     scene.simulation.at_moment(lambda: stop_all(scene, "all_power"))
 
 
-def stop_all(scene: FaultScene, kind: str, *, emptied: Sequence[fleet.Slot] = ()) -> None:
+def lose_disks_at_moment(scene: FaultScene) -> None:
+    """As many disks as may be lost go at a moment that matters; the other machines run on."""
+
+    def begin() -> None:
+        emptied = pick_emptied(scene)
+        stop_slots(scene, "disks lost", emptied, is_power_lost=True, is_emptied=True)
+
+    scene.simulation.at_moment(begin)
+
+
+def lose_disks_and_all_power(scene: FaultScene) -> None:
+    """As many disks as may be lost go at a moment that matters; all other machines lose power, proxies too."""
+    scene.simulation.at_moment(
+        lambda: stop_all(scene, "all_power", emptied=pick_emptied(scene), has_proxies=True),
+    )
+
+
+def pick_emptied(scene: FaultScene) -> list[fleet.Slot]:
+    """Draws as many healthy slots as may lose their disks now."""
+    free = scene.free_losses()
+    healthy = scene.healthy_slots()
+    return scene.chance.sample(healthy, min(free, len(healthy))) if free > 0 else []
+
+
+def stop_all(scene: FaultScene, kind: str, *, emptied: Sequence[fleet.Slot] = (), has_proxies: bool = False) -> None:
     """Stops all core machines that run, and starts them again after a while.
 
     Args:
         scene: The run.
         kind: "all_power" or "all_killed"; also the name in the history.
         emptied: The slots whose disks lose their content.
+        has_proxies: Whether the machines of proxies stop at the same moment.
     """
     simulation = scene.simulation
     slots = [slot for slot in simulation.fleet.slots if not slot.is_down]
@@ -182,10 +207,16 @@
         simulation.fleet.stop(slot, is_power_lost=kind == "all_power")
         if slot in emptied:
             slot.machine.disk.empty()
+    proxy_hosts = list(simulation.fleet.proxy_hosts) if has_proxies else []
+    for host in proxy_hosts:
+        simulation.recorder.record("proxy killed", host=host)
+        simulation.fleet.stop_proxy(host, is_power_lost=kind == "all_power")
 
     def end() -> None:
         for slot in slots:
             simulation.fleet.restart(slot, is_emptied=slot in emptied)
+        for host in proxy_hosts:
+            simulation.fleet.start_proxy(host)
         scene.end(kind, slots)
 
     scene.after(scene.chance.uniform(*RESTART_S), end)
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -54,6 +54,7 @@
         span_s: For how long faults begin, in seconds; 0: drawn.
         disk: Index of the disks' speed; -1: drawn.
         gap_s: Mean time between two faults, in seconds; 0: drawn.
+        skipped_faults: Numbers of faults that are drawn and not begun.
         keeps_history: Whether the report has a history.
     """
 
@@ -65,6 +66,7 @@
     span_s: float = 0.0
     disk: int = -1
     gap_s: float = 0.0
+    skipped_faults: frozenset[int] = frozenset()
     keeps_history: bool = False
 
 
@@ -81,6 +83,7 @@
         orders: How many the operators sent.
         chosen: Versions of the configuration.
         troubles: Moments at which a fault of the core began or ended.
+        faults: What was drawn, skipped faults included; the closing one is none of them.
         steps: Events.
         peak_shares: The highest sums of shares.
         took_s: Processor time.
@@ -94,6 +97,7 @@
     orders: int
     chosen: int
     troubles: int
+    faults: list[faults.DrawnFault]
     steps: int
     peak_shares: dict[share_checks.ShareKind, float]
     took_s: float
@@ -174,7 +178,9 @@
             network=self.network, recorder=self.recorder, operators=self.operators, faults=self.fault_log
         )
         drawn_gap_s = chance.choice(FAULT_GAPS_S)
-        self.faults = faults.FaultInjector(simulation=self, kinds=plan.troubles, gap_s=plan.gap_s or drawn_gap_s)
+        self.faults = faults.FaultInjector(
+            simulation=self, kinds=plan.troubles, gap_s=plan.gap_s or drawn_gap_s, skipped=plan.skipped_faults
+        )
 
     def build(self) -> None:
         """Adds the machines and schedules their starts."""
@@ -274,6 +280,7 @@
             orders=len(self.operators.orders),
             chosen=len(self.values.configurations),
             troubles=len(self.fault_log.edges) - 1,
+            faults=self.faults.drawn,
             steps=self.clock.steps,
             peak_shares=dict(self.shares.peaks),
             took_s=took_s,
