--- a/ploverward/command_line/main.py
+++ b/ploverward/command_line/main.py
@@ -17,6 +17,7 @@
 
 NODE_VERBS = ("core", "proxy")
 STAND_IN_VERB = "stand-in"
+HELP_FLAGS = {"--help", "-h"}
 MODULES = {
     "core": "node",
     "proxy": "node",
@@ -95,9 +96,19 @@
         sys.exit(exit_codes.ExitCode.USAGE)
 
 
+def print_help(verb: str) -> int:
+    """Prints the help of a verb."""
+    from ploverward.command_line import verb_help  # no node needs it
+
+    print(verb_help.text_of(verb))
+    return exit_codes.ExitCode.WELL
+
+
 def start() -> None:
     """Runs the verb of this process's arguments and ends the process with its exit code."""
     verb = sys.argv[1] if len(sys.argv) > 1 else ""
+    if verb in MODULES and verb != STAND_IN_VERB and not HELP_FLAGS.isdisjoint(sys.argv[2:]):
+        sys.exit(print_help(verb))
     if verb == STAND_IN_VERB:
         sys.exit(run(sys.argv))  # parses its flags by itself
     if verb in NODE_VERBS:
--- /dev/null
+++ b/ploverward/command_line/verb_help.py
@@ -0,0 +1,253 @@
+"""What `python3 -m ploverward VERB --help` prints: what the verb does, its arguments and flags, exit codes, an example.
+
+The flags are those of `options`, with the unit of each value here, as one module defines the flags of all verbs.
+"""
+
+import dataclasses
+import textwrap
+
+from ploverward.command_line import exit_codes
+
+WIDTH = 110
+CORE_FLAG = "--core ADDRESS:PORT[,...]"
+CORE_TEXT = "core nodes to call, by commas; without it, the seeds of PLOVERWARD_NODE_FILE"
+JSON_FLAG = "--json"
+JSON_TEXT = "machine-readable output"
+CORE = {CORE_FLAG: CORE_TEXT}
+CORE_AND_JSON = {**CORE, JSON_FLAG: JSON_TEXT}
+NODE_FLAGS = {"--chatty": "write every log event at once, not only errors and steps of roll-outs"}
+NODE_CODES = {
+    exit_codes.ExitCode.WELL: "the node was shut down by SIGTERM",
+    exit_codes.ExitCode.USAGE: "a settings file that is missing or malformed",
+}
+CALL_CODES = {
+    exit_codes.ExitCode.WELL: "done",
+    exit_codes.ExitCode.BROKEN: "refused",
+    exit_codes.ExitCode.USAGE: "wrong arguments, or no core node answered",
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VerbHelp:
+    """The help of one verb.
+
+    Attributes:
+        synopses: The forms in which it is called, without the program.
+        what: What it does, in a sentence or two.
+        codes: What each exit code means here.
+        example: A complete call.
+        flags: Flags with their values and units, and what they mean.
+        page: The page that says more.
+    """
+
+    synopses: tuple[str, ...]
+    what: str
+    codes: dict[exit_codes.ExitCode, str]
+    example: str
+    flags: dict[str, str] = dataclasses.field(default_factory=dict)
+    page: str
+
+
+HELP = {
+    "core": VerbHelp(
+        synopses=("core",),
+        what="Runs a core node: consensus registers, leases, singleton roles, operator API and look-ups.",
+        codes=NODE_CODES,
+        flags=NODE_FLAGS,
+        example="PLOVERWARD_NODE_FILE=/etc/ploverward/core.settings python3 -m ploverward core",
+        page="docs/operations.md",
+    ),
+    "proxy": VerbHelp(
+        synopses=("proxy",),
+        what="Runs a proxy, which carries the traffic; some proxies also own a relay or a digest.",
+        codes=NODE_CODES,
+        flags=NODE_FLAGS,
+        example="PLOVERWARD_NODE_FILE=/etc/ploverward/proxy.settings python3 -m ploverward proxy",
+        page="docs/operations.md",
+    ),
+    "check": VerbHelp(
+        synopses=("check",),
+        what="Reads the settings file named by PLOVERWARD_NODE_FILE and says whether a node can start with it.",
+        codes={
+            exit_codes.ExitCode.WELL: "the file is complete",
+            exit_codes.ExitCode.USAGE: "it is missing or malformed; the output names the field",
+        },
+        example="PLOVERWARD_NODE_FILE=/etc/ploverward/core.settings python3 -m ploverward check",
+        page="docs/operations.md",
+    ),
+    "custody": VerbHelp(
+        synopses=("custody ID", "custody --audit"),
+        what="Shows which nodes held the text and the cache of the request with this X-Attempt-Id, or checks all "
+        "trails that are kept against the permitted regions.",
+        codes={
+            exit_codes.ExitCode.WELL: "found; with --audit, no trail breaks a rule",
+            exit_codes.ExitCode.BROKEN: "no trail with this id; with --audit, a trail leaves its regions",
+            exit_codes.ExitCode.USAGE: "wrong arguments, or no core node answered",
+            exit_codes.ExitCode.PARTS_MISSING: "as far as seen; some core nodes were out of reach",
+        },
+        flags={"--audit": "check all trails that are kept", **CORE_AND_JSON},
+        example="python3 -m ploverward custody 7f3a9c --core 10.1.0.16:8166",
+        page="docs/residency.md",
+    ),
+    "drill": VerbHelp(
+        synopses=("drill ZONE",),
+        what="Takes a zone out of service, watches what must hold meanwhile, and takes it back in any case.",
+        codes={
+            exit_codes.ExitCode.WELL: "all that must hold was seen to hold",
+            exit_codes.ExitCode.BROKEN: "something that must hold did not",
+            exit_codes.ExitCode.USAGE: "refused before anything was done",
+            exit_codes.ExitCode.NOT_RESTORED: "the zone could not be taken back: do so by 'restore ZONE'",
+            exit_codes.ExitCode.INTERRUPTED: "interrupted; the zone was taken back",
+        },
+        flags={"--watch_s S": "seconds for which the zone stays out after evacuateMs (10)", **CORE_AND_JSON},
+        example="python3 -m ploverward drill znorth --watch_s 20 --core 10.1.0.16:8166",
+        page="docs/drill.md",
+    ),
+    "evacuate": VerbHelp(
+        synopses=("evacuate ZONE",),
+        what="Takes a zone out of service: its replicas get no further requests.",
+        codes=CALL_CODES,
+        flags=CORE,
+        example="python3 -m ploverward evacuate znorth --core 10.1.0.16:8166",
+        page="docs/operations.md",
+    ),
+    "restore": VerbHelp(
+        synopses=("restore ZONE",),
+        what="Takes a zone back into service; its replicas count as warming up for their warmupS.",
+        codes=CALL_CODES,
+        flags=CORE,
+        example="python3 -m ploverward restore znorth --core 10.1.0.16:8166",
+        page="docs/operations.md",
+    ),
+    "nodes": VerbHelp(
+        synopses=("nodes",),
+        what="Prints, as JSON, the nodes that are connected to each core node.",
+        codes={
+            exit_codes.ExitCode.WELL: "all core nodes answered",
+            exit_codes.ExitCode.USAGE: "wrong arguments",
+            exit_codes.ExitCode.PARTS_MISSING: "some core nodes, or all, were out of reach",
+        },
+        flags=CORE,
+        example="python3 -m ploverward nodes --core 10.1.0.16:8166,10.2.0.33:8166",
+        page="docs/operations.md",
+    ),
+    "rollout": VerbHelp(
+        synopses=("rollout start SERVICE VERSION --over_s S", "rollout status [SERVICE]", "rollout watch SERVICE"),
+        what="Moves a service to another version of its software if that proves good, shows where each roll-out "
+        "stands and on which evidence, or watches one to its end. Ages are seconds since the order; the score of a "
+        "fault is a sum of log likelihood ratios, bad from 8 on.",
+        codes={
+            exit_codes.ExitCode.WELL: "ordered; shown; delivered",
+            exit_codes.ExitCode.BROKEN: "refused, with the reason; returned to the former version",
+            exit_codes.ExitCode.USAGE: "wrong arguments, or no core node is certain",
+            exit_codes.ExitCode.PARTS_MISSING: "there is no such roll-out",
+        },
+        flags={"--over_s S": "seconds within which the traffic is to have moved (start only)", **CORE_AND_JSON},
+        example="python3 -m ploverward rollout start tutor v2 --over_s 30 --core 10.1.0.16:8166",
+        page="docs/rollouts.md",
+    ),
+    "tenants": VerbHelp(
+        synopses=("tenants",),
+        what="Shows the limits of tenants in requests a second, how they stand, and their keys by digest.",
+        codes={
+            exit_codes.ExitCode.WELL: "shown",
+            exit_codes.ExitCode.USAGE: "wrong arguments, or no core node answered",
+            exit_codes.ExitCode.PARTS_MISSING: "there are no tenants, or some core nodes were out of reach",
+        },
+        flags=CORE_AND_JSON,
+        example="python3 -m ploverward tenants --core 10.1.0.16:8166",
+        page="docs/quotas.md",
+    ),
+    "core-set": VerbHelp(
+        synopses=("core-set",),
+        what="Shows the agreed core set: who votes, who learns, whose disk refuses writes, how far each register of "
+        "each node is (on disk/known), and how many further losses are tolerated.",
+        codes={
+            exit_codes.ExitCode.WELL: "as many losses are tolerated as the settings want",
+            exit_codes.ExitCode.BROKEN: "fewer are, a move is in progress, a member does not vote, or nobody answered",
+            exit_codes.ExitCode.USAGE: "wrong arguments",
+            exit_codes.ExitCode.PARTS_MISSING: "well, but some nodes were out of reach",
+        },
+        flags=CORE_AND_JSON,
+        example="python3 -m ploverward core-set --core 10.1.0.16:8166",
+        page="docs/core-set.md",
+    ),
+    "pins": VerbHelp(
+        synopses=("pins",),
+        what="Shows which adapters keep arriving cold, and suggests which each replica should keep pinned.",
+        codes={
+            exit_codes.ExitCode.WELL: "complete, also where no adapters were seen",
+            exit_codes.ExitCode.USAGE: "an unknown service, model, zone or replica, an unreadable file, or no answer",
+            exit_codes.ExitCode.PARTS_MISSING: "some core nodes were out of reach; their counts are missing",
+        },
+        flags={
+            "--capacity N": "adapters that a replica can keep pinned; 0: as many as one is seen to hold",
+            "--previous FILE": "an earlier output of pins --json, which is changed no more than it must",
+            "--service NAME": "only this service",
+            "--model NAME": "only this model",
+            "--zone NAME": "only replicas of this zone",
+            "--replica NAME": "only this replica",
+            **CORE_AND_JSON,
+        },
+        example="python3 -m ploverward pins --capacity 3 --previous last.json --core 10.1.0.16:8166,10.2.0.33:8166",
+        page="docs/pins.md",
+    ),
+    "keep": VerbHelp(
+        synopses=("keep FOLDER", "keep FOLDER EDITION"),
+        what="Keeps the configuration in force in a Git repository, keys as digests, or prints a kept edition.",
+        codes={
+            exit_codes.ExitCode.WELL: "kept, or printed",
+            exit_codes.ExitCode.USAGE: "wrong arguments, no such edition is kept, or no core node is certain",
+        },
+        flags=CORE,
+        example="python3 -m ploverward keep /var/lib/ploverward/configurations --core 10.1.0.16:8166",
+        page="docs/operations.md",
+    ),
+    "simulate": VerbHelp(
+        synopses=("simulate",),
+        what="Plays runs ('days') of a simulated control plane, or of roll-outs, and checks their histories. A run "
+        "that breaks a check is shortened to the faults that it needs.",
+        codes={
+            exit_codes.ExitCode.WELL: "no check broke; with --planted, each planted fault was found",
+            exit_codes.ExitCode.BROKEN: "a check broke, or a planted fault was missed",
+            exit_codes.ExitCode.USAGE: "wrong arguments",
+        },
+        flags={
+            "--world control|rollouts": "which model is played",
+            "--seeds N": "how many runs are played (100)",
+            "--first N": "the first run's seed",
+            "--machines N": "core machines: 3, 5, 6 or 7; 0: drawn by the seed",
+            "--tolerate N": "machines that may be lost at once; 0: drawn by the seed",
+            "--troubles KIND[,...]": "only these kinds of faults",
+            "--jobs N": "processes that play at the same time",
+            "--history SEED": "prints all that happens in the run of this seed",
+            "--planted": "shows that the checks find each planted fault",
+        },
+        example="python3 -m ploverward simulate --seeds 1000 --jobs 8",
+        page="docs/simulate.md",
+    ),
+}
+
+
+def text_of(verb: str) -> str:
+    """Returns the help of a verb, in lines of at most `WIDTH` characters."""
+    one = HELP[verb]
+    lines = [
+        *(f"{'usage:' if not number else '      '} python3 -m ploverward {form}" for number, form in _numbered(one)),
+        "",
+        *textwrap.wrap(one.what, WIDTH),
+    ]
+    if one.flags:
+        lines += ["", "Flags:", *_table(one.flags)]
+    lines += ["", "Exit codes:", *_table({str(int(code)): meaning for code, meaning in one.codes.items()})]
+    lines += ["", f"Example: {one.example}", f"More: {one.page}"]
+    return "\n".join(lines)
+
+
+def _numbered(one: VerbHelp) -> list[tuple[int, str]]:
+    return list(enumerate(one.synopses))
+
+
+def _table(rows: dict[str, str]) -> list[str]:
+    width = max(len(name) for name in rows)
+    return [f"  {name:<{width}}  {meaning}" for name, meaning in rows.items()]
