--- /dev/null
+++ b/ploverward/data_plane/requests/test_http_front_end.py
@@ -0,0 +1,24 @@
+"""The readiness of a proxy, as health checks see it."""
+
+import pytest
+
+from ploverward.data_plane.requests import http_front_end
+
+READY = http_front_end.READINESS_PATH
+
+
+@pytest.mark.parametrize(
+    "target, is_serving, is_draining, status",
+    [
+        (READY, True, False, 200),
+        (READY + b"?check=1", True, False, 200),
+        (READY, False, False, 503),
+        (READY, True, True, 503),  # from SIGTERM on, so that clients are sent elsewhere before anything is refused
+        (READY, False, True, 503),
+        (READY + b"/", True, False, 503),
+        (b"/", True, False, 503),
+    ],
+)
+def test_a_proxy_is_ready_while_it_serves_and_does_not_drain(target, is_serving, is_draining, status):
+    found = http_front_end.readiness_status(target=target, is_serving=is_serving, is_draining=is_draining)
+    assert found == status
--- /dev/null
+++ b/ploverward/data_plane/requests/test_route_table.py
@@ -0,0 +1,60 @@
+"""Routes of a configuration: which service a request goes to, by the shares of its route."""
+
+import collections
+
+import pytest
+
+from ploverward.data_plane.requests import route_table
+
+DRAWS = 10_000
+
+
+def route(*shares):
+    body = {
+        "name": "r",
+        "kind": "retry_safe",
+        "expiryMs": 1000,
+        "apportion": [{"destination": f"s{number}", "share": share} for number, share in enumerate(shares)],
+    }
+    return route_table.Route.of(body)
+
+
+@pytest.mark.parametrize("shares", [(1,), (1, 1), (9, 1), (0.2, 0.5, 0.3), (1, 0, 3), (1000, 1)])
+def test_each_service_gets_its_share_of_the_requests(shares):
+    picked = collections.Counter(route(*shares).pick((draw + 0.5) / DRAWS) for draw in range(DRAWS))
+    for number, share in enumerate(shares):
+        assert abs(picked[f"s{number}"] / DRAWS - share / sum(shares)) <= 1 / DRAWS
+
+
+@pytest.mark.parametrize("shares", [(0, 1), (1, 0), (0, 2, 0)])
+def test_a_service_whose_share_is_zero_gets_nothing_at_either_end(shares):
+    given = {number for number, share in enumerate(shares) if share}
+    for chance in (0.0, 1e-12, 0.5, 1 - 1e-12, 1.0):
+        assert int(route(*shares).pick(chance)[1:]) in given
+
+
+def test_a_route_without_an_apportionment_has_one_service():
+    body = {"name": "r", "kind": "streaming", "expiryMs": 1500, "destination": "only", "resume": True}
+    single = route_table.Route.of(body)
+    assert {single.pick(chance) for chance in (0.0, 0.99)} == {"only"}
+    assert single.expiry_s == 1.5 and single.is_idempotent and single.is_resumable
+
+
+@pytest.mark.parametrize(
+    "target, found",
+    [
+        (b"/a/x", "short"),
+        (b"/a/b/x?y=/a/", "long"),
+        (b"/a/bc", "short"),
+        (b"/other/x", None),
+        (b"http://h/a/b/x", "long"),
+    ],
+)
+def test_the_longest_prefix_that_ends_at_a_slash_decides(target, found):
+    rows = [
+        {"name": name, "host": "H", "pathLead": lead, "kind": "retry_safe", "expiryMs": 1, "destination": "s"}
+        for name, lead in (("short", "/a/"), ("long", "/a/b/"))
+    ]
+    routes = route_table.Routes(body={"edition": 2, "routes": rows})
+    route_found = routes.find(host="h:80", target=target)
+    assert (route_found.name if route_found else None) == found
--- a/ploverward/testing/test_docs.py
+++ b/ploverward/testing/test_docs.py
@@ -54,3 +54,17 @@
     runbook = (ROOT / "docs" / "operations.md").read_text(encoding="utf-8")
     listed = set(LISTED_EVENT.findall(runbook.partition("## Log events")[2]))
     assert logged == listed
+
+
+def test_the_page_of_rules_names_tests_and_days_that_exist():
+    """Each line of a rule leads to the test that shows it; what is missing says "open"."""
+    page = ROOT / "docs" / "rules.md"
+    defined = set()
+    for path in ROOT.glob("ploverward/**/test_*.py"):
+        defined |= names(re.compile(r"^def (test_\w+)", re.MULTILINE), path)
+    assert names(re.compile(r"`(test_\w+)`"), page) <= defined
+    rows = [line.split("|")[1:-1] for line in page.read_text(encoding="utf-8").splitlines() if line.startswith("| ")]
+    days = {path.stem for path in ROOT.glob("days/*.toml")} | {"site", "open"}
+    for _rule, module, test, day in (row for row in rows if row[0].strip() not in ("line", "---")):
+        assert module.strip() and test.strip()
+        assert {re.sub(r"\s*\(.*", "", name.strip()) for name in day.split(",")} <= days, day
