--- a/ploverward/command_line/simulate.py
+++ b/ploverward/command_line/simulate.py
@@ -41,6 +41,7 @@
         machines=flags.machines,
         tolerated=flags.tolerate,
         troubles=flags.troubles,
+        has_tallies=flags.tallies,
     )
     if has_history:
         return show(plan=chosen[0], out=print)
@@ -55,21 +56,23 @@
         os.execve(sys.executable, [sys.executable, *sys.orig_argv[1:]], environment)
 
 
-def parse_fault_kinds(*, text: str) -> tuple[str, ...]:
-    """Returns the kinds of faults that are named, by commas; all of them where none is.
+def parse_fault_kinds(*, text: str, has_tallies: bool = False) -> tuple[str, ...]:
+    """Returns the kinds of faults that are named, by commas; where none is, all, long partitions only with tallies.
 
     Raises:
         InvalidArgumentError: There is no such kind.
     """
     kinds = tuple(kind for kind in text.split(",") if kind)
     for kind in kinds:
-        if kind not in faults.KINDS:
-            known = ", ".join(faults.KINDS)
+        if kind not in faults.ALL_KINDS:
+            known = ", ".join(faults.ALL_KINDS)
             raise errors.InvalidArgumentError(f"'{kind}' is no trouble; there are {known}", step="simulate")
-    return kinds or tuple(faults.KINDS)
+    return kinds or tuple(faults.ALL_KINDS if has_tallies else faults.KINDS)
 
 
-def plans(*, first: int, seeds: int, machines: int, tolerated: int, troubles: str) -> list[scenario.Plan]:
+def plans(
+    *, first: int, seeds: int, machines: int, tolerated: int, troubles: str, has_tallies: bool = False
+) -> list[scenario.Plan]:
     """Returns the plans of a range of seeds.
 
     Args:
@@ -78,10 +81,11 @@
         machines: Core machines; 0: drawn by the seed.
         tolerated: Machines that may be lost at once; 0: drawn by the seed.
         troubles: Kinds of faults, by commas; empty: all.
+        has_tallies: Whether applications use tallies.
     """
-    kinds = parse_fault_kinds(text=troubles)
+    kinds = parse_fault_kinds(text=troubles, has_tallies=has_tallies)
     return [
-        scenario.Plan(seed=seed, machines=machines, tolerated=tolerated, troubles=kinds)
+        scenario.Plan(seed=seed, machines=machines, tolerated=tolerated, troubles=kinds, has_tallies=has_tallies)
         for seed in range(first, first + seeds)
     ]
 
--- a/ploverward/command_line/verb_help.py
+++ b/ploverward/command_line/verb_help.py
@@ -219,6 +219,7 @@
             "--machines N": "core machines: 3, 5, 6 or 7; 0: drawn by the seed",
             "--tolerate N": "machines that may be lost at once; 0: drawn by the seed",
             "--troubles KIND[,...]": "only these kinds of faults",
+            "--tallies": "applications use tallies, and there are long partitions",
             "--jobs N": "processes that play at the same time",
             "--history SEED": "prints all that happens in the run of this seed",
             "--planted": "shows that the checks find each planted fault",
--- a/ploverward/common/errors.py
+++ b/ploverward/common/errors.py
@@ -55,6 +55,14 @@
     """
 
 
+class TallyMergeError(PloverwardError):
+    """Adds or a snapshot of tallies do not follow what this node has.
+
+    Raised where they are merged or sent. Nothing was changed; the connection is closed, and both sides begin anew with
+    their positions.
+    """
+
+
 class QuorumUnavailableError(PloverwardError):
     """No majority of the core set answered in time; whether the order takes effect is not known.
 
--- a/ploverward/control_plane/cluster/node_shutdown.py
+++ b/ploverward/control_plane/cluster/node_shutdown.py
@@ -41,6 +41,7 @@
         wanted_voters: 2 t + 1, where t machines may be lost at once.
         stop_serving: Ends the operators' and clients' interfaces.
         reconcile_roles: Releases the role at once, where this node owns it.
+        has_handed_over: Whether the tallies of this node are on enough other disks.
         end: Ends the process.
     """
 
@@ -60,6 +61,7 @@
         wanted_voters: int,
         stop_serving: Callable[[], None],
         reconcile_roles: Callable[[], None],
+        has_handed_over: Callable[[], bool],
         end: Callable[[], None],
     ) -> None:
         self._own = own
@@ -75,6 +77,7 @@
         self._wanted_voters = wanted_voters
         self._stop_serving = stop_serving
         self._reconcile_roles = reconcile_roles
+        self._has_handed_over = has_handed_over
         self._end = end
 
     def start(self) -> None:
@@ -99,7 +102,12 @@
         )
 
     def may_end(self) -> bool:
-        """Whether the others can continue without it: it has no role, no successor waits, they have a majority."""
+        """Whether the others can continue without it.
+
+        They have its tallies, it has no role, no successor waits, and they have a majority.
+        """
+        if not self._has_handed_over():
+            return False
         if all(self._own not in self._consensus.proposer.members(name) for name in register_names.REGISTERS):
             return True
         if self._coordinator.is_owner and self._membership.has_majority_lease():
--- a/ploverward/control_plane/cluster/peer_sessions.py
+++ b/ploverward/control_plane/cluster/peer_sessions.py
@@ -72,6 +72,7 @@
         members: Returns the agreed core set.
         on_message: Called with each message and its connection.
         on_joined: Called with each peer once it sent its handshake.
+        on_dialed: Called whenever a connection to a core node is being opened; what is sent on it waits.
         on_ended: Called with a connection that ended and its peer, or None if it had sent no handshake.
 
     Attributes:
@@ -90,6 +91,7 @@
         members: Callable[[], tuple[str, ...]],
         on_message: Callable[[interfaces.Connection, tuple], None],
         on_joined: Callable[[Peer], None],
+        on_dialed: Callable[[], None],
         on_ended: Callable[[interfaces.Connection, Peer | None], None],
     ) -> None:
         self._runtime = runtime
@@ -101,6 +103,7 @@
         self._members = members
         self._on_message = on_message
         self._on_joined = on_joined
+        self._on_dialed = on_dialed
         self._on_ended = on_ended
         self._own = settings.current.ip
         self._peers: dict[interfaces.Connection, Peer] = {}
@@ -124,7 +127,7 @@
             self._connectors[host] = self._runtime.connector(
                 loop=self._loop,
                 address=(host, settings.core_port),
-                on_up=self.send_handshake,
+                on_up=self._handle_dialed,
                 on_message=self._on_message,
                 on_end=self._handle_end,
                 peer_timeout_s=self._peer_timeout_s,
@@ -132,6 +135,10 @@
         for host in self._connectors.keys() - wanted:
             self._connectors.pop(host).stop()
 
+    def _handle_dialed(self, connection: interfaces.Connection) -> None:
+        self.send_handshake(connection)
+        self._on_dialed()
+
     def send_handshake(self, connection: interfaces.Connection) -> None:
         """Sends the other side the identity of this node."""
         settings = self._settings.current
@@ -218,6 +225,19 @@
         """Returns the addresses of the other connected core nodes."""
         return {peer.address for peer in self._peers.values() if peer.role is NodeRole.CORE}
 
+    def leaving_cores(self) -> set[str]:
+        """Returns the addresses of the other connected core nodes that are shutting down."""
+        return {peer.address for peer in self.cores() if peer.is_draining}
+
+    def connected_to(self) -> list[str]:
+        """Returns the addresses of the core nodes to which this node keeps a connection, or tries to."""
+        return list(self._connectors)
+
+    def core_connection(self, address: str) -> interfaces.Connection | None:
+        """Returns the connection that this node dialed to a core node; it may still be connecting. None without one."""
+        connector = self._connectors.get(address)
+        return connector.link if connector is not None else None
+
     def proxy_of(self, connection: interfaces.Connection) -> Peer | None:
         """Returns the proxy on this connection, or None where another kind of node is there."""
         peer = self._peers.get(connection)
--- a/ploverward/control_plane/cluster/test_peer_sessions.py
+++ b/ploverward/control_plane/cluster/test_peer_sessions.py
@@ -51,7 +51,7 @@
     def __init__(self, *, seeds=()):
         self.runtime = Runtime()
         self.members = ()
-        self.joined, self.ended = [], []
+        self.joined, self.ended, self.dialed = [], [], []
         self.status = node_status.NodeStatus()
         settings = types.SimpleNamespace(
             ip=OWN, core_port=7, zone="za", region="north", seeds=[(host, 7) for host in seeds]
@@ -66,6 +66,7 @@
             members=lambda: self.members,
             on_message=lambda _connection, _message: None,
             on_joined=self.joined.append,
+            on_dialed=lambda: self.dialed.append(1),
             on_ended=lambda connection, peer: self.ended.append((connection, peer)),
         )
         self.sessions.connect_to_cores()
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -43,6 +43,7 @@
 from ploverward.control_plane.quotas import quota_meter
 from ploverward.control_plane.quotas import token_bucket
 from ploverward.control_plane.rollouts import manager
+from ploverward.control_plane.tallies import tally_service
 from ploverward.transport import interfaces
 from ploverward.transport import messages
 
@@ -68,6 +69,7 @@
         publisher: The newest version of each topic.
         consensus: Acceptor, proposer and storage of the registers.
         membership: The core set as this node knows it.
+        tallies: Counters that work without a majority.
         role_table: Who owns which singleton role.
         operator_api: What operators and clients call.
     """
@@ -104,6 +106,7 @@
             members=self._members,
             on_message=self.router.handle,
             on_joined=self._on_peer_joined,
+            on_dialed=self._on_core_dialed,
             on_ended=self._on_connection_ended,
         )
         disk_bytes = max(settings.disk_mb, MIN_DISK_MB) * BYTES_PER_MB
@@ -131,6 +134,15 @@
         self.membership = core_membership.CoreMembership(
             now=self.loop.now, consensus=self.consensus, publisher=self.publisher, lease=self.lease
         )
+        self.tallies = tally_service.TallyService(
+            own=self.own,
+            incarnation=self.incarnation,
+            loop=self.loop,
+            disk=self.runtime.disk(folder=settings.data_dir),
+            sessions=self.sessions,
+            members=self._members,
+            limits=tally_service.TallyLimits.from_settings(settings, peer_timeout_s=self.timing.peer_timeout_s),
+        )
         self.heartbeats = heartbeats.HeartbeatExchange(
             sessions=self.sessions, membership=self.membership, lease=self.lease, consensus=self.consensus
         )
@@ -251,6 +263,7 @@
             registers=dependencies.Registers(change=self.consensus.proposer.change, read=self.consensus.proposer.read),
             publisher=self.publisher,
             meter=self.meter,
+            tallies=self.tallies,
             node=dependencies.NodeState(
                 own=self.own,
                 settings=lambda: self.settings.current,
@@ -290,6 +303,7 @@
             wanted_voters=self.wanted_voters,
             stop_serving=self.operator_api.shut_down,
             reconcile_roles=self.roles.reconcile,
+            has_handed_over=self.tallies.has_handed_over,
             end=self._end,
         )
 
@@ -305,6 +319,7 @@
             }
         )
         self.router.add(self.topics.handlers())
+        self.router.add(self.tallies.handlers())
         self.router.add(
             {
                 messages.CustodyTrails: lambda _connection, message: self.operator_api.handle_custody_trails(message),
@@ -326,6 +341,7 @@
         """Resumes what the disk has, connects, and listens."""
         self._resume_shares()
         self.sessions.connect_to_cores()
+        self.tallies.start()
         self.operator_api.listen()
         self.watch.start()
         self.loop.every(interval_s=self.timing.heartbeat_interval_s, callback=self._on_heartbeat_interval)
@@ -366,6 +382,7 @@
         self.sessions.connect_to_cores()
         self.topics.tick()
         self.consensus.run_anti_entropy()
+        self.tallies.tick()
         self.roles.reconcile()
 
     def _on_peer_joined(self, peer: peer_sessions.Peer) -> None:
@@ -378,6 +395,9 @@
             self.sessions.send_handshake(peer.link)
             self.topics.send_minimum_versions(peer.link)
 
+    def _on_core_dialed(self) -> None:
+        self.tallies.handle_dialed()
+
     def _on_connection_ended(self, connection: interfaces.Connection, peer: peer_sessions.Peer | None) -> None:
         self.topics.handle_ended(connection, peer)
 
--- a/ploverward/control_plane/operator_api/router.py
+++ b/ploverward/control_plane/operator_api/router.py
@@ -96,6 +96,10 @@
             body=json.dumps(body, separators=(",", ":")).encode(),
         )
 
+    def on_gone(self, callback: collections.abc.Callable[[], object]) -> None:
+        """Has a callback called where the caller leaves before it is answered."""
+        self._request.on_gone = callback
+
     def unavailable(self, *, why: str) -> None:
         """Answers 503, which leaves the outcome open: the caller retries, at this node or another."""
         body = ErrorBody(error=why)
--- a/ploverward/control_plane/operator_api/server.py
+++ b/ploverward/control_plane/operator_api/server.py
@@ -22,7 +22,9 @@
 from ploverward.control_plane.operator_api.order_api import OrderApi
 from ploverward.control_plane.operator_api.redirector import Redirector
 from ploverward.control_plane.operator_api.router import Router
+from ploverward.control_plane.operator_api.tally_handlers import TallyHandlers
 from ploverward.control_plane.operator_api.tenant_handlers import TenantHandlers
+from ploverward.control_plane.tallies import tally_service
 from ploverward.transport import http_request
 from ploverward.transport import messages
 from ploverward.transport.interfaces import Loop
@@ -43,6 +45,7 @@
         registers: the replicated registers.
         publisher: the publisher of distributed topics.
         meter: counts what proxies admit for tenants.
+        tallies: the tallies of this node.
         node: the state of this node.
         timing: durations from the settings.
     """
@@ -55,6 +58,7 @@
         registers: Registers,
         publisher: Publisher,
         meter: TenantMeter,
+        tallies: tally_service.TallyService,
         node: NodeState,
         timing: Timing,
     ) -> None:
@@ -79,6 +83,7 @@
         )
         self._adapters = AdapterHandlers(loop=loop, publisher=publisher, node=node, contact_s=timing.contact_s)
         self._custody = CustodyHandlers(loop=loop, node=node, contact_s=timing.contact_s, receipt_s=timing.receipt_s)
+        self._tallies = TallyHandlers(tallies=tallies, node_name=lambda: node.settings().node)
         proxy_directory = directory.Directory(
             now=loop.now,
             members=node.members,
@@ -94,6 +99,7 @@
             self._adapters,
             self._custody,
             TenantHandlers(configuration=node.configuration, meter=meter),
+            self._tallies,
         )
         self._router = Router(rules=[rule for part in handlers for rule in part.rules()])
 
@@ -115,6 +121,7 @@
     def shut_down(self) -> None:
         """Accepts no new connections; calls on the open ones are forwarded to other nodes."""
         self._orders.shut_down()
+        self._tallies.shut_down()
         for server in self._servers:
             server.stop_listening()
             server.leave()
--- /dev/null
+++ b/ploverward/control_plane/tallies/peer_reach.py
@@ -0,0 +1,47 @@
+"""Which core nodes are out of reach, so that adds are acknowledged without them (docs/tallies.md 5).
+
+Silence is counted in intervals of this process, not by the clock: a process that was frozen finds all its connections
+silent for long, and none of its peers is away for that.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Collection
+
+SILENT_INTERVALS = 3  # heartbeat intervals, as in a peer time-out
+FIRST_SILENT_INTERVALS = 9  # of a peer that this process never heard of: it may be starting, as after a loss of all
+
+
+class PeerReach:
+    """Counts for how long each expected core node has been silent.
+
+    Args:
+        expected: Returns the addresses of the other core nodes of the set.
+        heard_at: Returns when a core node was last heard of on its open connection; None without one.
+    """
+
+    def __init__(self, *, expected: Callable[[], Collection[str]], heard_at: Callable[[str], float | None]) -> None:
+        self._expected = expected
+        self._heard_at = heard_at
+        self._last_heard_at: dict[str, float] = {}
+        self._silent_intervals: dict[str, int] = {}
+
+    def tick(self) -> None:
+        """To be called at each heartbeat interval."""
+        for address in self._expected():
+            heard_at = self._heard_at(address)
+            if heard_at is not None and heard_at != self._last_heard_at.get(address):
+                self._last_heard_at[address] = heard_at
+                self._silent_intervals[address] = 0
+            else:
+                self._silent_intervals[address] = self._silent_intervals.get(address, 0) + 1
+
+    def in_reach(self) -> list[str]:
+        """Returns the expected core nodes that are in reach, or may be."""
+        return [address for address in self._expected() if not self.is_out_of_reach(address)]
+
+    def is_out_of_reach(self, address: str) -> bool:
+        """Whether a core node has been silent for so long that nothing waits for it."""
+        limit = SILENT_INTERVALS if address in self._last_heard_at else FIRST_SILENT_INTERVALS
+        return self._silent_intervals.get(address, 0) >= limit
--- /dev/null
+++ b/ploverward/control_plane/tallies/test_tally_folder.py
@@ -0,0 +1,70 @@
+"""When old adds are folded, and what holds it up."""
+
+from ploverward.control_plane.tallies import tally_folder
+from ploverward.control_plane.tallies import tally_state
+from ploverward.transport.messages import TallyAdd
+from ploverward.transport.messages import TallyLogName
+
+LOG, OTHER = TallyLogName("a", "1"), TallyLogName("b", "1")
+OLD_S = tally_folder.REPEAT_S + tally_folder.CHECKPOINT_S
+
+
+class Scene:
+    """A state with four adds, and the positions that two members told."""
+
+    def __init__(self, *, max_kept=2):
+        self.now = 0.0
+        self.state = tally_state.TallyState()
+        self.members = [{LOG: 4}, {LOG: 4}]
+        self.folder = tally_folder.TallyFolder(
+            state=self.state, now=lambda: self.now, max_kept=max_kept, member_positions=lambda: self.members
+        )
+        for number in range(4):
+            self.state.append(log=LOG, add=TallyAdd("t", f"x{number}", 1))
+        self.folder.tick()
+
+    def after(self, seconds):
+        self.now += seconds
+        self.folder.tick()
+        return self.state.folded_position(LOG)
+
+
+def test_old_adds_that_all_members_have_are_folded():
+    scene = Scene()
+    assert scene.after(tally_folder.REPEAT_S - 1) == 0
+    assert scene.after(2) == 4
+    assert scene.state.total("t") == 4
+
+
+def test_few_ids_are_kept():
+    assert Scene(max_kept=100).after(OLD_S) == 0
+
+
+def test_a_member_that_is_away_holds_it_up():
+    scene = Scene()
+    scene.members = None
+    assert scene.after(OLD_S) == 0
+
+
+def test_a_member_that_lacks_some_holds_up_those():
+    scene = Scene()
+    scene.members = [{LOG: 4}, {LOG: 3}]
+    assert scene.after(OLD_S) == 3
+
+
+def test_what_a_member_had_must_be_here_as_it_may_be_the_same_add():
+    scene = Scene()
+    scene.members = [{LOG: 4}, {LOG: 4, OTHER: 1}]
+    assert scene.after(OLD_S) == 0
+    scene.state.merge(log=OTHER, first=1, adds=[TallyAdd("t", "x0", 1)])
+    scene.folder.tick()
+    assert scene.after(OLD_S) == 4
+    assert scene.state.total("t") == 4
+
+
+def test_adds_that_came_meanwhile_stay():
+    scene = Scene()
+    scene.members = [{LOG: 5}, {LOG: 5}]
+    scene.now = 100.0
+    scene.state.append(log=LOG, add=TallyAdd("t", "late", 1))
+    assert scene.after(OLD_S - 100) == 4
--- /dev/null
+++ b/ploverward/control_plane/tallies/test_tally_state.py
@@ -0,0 +1,152 @@
+"""What a state of tallies is merged from does not matter: order, repeats, who passed it on, snapshots, folding."""
+
+import collections
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from ploverward.common import errors
+from ploverward.control_plane.tallies import tally_state
+from ploverward.transport.messages import TallyAdd
+from ploverward.transport.messages import TallyLogName
+
+LOGS = [TallyLogName("10.0.0.1", "a"), TallyLogName("10.0.0.2", "b"), TallyLogName("10.0.0.3", "c")]
+adds = strategies.builds(
+    TallyAdd,
+    tally=strategies.sampled_from(["t", "u"]),
+    add_id=strategies.sampled_from([f"id{number}" for number in range(8)]),
+    amount=strategies.integers(-5, 100),
+)
+histories = strategies.lists(strategies.lists(adds, max_size=8), min_size=3, max_size=3)
+
+
+def written(history) -> tally_state.TallyState:
+    state = tally_state.TallyState()
+    for log, log_adds in zip(LOGS, history, strict=True):
+        for add in log_adds:
+            state.append(log=log, add=add)
+    return state
+
+
+def expected(history) -> dict:
+    """Each id once, with the amount of its first place in the lowest log."""
+    amounts = {}
+    for log_adds in history:
+        for add in log_adds:
+            amounts.setdefault((add.tally, add.add_id), add.amount)
+    totals = collections.Counter()
+    for (tally, _add_id), amount in amounts.items():
+        totals[tally] += amount
+    return dict(totals)
+
+
+def non_zero(totals) -> dict:
+    return {tally: total for tally, total in totals.items() if total}
+
+
+def all_of(state):
+    """Each log's adds one by one, as (log, position, add)."""
+    for log, position in state.positions().items():
+        for number, add in enumerate(state.adds_from(log=log, position=0, limit=position), start=1):
+            yield log, number, add
+
+
+@hypothesis.given(histories, strategies.integers())
+def test_any_order_of_logs_and_any_repeats_give_the_same_totals(history, seed):
+    source = written(history)
+    chance = random.Random(seed)
+    queues = {log: [row for row in all_of(source) if row[0] == log] for log in LOGS}
+    other = tally_state.TallyState()
+    while any(queues.values()):
+        log = chance.choice([log for log, queue in queues.items() if queue])
+        _log, position, add = queues[log].pop(0)
+        for _time in range(chance.choice((1, 1, 2))):
+            other.merge(log=log, first=position, adds=[add])
+    assert other.positions() == source.positions()
+    assert non_zero(other.totals()) == non_zero(source.totals()) == non_zero(expected(history))
+
+
+@hypothesis.given(histories, strategies.lists(strategies.integers(0, 8), min_size=3, max_size=3))
+def test_folding_changes_no_total(history, upto):
+    state = written(history)
+    for log, position in zip(LOGS, upto, strict=True):
+        state.fold(log=log, upto=position)
+    assert non_zero(state.totals()) == non_zero(expected(history))
+    assert state.positions() == written(history).positions()
+
+
+@hypothesis.given(
+    histories,
+    strategies.lists(strategies.integers(0, 8), min_size=3, max_size=3),
+    strategies.lists(strategies.integers(0, 8), min_size=3, max_size=3),
+)
+def test_a_snapshot_and_what_follows_it_is_the_whole(history, upto, had):
+    source = written(history)
+    for log, position in zip(LOGS, upto, strict=True):
+        source.fold(log=log, upto=position)
+    other = written([log_adds[:count] for log_adds, count in zip(history, had, strict=True)])
+    other.install(source.snapshot())
+    for log, position in source.positions().items():
+        start = min(max(other.position(log), source.folded_position(log)), position)
+        other.merge(log=log, first=start + 1, adds=source.adds_from(log=log, position=start, limit=100))
+    assert other.positions() == source.positions()
+    assert non_zero(other.totals()) == non_zero(source.totals())
+
+
+@hypothesis.given(histories, strategies.lists(strategies.integers(0, 8), min_size=3, max_size=3))
+def test_what_is_folded_can_go_on_being_folded_after_a_snapshot(history, upto):
+    source = written(history)
+    for log, position in zip(LOGS, upto, strict=True):
+        source.fold(log=log, upto=position)
+    other = tally_state.TallyState()
+    other.install(source.snapshot())
+    for log in source.positions():
+        start = source.folded_position(log)
+        other.merge(log=log, first=start + 1, adds=source.adds_from(log=log, position=start, limit=100))
+    for log in source.positions():
+        other.fold(log=log, upto=100)
+    assert non_zero(other.totals()) == non_zero(expected(history))
+    assert other.size == len(other.totals())  # no id is left
+
+
+def test_an_add_that_two_nodes_took_counts_once():
+    state = written([[TallyAdd("t", "x", 4)], [TallyAdd("t", "x", 4)], []])
+    assert state.total("t") == 4
+    assert state.total("unknown") == 0
+
+
+def test_of_two_amounts_that_of_the_lowest_log_counts_whichever_comes_first():
+    add, other = TallyAdd("t", "x", 4), TallyAdd("t", "x", 9)
+    first, second = tally_state.TallyState(), tally_state.TallyState()
+    first.merge(log=LOGS[0], first=1, adds=[add])
+    first.merge(log=LOGS[1], first=1, adds=[other])
+    second.merge(log=LOGS[1], first=1, adds=[other])
+    second.merge(log=LOGS[0], first=1, adds=[add])
+    assert first.total("t") == second.total("t") == 4
+
+
+def test_a_gap_is_refused_and_changes_nothing():
+    state = written([[TallyAdd("t", "x", 4)], [], []])
+    with pytest.raises(errors.TallyMergeError):
+        state.merge(log=LOGS[0], first=3, adds=[TallyAdd("t", "z", 1)])
+    assert state.total("t") == 4 and state.position(LOGS[0]) == 1
+
+
+def test_a_snapshot_that_is_behind_what_is_folded_here_is_refused_and_changes_nothing():
+    state = written([[TallyAdd("t", "x", 4), TallyAdd("t", "y", 1)], [], []])
+    behind = written([[TallyAdd("t", "x", 4)], [], []])
+    state.fold(log=LOGS[0], upto=2)
+    behind.fold(log=LOGS[0], upto=1)
+    with pytest.raises(errors.TallyMergeError):
+        state.install(behind.snapshot())
+    assert state.total("t") == 5
+
+
+def test_adds_that_are_folded_can_not_be_sent_one_by_one():
+    state = written([[TallyAdd("t", "x", 4), TallyAdd("t", "y", 1)], [], []])
+    state.fold(log=LOGS[0], upto=1)
+    with pytest.raises(errors.TallyMergeError):
+        state.adds_from(log=LOGS[0], position=0, limit=10)
+    assert state.adds_from(log=LOGS[0], position=1, limit=10) == [TallyAdd("t", "y", 1)]
--- a/ploverward/simulation/control_plane/faults.py
+++ b/ploverward/simulation/control_plane/faults.py
@@ -71,6 +71,13 @@
 }
 
 
+APART_KINDS = {  # long partitions, for runs with tallies; beside `KINDS`, whose number decides what a seed draws
+    "apart": FaultKind(weight=3, begin=link_faults.part_regions),
+    "bridge": FaultKind(weight=3, begin=link_faults.part_two),
+}
+ALL_KINDS = KINDS | APART_KINDS
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DrawnFault:
     """One fault of a run.
@@ -106,7 +113,7 @@
 
         Args:
             simulation: The run.
-            kinds: Names of `KINDS` to draw from.
+            kinds: Names of `ALL_KINDS` to draw from.
             gap_s: About how long it takes from one fault's begin to the next.
             skipped: Numbers of faults that are drawn and not begun (`shrinking.py`).
         """
@@ -114,8 +121,8 @@
         self.drawn: list[DrawnFault] = []
         self._skipped = skipped
         self._scene = FaultScene(simulation=simulation)
-        self._kinds = [name for name in kinds if name in KINDS]
-        self._weights = [KINDS[name].weight for name in self._kinds]
+        self._kinds = [name for name in kinds if name in ALL_KINDS]
+        self._weights = [ALL_KINDS[name].weight for name in self._kinds]
         self._gap_s = gap_s
 
     def start(self, *, begin: float, until: float) -> None:
@@ -132,7 +139,7 @@
         fault = DrawnFault(number=len(self.drawn), kind=name, at=scene.clock.time)
         self.drawn.append(fault)
         if fault.number not in self._skipped:
-            KINDS[name].begin(scene)
+            ALL_KINDS[name].begin(scene)
         scene.after(scene.chance.uniform(0.1, 2.0) * self._gap_s, self._begin_next)
 
     def close(self, kind: str) -> None:
--- a/ploverward/simulation/control_plane/fleet.py
+++ b/ploverward/simulation/control_plane/fleet.py
@@ -206,6 +206,7 @@
     def remove(self, machine: machines.Machine, *, is_in_order: bool) -> None:
         """Takes a machine away for good; in order, its node gets SIGTERM first and SIGKILL after `graceS`."""
         machine.is_removed = True
+        machine.disk.note_loss()
         self._recorder.record("removed", host=machine.host, is_in_order=is_in_order)
 
         def switch_off() -> None:
--- a/ploverward/simulation/control_plane/link_faults.py
+++ b/ploverward/simulation/control_plane/link_faults.py
@@ -16,6 +16,8 @@
 
 PARTITION_S = (1.0, 14.0)  # how long links are cut, slow or lose answers
 ADDED_DELAY_S = (0.05, 0.6)  # on each link of a slow machine, each way
+APART_S = (4.0, 25.0)  # how long regions, or two machines, have no path to each other
+APART_EDGE_S = 1.0
 RESET_CHANCE = 0.3  # that a partition also resets the connections
 
 
@@ -40,6 +42,40 @@
     _cut(scene, "split", slots, pairs=pairs, duration_s=scene.draw_duration_s(PARTITION_S))
 
 
+def part_regions(scene: FaultScene) -> None:
+    """Each region is cut off from each other, whatever is tolerated; at times only in one direction of each pair."""
+    running = [slot for slot in scene.simulation.fleet.slots if not slot.is_down]
+    pairs = [
+        (one.machine.host, other.machine.host)
+        for one in running
+        for other in running
+        if one.machine.region != other.machine.region
+    ]
+    if scene.chance.random() < 0.3:
+        pairs = [(one, other) for one, other in pairs if one < other]
+    duration_s = scene.draw_duration_s(APART_S)
+    _cut(scene, "regions apart", running, pairs=pairs, duration_s=duration_s)
+    _keep_disturbed(scene, until=scene.clock.time + duration_s)
+
+
+def _keep_disturbed(scene: FaultScene, *, until: float) -> None:
+    """Without a majority on any side nothing is owed in time, so the span must not look calm."""
+    if scene.clock.time < until:
+        scene.simulation.fault_log.record_edge("regions are apart", ())
+        scene.after(APART_EDGE_S, lambda: _keep_disturbed(scene, until=until))
+
+
+def part_two(scene: FaultScene) -> None:
+    """Two machines have no path to each other, while the others reach both."""
+    slots = scene.pick_slots()[:1]
+    others = [slot for slot in scene.simulation.fleet.slots if slot not in slots and not slot.is_down]
+    if not slots or not others:
+        return
+    one, other = slots[0].machine.host, scene.chance.choice(others).machine.host
+    duration_s = scene.draw_duration_s(APART_S)
+    _cut(scene, "bridge", slots, pairs=[(one, other), (other, one)], duration_s=duration_s)
+
+
 def _isolate(scene: FaultScene, name: str, *, is_out: bool, is_in: bool) -> None:
     slots = scene.pick_slots()
     if not slots:
--- a/ploverward/simulation/control_plane/mutants.py
+++ b/ploverward/simulation/control_plane/mutants.py
@@ -9,9 +9,11 @@
 import dataclasses
 from collections.abc import Callable
 
+from ploverward.simulation.control_plane import faults
 from ploverward.simulation.control_plane import mutant_patches
 from ploverward.simulation.control_plane import operators
 from ploverward.simulation.control_plane import scenario
+from ploverward.simulation.control_plane import tally_mutant_patches
 
 DEFAULT_PLAN = scenario.Plan(seed=0)
 
@@ -72,6 +74,8 @@
     gap_s=scenario.FAULT_GAPS_S[1],
     moments=(operators.Moment.READ,),
 )
+TALLY_PLAN = scenario.Plan(seed=0, troubles=tuple(faults.ALL_KINDS), has_tallies=True)
+TALLY_CHECKS = ("tally twice", "tally stale", "tally lost", "tally agreement")
 MUTANTS = {
     "seeds as the default set": Mutant(
         patches=mutant_patches.seeds_as_default_set,
@@ -132,6 +136,30 @@
         plan=scenario.Plan(seed=0, troubles=("cut", "freeze", "replace", "probe")),
     ),
     "news go back": Mutant(patches=mutant_patches.versions_go_back, checks=("back",)),
+    "an add counted by node": Mutant(
+        patches=tally_mutant_patches.counted_by_node, checks=TALLY_CHECKS, plan=TALLY_PLAN
+    ),
+    "an add acknowledged before the sync": Mutant(
+        patches=tally_mutant_patches.acknowledged_before_sync, checks=TALLY_CHECKS, plan=TALLY_PLAN
+    ),
+    "an add acknowledged on two disks": Mutant(
+        patches=tally_mutant_patches.acknowledged_by_two_disks,
+        checks=TALLY_CHECKS,
+        plan=dataclasses.replace(TALLY_PLAN, machines=5, tolerated=2, disk=2),
+    ),
+    "an add kept after a 503": Mutant(
+        patches=tally_mutant_patches.kept_after_refusal, checks=TALLY_CHECKS, plan=TALLY_PLAN
+    ),
+    "adds not passed on": Mutant(patches=tally_mutant_patches.nothing_relayed, checks=TALLY_CHECKS, plan=TALLY_PLAN),
+    "ids forgotten too soon": Mutant(
+        patches=tally_mutant_patches.folded_too_soon, checks=TALLY_CHECKS, plan=TALLY_PLAN
+    ),
+    "a log used again": Mutant(patches=tally_mutant_patches.reused_log, checks=TALLY_CHECKS, plan=TALLY_PLAN),
+    "a restart taken for a partition": Mutant(
+        patches=tally_mutant_patches.out_of_reach_at_once,
+        checks=TALLY_CHECKS,
+        plan=dataclasses.replace(TALLY_PLAN, machines=5, tolerated=2, troubles=("all_power", "empty", "disks_lost")),
+    ),
     "a lost race is taken": Mutant(patches=mutant_patches.lost_race_accepted, checks=("one base", "refused orders")),
 }
 
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -28,6 +28,8 @@
 from ploverward.simulation.control_plane import simulated_clock
 from ploverward.simulation.control_plane import simulated_disk
 from ploverward.simulation.control_plane import simulated_network
+from ploverward.simulation.control_plane import tally_callers
+from ploverward.simulation.control_plane import tally_checks
 from ploverward.simulation.control_plane import value_checks
 
 SIZES, SIZE_WEIGHTS = (3, 5, 6, 7), (4, 4, 1, 1)  # core machines
@@ -39,6 +41,7 @@
 AFTER_CLOSING_S = 4.0
 LAST_READS_S = 4.0
 MAX_LAST_READ_ATTEMPTS = 8
+TALLY_MOMENT_CHANCE = 0.5  # that a fault "at a moment that matters" waits for an acknowledged add to a tally
 MOMENTS = (model_operators.Moment.ACKNOWLEDGED, model_operators.Moment.SENT, model_operators.Moment.READ)
 
 
@@ -58,6 +61,7 @@
         moments: Those that faults "at a moment that matters" wait for.
         skipped_faults: Numbers of faults that are drawn and not begun.
         keeps_history: Whether the report has a history.
+        has_tallies: Whether applications use tallies.
     """
 
     seed: int
@@ -71,6 +75,7 @@
     moments: tuple[model_operators.Moment, ...] = MOMENTS
     skipped_faults: frozenset[int] = frozenset()
     keeps_history: bool = False
+    has_tallies: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -123,6 +128,7 @@
         operators: The operators.
         probes: Orders to nodes that are cut off.
         faults: Begins faults.
+        tallies: Applications that use tallies.
     """
 
     def __init__(self, *, plan: Plan) -> None:
@@ -180,6 +186,9 @@
         self.probes = isolation_probes.IsolationProbes(
             network=self.network, recorder=self.recorder, operators=self.operators, faults=self.fault_log
         )
+        self.tallies = tally_callers.TallyCallers(
+            seed=plan.seed, network=self.network, fleet=self.fleet, faults=self.fault_log, recorder=self.recorder
+        )
         drawn_gap_s = chance.choice(FAULT_GAPS_S)
         self.faults = faults.FaultInjector(
             simulation=self, kinds=plan.troubles, gap_s=plan.gap_s or drawn_gap_s, skipped=plan.skipped_faults
@@ -194,6 +203,8 @@
         begun = time.process_time()
         self.build()
         self.operators.start()
+        if self.plan.has_tallies:
+            self.tallies.start()
         faults_until = FAULTS_FROM_S + self._span_s
         self.faults.start(begin=FAULTS_FROM_S, until=faults_until)
         self.clock.run(until=faults_until)
@@ -201,7 +212,7 @@
         self.operators.forget_moments()
         self._close()
         self.operators.forget_moments()
-        self.operators.is_stopped = True
+        self._stop_callers()
         self.clock.run(until=self.clock.time + 2 * self._contact_s + self._catch_up_s)
         checks.check_core_set(
             recorder=self.recorder,
@@ -226,11 +237,21 @@
         limit = self.clock.time + self._receipt_s + self._contact_s
         while not self._is_closed and self.clock.time < limit:
             self.clock.run(until=self.clock.time + CLOSING_STEP_S)
-        self.operators.is_stopped = True
+        self._stop_callers()
         self.clock.run(until=self.clock.time + AFTER_CLOSING_S)
 
+    def _stop_callers(self) -> None:
+        self.operators.is_stopped = True
+        self.tallies.is_stopped = True
+
     def at_moment(self, callback: Callable[[], object]) -> None:
-        """Has a callback called right after the next acknowledgement or read, or soon after the next order is sent."""
+        """Has a callback called right after the next acknowledgement or read, or soon after the next order is sent.
+
+        Where applications use tallies, the moment may also be the next acknowledged add.
+        """
+        if self.plan.has_tallies and self.clock.chance.random() < TALLY_MOMENT_CHANCE:
+            self.tallies.at_next_add(callback)
+            return
         chance = self.clock.chance
         moment = chance.choice(self.plan.moments)
         delay = (
@@ -244,6 +265,8 @@
         answered: list[checks.LastRead] = []
         for host, what in reads:
             self._read_last(host, what, answered)
+        if self.plan.has_tallies:
+            self.tallies.read_back()
         self.clock.run(until=self.clock.time + LAST_READS_S)
         missing = reads.keys() - {(read.host, read.what) for read in answered}
         return [*answered, *(checks.LastRead(*read, None) for read in reads if read in missing)]
@@ -273,6 +296,10 @@
         checks.check_acknowledgements(evidence, calm=calm, receipt_s=self._receipt_s, until=now)
         checks.check_moves(evidence, calm=calm, receipt_s=self._receipt_s, until=now)
         checks.check_end(evidence, last_reads)
+        if self.plan.has_tallies:
+            tally_checks.TallyChecks(recorder=self.recorder, network=self.network, callers=self.tallies).check(
+                until=now - LAST_READS_S - tally_callers.MERGE_S
+            )
 
     def _report(self, took_s: float) -> Report:
         return Report(
--- a/ploverward/simulation/control_plane/simulated_disk.py
+++ b/ploverward/simulation/control_plane/simulated_disk.py
@@ -41,6 +41,7 @@
         files: What reads see, by name.
         durable: What is sure to be there after a loss of power, by name.
         fault: How it is faulty: "", "slow", "stall", "refuse", "refuse_late" or "full".
+        lost_at: When its content was lost, by the simulated time in seconds.
         stalled_until: When accesses under way end at the earliest, by the simulated time in seconds.
     """
 
@@ -50,6 +51,7 @@
         self.durable: dict[str, bytes] = {}
         self.fault = ""
         self.stalled_until = 0.0
+        self.lost_at: list[float] = []
         self._clock = clock
         self._speed_s = speed_s
         self._batch: list[Change] = []  # of the work that runs now
@@ -192,8 +194,13 @@
         self.durable = dict(self.files)
         self._renamed.clear()
 
+    def note_loss(self) -> None:
+        """Notes that the content is lost, or gone with the machine."""
+        self.lost_at.append(self._clock.time)
+
     def empty(self) -> None:
         """The disk loses its content."""
+        self.note_loss()
         self._unsynced_batches = []
         self._dropped = {}
         self.files = {}
--- a/ploverward/simulation/control_plane/simulated_network.py
+++ b/ploverward/simulation/control_plane/simulated_network.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -67,12 +68,21 @@
         self.machines: dict[str, machines.Machine] = {}
         self.partitions: dict[HostPair, int] = {}
         self.added_delays_s: dict[str, float] = {}
+        self._healed: list[tuple[float, str]] = []  # when, and which host has no cut link any more
         self._wires: dict[HostPair, list[Wire]] = {}  # by (dialer, target), in the order of their making
 
     def is_partitioned(self, source: str, target: str) -> bool:
         """Whether a fault cuts this direction."""
         return bool(self.partitions) and self.partitions.get((source, target), 0) > 0
 
+    def is_host_partitioned(self, host: str) -> bool:
+        """Whether a fault cuts any link of a host now."""
+        return any(host in pair for pair in self.partitions)
+
+    def healed_after(self, host: str, since: float) -> float:
+        """Returns when a host next had no cut link, or infinity."""
+        return min((at for at, healed in self._healed if healed == host and at >= since), default=math.inf)
+
     def delay(self, source: str, target: str) -> float:
         """Draws how long the next item takes, in seconds."""
         one, other = self.machines.get(source), self.machines.get(target)
@@ -95,6 +105,9 @@
             self.partitions[pair] -= 1
             if not self.partitions[pair]:
                 del self.partitions[pair]
+        for host in sorted({host for pair in pairs for host in pair}):
+            if not self.is_host_partitioned(host):
+                self._healed.append((self.clock.time, host))
         for source, target in pairs:
             for wire in self._between(source, target):
                 wire.flush()
--- /dev/null
+++ b/ploverward/simulation/control_plane/tally_callers.py
@@ -0,0 +1,223 @@
+"""Model applications that add to tallies and read them, each beside a core machine (docs/simulate.md 6).
+
+An application calls the core machine of its own slot first and moves on after a refusal or a second of silence, with
+the same id. What it was told is kept for `tally_checks.py`. It draws from a generator of its own: a run without it has
+the history that its seed always had.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import json
+import random
+from collections.abc import Callable
+
+from ploverward.simulation.control_plane import fault_log
+from ploverward.simulation.control_plane import fleet as fleets
+from ploverward.simulation.control_plane import machines
+from ploverward.simulation.control_plane import recorder as recorders
+from ploverward.simulation.control_plane import simulated_http
+from ploverward.simulation.control_plane import simulated_network
+
+TALLIES = ("t0", "t1", "t2", "t3")
+CALL_GAP_S = (0.02, 0.5)  # between two calls of one application
+CALL_TIMEOUT_S = 1.0
+MAX_TRIES = 5
+TRY_PAUSE_S = 0.05
+MAX_AMOUNT = 1_000_000
+READ_CHANCE = 0.4
+REPEAT_CHANCE = 0.1  # that an add is one that was sent before
+MERGE_S = 3.0  # within which nodes agree, where no fault begins or ends
+REFUSALS = (429, 503)  # promise that nothing was done
+FIRST_CALL_S = 1.0
+LAST_READ_TRIES = 8
+LAST_READ_PAUSE_S = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class Try:
+    """One call of an add.
+
+    Attributes:
+        host: Of the core machine.
+        process: That ran there when the call was sent.
+        sent_at: When, in seconds of the run.
+        answered_at: When its answer came; None without one.
+        status: Of the answer; 0 without one.
+        is_cut: Whether the machine was cut off from another one when it answered.
+    """
+
+    host: str
+    process: machines.Program | None
+    sent_at: float
+    answered_at: float | None = None
+    status: int = 0
+    is_cut: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Add:
+    """One add, by its id."""
+
+    add_id: str
+    tally: str
+    amount: int
+    tries: list[Try] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TallyRead:
+    """One answered read."""
+
+    host: str
+    process: machines.Program | None
+    tally: str
+    begun_at: float
+    ended_at: float
+    total: int
+    is_calm: bool  # whether there was no fault of the core, and none had ended for a while, when it began
+
+
+class TallyCallers:
+    """All applications of a run.
+
+    Attributes:
+        adds: All adds, by id.
+        reads: All answered reads.
+        last_reads: By host and tally, after all was healed; None: not answered.
+        is_stopped: Whether no further call begins.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        network: simulated_network.Network,
+        fleet: fleets.Fleet,
+        faults: fault_log.FaultLog,
+        recorder: recorders.Recorder,
+    ) -> None:
+        """Makes the applications of a run."""
+        self._faults = faults
+        self.adds: dict[str, Add] = {}
+        self.reads: list[TallyRead] = []
+        self.last_reads: dict[tuple[str, str], int | None] = {}
+        self.is_stopped = False
+        self._network = network
+        self._clock = network.clock
+        self._fleet = fleet
+        self._recorder = recorder
+        self._chance = random.Random(f"tallies {seed}")
+        self._at_next_add: Callable[[], object] | None = None
+
+    def start(self) -> None:
+        """Begins an application beside each core machine."""
+        for slot in self._fleet.slots:
+            self._clock.later(delay=FIRST_CALL_S, callback=functools.partial(self._begin_call, slot))
+
+    def at_next_add(self, callback: Callable[[], object]) -> None:
+        """Has a callback called once, right after the next acknowledged add."""
+        self._at_next_add = callback
+
+    def _begin_call(self, slot: fleets.Slot) -> None:
+        if self.is_stopped:
+            return
+        if self._chance.random() < READ_CHANCE:
+            self._read(slot)
+        else:
+            self._add(slot, self._draw_add(), self._draw_hosts(slot))
+        self._clock.later(delay=self._chance.uniform(*CALL_GAP_S), callback=lambda: self._begin_call(slot))
+
+    def _draw_add(self) -> Add:
+        if self.adds and self._chance.random() < REPEAT_CHANCE:
+            return self._chance.choice(list(self.adds.values()))
+        add = Add(f"a{len(self.adds)}", self._chance.choice(TALLIES), self._chance.randint(1, MAX_AMOUNT))
+        self.adds[add.add_id] = add
+        return add
+
+    def _draw_hosts(self, slot: fleets.Slot) -> list[str]:
+        others = [host for host in self._fleet.core_hosts() if host != slot.machine.host]
+        self._chance.shuffle(others)
+        return [slot.machine.host, *others][:MAX_TRIES]
+
+    # Adds.
+    def _add(self, slot: fleets.Slot, add: Add, hosts: list[str]) -> None:
+        host, rest = hosts[0], hosts[1:]
+        call = Try(host=host, process=self._process(host), sent_at=self._clock.time)
+        add.tries.append(call)
+
+        def done(answer: simulated_http.Answer | None) -> None:
+            self._note_answer(add, call, answer)
+            if call.status != 200 and rest:
+                self._clock.later(delay=TRY_PAUSE_S, callback=lambda: self._add(slot, add, rest))
+
+        body = json.dumps({"id": add.add_id, "actor": add.amount}).encode()
+        self._call(slot.machine.host, host, "POST", add.tally, body, done)
+
+    def _note_answer(self, add: Add, call: Try, answer: simulated_http.Answer | None) -> None:
+        if answer is None:
+            return
+        call.answered_at, call.status = self._clock.time, answer.status
+        call.is_cut = self._network.is_host_partitioned(call.host)
+        self._recorder.record("tally add", add=add.add_id, host=call.host, status=answer.status)
+        if answer.status == 200 and self._at_next_add is not None:
+            callback, self._at_next_add = self._at_next_add, None
+            callback()
+
+    # Reads.
+    def _read(self, slot: fleets.Slot) -> None:
+        host, tally, begun_at = slot.machine.host, self._chance.choice(TALLIES), self._clock.time
+        process, is_calm = self._process(host), self._is_calm()
+
+        def done(answer: simulated_http.Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                read = TallyRead(
+                    host=host,
+                    process=process if self._process(host) is process else None,
+                    tally=tally,
+                    begun_at=begun_at,
+                    ended_at=self._clock.time,
+                    total=json.loads(answer.body)["total"],
+                    is_calm=is_calm,
+                )
+                self.reads.append(read)
+                self._recorder.record("tally read", host=host, tally=tally, total=read.total)
+
+        self._call(host, host, "GET", tally, b"", done)
+
+    def read_back(self) -> None:
+        """Reads each tally at each core machine; the answers come to `last_reads`."""
+        for host in self._fleet.core_hosts():
+            for tally in TALLIES:
+                self.last_reads[host, tally] = None
+                self._read_last(host, tally, LAST_READ_TRIES)
+
+    def _read_last(self, host: str, tally: str, tries: int) -> None:
+        def done(answer: simulated_http.Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                self.last_reads[host, tally] = json.loads(answer.body)["total"]
+            elif tries > 1:
+                self._clock.later(delay=LAST_READ_PAUSE_S, callback=lambda: self._read_last(host, tally, tries - 1))
+
+        self._call(host, host, "GET", tally, b"", done)
+
+    def _call(
+        self, source: str, host: str, method: str, tally: str, body: bytes, done: simulated_http.OnAnswer
+    ) -> None:
+        simulated_http.Caller(network=self._network, host=source).call(
+            host=host,
+            port=machines.CONTROL_PORT,
+            method=method,
+            target=f"/ploverward/tallies/{tally}",
+            body=body,
+            limit_s=CALL_TIMEOUT_S,
+            done=done,
+        )
+
+    def _is_calm(self) -> bool:
+        is_disturbed = any(slot.faults for slot in self._fleet.slots)
+        return not is_disturbed and self._clock.time - self._faults.edges[-1] >= MERGE_S
+
+    def _process(self, host: str) -> machines.Program | None:
+        return self._network.machines[host].process
--- /dev/null
+++ b/ploverward/simulation/control_plane/tally_checks.py
@@ -0,0 +1,104 @@
+"""Checks of the tallies of a complete run against what the applications were told (docs/simulate.md 6).
+
+The expectation does not know how tallies are replicated: it is computed from the calls and their answers alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ploverward.simulation.control_plane import recorder as recorders
+from ploverward.simulation.control_plane import simulated_network
+from ploverward.simulation.control_plane import tally_callers
+
+
+class TallyChecks:
+    """The checks of one run.
+
+    Args:
+        recorder: Gets the findings.
+        network: Knows when machines lost their disks, and when partitions ended.
+        callers: What was called and answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        recorder: recorders.Recorder,
+        network: simulated_network.Network,
+        callers: tally_callers.TallyCallers,
+    ) -> None:
+        self._recorder = recorder
+        self._network = network
+        self._callers = callers
+
+    def check(self, *, until: float) -> None:
+        """Checks all reads, and those of the end at `until`."""
+        for read in self._callers.reads:
+            self._check_bounds(read)
+        self._check_end(until)
+
+    def _check_bounds(self, read: tally_callers.TallyRead) -> None:
+        adds = [add for add in self._callers.adds.values() if add.tally == read.tally]
+        highest = sum(add.amount for add in adds if _may_count(add, until=read.ended_at))
+        where = f"{read.host} answered {read.total} for {read.tally} at {read.ended_at:.3f}"
+        if read.total > highest:
+            self._recorder.find("tally twice", f"{where}, no more than {highest} can have counted")
+        own = sum(add.amount for add in adds if _is_acknowledged_by(add, read))
+        if read.total < own:
+            self._recorder.find("tally stale", f"{where}, this process had acknowledged {own}")
+        if read.is_calm:
+            owed = self._owed(adds, until=read.begun_at - tally_callers.MERGE_S)
+            if read.total < owed:
+                self._recorder.find(
+                    "tally stale", f"{where}, {owed} had been acknowledged {tally_callers.MERGE_S} s before"
+                )
+
+    def _check_end(self, until: float) -> None:
+        for tally in tally_callers.TALLIES:
+            adds = [add for add in self._callers.adds.values() if add.tally == tally]
+            owed, highest = self._owed(adds, until=until), sum(add.amount for add in adds if _may_count(add, until))
+            totals = {host: total for (host, name), total in self._callers.last_reads.items() if name == tally}
+            for host, total in totals.items():
+                if total is None:
+                    self._recorder.find("tally lost", f"{host} does not answer for {tally} at the end")
+                elif not owed <= total <= highest:
+                    kind = "tally lost" if total < owed else "tally twice"
+                    self._recorder.find(kind, f"{host} has {total} for {tally} at the end: {owed} to {highest}")
+            if len(set(totals.values())) > 1:
+                self._recorder.find("tally agreement", f"{tally} at the end: {totals}")
+
+    def _owed(self, adds: Iterable[tally_callers.Add], *, until: float) -> int:
+        return sum(
+            add.amount
+            for add in adds
+            if any(
+                call.status == 200
+                and call.answered_at is not None
+                and call.answered_at <= until
+                and not self._is_forgiven(call)
+                for call in add.tries
+            )
+        )
+
+    def _is_forgiven(self, call: tally_callers.Try) -> bool:
+        """Whether the machine acknowledged while it was cut off, and lost its disk before it could hand over."""
+        if not call.is_cut or call.answered_at is None:
+            return False
+        healed_at = self._network.healed_after(call.host, call.answered_at)
+        lost_at = self._network.machines[call.host].disk.lost_at
+        return any(call.answered_at <= lost <= healed_at + tally_callers.MERGE_S for lost in lost_at)
+
+
+def _may_count(add: tally_callers.Add, until: float) -> bool:
+    return any(call.status not in tally_callers.REFUSALS and call.sent_at <= until for call in add.tries)
+
+
+def _is_acknowledged_by(add: tally_callers.Add, read: tally_callers.TallyRead) -> bool:
+    return read.process is not None and any(
+        call.status == 200
+        and call.process is read.process
+        and call.answered_at is not None
+        and call.answered_at <= read.begun_at
+        for call in add.tries
+    )
--- /dev/null
+++ b/ploverward/simulation/control_plane/tally_mutant_patches.py
@@ -0,0 +1,104 @@
+"""What mutants change in the tallies' code (docs/simulate.md); as mutant_patches.py does for the rest."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from collections.abc import Collection
+from unittest import mock
+
+from ploverward.control_plane.operator_api import router
+from ploverward.control_plane.operator_api import tally_handlers
+from ploverward.control_plane.tallies import add_waiters
+from ploverward.control_plane.tallies import peer_reach
+from ploverward.control_plane.tallies import tally_folder
+from ploverward.control_plane.tallies import tally_replicator
+from ploverward.control_plane.tallies import tally_service
+from ploverward.control_plane.tallies import tally_state
+from ploverward.simulation.control_plane import mutant_patches
+from ploverward.transport import messages
+
+REFUSED_PART = 7  # one add in so many is refused after it was made
+
+
+def counted_by_node() -> mutant_patches.Patches:
+    """An add that two nodes took counts at each of them."""
+    refer = tally_state.TallyState._refer
+
+    def _refer(self: tally_state.TallyState, place: tally_state.Place, add: messages.TallyAdd) -> None:
+        key = tally_state.AddKey(add.tally, add.add_id)
+        known = self._known_adds.get(key)
+        if known is not None and all(place.log != other.log for other in known.places):
+            self._totals[add.tally] += add.amount
+        refer(self, place, add)
+
+    return [mock.patch.object(tally_state.TallyState, "_refer", _refer)]
+
+
+def acknowledged_before_sync() -> mutant_patches.Patches:
+    """An add is acknowledged as soon as it is in memory."""
+    return [mock.patch.object(add_waiters, "is_safe", lambda _places, _view: True)]
+
+
+def acknowledged_by_two_disks() -> mutant_patches.Patches:
+    """An add is acknowledged on two disks, however many may be lost."""
+
+    def is_safe(places: Collection[tally_state.Place], view: add_waiters.CopyView) -> bool:
+        holders = [view.own, *view.peers.values()]
+        return sum(add_waiters._covers(positions, places) for positions in holders) >= 2
+
+    return [mock.patch.object(add_waiters, "is_safe", is_safe)]
+
+
+def kept_after_refusal() -> mutant_patches.Patches:
+    """Some adds are refused with 503 after they were written."""
+    handle_add = tally_handlers.TallyHandlers.handle_add
+    numbers = itertools.count()
+
+    def handle(self: tally_handlers.TallyHandlers, call: router.Call, name: str) -> None:
+        if next(numbers) % REFUSED_PART:
+            handle_add(self, call, name)
+            return
+        add = tally_handlers._parse_add(name, call.body)
+        self._tallies.add(add=add, answer=lambda: None)
+        call.unavailable(why="planted")
+
+    return [mock.patch.object(tally_handlers.TallyHandlers, "handle_add", handle)]
+
+
+def nothing_relayed() -> mutant_patches.Patches:
+    """A node passes on its own adds alone: a third side gets nothing from a node that has gone."""
+    return [mock.patch.object(tally_replicator.TallyReplicator, "_relay", lambda _self, _address, _peer: None)]
+
+
+def folded_too_soon() -> mutant_patches.Patches:
+    """Ids are forgotten within a second, whoever has them."""
+
+    def _fold(self: tally_folder.TallyFolder, old: tally_state.Positions) -> None:
+        for log, position in old.items():
+            self._state.fold(log=log, upto=position)
+
+    return [
+        mock.patch.object(tally_folder, "REPEAT_S", 0.8),
+        mock.patch.object(tally_folder, "CHECKPOINT_S", 0.2),
+        mock.patch.object(tally_folder.TallyFolder, "_fold", _fold),
+    ]
+
+
+def reused_log() -> mutant_patches.Patches:
+    """A node goes on with the log of its former life, whatever became of its disk."""
+    make_log: Callable[[str, str], messages.TallyLogName] = messages.TallyLogName
+
+    def own_log(origin: str, _incarnation: str) -> messages.TallyLogName:
+        return make_log(origin, "")
+
+    return [mock.patch.object(tally_service, "TallyLogName", own_log)]
+
+
+def out_of_reach_at_once() -> mutant_patches.Patches:
+    """A peer without a connection counts as out of reach, so that a restart of all makes each node write alone."""
+
+    def is_out_of_reach(self: peer_reach.PeerReach, address: str) -> bool:
+        return self._silent_intervals.get(address, 0) > 0 or address not in self._last_heard_at
+
+    return [mock.patch.object(peer_reach.PeerReach, "is_out_of_reach", is_out_of_reach)]
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -24,6 +24,7 @@
 TEXT = construct.PascalString(construct.VarInt, "utf8")
 BLOB = construct.Prefixed(construct.VarInt, construct.GreedyBytes)
 NUMBER = construct.VarInt
+SIGNED = construct.ZigZag
 REAL = construct.Float64b
 FLAG = construct.Flag
 
@@ -44,6 +45,7 @@
 
 BALLOT = Inline(identifiers.Ballot, (NUMBER, TEXT))
 VERSION = Inline(identifiers.Version, (NUMBER, NUMBER))
+TALLY_LOG = Inline(messages.TallyLogName, (TEXT, TEXT))
 
 
 def _rows(row_type: type, *fields: Any) -> Rows:  # noqa: ANN401  # encodings of `construct`
@@ -96,6 +98,15 @@
     messages.CustodyTrails: (60, TEXT, TEXT, NUMBER, FLAG, _rows(messages.CustodyTrail, TEXT, BLOB)),
     messages.FindCacheOwners: (61, NUMBER, TEXT, TEXT, _rows(messages.PromptHash, BLOB)),
     messages.CacheOwners: (62, NUMBER, _rows(messages.CacheOwner, TEXT, TEXT)),
+    messages.TallyPositionsRequest: (70, NUMBER),
+    messages.TallyPositions: (71, FLAG, _rows(messages.TallyPosition, TALLY_LOG, NUMBER)),
+    messages.TallyAdds: (72, TALLY_LOG, NUMBER, _rows(messages.TallyAdd, TEXT, TEXT, SIGNED)),
+    messages.TallySnapshot: (
+        73,
+        _rows(messages.TallyPosition, TALLY_LOG, NUMBER),
+        _rows(messages.TallyTotal, TEXT, SIGNED),
+        _rows(messages.TallyAdd, TEXT, TEXT, SIGNED),
+    ),
 }
 _HEAD = struct.Struct(">IB")  # size of the body in bytes, kind
 HEAD_BYTES = _HEAD.size
--- a/ploverward/transport/messages.py
+++ b/ploverward/transport/messages.py
@@ -479,3 +479,65 @@
     epoch: int
     is_snapshot: bool  # whether they replace all loads sent before
     load_rows: bytes
+
+
+# Tallies, between core nodes (docs/tallies.md 3). The node that dialed a connection sends its adds on it; the other
+# side answers on the same connection with what it has on its disk.
+
+
+class TallyLogName(typing.NamedTuple):
+    """The log of adds that one start of one core node writes."""
+
+    origin: str  # IP address of the node
+    incarnation: str  # of its process
+
+
+class TallyPosition(typing.NamedTuple):
+    """How much of a log a node has, or has folded."""
+
+    log: TallyLogName
+    position: int
+
+
+class TallyAdd(typing.NamedTuple):
+    """One add to one tally."""
+
+    tally: str
+    add_id: str  # chosen by the caller; an add that comes again has the same
+    amount: int
+
+
+class TallyTotal(typing.NamedTuple):
+    """The sum of the folded adds of one tally."""
+
+    tally: str
+    total: int
+
+
+class TallyPositionsRequest(typing.NamedTuple):
+    """Asks for the positions on the other node's disk, now and whenever they change."""
+
+    number: int  # always 0
+
+
+class TallyPositions(typing.NamedTuple):
+    """What is on the sender's disk."""
+
+    is_complete: bool  # whether all logs are named; otherwise those that changed
+    positions: tuple[TallyPosition, ...]
+
+
+class TallyAdds(typing.NamedTuple):
+    """Adds of one log, in order; also a record of the file."""
+
+    log: TallyLogName
+    first: int  # position of the first of them, from 1
+    adds: tuple[TallyAdd, ...]
+
+
+class TallySnapshot(typing.NamedTuple):
+    """What the sender has folded; adds behind it follow. Also a record of the file."""
+
+    positions: tuple[TallyPosition, ...]  # up to where each log is folded
+    totals: tuple[TallyTotal, ...]
+    counted: tuple[TallyAdd, ...]  # ids that are in the totals and stand in adds that follow, too
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -66,9 +66,17 @@
     "trails": messages.CustodyTrails,
     "keeps": messages.FindCacheOwners,
     "kept": messages.CacheOwners,
+    "tally_positions_request": messages.TallyPositionsRequest,
+    "tally_positions": messages.TallyPositions,
+    "tally_adds": messages.TallyAdds,
+    "tally_snapshot": messages.TallySnapshot,
 }
 KIND_NAMES = {message_type: name for name, message_type in MESSAGE_TYPES.items()}
-INLINE = (identifiers.Ballot, identifiers.Version)  # their fields stand in the frame one behind the other
+INLINE = (
+    identifiers.Ballot,
+    identifiers.Version,
+    messages.TallyLogName,
+)  # their fields stand in the frame one behind the other
 
 
 class Representation:
