Probes tell a one-way cut; routes and replicas in the field's terms

Cause: where packets pass one way only, a peer is heard for a peer time-out that hears nothing, so adds waited 2.4 s and more. While adds wait, peers are probed, and three unanswered probes end the wait.

--- a/ploverward/control_plane/tallies/tally_replicator.py
+++ b/ploverward/control_plane/tallies/tally_replicator.py
@@ -122,6 +122,12 @@
                 self._peers[address] = _Peer(connection=connection)
                 connection.send(messages.TallyPositionsRequest(number=0))
 
+    def probe(self, address: str) -> None:
+        """Asks a node for its positions once more, to hear from it."""
+        peer = self._current_peer(address)
+        if peer is not None:
+            peer.connection.send(messages.TallyPositionsRequest(number=0))
+
     def send_own(self) -> None:
         """Sends what is new in this process's own log to all nodes that have told their positions."""
         for address in self._peers:
@@ -186,9 +192,10 @@
             peer.durable = told
             peer.first_told = dict(told)
             self.send_own()
-        elif told:
+        else:
+            if any(position > peer.durable.get(log, 0) for log, position in told.items()):
+                peer.lagging_intervals = 0
             peer.durable |= told
-            peer.lagging_intervals = 0
         self._on_progress()
 
     # The side that was dialed.
--- a/ploverward/control_plane/tallies/tally_service.py
+++ b/ploverward/control_plane/tallies/tally_service.py
@@ -168,7 +168,6 @@
             retry_s=limits.peer_timeout_s / 4,
             on_durable=self._handle_durable,
         )
-        self._reach = peer_reach.PeerReach(expected=self._other_members, heard_at=self._heard_at)
         self._replicator = tally_replicator.TallyReplicator(
             own=own,
             own_log=self._own_log,
@@ -178,6 +177,9 @@
             connection_to=sessions.core_connection,
             on_progress=self._handle_progress,
         )
+        self._reach = peer_reach.PeerReach(
+            expected=self._other_members, heard_at=self._heard_at, probe=self._replicator.probe
+        )
         self._waiters = add_waiters.AddWaiters(state=self.state, view=self._copy_view)
         self._folder = tally_folder.TallyFolder(
             state=self.state,
@@ -283,7 +285,7 @@
     # What the node reports.
     def tick(self) -> None:
         """To be called at each heartbeat interval."""
-        self._reach.tick()
+        self._reach.tick(is_waiting=len(self._waiters) > 0 or bool(self._reads))
         self._replicator.tick()
         self._folder.tick()
         self._handle_progress()
@@ -320,6 +322,7 @@
     def _handle_positions(self, connection: interfaces.Connection, message: messages.TallyPositions) -> None:
         address = self._sessions.core_address_of(connection)
         if address:
+            self._reach.handle_answer(address)
             self._replicator.handle_positions(address, message)
 
     def _handle_adds(self, connection: interfaces.Connection, message: messages.TallyAdds) -> None:
--- a/ploverward/control_plane/tallies/test_add_waiters.py
+++ b/ploverward/control_plane/tallies/test_add_waiters.py
@@ -68,11 +68,19 @@
 
     def __init__(self):
         self.heard_at = 1.0
-        self.reach = peer_reach.PeerReach(expected=lambda: ["b"], heard_at=lambda _address: self.heard_at)
+        self.probes = 0
+        self.reach = peer_reach.PeerReach(
+            expected=lambda: ["b"], heard_at=lambda _address: self.heard_at, probe=self._count_probe
+        )
 
-    def ticks(self, count):
+    def _count_probe(self, _address):
+        self.probes += 1
+
+    def ticks(self, count, *, is_waiting=False, is_heard=False):
         for _number in range(count):
-            self.reach.tick()
+            if is_heard:
+                self.heard_at += 1.0
+            self.reach.tick(is_waiting=is_waiting)
         return self.reach.is_out_of_reach("b")
 
 
@@ -94,6 +102,22 @@
     assert not scene.ticks(1)
 
 
+def test_a_peer_that_is_heard_and_answers_no_probe_is_out_of_reach_too():
+    scene = Silence()
+    assert not scene.ticks(10, is_heard=True) and scene.probes == 0
+    assert not scene.ticks(peer_reach.SILENT_INTERVALS, is_heard=True, is_waiting=True)
+    assert scene.ticks(1, is_heard=True, is_waiting=True)
+    scene.reach.handle_answer("b")
+    assert not scene.reach.is_out_of_reach("b")
+
+
+def test_a_peer_that_answers_each_probe_is_in_reach():
+    scene = Silence()
+    for _number in range(20):
+        assert not scene.ticks(1, is_heard=True, is_waiting=True)
+        scene.reach.handle_answer("b")
+
+
 def test_a_peer_that_was_never_heard_of_is_given_longer():
     scene = Silence()
     scene.heard_at = None
--- a/ploverward/data_plane/load_balancing/replica.py
+++ b/ploverward/data_plane/load_balancing/replica.py
@@ -41,7 +41,7 @@
         edition: Version of its software.
         models: Models that it serves; empty: all of its service.
         adapters: (model, adapter) that it has loaded: since when; None if the list does not say.
-        is_clearing: It is draining: no new request is sent there.
+        is_draining: The platform takes it away: no new request is sent there.
         is_listed: Whether it is on the endpoint list.
         warming_up_until: In slow start before then, in seconds on the loop's clock.
         idle: Connections that carry no request.
@@ -70,7 +70,7 @@
         self.models = row["models"]
         self.adapters: dict[tuple[str, str], float] | None = None
         self.update_adapters(row, now=now)
-        self.is_clearing: bool = row["is_clearing"]
+        self.is_draining: bool = row["is_clearing"]
         self.is_listed = True
         self.warming_up_until = 0.0
         self.idle: list[upstream_connection.UpstreamConnection] = []
--- a/ploverward/data_plane/load_balancing/replica_chooser.py
+++ b/ploverward/data_plane/load_balancing/replica_chooser.py
@@ -171,7 +171,7 @@
             for replica in rows
             # Suspected replicas are probed by other connections: a request is rejected rather than used as a probe.
             if not replica.is_suspected
-            and not replica.is_clearing
+            and not replica.is_draining
             and replica.zone not in evacuated_zones
             and replica.id not in avoid
             and (permitted is None or replica.region in permitted)
--- a/ploverward/data_plane/load_balancing/replica_table.py
+++ b/ploverward/data_plane/load_balancing/replica_table.py
@@ -156,12 +156,12 @@
             if self._has_list:
                 # It started during traffic: if the list does not say, it counts as warming up.
                 slow_start.begin(one, service=self._service(one.service), now=now)
-        one.is_clearing = row["is_clearing"]
+        one.is_draining = row["is_clearing"]
         one.update_adapters(row, now=now)
         for model, adapter in one.adapters or ():
             self._note_adapter(service=one.service, model=model, adapter=adapter)
         slow_start.follow_list(one, left_ms=row["cold_ms"], now=now)
-        if one.is_clearing:
+        if one.is_draining:
             one.close_idle()
 
     def count(self, *, service: str, region: str) -> int:
@@ -183,7 +183,7 @@
 
     def is_in_service(self, one: Replica) -> bool:
         """Whether it is neither draining nor in an evacuated zone."""
-        return not one.is_clearing and one.zone not in self.evacuated_zones
+        return not one.is_draining and one.zone not in self.evacuated_zones
 
     # Connections.
     def has_capacity(self, *, replica: Replica) -> bool:
--- a/ploverward/data_plane/load_balancing/test_replica_chooser.py
+++ b/ploverward/data_plane/load_balancing/test_replica_chooser.py
@@ -61,7 +61,7 @@
             chosen.append(replica)
             replica.running += 1
             assert permitted is None or zones[replica.zone] in permitted
-            assert replica.zone not in table.evacuated_zones and not replica.is_clearing
+            assert replica.zone not in table.evacuated_zones and not replica.is_draining
     assert len(chosen) > 20
 
 
--- a/ploverward/data_plane/load_balancing/test_replica_rules.py
+++ b/ploverward/data_plane/load_balancing/test_replica_rules.py
@@ -39,7 +39,7 @@
         return self.by_service[service]
 
     def is_in_service(self, one):
-        return not one.is_clearing
+        return not one.is_draining
 
 
 def test_one_suspected_replica_leaves_its_zone_alone_and_a_second_one_does_not():
@@ -68,7 +68,7 @@
         scene.rules.mark_suspected(one)
     assert not scene.opened and len(scene.commands) == 3
     second.connections.add("under way")
-    third.is_clearing = True
+    third.is_draining = True
     scene.commands[0]()
     assert scene.opened == ["i1"]
 
--- a/ploverward/data_plane/relay/test_broken_mirror.py
+++ b/ploverward/data_plane/relay/test_broken_mirror.py
@@ -50,7 +50,7 @@
     usable = {
         replica.id
         for replica in replicas
-        if not replica.is_clearing
+        if not replica.is_draining
         and not replica.is_suspected
         and replica.zone not in node.table.evacuated_zones
         and replica.id not in avoid
--- a/ploverward/data_plane/requests/admission_filters.py
+++ b/ploverward/data_plane/requests/admission_filters.py
@@ -225,7 +225,7 @@
 
 def read_times(*, request: http_request.Request, route: route_table.Route) -> Times | Refused:
     """Returns the request's times: X-Time-Left-Ms within the route's bound. Refused where that is not a number."""
-    left_s = route.expiry_s
+    left_s = route.timeout_s
     given = request.text(b"x-time-left-ms")
     if given:
         try:
--- a/ploverward/data_plane/requests/retry_policy.py
+++ b/ploverward/data_plane/requests/retry_policy.py
@@ -89,7 +89,7 @@
 
     def may_retry(self, *, route: RetryRules, now: float, deadline: float, is_sending: bool = False) -> bool:
         """Whether a request that has not run may be sent to another replica: within `tries`, with time left."""
-        return self.next_arrival(is_sending=is_sending) <= route.tries and now < deadline - MIN_TIME_LEFT_S
+        return self.next_arrival(is_sending=is_sending) <= route.max_attempts and now < deadline - MIN_TIME_LEFT_S
 
     def may_resend(
         self,
@@ -124,7 +124,7 @@
 
         Kind and `tries` of the newer route bind too (`test_a_configuration_that_forbids_a_retry_…`).
         """
-        return self.arrivals < route.tries and (route.is_idempotent or not self.unresolved_attempts)
+        return self.arrivals < route.max_attempts and (route.is_idempotent or not self.unresolved_attempts)
 
     def is_promise_kept(self, *, status: int) -> bool:
         """Whether the final answer correctly promises that the request has not run."""
--- a/ploverward/data_plane/requests/route_table.py
+++ b/ploverward/data_plane/requests/route_table.py
@@ -23,11 +23,11 @@
 
     Attributes:
         name: Of the route.
-        expiry_s: Seconds that a client may wait, at most.
+        timeout_s: Seconds that a client may wait, at most.
         target_s: Latency target in seconds, 0 where none is named.
         gap_s: The longest pause between events that is still in time, in seconds; 0 where none is named.
         priority: 0 first.
-        tries: Replicas that may receive a request, at most.
+        max_attempts: Replicas that may receive a request, at most.
         is_keyless: Whether no key is wanted.
         is_sticky: Whether prompt prefixes and models count in the choice of a replica.
         is_stream: Whether its answers are streams of events.
@@ -38,11 +38,11 @@
     """
 
     name: str
-    expiry_s: float
+    timeout_s: float
     target_s: float
     gap_s: float
     priority: int
-    tries: int
+    max_attempts: int
     is_keyless: bool
     is_sticky: bool
     is_stream: bool
@@ -62,11 +62,11 @@
             portions = ((body["destination"], 1.0),)
         return cls(
             name=body["name"],
-            expiry_s=float(body["expiryMs"]) / 1000.0,
+            timeout_s=float(body["expiryMs"]) / 1000.0,
             target_s=float(body.get("targetMs") or 0) / 1000.0,
             gap_s=float(body.get("gapTargetMs") or 0) / 1000.0,
             priority=int(body.get("urgency") or 0),
-            tries=int(body.get("tries") or 1),
+            max_attempts=int(body.get("tries") or 1),
             is_keyless=bool(body.get("keyless")),
             is_sticky=bool(body.get("sticky")),
             is_stream=is_stream,
--- a/ploverward/data_plane/requests/test_resumption.py
+++ b/ploverward/data_plane/requests/test_resumption.py
@@ -164,10 +164,10 @@
     scene = request_scene.Scene(script, request_scene.replying)
     kinds = reported_kinds(scene)
     replica = scene.proxy.table.replicas["i0"]
-    scene.proxy.table.replicas["i1"].is_clearing = True
+    scene.proxy.table.replicas["i1"].is_draining = True
     scene.request("safe")
     assert scene.until(b"\r\n\r\nok")
-    scene.proxy.table.replicas["i1"].is_clearing = False
+    scene.proxy.table.replicas["i1"].is_draining = False
     scene.proxy.table.replicas["i1"].running = 50  # the idle connection is taken again
     scene.client.got = b""
     arrivals = scene.arrivals()
--- a/ploverward/data_plane/requests/test_retry_policy.py
+++ b/ploverward/data_plane/requests/test_retry_policy.py
@@ -11,8 +11,8 @@
 NOT_RESUMABLE = types.SimpleNamespace(is_resumable=False)
 
 
-def route(*, tries=3, is_idempotent=False, is_resumable=False):
-    return types.SimpleNamespace(tries=tries, is_idempotent=is_idempotent, is_resumable=is_resumable)
+def route(*, max_attempts=3, is_idempotent=False, is_resumable=False):
+    return types.SimpleNamespace(max_attempts=max_attempts, is_idempotent=is_idempotent, is_resumable=is_resumable)
 
 
 def after(*ends):
@@ -47,18 +47,18 @@
     assert after(*["unsent"] * 5).may_reconnect(now=DEADLINE - 0.001, deadline=DEADLINE)
     assert not after(*["unsent"] * 6).may_reconnect(now=0.0, deadline=DEADLINE)
     assert not after("unsent").may_reconnect(now=DEADLINE, deadline=DEADLINE)
-    assert after(*["unsent"] * 5).may_retry(route=route(tries=1), now=0.0, deadline=DEADLINE)
+    assert after(*["unsent"] * 5).may_retry(route=route(max_attempts=1), now=0.0, deadline=DEADLINE)
 
 
 @pytest.mark.parametrize("ends, may", [((), True), (("not run",), True), (("not run", "not run"), False)])
 def test_what_has_not_run_is_retried_within_tries(ends, may):
-    assert after(*ends).may_retry(route=route(tries=2), now=0.0, deadline=DEADLINE) is may
+    assert after(*ends).may_retry(route=route(max_attempts=2), now=0.0, deadline=DEADLINE) is may
 
 
 def test_a_running_attempt_of_which_a_byte_left_is_one_of_the_tries():
     policy = after("not run")
-    assert policy.may_retry(route=route(tries=2), now=0.0, deadline=DEADLINE, is_sending=False)
-    assert not policy.may_retry(route=route(tries=2), now=0.0, deadline=DEADLINE, is_sending=True)
+    assert policy.may_retry(route=route(max_attempts=2), now=0.0, deadline=DEADLINE, is_sending=False)
+    assert not policy.may_retry(route=route(max_attempts=2), now=0.0, deadline=DEADLINE, is_sending=True)
     assert (policy.next_arrival(is_sending=False), policy.next_arrival(is_sending=True)) == (2, 3)
 
 
@@ -74,7 +74,7 @@
 
 
 def test_what_may_have_run_is_sent_again_only_within_tries():
-    rules = route(tries=2, is_idempotent=True)
+    rules = route(max_attempts=2, is_idempotent=True)
     assert may_resend(after("unresolved"), rules)
     assert not may_resend(after("unresolved", "unresolved"), rules)
 
@@ -91,10 +91,10 @@
 @pytest.mark.parametrize(
     "ends, rules, may",
     [
-        (("not run",), route(tries=2), True),
-        (("not run",), route(tries=1), False),
-        (("unresolved",), route(tries=2), False),
-        (("unresolved",), route(tries=2, is_idempotent=True), True),
+        (("not run",), route(max_attempts=2), True),
+        (("not run",), route(max_attempts=1), False),
+        (("unresolved",), route(max_attempts=2), False),
+        (("unresolved",), route(max_attempts=2, is_idempotent=True), True),
     ],
 )
 def test_a_newer_configuration_binds_the_next_attempt(ends, rules, may):
--- a/ploverward/data_plane/requests/test_route_table.py
+++ b/ploverward/data_plane/requests/test_route_table.py
@@ -37,7 +37,7 @@
     body = {"name": "r", "kind": "streaming", "expiryMs": 1500, "destination": "only", "resume": True}
     single = route_table.Route.of(body)
     assert {single.pick(chance) for chance in (0.0, 0.99)} == {"only"}
-    assert single.expiry_s == 1.5 and single.is_idempotent and single.is_resumable
+    assert single.timeout_s == 1.5 and single.is_idempotent and single.is_resumable
 
 
 @pytest.mark.parametrize(
