--- a/ploverward/data_plane/requests/retry_policy.py
+++ b/ploverward/data_plane/requests/retry_policy.py
@@ -30,7 +30,7 @@
     """The properties of a route that concern retries (`route_table.Route`)."""
 
     @property
-    def tries(self) -> int:
+    def max_attempts(self) -> int:
         """Replicas that may receive the request, at most."""
 
     @property
