--- /dev/null
+++ b/ploverward/control_plane/tallies/test_tally_service.py
@@ -0,0 +1,313 @@
+"""Three core nodes with tallies, on connections and disks that do what a test says."""
+
+from ploverward.control_plane.tallies import peer_reach
+from ploverward.control_plane.tallies import tally_service
+from ploverward.transport.messages import TallyAdd
+
+HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+class Link:
+    """One end of a connection."""
+
+    def __init__(self, *, net, source, target):
+        self.net, self.source, self.target = net, source, target
+        self.peer, self.is_open, self.has_heard, self.heard_at = target, True, True, 0.0
+        self.back = None
+
+    def send(self, message):
+        self.net.queue.append((self, message))
+
+    def close(self, *, reason):
+        self.is_open = False
+
+
+class Disk:
+    """A disk in memory; one that stalls keeps its work."""
+
+    def __init__(self):
+        self.files, self.is_stalled = {}, False
+
+    def read(self, *, name):
+        return self.files.get(name)
+
+    def append(self, *, name, data, size_before):
+        self.files[name] = self.files[name][:size_before] + data
+
+    def replace(self, *, name, new_name, data):
+        self.files[name] = data
+
+
+class Outcome:
+    def exception(self):
+        return None
+
+
+class Loop:
+    """Runs offloaded work at once unless the disk stalls; time passes when a test says so."""
+
+    def __init__(self, disk):
+        self.time, self.disk, self.timers, self.stalled = 0.0, disk, [], []
+
+    def now(self):
+        return self.time
+
+    def offload(self, *, work, done):
+        if self.disk.is_stalled:
+            self.stalled.append((work, done))
+            return
+        work()
+        done(Outcome())
+
+    def after(self, *, delay, callback):
+        self.timers.append((self.time + delay, callback))
+
+    def run_until(self, time):
+        self.time = time
+        due = [callback for when, callback in self.timers if when <= time]
+        self.timers = [row for row in self.timers if row[0] > time]
+        for callback in due:
+            callback()
+
+
+class Node:
+    """One node, which is the sessions of its own tallies too."""
+
+    def __init__(self, net, host, *, disk=None, max_kept=100):
+        self.net, self.host, self.links, self.leaving = net, host, {}, set()
+        self.disk = disk or Disk()
+        self.loop = Loop(self.disk)
+        net.lives += 1
+        self.tallies = tally_service.TallyService(
+            own=host,
+            incarnation=f"life{net.lives}",
+            loop=self.loop,
+            disk=self.disk,
+            sessions=self,
+            members=lambda: HOSTS,
+            limits=tally_service.TallyLimits(max_kept=max_kept, wanted_copies=2, peer_timeout_s=1.0),
+        )
+
+    def connected_to(self):
+        return [host for host in HOSTS if host != self.host]
+
+    def core_connection(self, address):
+        return self.links.get(address)
+
+    def core_address_of(self, connection):
+        return connection.target
+
+    def leaving_cores(self):
+        return self.leaving
+
+    def add(self, name, amount=1, tally="t"):
+        answers = []
+        self.tallies.add(add=TallyAdd(tally, name, amount), answer=lambda: answers.append(200))
+        return answers
+
+    def read(self, tally="t"):
+        answers = []
+        self.tallies.read(tally=tally, answer=answers.append)
+        return answers
+
+
+class Net:
+    def __init__(self):
+        self.queue, self.lives = [], 0
+        self.nodes = {}
+        for host in HOSTS:
+            self.start(host)
+
+    def start(self, host, **about):
+        node = self.nodes[host] = Node(self, host, **about)
+        for other in self.nodes:
+            if other != host:
+                self.join(host, other)
+        node.tallies.start()
+        node.tallies.handle_dialed()
+        return node
+
+    def join(self, one, other):
+        for source, target in ((one, other), (other, one)):
+            link = Link(net=self, source=source, target=target)
+            link.back = Link(net=self, source=target, target=source)
+            link.back.back = link
+            self.nodes[source].links[target] = link
+
+    def cut(self, one, *others):
+        for other in others or [host for host in HOSTS if host != one]:
+            self.nodes[one].links.pop(other, None)
+            self.nodes[other].links.pop(one, None)
+
+    def run(self):
+        while self.queue:
+            link, message = self.queue.pop(0)
+            target = self.nodes[link.target]
+            handler = target.tallies.handlers()[type(message)]
+            if link.source in target.links or link.back.source in target.links:
+                handler(link.back, message)
+
+    def tick(self, count=1):
+        for _number in range(count):
+            for node in self.nodes.values():
+                for link in node.links.values():
+                    link.heard_at += 1.0
+                node.tallies.tick()
+            self.run()
+
+
+def first_two():
+    net = Net()
+    return net, net.nodes[HOSTS[0]], net.nodes[HOSTS[1]]
+
+
+def test_an_add_is_answered_when_it_is_on_enough_disks():
+    net, first, _second = first_two()
+    answers = first.add("x", 4)
+    assert answers == []
+    net.run()
+    assert answers == [200]
+    assert [node.tallies.state.total("t") for node in net.nodes.values()] == [4, 4, 4]
+
+
+def test_a_stalled_disk_of_its_own_does_not_hold_it_up_and_one_copy_is_no_acknowledgement():
+    net, first, second = first_two()
+    first.disk.is_stalled = True
+    answers = first.add("x")
+    net.run()
+    assert answers == [200]  # on the disks of the two others
+    second.disk.is_stalled = True
+    late = first.add("y")
+    net.run()
+    net.tick(20)  # a disk that stalls is in reach for ever
+    assert late == []
+
+
+def test_on_its_own_side_a_node_answers_after_some_silent_intervals_and_merges_later():
+    net, first, second = first_two()
+    second.add("before", 1)
+    net.run()
+    net.tick()
+    net.cut(HOSTS[0])
+    answers = first.add("here", 10)
+    second.add("there", 100)
+    net.tick(peer_reach.SILENT_INTERVALS - 1)
+    assert answers == []
+    net.tick()
+    assert answers == [200] and first.add("at once") == [200]
+    assert first.read() == [12] and second.read() == [101]
+    for other in HOSTS[1:]:
+        net.join(HOSTS[0], other)
+    net.tick(3)
+    assert first.read() == second.read() == [112]
+
+
+def test_the_same_add_at_another_node_counts_once_and_is_answered_there():
+    net, first, second = first_two()
+    first.add("x", 4)
+    net.run()
+    again = second.add("x", 4)
+    net.run()
+    net.tick(2)
+    assert again == [200] and second.read() == [4]
+
+
+def test_a_caller_that_left_gets_no_answer():
+    net, first, _second = first_two()
+    answers = []
+    forget = first.tallies.add(add=TallyAdd("t", "x", 1), answer=lambda: answers.append(200))
+    forget()
+    net.run()
+    assert answers == [] and first.read() == [1]
+
+
+def test_an_emptied_node_answers_reads_when_it_has_what_the_others_had():
+    net, first, _second = first_two()
+    first.add("x", 4)
+    net.run()
+    net.tick()
+    emptied = net.start(HOSTS[1])
+    answers = emptied.read()
+    assert answers == []
+    net.tick(4)
+    assert answers == [4] and emptied.tallies.is_merged
+
+
+def test_an_emptied_node_that_can_not_merge_says_so_in_time_and_serves_alone_at_last():
+    net, first, _second = first_two()
+    first.add("x", 4)
+    net.run()
+    emptied = net.start(HOSTS[1])
+    net.cut(HOSTS[1])
+    answers = emptied.read()
+    emptied.loop.run_until(tally_service.READ_WAIT_SHARE)
+    assert answers == [None]
+    net.tick(peer_reach.FIRST_SILENT_INTERVALS)
+    assert emptied.read() == [0] and emptied.add("y", 1) == [200]
+
+
+def test_a_restarted_node_answers_at_once_and_writes_to_a_new_log():
+    net, first, _second = first_two()
+    first.add("x", 4)
+    net.run()
+    again = net.start(HOSTS[0], disk=first.disk)
+    assert again.read() == [4]
+    again.add("y", 1)
+    net.run()
+    net.tick(2)
+    assert len({log.incarnation for log in again.tallies.state.positions()}) == 2
+    assert net.nodes[HOSTS[2]].read() == [5]
+
+
+def test_a_full_node_refuses_new_adds_and_no_repeat():
+    net = Net()
+    node = net.start(HOSTS[0], max_kept=3)  # two ids and the name of their tally
+    net.run()
+    for name in ("x", "y"):
+        assert node.tallies.can_take(TallyAdd("t", name, 1))
+        node.add(name)
+        net.run()
+    assert not node.tallies.can_take(TallyAdd("t", "z", 1))
+    assert node.tallies.can_take(TallyAdd("t", "x", 1))
+
+
+def test_a_node_has_handed_over_when_enough_others_have_all_of_it():
+    net, first, second = first_two()
+    assert first.tallies.has_handed_over()
+    second.disk.is_stalled = net.nodes[HOSTS[2]].disk.is_stalled = True
+    first.add("x")
+    net.run()
+    assert not first.tallies.has_handed_over()
+    for node in net.nodes.values():
+        stalled, node.loop.stalled = node.loop.stalled, []
+        for work, done in stalled:
+            work()
+            done(Outcome())
+    net.run()
+    assert first.tallies.has_handed_over()
+
+
+def test_a_node_that_leaves_is_no_copy():
+    net, first, _second = first_two()
+    first.add("first")
+    net.run()
+    first.leaving = {HOSTS[1]}
+    net.nodes[HOSTS[2]].disk.is_stalled = True
+    answers = first.add("x")
+    net.run()
+    assert answers == []
+
+
+def test_the_report_names_who_is_behind_and_who_is_away():
+    net, first, _second = first_two()
+    first.add("x", 4)
+    net.run()
+    net.tick()
+    net.cut(HOSTS[0], HOSTS[1])
+    net.nodes[HOSTS[2]].disk.is_stalled = True
+    first.add("y", 1)
+    net.tick(4)
+    report = first.tallies.report()
+    assert report.totals == {"t": 5} and report.kept == 3 and report.waiting == 1
+    assert not report.peers[HOSTS[1]].is_in_reach and report.peers[HOSTS[1]].behind is None
+    assert report.peers[HOSTS[2]].is_in_reach and report.peers[HOSTS[2]].behind == 1
