Clients that found the first proxy back are sent to look up again; unusual connections are logged

Cause, read from the code: after a loss of all, look-ups name the first ready proxy of a zone alone, and clients keep their connections to it (docs/incidents/herded-clients.md). Connections accepted within contactMs of a proxy's start end with an answer at a quarter to three quarters of that. Ruled out by reading: naming other zones. Tests of the touched folders pass.

--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -12,6 +12,7 @@
 
 from ploverward.common import errors
 from ploverward.common import settings as settings_files
+from ploverward.data_plane import connection_watch
 from ploverward.data_plane.adapter_cache import adapter_counts
 from ploverward.data_plane.control_client import configuration_installer
 from ploverward.data_plane.control_client import core_connections
@@ -74,6 +75,12 @@
         self._make_front_end()
         self._make_balancing()
         self._make_control_client()
+        self._connection_watch = connection_watch.ConnectionWatch(
+            max_handles=settings.handles,
+            clients=lambda: len(self._front_end.server.connections),
+            upstream=lambda: sum(len(replica.connections) for replica in self.table.replicas.values()),
+            broken_regions=lambda: [name for name, region in self._relay_client.regions.items() if not region.is_fresh],
+        )
 
     def _make_limits(self) -> None:
         """Quotas, roll-outs and replicas."""
@@ -243,6 +250,7 @@
         self._heartbeats += 1
         if self._heartbeats % SLOW_TASKS_HEARTBEATS == 0:
             self._custody_reports.send()
+            self._connection_watch.check()
             self._relay_client.send_adapter_counts()
             if self._file_watch.is_changed():
                 self._reread_settings()
--- a/ploverward/data_plane/requests/http_front_end.py
+++ b/ploverward/data_plane/requests/http_front_end.py
@@ -17,6 +17,7 @@
 TRAFFIC_HANDLES_SHARE = 0.6  # of the process's file handles; connections to replicas need most of the others
 TRAFFIC_MEMORY_SHARE = 0.3  # of the process's memory, for bodies of requests
 TRAFFIC_PEER_TIMEOUT_CONTACTS = 2  # contactMs after which a client that does not read is disconnected
+REBALANCE_CONTACTS = 1  # contactMs after the start in which clients may find this proxy before the others
 MAX_READINESS_CONNECTIONS = 100
 READINESS_LIMITS = http_request.Limits(head_bytes=8192, body_bytes=8192, head_s=3.0, idle_s=10.0)
 BYTES_PER_MB = 1024 * 1024
@@ -81,6 +82,7 @@
             peer_timeout_s=self._contact_s * TRAFFIC_PEER_TIMEOUT_CONTACTS,
             max_connections=int(self._settings.handles * TRAFFIC_HANDLES_SHARE),
             max_bytes=int(self._settings.memory_mb * BYTES_PER_MB * TRAFFIC_MEMORY_SHARE),
+            rebalance_s=self._contact_s * REBALANCE_CONTACTS,
         )
         if "readiness" in bindings:
             self._readiness_server = http_server.HttpServer(
--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -84,6 +84,7 @@
         self._ahead_bytes = 0  # read behind the request that is answered
         self._mask = selectors.EVENT_READ
         self._limits = server.limits()
+        self._ends_at = server.connection_end()
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         peer_connection.configure_socket(sock=sock, peer_timeout_s=server.peer_timeout_s)
         self.loop.watch(sock=sock, mask=self._mask, callback=self._ready)
@@ -116,7 +117,7 @@
     def start(self, *, status: int, headers: Iterable[tuple[bytes, bytes]], is_last: bool) -> None:
         """Writes the head of the answer."""
         headers = [*headers]
-        if is_last or self.server.is_draining:
+        if is_last or self.server.is_draining or self.loop.now() >= self._ends_at:
             headers.append((b"Connection", b"close"))
         elif self._limits.idle_s > MIN_ANNOUNCED_IDLE_S:
             headers.append((b"Keep-Alive", b"timeout=%d" % int(self._limits.idle_s * ANNOUNCED_IDLE_SHARE)))
--- a/ploverward/transport/http_server.py
+++ b/ploverward/transport/http_server.py
@@ -3,6 +3,8 @@
 `http_connection` has the states of one connection, `http_request` what handlers see.
 """
 
+import math
+import random
 import selectors
 import socket
 from collections.abc import Callable
@@ -17,6 +19,7 @@
 
 DEFAULT_MAX_CONNECTIONS = 3000
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024  # of the bodies of all connections
+REBALANCE_AGES = (0.25, 0.75)  # of `rebalance_s`: spread, so that clients do not come back in a wave
 
 
 class BodyBudget:
@@ -57,6 +60,9 @@
         on_request: Called with each complete request. Where it raises, the connection is closed.
         max_connections: At most so many connections; further ones are closed at once.
         max_bytes: Memory for the bodies of all requests that are not answered yet.
+        rebalance_s: Connections accepted within so many seconds of the start end after an answer, at an age of a
+            quarter to three quarters of that; 0: none do. After a loss of many servers the first one that is back gets
+            all clients, and would keep them (docs/incidents/herded-clients.md).
 
     Attributes:
         connections: The open connections.
@@ -77,8 +83,11 @@
         on_request: Callable[[Request], object],
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         max_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        rebalance_s: float = 0.0,
     ) -> None:
         self.loop = loop
+        self._rebalance_s = rebalance_s
+        self._started_at = loop.now()
         self.limits = limits
         self.peer_timeout_s = peer_timeout_s
         self.is_draining = False
@@ -106,6 +115,13 @@
             request.http_connection.drop()  # nobody would answer it; a closed connection promises nothing
             raise
 
+    def connection_end(self) -> float:
+        """Returns after when a connection that is accepted now ends with its next answer; infinity for most."""
+        now = self.loop.now()
+        if now - self._started_at >= self._rebalance_s:
+            return math.inf
+        return now + self._rebalance_s * random.uniform(*REBALANCE_AGES)
+
     def forget(self, http_connection: HttpConnection) -> None:
         """Drops a connection that was closed, and what its body took."""
         self.connections.discard(http_connection)
--- a/ploverward/transport/test_http_server.py
+++ b/ploverward/transport/test_http_server.py
@@ -188,3 +188,25 @@
     assert caught.value.status == 413
     assert issubclass(http_request.ServerOverloadedError, http_request.RefusedRequestError)
     assert not issubclass(http_request.ServerOverloadedError, http_request.ClientRequestError)
+
+
+def test_connections_of_the_first_seconds_end_with_an_answer_and_later_ones_do_not():
+    scene = Scene()
+    early = scene.server._rebalance_s = 1000.0
+    ends = [scene.server.connection_end() - scene.loop.now() for _number in range(50)]
+    low, high = http_server.REBALANCE_AGES
+    assert all(low * early - 1 <= left <= high * early for left in ends) and len(set(ends)) > 1
+    scene.server._started_at -= early
+    assert scene.server.connection_end() == float("inf")
+
+
+def test_a_connection_whose_time_is_over_says_so_with_its_answer():
+    scene = Scene()
+    connection = scene.connection()
+    for is_over in (False, True):
+        scene.client.send(REQUEST)
+        assert scene.until_state(State.ANSWERING)
+        connection._ends_at = 0.0 if is_over else float("inf")
+        scene.requests[-1].reply(status=200, body=b"ok")
+    assert not connection.is_open or connection.state in (State.CLOSING, State.CLOSED)
+    assert scene.until(lambda: scene.client.got.lower().count(b"connection: close") == 1)
