--- a/ploverward/command_line/simulate.py
+++ b/ploverward/command_line/simulate.py
@@ -85,7 +85,14 @@
     """
     kinds = parse_fault_kinds(text=troubles, has_tallies=has_tallies)
     return [
-        scenario.Plan(seed=seed, machines=machines, tolerated=tolerated, troubles=kinds, has_tallies=has_tallies)
+        scenario.Plan(
+            seed=seed,
+            machines=machines,
+            tolerated=tolerated,
+            troubles=kinds,
+            has_tallies=has_tallies,
+            folds_tallies=has_tallies and seed % 2 == 1,
+        )
         for seed in range(first, first + seeds)
     ]
 
--- a/ploverward/simulation/control_plane/link_faults.py
+++ b/ploverward/simulation/control_plane/link_faults.py
@@ -16,7 +16,7 @@
 
 PARTITION_S = (1.0, 14.0)  # how long links are cut, slow or lose answers
 ADDED_DELAY_S = (0.05, 0.6)  # on each link of a slow machine, each way
-APART_S = (4.0, 25.0)  # how long regions, or two machines, have no path to each other
+APART_S = (4.0, 45.0)  # how long regions, or two machines, have no path to each other
 APART_EDGE_S = 1.0
 RESET_CHANCE = 0.3  # that a partition also resets the connections
 
--- a/ploverward/simulation/control_plane/mutants.py
+++ b/ploverward/simulation/control_plane/mutants.py
@@ -154,6 +154,14 @@
     "ids forgotten too soon": Mutant(
         patches=tally_mutant_patches.folded_too_soon, checks=TALLY_CHECKS, plan=TALLY_PLAN
     ),
+    "ids forgotten while a member is away": Mutant(
+        patches=tally_mutant_patches.folded_without_members,
+        checks=TALLY_CHECKS,
+        plan=dataclasses.replace(
+            TALLY_PLAN, machines=5, tolerated=2, troubles=("apart", "cut", "split"), span_s=60.0, folds_tallies=True
+        ),
+        max_seeds=200,
+    ),
     "a log used again": Mutant(patches=tally_mutant_patches.reused_log, checks=TALLY_CHECKS, plan=TALLY_PLAN),
     "a restart taken for a partition": Mutant(
         patches=tally_mutant_patches.out_of_reach_at_once,
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import logging
+import math
 import time
 from collections.abc import Callable
+from collections.abc import Iterator
+from unittest import mock
 
+from ploverward.control_plane.tallies import tally_folder
+from ploverward.control_plane.tallies import tally_service
 from ploverward.simulation.control_plane import checks
 from ploverward.simulation.control_plane import fault_log
 from ploverward.simulation.control_plane import faults
@@ -41,6 +47,9 @@
 AFTER_CLOSING_S = 4.0
 LAST_READS_S = 4.0
 MAX_LAST_READ_ATTEMPTS = 8
+FOLDED_REPEAT_AGE_S = 4.0  # of an add that an application sends again; its tries take 6 s more, a freeze 12 s
+FOLD_AFTER_S = 24.0
+FOLD_CHECKPOINT_S = 1.0
 TALLY_MOMENT_CHANCE = 0.5  # that a fault "at a moment that matters" waits for an acknowledged add to a tally
 MOMENTS = (model_operators.Moment.ACKNOWLEDGED, model_operators.Moment.SENT, model_operators.Moment.READ)
 
@@ -62,6 +71,7 @@
         skipped_faults: Numbers of faults that are drawn and not begun.
         keeps_history: Whether the report has a history.
         has_tallies: Whether applications use tallies.
+        folds_tallies: Whether core nodes forget ids early, and applications repeat no add that is older.
     """
 
     seed: int
@@ -76,6 +86,7 @@
     skipped_faults: frozenset[int] = frozenset()
     keeps_history: bool = False
     has_tallies: bool = False
+    folds_tallies: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -187,7 +198,12 @@
             network=self.network, recorder=self.recorder, operators=self.operators, faults=self.fault_log
         )
         self.tallies = tally_callers.TallyCallers(
-            seed=plan.seed, network=self.network, fleet=self.fleet, faults=self.fault_log, recorder=self.recorder
+            seed=plan.seed,
+            network=self.network,
+            fleet=self.fleet,
+            faults=self.fault_log,
+            recorder=self.recorder,
+            max_repeat_age_s=FOLDED_REPEAT_AGE_S if plan.folds_tallies else math.inf,
         )
         drawn_gap_s = chance.choice(FAULT_GAPS_S)
         self.faults = faults.FaultInjector(
@@ -328,4 +344,16 @@
 def run_simulation(plan: Plan) -> Report:
     """Plays one plan; the process's log of the product is dropped from then on."""
     silence_log()
-    return SimulationRun(plan=plan).run()
+    with _early_folding() if plan.folds_tallies else contextlib.nullcontext():
+        return SimulationRun(plan=plan).run()
+
+
+@contextlib.contextmanager
+def _early_folding() -> Iterator[None]:
+    """Has core nodes fold tallies within a run: after seconds, and however few ids they keep."""
+    with (
+        mock.patch.object(tally_folder, "REPEAT_S", FOLD_AFTER_S),
+        mock.patch.object(tally_folder, "CHECKPOINT_S", FOLD_CHECKPOINT_S),
+        mock.patch.object(tally_service, "KEPT_SHARE", 0.0),
+    ):
+        yield
--- a/ploverward/simulation/control_plane/tally_callers.py
+++ b/ploverward/simulation/control_plane/tally_callers.py
@@ -97,8 +97,10 @@
         fleet: fleets.Fleet,
         faults: fault_log.FaultLog,
         recorder: recorders.Recorder,
+        max_repeat_age_s: float,
     ) -> None:
-        """Makes the applications of a run."""
+        """Makes the applications of a run; they repeat no add that was first sent so long ago."""
+        self._max_repeat_age_s = max_repeat_age_s
         self._faults = faults
         self.adds: dict[str, Add] = {}
         self.reads: list[TallyRead] = []
@@ -130,8 +132,10 @@
         self._clock.later(delay=self._chance.uniform(*CALL_GAP_S), callback=lambda: self._begin_call(slot))
 
     def _draw_add(self) -> Add:
-        if self.adds and self._chance.random() < REPEAT_CHANCE:
-            return self._chance.choice(list(self.adds.values()))
+        oldest = self._clock.time - self._max_repeat_age_s
+        recent = [add for add in self.adds.values() if add.tries[0].sent_at >= oldest]
+        if recent and self._chance.random() < REPEAT_CHANCE:
+            return self._chance.choice(recent)
         add = Add(f"a{len(self.adds)}", self._chance.choice(TALLIES), self._chance.randint(1, MAX_AMOUNT))
         self.adds[add.add_id] = add
         return add
--- a/ploverward/simulation/control_plane/tally_mutant_patches.py
+++ b/ploverward/simulation/control_plane/tally_mutant_patches.py
@@ -85,6 +85,16 @@
     ]
 
 
+def folded_without_members() -> mutant_patches.Patches:
+    """Old ids are forgotten whoever lacks the adds: an add that a member took meanwhile counts once more."""
+
+    def _fold(self: tally_folder.TallyFolder, old: tally_state.Positions) -> None:
+        for log, position in old.items():
+            self._state.fold(log=log, upto=position)
+
+    return [mock.patch.object(tally_folder.TallyFolder, "_fold", _fold)]
+
+
 def reused_log() -> mutant_patches.Patches:
     """A node goes on with the log of its former life, whatever became of its disk."""
     make_log: Callable[[str, str], messages.TallyLogName] = messages.TallyLogName
