--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -23,7 +23,7 @@
 from ploverward.transport.interfaces import Callback
 
 MAX_WAIT_S = 1.0  # of a step without timers
-WORKER_THREADS = 3  # for the registers' disk, the tallies', and building a configuration: none waits for a disk that hangs
+WORKER_THREADS = 3  # the registers' disk, the tallies', a configuration that is built: none waits for a disk that hangs
 _WAKE_READ_BYTES = 4096
 
 SocketCallback = Callable[[int], object]  # called with the ready events, a mask of `selectors`
