--- a/ploverward/command_line/core_client.py
+++ b/ploverward/command_line/core_client.py
@@ -120,3 +120,24 @@
     for address in addresses:
         settings_files.parse_address(text=address, field="--core")
     return CoreClient(addresses=addresses)
+
+
+def answered_by_all(*, core_client: CoreClient, path: str, step: str) -> tuple[dict[str, dict[str, Any]], Missed]:
+    """Reads a path at each core node.
+
+    Args:
+        core_client: Calls the core nodes.
+        path: What is read.
+        step: The verb, for the error.
+
+    Returns:
+        The body of each node that answered with 200, by its address; and why the others did not answer.
+
+    Raises:
+        InsufficientDataError: No node answered with 200.
+    """
+    answers, missed = core_client.all(path=path)
+    responses = {address: body for address, (status, body) in answers.items() if status == 200}
+    if not responses:
+        raise errors.InsufficientDataError("no core node answers", step=step)
+    return responses, missed
--- a/ploverward/command_line/tallies.py
+++ b/ploverward/command_line/tallies.py
@@ -6,7 +6,6 @@
 from ploverward.command_line import exit_codes
 from ploverward.command_line import options
 from ploverward.command_line import output
-from ploverward.common import errors
 
 PATH = "/ploverward/tallies"
 
@@ -37,10 +36,7 @@
     Raises:
         InsufficientDataError: No core node answers.
     """
-    answers, missed = core_client.all(path=PATH)
-    responses = {address: body for address, (status, body) in answers.items() if status == 200}
-    if not responses:
-        raise errors.InsufficientDataError("no core node answers", step="tallies")
+    responses, missed = core_clients.answered_by_all(core_client=core_client, path=PATH, step="tallies")
     sums = {tally: row for tally, row in _sums(responses).items() if name in ("", tally)}
     if as_json:
         output.print_json({"told": responses, "unreachable": missed, "differ": _differing(sums)}, out=out)
--- a/ploverward/simulation/control_plane/test_scenarios.py
+++ b/ploverward/simulation/control_plane/test_scenarios.py
@@ -3,17 +3,11 @@
 Runs are played in a process of their own, in which sets of strings have one order: so a seed names one history.
 """
 
-import os
-import pathlib
-import subprocess
-import sys
-
 import pytest
 
 from ploverward.simulation.control_plane import faults
+from ploverward.testing.seeded_process import run
 
-ROOT = pathlib.Path(__file__).parents[3]
-LIMIT_S = 120
 FIRST_SEED = 0
 SEEDS = 10
 QUICK_MUTANTS = (
@@ -25,6 +19,13 @@
     "news go back",
     "told before durable",
     "the set stops at four",
+    "an add acknowledged before the sync",
+    "an add counted by node",
+    "an add kept after a 503",
+    "adds not passed on",
+    "a log used again",
+    "ids forgotten too soon",
+    "ids forgotten while a member is away",
 )
 SEARCH = """
 import sys
@@ -35,24 +36,18 @@
 """
 
 
-def run(*arguments: str):
-    return subprocess.run(
-        [sys.executable, *arguments],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONHASHSEED": "0"},
-        capture_output=True,
-        text=True,
-        timeout=LIMIT_S,
-        check=False,
-    )
-
-
 def test_a_few_runs_break_no_check():
     ended = run("-m", "ploverward", "simulate", f"--first={FIRST_SEED}", f"--seeds={SEEDS}", "--jobs=2")
     assert ended.returncode == 0, ended.stdout + ended.stderr
     assert f"{SEEDS} days" in ended.stdout
 
 
+def test_a_few_runs_with_tallies_break_no_check():
+    ended = run("-m", "ploverward", "simulate", "--tallies", f"--first={FIRST_SEED}", f"--seeds={SEEDS}", "--jobs=2")
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert f"{SEEDS} days" in ended.stdout
+
+
 @pytest.mark.parametrize("name", QUICK_MUTANTS)
 def test_a_mutant_is_found(name):
     ended = run("-c", SEARCH, name)
--- a/ploverward/simulation/control_plane/test_slow_disks.py
+++ b/ploverward/simulation/control_plane/test_slow_disks.py
@@ -3,15 +3,10 @@
 Runs are played in a process of their own, in which sets of strings have one order: so a seed names one history.
 """
 
-import os
-import pathlib
-import subprocess
-import sys
-
 import pytest
 
-ROOT = pathlib.Path(__file__).parents[3]
-LIMIT_S = 120
+from ploverward.testing.seeded_process import run
+
 SLOWEST = """
 import sys
 from ploverward.simulation.control_plane import scenario
@@ -35,25 +30,13 @@
 """
 
 
-def run(program: str, *arguments: str):
-    return subprocess.run(
-        [sys.executable, "-c", program, *arguments],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONHASHSEED": "0"},
-        capture_output=True,
-        text=True,
-        timeout=LIMIT_S,
-        check=False,
-    )
-
-
 @pytest.mark.parametrize("seed", ["1", "2", "4"])
 def test_orders_are_acknowledged_in_time_on_the_slowest_disks(seed):
-    ended = run(SLOWEST, seed)
+    ended = run("-c", SLOWEST, seed)
     assert ended.returncode == 0, ended.stdout + ended.stderr
 
 
 def test_reads_do_not_hold_up_the_first_move_of_the_core_set():
     """docs/incidents/first-move-duel.md: without the rule for first starts, not one of its rounds succeeded by then."""
-    ended = run(FIRST_MOVE)
+    ended = run("-c", FIRST_MOVE)
     assert ended.returncode == 0, ended.stdout + ended.stderr
