--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -216,7 +216,7 @@
             self._answer(member, link, self.write_ahead_log.durable.reject_prepare(request))
         else:
             if member != self.own:
-                self.proposer.note_other_attempt(name=request.register)
+                self.proposer.pacing.note_other_attempt(name=request.register)
             self._answer_when_durable(member, link, request, self.acceptor.prepare(request))
 
     def _handle_accept(self, member: str, link: interfaces.Connection | None, request: messages.Accept) -> None:
@@ -418,6 +418,6 @@
             return
         _log.debug("value_chosen", extra={"register": name, "rev": revision})
         members, payload = ballots.unpack(value)
-        self.proposer.note_chosen(name=name)
+        self.proposer.pacing.note_chosen(name=name)
         self.proposer.known_sets.learn_chosen(register=name, revision=revision, value=value)
         self._on_value(name, payload, members)
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -21,6 +21,7 @@
 
 from ploverward.common import errors
 from ploverward.common.identifiers import Ballot
+from ploverward.control_plane.consensus import attempt_pacing
 from ploverward.control_plane.consensus import ballots
 from ploverward.control_plane.consensus import known_sets
 from ploverward.control_plane.consensus import next_value
@@ -34,16 +35,12 @@
 from ploverward.transport import messages
 
 MAX_ATTEMPTS = 12  # of one proposal
-WRITES_PER_ATTEMPT = 4  # two phases, each of which may wait for a write under way before its own
-SLOW_DISK_ROOM = 2  # other disks may be slower than this one
 # Pauses and waits are given as shares of the time-out of an attempt.
 MIN_BACKOFF_SHARE = 0.1
 BACKOFF_STEP_SHARE = 0.4  # the random part of the first pause
 MAX_BACKOFF_FACTOR = 8  # how many times longer the random part becomes
 READ_TIMEOUT_SHARE = 0.5  # how long a quorum read waits for a majority
 RANK_DEFERRAL_SHARE = 0.35  # for each member that is listed before this node
-YIELD_SHARE = 2.0  # how long a round lets a move of its register go first: an attempt of it, a pause, and another
-YIELD_RECHECK_SHARE = 0.1  # between two checks whether the move is over
 
 Send = collections.abc.Callable[[str, tuple], object]  # (member, message)
 CallLater = collections.abc.Callable[[float, collections.abc.Callable[[], object]], object]  # (delay in seconds, what)
@@ -80,6 +77,7 @@
 
     Attributes:
         known_sets: the core set of each register.
+        pacing: how long attempts take, and when they let those of other nodes pass.
         is_learner: whether this node may not propose, as it does not know the registers yet.
     """
 
@@ -103,8 +101,13 @@
         self.known_sets = known_sets.KnownSets(seeds=seeds)
         self.is_learner = False
         self._accepted_value = accepted_value
-        self._usual_write_s = usual_write_s
-        self._is_move_expected = is_move_expected
+        self.pacing = attempt_pacing.AttemptPacing(
+            now=now,
+            attempt_timeout_s=attempt_timeout_s,
+            limit_s=limit_s,
+            usual_write_s=usual_write_s,
+            is_move_expected=is_move_expected,
+        )
         self._send = send
         self._later = later
         self._now = now
@@ -113,7 +116,6 @@
         self._limit_s = limit_s
         self._attempt_timeout_s = attempt_timeout_s
         self._highest_numbers: dict[str, int] = {}  # register: highest number of a ballot seen
-        self._other_attempts_until: dict[str, float] = {}  # register: until when another node's attempt is let pass
         self._last_number = 0  # of the newest attempt
         self._active: dict[int, Proposal] = {}  # by the number of the attempt
         self._queues: dict[str, collections.deque[Proposal]] = {}  # register: the active proposal, then those waiting
@@ -326,46 +328,18 @@
 
         The same change then comes again, at any node; a read, which waits for no disk, finds that it was made.
         """
-        return not proposal.is_move and proposal.edit is not None and self._has_slow_disk()
-
-    def _has_slow_disk(self) -> bool:
-        return self._stretched_timeout_s() > self._attempt_timeout_s
+        return not proposal.is_move and proposal.edit is not None and self.pacing.has_slow_disk()
 
     def _yields(self, proposal: Proposal) -> bool:
         """Whether a round pauses first, as another node is about to move its register, or is changing it."""
-        if proposal.is_move or not (self._is_moved_by_other(proposal) or self._is_changed_by_other(proposal)):
-            return False
-        if proposal.yields_until is None:
-            wait_s = max(self._attempt_timeout_s * YIELD_SHARE, self._stretched_timeout_s())
-            proposal.yields_until = self._now() + wait_s
-        if self._now() >= proposal.yields_until:
+        if not self.pacing.has_to_yield(proposal):
             return False
         proposal.stage = Stage.BACKOFF
         has_to_look = proposal.is_read or self._looks_first(proposal)
         resume = self._resume_quorum_read if has_to_look else self._resume_prepare
-        self._later(self._attempt_timeout_s * YIELD_RECHECK_SHARE, lambda: resume(proposal))
+        self._later(self.pacing.recheck_s, lambda: resume(proposal))
         return True
 
-    def _is_moved_by_other(self, proposal: Proposal) -> bool:
-        return self._is_move_expected is not None and self._is_move_expected(proposal.register)
-
-    def _is_changed_by_other(self, proposal: Proposal) -> bool:
-        """Whether another node's attempt is under way on slow disks.
-
-        There an attempt outlasts the patience of whoever ordered it. The same order then comes to the next node, whose
-        ballot would end the first attempt, and so on: nothing would ever be chosen.
-        """
-        return self._now() < self._other_attempts_until.get(proposal.register, 0.0)
-
-    def note_other_attempt(self, *, name: str) -> None:
-        """Another node began an attempt: where disks are slow, attempts of this node let it pass."""
-        if self._has_slow_disk():
-            self._other_attempts_until[name] = self._now() + self._stretched_timeout_s()
-
-    def note_chosen(self, *, name: str) -> None:
-        """A value of the register is known to be chosen: no attempt has to be waited for."""
-        self._other_attempts_until.pop(name, None)
-
     def _is_done_by_others(self, proposal: Proposal) -> bool:
         """Whether rounds of other nodes completed a move that this node began.
 
@@ -403,17 +377,7 @@
         )
         for member in members:
             self._send_prepare(proposal, member)
-        self._later(self._stretched_timeout_s(), lambda: self._expire(proposal, number))
-
-    def _stretched_timeout_s(self) -> float:
-        """The time-out of an attempt, longer where disks are slow: both phases wait for a write at other nodes.
-
-        Each of the two writes may have to wait for the one under way, and other disks may be slower than this one.
-        """
-        write_s = self._usual_write_s() if self._usual_write_s is not None else 0.0
-        if write_s * WRITES_PER_ATTEMPT <= self._attempt_timeout_s:
-            return self._attempt_timeout_s
-        return min(write_s * WRITES_PER_ATTEMPT * SLOW_DISK_ROOM, self._limit_s)
+        self._later(self.pacing.timeout_s(), lambda: self._expire(proposal, number))
 
     def _send_prepare(self, proposal: Proposal, member: str) -> None:
         known = proposal.known_value.ballot
