--- a/ploverward/control_plane/tallies/tally_replicator.py
+++ b/ploverward/control_plane/tallies/tally_replicator.py
@@ -25,6 +25,8 @@
 
 _log = logging.getLogger(__name__)
 
+WINDOW_ADDS = 20_000  # of one log, sent and not told to be on the disk there yet: a step of the loop stays short
+
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
@@ -167,15 +169,17 @@
 
     def _send_log(self, peer: _Peer, log: TallyLogName, *, upto: int) -> None:
         assert peer.durable is not None
-        start = max(peer.durable.get(log, 0), peer.sent.get(log, 0))
-        if start >= upto:
+        durable = peer.durable.get(log, 0)
+        start = max(durable, peer.sent.get(log, 0))
+        end = min(upto, max(durable, self._state.folded_position(log)) + WINDOW_ADDS)
+        if start >= end:
             return
         if start < self._state.folded_position(log):
             self._send_snapshot(peer)
             start = peer.sent.get(log, 0)
-        for message in tally_writer.adds_behind(state=self._state, log=log, position=start):
+        for message in tally_writer.adds_behind(state=self._state, log=log, position=start, upto=end):
             peer.connection.send(message)
-        peer.sent[log] = self._state.position(log)
+        peer.sent[log] = end
 
     def _send_snapshot(self, peer: _Peer) -> None:
         peer.connection.send(self._state.snapshot())
@@ -196,8 +200,15 @@
             if any(position > peer.durable.get(log, 0) for log, position in told.items()):
                 peer.lagging_intervals = 0
             peer.durable |= told
+            self._continue(peer)
         self._on_progress()
 
+    def _continue(self, peer: _Peer) -> None:
+        """Goes on with logs of which a window was sent."""
+        for log in list(peer.sent):
+            is_own = log == self._own_log
+            self._send_log(peer, log, upto=self._state.position(log) if is_own else self._settled.get(log, 0))
+
     # The side that was dialed.
     def handle_request(self, connection: interfaces.Connection) -> None:
         """Another node wants to know this node's positions, now and whenever they grow."""
--- a/ploverward/control_plane/tallies/tally_writer.py
+++ b/ploverward/control_plane/tallies/tally_writer.py
@@ -116,10 +116,21 @@
         self.write()
 
 
-def adds_behind(*, state: tally_state.TallyState, log: TallyLogName, position: int) -> list[messages.TallyAdds]:
-    """Returns all adds of a log behind a position that is not folded, as messages."""
+def adds_behind(
+    *, state: tally_state.TallyState, log: TallyLogName, position: int, upto: int | None = None
+) -> list[messages.TallyAdds]:
+    """Returns the adds of a log behind a position that is not folded, as messages.
+
+    Args:
+        state: Where they are.
+        log: The log.
+        position: They are behind this one.
+        upto: Position of the last one; None: all.
+    """
     found = []
-    while adds := state.adds_from(log=log, position=position, limit=ADDS_PER_RECORD):
+    end = state.position(log) if upto is None else upto
+    while position < end:
+        adds = state.adds_from(log=log, position=position, limit=min(ADDS_PER_RECORD, end - position))
         found.append(messages.TallyAdds(log=log, first=position + 1, adds=tuple(adds)))
         position += len(adds)
     return found
--- a/ploverward/control_plane/tallies/test_tally_replicator.py
+++ b/ploverward/control_plane/tallies/test_tally_replicator.py
@@ -195,3 +195,35 @@
     message = messages.TallyAdds(log=TallyLogName("z", "i"), first=5, adds=(TallyAdd("t", "x", 1),))
     assert not node.replicator.handle_adds(link, message)
     assert not link.is_open and node.state.total("t") == 0
+
+
+def test_many_adds_are_sent_in_windows_and_all_arrive(monkeypatch):
+    monkeypatch.setattr(tally_replicator, "WINDOW_ADDS", 10)
+    net = Net()
+    net.cut(HOSTS[0], HOSTS[1])
+    first = net.nodes[HOSTS[0]]
+    for number in range(95):
+        first.add(f"x{number}")
+    net.run()
+    net.join(HOSTS[0], HOSTS[1])
+    first.replicator.connect_all()
+    link = first.links[HOSTS[1]]
+    while net.queue:
+        in_flight = sum(
+            len(message.adds) for sender, message in net.queue if sender is link and hasattr(message, "adds")
+        )
+        assert in_flight <= 10
+        sender, message = net.queue.pop(0)
+        net.nodes[sender.target].handle(sender.back, message)
+    assert net.totals() == [95, 95, 95]
+
+
+def test_a_relay_goes_on_behind_its_window(monkeypatch):
+    monkeypatch.setattr(tally_replicator, "WINDOW_ADDS", 10)
+    net = Net()
+    net.cut(HOSTS[0], HOSTS[1])
+    for number in range(35):
+        net.nodes[HOSTS[0]].add(f"x{number}")
+    net.run()
+    net.tick(4)
+    assert net.totals() == [35, 35, 35]
