--- a/ploverward/control_plane/consensus/ballots.py
+++ b/ploverward/control_plane/consensus/ballots.py
@@ -82,6 +82,11 @@
     return (header.previous, header.members) if header.previous else (header.members,)
 
 
+def is_moving(value: bytes) -> bool:
+    """Whether a stored value names the set before a move, too; False for an empty value."""
+    return bool(value) and len(member_sets(value)) > 1
+
+
 def moved_at(value: bytes) -> int:
     """The revision with which a move began that is not known to be over; 0 where there is none."""
     return _header(value).moved_at
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -342,7 +342,7 @@
         if self.proposer.members(name) != self.proposer.members(register_names.CORE_SET):
             return True
         value = self.acceptor.get(name).value
-        return bool(value) and len(ballots.member_sets(value)) > 1
+        return ballots.is_moving(value)
 
     @property
     def is_voter(self) -> bool:
@@ -384,7 +384,7 @@
         for name in register_names.REGISTERS:
             state = self.write_ahead_log.durable.get(name)
             is_open = state.revision > self._version(name)
-            is_moving = bool(state.value) and len(ballots.member_sets(state.value)) > 1
+            is_moving = ballots.is_moving(state.value)
             if not is_open and not is_moving:
                 self._behind.pop(name, None)
                 continue
--- a/ploverward/control_plane/consensus/known_sets.py
+++ b/ploverward/control_plane/consensus/known_sets.py
@@ -42,7 +42,7 @@
         if revision >= self._revisions.get(register, 0):
             self._revisions[register] = revision
             self.members_by_register[register] = ballots.members_of(value)
-            if len(ballots.member_sets(value)) > 1:
+            if ballots.is_moving(value):
                 self._half_moved.add(register)
             else:
                 self._half_moved.discard(register)
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -317,8 +317,7 @@
         except errors.PloverwardError as error:
             self._finish(proposal, Outcome(error, chosen.revision, payload))
             return
-        is_moving = len(ballots.member_sets(chosen.value)) > 1
-        if edited == payload and not is_moving:
+        if edited == payload and not ballots.is_moving(chosen.value):
             self._finish(proposal, Outcome(None, chosen.revision, payload, result))
         else:
             self._prepare(proposal)
@@ -495,7 +494,7 @@
         name, revision, value = proposal.register, written.revision, written.value
         self.known_sets.learn_chosen(register=name, revision=revision, value=value)
         self._on_chosen(name, proposal.ballot, revision, value, True)
-        is_moving = len(ballots.member_sets(value)) > 1
+        is_moving = ballots.is_moving(value)
         if written.is_older_move:
             self._prepare(proposal)
         elif proposal.next_set is not None and proposal.move_outcome is None and is_moving:
--- a/ploverward/control_plane/consensus/write_ahead_log.py
+++ b/ploverward/control_plane/consensus/write_ahead_log.py
@@ -10,15 +10,13 @@
 """
 
 import collections.abc
-import logging
 
+from ploverward.common import failure_spell
 from ploverward.control_plane.consensus import acceptor as acceptors
 from ploverward.control_plane.consensus import acceptor_storage
 from ploverward.transport import interfaces
 from ploverward.transport import messages
 
-_log = logging.getLogger(__name__)
-
 NEWEST_WRITE_WEIGHT = 0.3  # of the newest write in the usual duration
 
 Callback = collections.abc.Callable[[], None]
@@ -59,8 +57,9 @@
         # key: (change that has to be durable, what then runs). Bounded by the keys: members, kinds and registers.
         self._waiting: dict[collections.abc.Hashable, tuple[int, Callback]] = {}
         self._writing_since: float | None = None
-        self._is_failing = False
-        self._failing_since = 0.0
+        self._spell = failure_spell.FailureSpell(
+            now=loop.now, failed_event="disk_write_failed", recovered_event="disk_write_recovered"
+        )
         self._on_begun: Callback | None = None
         self.usual_write_s = 0.0
 
@@ -68,7 +67,7 @@
     def is_hindered(self) -> bool:
         """Whether the disk refuses writes now, or hangs in one."""
         is_hanging = self._writing_since is not None and self._loop.now() - self._writing_since > self._hang_s
-        return self._is_failing or is_hanging
+        return self._spell.is_failing or is_hanging
 
     def begin(
         self, *, acceptor: acceptors.Acceptor, first_set: tuple[str, ...], on_durable: Callback | None = None
@@ -103,7 +102,7 @@
             callback()
             return
         self._waiting[key] = (self._newest_change, callback)
-        if not self._is_failing:
+        if not self._spell.is_failing:
             self._write()
 
     def _write(self) -> None:
@@ -133,9 +132,7 @@
         self.usual_write_s = previous_s + (took_s - previous_s) * NEWEST_WRITE_WEIGHT
 
     def _on_written(self, image: acceptor_storage.Image, change: int, took_s: float) -> None:
-        if self._is_failing:
-            _log.info("disk_write_recovered", extra={"failing_s": round(self._loop.now() - self._failing_since, 1)})
-        self._is_failing = False
+        self._spell.note_success()
         self._note_duration(took_s)
         self._durable_change = change
         self.durable = acceptors.Acceptor(incarnation=image.incarnation, rows=image.rows)
@@ -150,9 +147,6 @@
         self._write()
 
     def _on_failed(self, error: BaseException) -> None:
-        if not self._is_failing:
-            self._failing_since = self._loop.now()
-            _log.error("disk_write_failed", extra={"fault": str(error)})
-        self._is_failing = True
+        self._spell.note_failure(error)
         self._waiting.clear()
         self._loop.after(delay=self._retry_s, callback=self._write)
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -357,7 +357,7 @@
     def _resume_shares(self) -> None:
         """Resumes the owned shares of the earlier incarnation, where no change of the core set was in progress."""
         state = self.consensus.acceptor.get(register_names.CORE_SET)
-        if not state.value or len(ballots.member_sets(state.value)) > 1:
+        if not state.value or ballots.is_moving(state.value):
             return
         members, _payload = ballots.unpack(state.value)
         self.owned_shares.resume(core_membership.AgreedCoreSet(members=members, version=state.revision))
--- a/ploverward/control_plane/tallies/tally_writer.py
+++ b/ploverward/control_plane/tallies/tally_writer.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 
+from ploverward.common import failure_spell
 from ploverward.control_plane.tallies import tally_state
 from ploverward.control_plane.tallies import tally_storage
 from ploverward.transport import interfaces
 from ploverward.transport import messages
 from ploverward.transport.messages import TallyLogName
 
-_log = logging.getLogger(__name__)
-
 REWRITE_FACTOR = 2  # a file with so many times the adds that are kept is rewritten
 MIN_REWRITE_ADDS = 2000  # but not one with fewer adds: it costs less to read than to rewrite
 ADDS_PER_RECORD = 500
@@ -48,7 +46,9 @@
         self._on_durable = on_durable
         self._is_writing = False
         self._is_pausing = False  # after a failed write
-        self._failing_since: float | None = None
+        self._spell = failure_spell.FailureSpell(
+            now=loop.now, failed_event="tally_write_failed", recovered_event="tally_write_recovered"
+        )
         self._has_installed = False  # a snapshot, since the last write: the file has to be replaced
         self.durable: dict[TallyLogName, int] = {}
 
@@ -94,20 +94,13 @@
         if error is not None:
             self._handle_failure(error)
             return
-        self._note_success()
+        self._spell.note_success()
         self.durable = target
         self._on_durable()
         self.write()
 
-    def _note_success(self) -> None:
-        if self._failing_since is not None:
-            _log.info("tally_write_recovered", extra={"failing_s": round(self._loop.now() - self._failing_since, 1)})
-            self._failing_since = None
-
     def _handle_failure(self, error: BaseException) -> None:
-        if self._failing_since is None:
-            self._failing_since = self._loop.now()
-            _log.error("tally_write_failed", extra={"fault": str(error)})
+        self._spell.note_failure(error)
         self._is_pausing = True
         self._loop.after(delay=self._retry_s, callback=self._retry)
 
--- a/ploverward/testing/test_docs.py
+++ b/ploverward/testing/test_docs.py
@@ -9,7 +9,10 @@
 PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
 SOURCE_PATH = re.compile(r"(?<![\w/])ploverward/[\w/]*\w(?:\.py)?(?![\w*])")
 SOURCE_FILE = re.compile(r"`([\w/]*\w\.py)`")
-LOGGED_EVENT = re.compile(r'\b_log\.(?:debug|info|warning|error|exception)\(\s*"(\w+)"')
+# In a call of the log, or as an event of a `FailureSpell`.
+LOGGED_EVENT = re.compile(
+    r'(?:\b_log\.(?:debug|info|warning|error|exception)\(\s*|\b(?:failed|recovered)_event=)"(\w+)"'
+)
 LISTED_EVENT = re.compile(r"^\| `(\w+)` \|", re.MULTILINE)
 PAGE_LINK = re.compile(r"`(?:docs/)?([\w/-]+\.md)`")
 
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -31,6 +31,7 @@
 from collections.abc import Callable
 
 from ploverward.common import errors
+from ploverward.common import failure_spell
 from ploverward.transport import frames
 from ploverward.transport import messages
 from ploverward.transport.event_loop import Loop
@@ -92,9 +93,10 @@
         on_accepted: Callable[[socket.socket, SocketAddress], object],
     ) -> None:
         self._sock = sock
-        self._now = now
         self._on_accepted = on_accepted
-        self._failing_since: float | None = None
+        self._spell = failure_spell.FailureSpell(
+            now=now, failed_event="accept_failed", recovered_event="accept_recovered"
+        )
 
     def accept_all(self) -> None:
         """Accepts all connections that wait."""
@@ -104,22 +106,12 @@
             except (BlockingIOError, ConnectionError):
                 return
             except OSError as error:
-                self._note_failure(error)
+                self._spell.note_failure(error)
                 return
-            self._note_success()
+            self._spell.note_success()
             accepted.setblocking(False)
             self._on_accepted(accepted, address)
 
-    def _note_failure(self, error: OSError) -> None:
-        if self._failing_since is None:
-            self._failing_since = self._now()
-            _log.error("accept_failed", extra={"fault": str(error)})
-
-    def _note_success(self) -> None:
-        if self._failing_since is not None:
-            _log.info("accept_recovered", extra={"failing_s": round(self._now() - self._failing_since, 1)})
-            self._failing_since = None
-
 
 class State(enum.Enum):
     """The states of a `PeerConnection`."""
