--- a/ploverward/control_plane/tallies/tally_replicator.py
+++ b/ploverward/control_plane/tallies/tally_replicator.py
@@ -4,9 +4,9 @@
 there, and gets the new positions once they are on the disk there. Each node does so for its own direction, so two nodes
 exchange everything over the two connections between them.
 
-Adds of its own log go out at once. Those of other logs are left to their owners for a while: they are relayed only
-where the other node has not got them for some intervals, one relay after the other, as when two nodes have no path to
-each other and a third one has.
+Adds of a node's own logs, those of its earlier lives too, go out at once. Those of other logs are left to their owners
+for a while: a log is relayed only where the other node has not got on with it for some intervals, one relay after the
+other, as when two nodes have no path to each other and a third one has.
 """
 
 from __future__ import annotations
@@ -37,14 +37,16 @@
         durable: Positions on its disk; None before it answered.
         sent: Positions up to which adds were sent.
         first_told: What it said first.
-        lagging_intervals: For how many intervals it has lacked adds of other nodes' logs without any progress.
+        lagging_intervals: By log of another node, for how many intervals it has lacked adds of it and not got on.
+        former: Its positions at the interval before.
     """
 
     connection: interfaces.Connection
     durable: dict[TallyLogName, int] | None = None
     sent: dict[TallyLogName, int] = dataclasses.field(default_factory=dict)
     first_told: dict[TallyLogName, int] | None = None
-    lagging_intervals: int = 0
+    lagging_intervals: dict[TallyLogName, int] = dataclasses.field(default_factory=dict)
+    former: dict[TallyLogName, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +62,6 @@
 
     Args:
         own: Address of this node.
-        own_log: The log that this process writes.
         state: What this node has.
         durable: Returns the positions on this node's disk.
         core_addresses: Returns the addresses of the core nodes that this node connects to.
@@ -72,7 +73,6 @@
         self,
         *,
         own: str,
-        own_log: TallyLogName,
         state: tally_state.TallyState,
         durable: Callable[[], tally_state.Positions],
         core_addresses: Callable[[], Collection[str]],
@@ -80,7 +80,6 @@
         on_progress: Callable[[], object],
     ) -> None:
         self._own = own
-        self._own_log = own_log
         self._state = state
         self._durable = durable
         self._core_addresses = core_addresses
@@ -131,11 +130,13 @@
             peer.connection.send(messages.TallyPositionsRequest(number=0))
 
     def send_own(self) -> None:
-        """Sends what is new in this process's own log to all nodes that have told their positions."""
+        """Sends what is new in this node's own logs to all nodes that have told their positions."""
+        own_logs = [log for log in self._state.positions() if log.origin == self._own]
         for address in self._peers:
             peer = self._current_peer(address)
             if peer is not None and peer.durable is not None:
-                self._send_log(peer, self._own_log, upto=self._state.position(self._own_log))
+                for log in own_logs:
+                    self._send_log(peer, log, upto=self._state.position(log))
 
     def tick(self) -> None:
         """At each heartbeat interval: new connections, relays, and news for followers."""
@@ -153,14 +154,17 @@
 
     def _relay(self, address: str, peer: _Peer) -> None:
         assert peer.durable is not None
-        missing = [log for log, position in self._settled.items() if position > peer.durable.get(log, 0)]
-        if not missing:
-            peer.lagging_intervals = 0
-            return
-        peer.lagging_intervals += 1
-        if peer.lagging_intervals > self._relay_rank(address):
-            for log in missing:
+        lagging = {
+            log: peer.lagging_intervals.get(log, 0) + 1
+            for log, position in self._settled.items()
+            if position > peer.durable.get(log, 0) <= peer.former.get(log, 0)
+        }
+        rank = self._relay_rank(address)
+        for log, intervals in lagging.items():
+            if intervals > rank:
                 self._send_log(peer, log, upto=self._settled[log])
+        peer.lagging_intervals = lagging
+        peer.former = dict(peer.durable)
 
     def _relay_rank(self, address: str) -> int:
         """How many connected nodes relay to this one before this node does."""
@@ -197,8 +201,6 @@
             peer.first_told = dict(told)
             self.send_own()
         else:
-            if any(position > peer.durable.get(log, 0) for log, position in told.items()):
-                peer.lagging_intervals = 0
             peer.durable |= told
             self._continue(peer)
         self._on_progress()
@@ -206,7 +208,7 @@
     def _continue(self, peer: _Peer) -> None:
         """Goes on with logs of which a window was sent."""
         for log in list(peer.sent):
-            is_own = log == self._own_log
+            is_own = log.origin == self._own
             self._send_log(peer, log, upto=self._state.position(log) if is_own else self._settled.get(log, 0))
 
     # The side that was dialed.
--- a/ploverward/control_plane/tallies/tally_service.py
+++ b/ploverward/control_plane/tallies/tally_service.py
@@ -171,7 +171,6 @@
         )
         self._replicator = tally_replicator.TallyReplicator(
             own=own,
-            own_log=self._own_log,
             state=self.state,
             durable=lambda: self._writer.durable,
             core_addresses=sessions.connected_to,
