Two nodes without a path to each other do not take the coordinator's role by turns; queues of expired rounds end

And behind registers that stand under other sets than the core set, each queued round paused a second though its time was over, so nothing was ever attempted.

--- a/ploverward/control_plane/cluster/coordinator.py
+++ b/ploverward/control_plane/cluster/coordinator.py
@@ -72,6 +72,7 @@
         lost_since: dict[str, float],
         has_majority: bool,
         may_acquire: bool,
+        is_lost_by_majority: bool,
     ) -> bool:
         """Keeps, acquires or suspends the role, once each heartbeat interval.
 
@@ -81,6 +82,7 @@
             lost_since: Member: since when it is disconnected.
             has_majority: Whether this node has the majority lease.
             may_acquire: Whether this node votes and is not draining.
+            is_lost_by_majority: Whether a majority of the members does not hear the owner.
 
         Returns:
             Whether this node owns the role and may act on it.
@@ -93,11 +95,17 @@
             return True
         if self._publisher.get(endpoint_list.TOPIC) is not None:
             self._watch.stop()
-        if may_acquire and self._own in members and self._is_open(members=members, live=live, lost_since=lost_since):
-            self._acquire(address=self._own, incarnation=self._incarnation)
+        if may_acquire and self._own in members:
+            is_open = self._is_open(
+                members=members, live=live, lost_since=lost_since, is_lost_by_majority=is_lost_by_majority
+            )
+            if is_open:
+                self._acquire(address=self._own, incarnation=self._incarnation)
         return False
 
-    def _is_open(self, *, members: tuple[str, ...], live: list[str], lost_since: dict[str, float]) -> bool:
+    def _is_open(
+        self, *, members: tuple[str, ...], live: list[str], lost_since: dict[str, float], is_lost_by_majority: bool
+    ) -> bool:
         """Whether the owner is lost and this node is the first that may acquire the role."""
         owner = self.address
         if self._role_table.is_acquiring or len(live) < ballots.majority(members):
@@ -108,7 +116,8 @@
             return False
         if owner not in members:
             return True
-        return owner in lost_since and self._now() - lost_since[owner] >= self._takeover_after_s
+        is_lost = owner in lost_since and self._now() - lost_since[owner] >= self._takeover_after_s
+        return is_lost and is_lost_by_majority
 
     def hand_over(self, *, successor: str, incarnation: str) -> None:
         """Gives the role to another member; used by a node that shuts down in order."""
--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -9,6 +9,7 @@
 from ploverward.control_plane.cluster import core_liveness
 from ploverward.control_plane.cluster import core_membership
 from ploverward.control_plane.cluster import core_set_reconciler
+from ploverward.control_plane.cluster import owner_witnesses
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import singleton_roles
 from ploverward.control_plane.consensus import consensus_node
@@ -25,6 +26,7 @@
         liveness: Since when members fail; brought up to date here.
         consensus: Whether this node votes.
         coordinator: The role.
+        witnesses: Whether other core nodes hear an owner of the role that this node has lost.
         rollout_manager: Roll-outs advance at the coordinator.
         core_set: The core set is changed by the coordinator.
     """
@@ -38,6 +40,7 @@
         liveness: core_liveness.CoreLiveness,
         consensus: consensus_node.ConsensusNode,
         coordinator: coordinators.ClusterCoordinator,
+        witnesses: owner_witnesses.OwnerWitnesses,
         rollout_manager: manager.RolloutManager,
         core_set: core_set_reconciler.CoreSetReconciler,
     ) -> None:
@@ -47,6 +50,7 @@
         self._liveness = liveness
         self._consensus = consensus
         self._coordinator = coordinator
+        self._witnesses = witnesses
         self._rollout_manager = rollout_manager
         self._core_set = core_set
 
@@ -54,12 +58,18 @@
         """Acquires, keeps or releases the role, and acts on it."""
         members = self._membership.members()
         self._liveness.update(members)
+        owner = self._coordinator.address
+        if owner in members and self._liveness.is_lost(owner):
+            self._witnesses.ask(owner)
+        else:
+            self._witnesses.forget()
         is_acting = self._coordinator.reconcile(
             members=members,
             live=[host for host in members if self._sessions.is_core_live(host)],
             lost_since=self._liveness.lost_since,
             has_majority=self._membership.has_majority_lease(),
             may_acquire=self._consensus.acceptor.votes and not self._status.is_draining,
+            is_lost_by_majority=self._witnesses.is_lost_by_majority(owner=owner, members=members),
         )
         if not is_acting:
             self._rollout_manager.deactivate()
--- a/ploverward/control_plane/consensus/attempt_pacing.py
+++ b/ploverward/control_plane/consensus/attempt_pacing.py
@@ -81,7 +81,8 @@
         if proposal.is_move or not self._is_other_at_work(proposal.register):
             return False
         if proposal.yields_until is None:
-            proposal.yields_until = self._now() + max(self.usual_timeout_s * YIELD_SHARE, self.timeout_s())
+            until = self._now() + max(self.usual_timeout_s * YIELD_SHARE, self.timeout_s())
+            proposal.yields_until = min(until, proposal.deadline - self.usual_timeout_s)
         return self._now() < proposal.yields_until
 
     def _is_other_at_work(self, register: str) -> bool:
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -351,7 +351,7 @@
 
     # Phase 1.
     def _prepare(self, proposal: Proposal) -> None:
-        if proposal.stage is Stage.FINISHED or self._yields(proposal):
+        if proposal.stage is Stage.FINISHED or (self._now() < proposal.deadline and self._yields(proposal)):
             return
         if self._is_done_by_others(proposal):
             if proposal.edit is None:
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -26,6 +26,7 @@
 from ploverward.control_plane.cluster import majority_lease
 from ploverward.control_plane.cluster import message_router
 from ploverward.control_plane.cluster import node_shutdown
+from ploverward.control_plane.cluster import owner_witnesses
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import role_reconciler
 from ploverward.control_plane.cluster import rollout_lease_granter
@@ -205,6 +206,13 @@
             wanted_voters=self.wanted_voters,
             peer_timeout_s=self.timing.peer_timeout_s,
         )
+        self.witnesses = owner_witnesses.OwnerWitnesses(
+            own=self.own,
+            now=self.loop.now,
+            sessions=self.sessions,
+            fresh_s=2 * self.timing.heartbeat_interval_s,
+            patience_s=self.timing.peer_timeout_s,
+        )
         self.roles = role_reconciler.RoleReconciler(
             status=self.status,
             sessions=self.sessions,
@@ -212,6 +220,7 @@
             liveness=self.liveness,
             consensus=self.consensus,
             coordinator=self.coordinator,
+            witnesses=self.witnesses,
             rollout_manager=self.rollout_manager,
             core_set=self.core_set,
         )
@@ -320,6 +329,7 @@
         )
         self.router.add(self.topics.handlers())
         self.router.add(self.tallies.handlers())
+        self.router.add(self.witnesses.handlers())
         self.router.add(
             {
                 messages.CustodyTrails: lambda _connection, message: self.operator_api.handle_custody_trails(message),
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -130,6 +130,8 @@
     messages.CustodyTrails: (60, TEXT, TEXT, NUMBER, FLAG, _rows(messages.CustodyTrail, TEXT, BLOB)),
     messages.FindCacheOwners: (61, NUMBER, TEXT, TEXT, _rows(messages.PromptHash, BLOB)),
     messages.CacheOwners: (62, NUMBER, _rows(messages.CacheOwner, TEXT, TEXT)),
+    messages.WitnessRequest: (38, TEXT),
+    messages.WitnessReply: (39, TEXT, FLAG),
     messages.TallyPositionsRequest: (70, NUMBER),
     messages.TallyPositions: (71, FLAG, _rows(messages.TallyPosition, TALLY_LOG, NUMBER)),
     messages.TallyAdds: (72, TALLY_LOG, NUMBER, TALLY_ADDS),
--- a/ploverward/transport/messages.py
+++ b/ploverward/transport/messages.py
@@ -481,6 +481,22 @@
     load_rows: bytes
 
 
+# Who hears a lost coordinator, between core nodes (docs/control.md 7).
+
+
+class WitnessRequest(typing.NamedTuple):
+    """Asks whether the receiver hears a core node that the sender has lost."""
+
+    address: str
+
+
+class WitnessReply(typing.NamedTuple):
+    """Reply to `WitnessRequest`."""
+
+    address: str
+    is_heard: bool  # whether the sender of the reply is connected to it and has heard it
+
+
 # Tallies, between core nodes (docs/tallies.md 3). The node that dialed a connection sends its adds on it; the other
 # side answers on the same connection with what it has on its disk.
 
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -66,6 +66,8 @@
     "trails": messages.CustodyTrails,
     "keeps": messages.FindCacheOwners,
     "kept": messages.CacheOwners,
+    "witness_request": messages.WitnessRequest,
+    "witness_reply": messages.WitnessReply,
     "tally_positions_request": messages.TallyPositionsRequest,
     "tally_positions": messages.TallyPositions,
     "tally_adds": messages.TallyAdds,
