--- /dev/null
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -0,0 +1,127 @@
+"""Pauses of rounds: they leave time for an attempt, and a queue behind them comes to an end."""
+
+import pytest
+
+from ploverward.control_plane.consensus import attempt_pacing
+from ploverward.control_plane.consensus import proposal
+from ploverward.control_plane.consensus import proposer
+from ploverward.transport import messages
+
+TIMEOUT_S, LIMIT_S = 0.5, 2.5
+SET = ("a", "b", "c")
+
+
+class Time:
+    """Time, and what is called later."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.calls = []
+
+    def later(self, delay, callback):
+        self.calls.append((self.now + delay, len(self.calls), callback))
+
+    def run(self, until):
+        while self.calls and min(self.calls)[0] <= until:
+            call = min(self.calls, key=lambda row: row[:2])
+            self.calls.remove(call)
+            self.now = max(self.now, call[0])
+            call[2]()
+        self.now = until
+
+
+class Scene:
+    """A proposer whose acceptors never answer, and a move that is expected for ever."""
+
+    def __init__(self, *, write_s=0.0, is_move_expected=True):
+        self.time = Time()
+        self.sent = []
+        self.proposer = proposer.Proposer(
+            own="a/1",
+            seeds=SET,
+            send=lambda member, message: self.sent.append((self.time.now, member, message)),
+            later=self.time.later,
+            now=lambda: self.time.now,
+            chance=lambda: 0.5,
+            on_chosen=lambda *_row: None,
+            limit_s=LIMIT_S,
+            attempt_timeout_s=TIMEOUT_S,
+            usual_write_s=lambda: write_s,
+            is_move_expected=lambda _name: is_move_expected,
+        )
+        self.ended = []
+
+    def change(self, name="duty"):
+        number = len(self.ended)
+        self.proposer.change(
+            name=name, edit=lambda payload: (1, payload), done=lambda *row: self.ended.append((self.time.now, number))
+        )
+
+    def prepares(self):
+        return [when for when, _member, message in self.sent if isinstance(message, messages.Prepare)]
+
+
+def test_a_round_that_waits_behind_others_still_gets_an_attempt():
+    scene = Scene()
+    for second in range(12):  # one more round a second than the pauses let through
+        scene.time.run(float(second))
+        scene.change()
+        scene.change()
+    scene.time.run(20.0)
+    assert len(scene.ended) == 24
+    assert len({round(when, 3) for when in scene.prepares()}) >= 8
+
+
+def test_a_round_whose_time_is_over_ends_without_a_pause():
+    scene = Scene()
+    for _number in range(10):
+        scene.change()
+    scene.time.run(LIMIT_S + 2 * TIMEOUT_S)
+    assert len(scene.ended) == 10
+
+
+def test_a_pause_leaves_time_for_one_attempt():
+    scene = Scene()
+    pacing = scene.proposer.pacing
+    late = proposal.Proposal(
+        number=1, register="duty", edit=None, done=lambda *_row: None, next_set=None, is_wanted=None, deadline=0.8
+    )
+    assert pacing.has_to_yield(late)
+    assert late.yields_until == pytest.approx(0.8 - TIMEOUT_S)
+
+
+def test_usual_disks_keep_the_usual_time_out_and_slow_ones_stretch_it_up_to_the_limit():
+    def timeout_s(write_s):
+        pacing = attempt_pacing.AttemptPacing(
+            now=lambda: 0.0,
+            attempt_timeout_s=TIMEOUT_S,
+            limit_s=LIMIT_S,
+            usual_write_s=lambda: write_s,
+            is_move_expected=None,
+        )
+        return pacing.timeout_s(), pacing.has_slow_disk()
+
+    assert timeout_s(0.0) == timeout_s(0.1) == (TIMEOUT_S, False)
+    assert timeout_s(0.2) == (pytest.approx(1.6), True)
+    assert timeout_s(5.0) == (LIMIT_S, True)
+
+
+def test_on_slow_disks_another_node_s_attempt_is_let_pass_until_its_value_is_chosen():
+    scene = Scene(write_s=0.2, is_move_expected=False)
+    pacing = scene.proposer.pacing
+    waiting = proposal.Proposal(
+        number=1, register="duty", edit=None, done=lambda *_row: None, next_set=None, is_wanted=None, deadline=9.0
+    )
+    assert not pacing.has_to_yield(waiting)
+    pacing.note_other_attempt(name="duty")
+    assert pacing.has_to_yield(waiting)
+    pacing.note_chosen(name="duty")
+    assert not pacing.has_to_yield(waiting)
+
+
+def test_on_usual_disks_nobody_waits_for_another_node_s_attempt():
+    scene = Scene(is_move_expected=False)
+    scene.proposer.pacing.note_other_attempt(name="duty")
+    scene.change()
+    scene.time.run(0.0)
+    assert scene.prepares()
