--- a/ploverward/simulation/control_plane/test_scenarios.py
+++ b/ploverward/simulation/control_plane/test_scenarios.py
@@ -20,6 +20,7 @@
     "told before durable",
     "the set stops at four",
     "an add acknowledged before the sync",
+    "an add acknowledged on too few disks",
     "an add counted by node",
     "an add kept after a 503",
     "adds not passed on",
