--- a/ploverward/control_plane/operator_api/tally_handlers.py
+++ b/ploverward/control_plane/operator_api/tally_handlers.py
@@ -1,7 +1,6 @@
 """Calls on tallies (docs/tallies.md 1). They need no majority: each core node answers them by itself."""
 
 import collections.abc
-import dataclasses
 import http
 import json
 import typing
@@ -109,7 +108,6 @@
     def handle_get_all(self, call: Call) -> None:
         """Answers with all sums and how far the other nodes are, for operators."""
         report = self._tallies.report()
-        peers = {address: dataclasses.asdict(peer) for address, peer in report.peers.items()}
         body = TalliesBody(
             node=self._node_name(),
             merged=report.is_merged,
@@ -117,7 +115,9 @@
             kept=report.kept,
             maxKept=report.max_kept,
             waiting=report.waiting,
-            peers={address: {"inReach": row["is_in_reach"], "behind": row["behind"]} for address, row in peers.items()},
+            peers={
+                address: {"inReach": peer.is_in_reach, "behind": peer.behind} for address, peer in report.peers.items()
+            },
         )
         call.answer(status=http.HTTPStatus.OK, body=body)
 
--- a/ploverward/simulation/control_plane/tally_mutant_patches.py
+++ b/ploverward/simulation/control_plane/tally_mutant_patches.py
@@ -72,15 +72,10 @@
 
 def folded_too_soon() -> mutant_patches.Patches:
     """Ids are forgotten within a second, whoever has them."""
-
-    def _fold(self: tally_folder.TallyFolder, old: tally_state.Positions) -> None:
-        for log, position in old.items():
-            self._state.fold(log=log, upto=position)
-
     return [
         mock.patch.object(tally_folder, "REPEAT_S", 0.8),
         mock.patch.object(tally_folder, "CHECKPOINT_S", 0.2),
-        mock.patch.object(tally_folder.TallyFolder, "_fold", _fold),
+        *folded_without_members(),
     ]
 
 
