Repairs let calls and others' attempts pass; a move chosen late is still completed

A move chosen after its proposal's time ended half-done, and all others let it pass for nobody. Change: priorities of proposals at a node (move, call, repair); a repair lets another node's attempt pass on any disk; a half-done move that others have finished is not finished again; a chosen move always gets its last attempt. Ruled out: widening the bound; a faulty argument for the move itself, which took the 1.84 s that it may.

--- a/ploverward/control_plane/consensus/attempt_pacing.py
+++ b/ploverward/control_plane/consensus/attempt_pacing.py
@@ -1,6 +1,6 @@
 """How long an attempt may take, and when a proposal lets another node's attempt pass (docs/set-moves.md 9).
 
-Three things slow a proposal down on purpose:
+Four things slow a proposal down on purpose:
 
 * A move of the core set that another node is about to make, or is in the middle of, is let pass by rounds that only
   wait.
@@ -8,6 +8,9 @@
 * There an attempt also outlasts the patience of whoever ordered it. The same order then comes to the next node, whose
   ballot would end the first attempt, and so on: nothing would ever be chosen. So an attempt of another node, known by
   its prepare, is let pass for the time of one attempt.
+* Repairs let an attempt of another node pass on any disk. After a restart of all, each node reads every register and
+  finishes every half-done move: as many ballots as there are nodes would end each other's attempts for seconds, and
+  those of the node that is to become the coordinator with them.
 """
 
 from collections.abc import Callable
@@ -68,9 +71,8 @@
         return self.timeout_s() > self.usual_timeout_s
 
     def note_other_attempt(self, *, name: str) -> None:
-        """Another node began an attempt: where disks are slow, attempts of this node let it pass."""
-        if self.has_slow_disk():
-            self._other_attempts_until[name] = self._now() + self.timeout_s()
+        """Another node began an attempt: repairs of this node let it pass, and on slow disks every proposal does."""
+        self._other_attempts_until[name] = self._now() + self.timeout_s()
 
     def note_chosen(self, *, name: str) -> None:
         """A value of the register is known to be chosen: no attempt has to be waited for."""
@@ -78,14 +80,16 @@
 
     def has_to_yield(self, proposal: Proposal) -> bool:
         """Whether a proposal lets another node's attempt pass now; it does so for a limited time in all."""
-        if proposal.is_move or not self._is_other_at_work(proposal.register):
+        if proposal.is_move or not self._is_other_at_work(proposal):
             return False
         if proposal.yields_until is None:
             until = self._now() + max(self.usual_timeout_s * YIELD_SHARE, self.timeout_s())
             proposal.yields_until = min(until, proposal.deadline - self.usual_timeout_s)
         return self._now() < proposal.yields_until
 
-    def _is_other_at_work(self, register: str) -> bool:
-        if self._is_move_expected is not None and self._is_move_expected(register):
+    def _is_other_at_work(self, proposal: Proposal) -> bool:
+        if self._is_move_expected is not None and self._is_move_expected(proposal.register):
             return True
-        return self._now() < self._other_attempts_until.get(register, 0.0)
+        if not proposal.is_repair and not self.has_slow_disk():
+            return False
+        return self._now() < self._other_attempts_until.get(proposal.register, 0.0)
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import functools
 import logging
 import typing
 
@@ -341,8 +342,7 @@
             return self._is_first_life and name == register_names.CORE_SET
         if self.proposer.members(name) != self.proposer.members(register_names.CORE_SET):
             return True
-        value = self.acceptor.get(name).value
-        return ballots.is_moving(value)
+        return self._is_half_moved(name)
 
     @property
     def is_voter(self) -> bool:
@@ -365,7 +365,11 @@
     def repair(self, name: str) -> None:
         """Reads a register, so that its newest value becomes known as chosen here."""
         self._reading.add(name)
-        self.proposer.read(name=name, done=lambda _error, _revision, _payload, _result: self._reading.discard(name))
+
+        def done(_error: Exception | None, _revision: int, _payload: object, _result: object) -> None:
+            self._reading.discard(name)
+
+        self.proposer.read(name=name, done=done, is_repair=True)
 
     def is_reading(self, name: str) -> bool:
         """Whether a `repair` of the register is in progress."""
@@ -395,9 +399,13 @@
                 if is_open:
                     self.repair(name)
                 else:
-                    self.proposer.finish_move(name=name)
+                    self.proposer.finish_move(name=name, is_wanted=functools.partial(self._is_half_moved, name))
             self._behind[name] = (state.revision, heartbeats)
 
+    def _is_half_moved(self, name: str) -> bool:
+        """Whether the newest value accepted here names the set before a move of the core set as well."""
+        return ballots.is_moving(self.acceptor.get(name).value)
+
     def _on_chosen(self, name: str, ballot: Ballot, revision: int, value: bytes, is_newly_chosen: bool) -> None:
         self.publish(name, revision, value)
         if not is_newly_chosen:
--- a/ploverward/control_plane/consensus/proposal.py
+++ b/ploverward/control_plane/consensus/proposal.py
@@ -29,6 +29,14 @@
     FINISHED = "over"
 
 
+class Priority(enum.IntEnum):
+    """Which proposals of one register go first at their node; the smaller value does."""
+
+    MOVE = 0  # of the core set
+    CALL = 1  # somebody waits for it
+    REPAIR = 2  # makes known, or completes, what other proposals left behind
+
+
 class Outcome(typing.NamedTuple):
     """How a proposal ended; the arguments of its `done`."""
 
@@ -80,6 +88,7 @@
         next_set: the core set that the value is to move to; None: it stays.
         is_wanted: False ends the proposal before its next attempt; None: always wanted.
         deadline: loop time in seconds after which no further attempt begins.
+        is_repair: whether it only makes known, or completes, what other proposals left behind.
         stage: the present stage.
         attempts: how many were started.
         yields_until: loop time in seconds until which it lets a move by another node go first; None: no move was
@@ -106,6 +115,7 @@
     next_set: tuple[str, ...] | None
     is_wanted: collections.abc.Callable[[], bool] | None
     deadline: float
+    is_repair: bool = False
     stage: Stage = Stage.QUEUED
     attempts: int = 0
     yields_until: float | None = None
@@ -131,6 +141,13 @@
         """Whether it moves the register to another set, or removes the older set once that is done."""
         return self.next_set is not None or self.move_outcome is not None
 
+    @property
+    def priority(self) -> Priority:
+        """Its priority among the proposals of its register at this node."""
+        if self.is_move:
+            return Priority.MOVE
+        return Priority.REPAIR if self.is_repair else Priority.CALL
+
     def begin_quorum_read(self, *, members: tuple[str, ...], known_revision: int) -> None:
         """Resets what belongs to one attempt, for a quorum read of these members."""
         self.stage = Stage.QUORUM_READ
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -13,7 +13,8 @@
 
 A move of the core set goes before rounds that only wait (docs/set-moves.md 9): it is queued in front of them, takes the
 place of one that pauses, and other nodes let it pass: their rounds of a register that is about to be moved, or is in
-the middle of a move, pause for the time of two attempts, and reads ask once more without a round.
+the middle of a move, pause for the time of two attempts, and reads ask once more without a round. Repairs come last in
+the same way, and let the attempts of other nodes pass: after a restart of all, every node has the same repairs to make.
 """
 
 import collections
@@ -52,9 +53,9 @@
     """The default of `done`: the outcome is not needed."""
 
 
-def _lets_moves_pass(proposal: Proposal) -> bool:
-    """Whether it only waits: no acceptor is asked for it now."""
-    return not proposal.is_move and proposal.stage in (Stage.QUEUED, Stage.BACKOFF)
+def _lets_pass(waiting: Proposal, newcomer: Proposal) -> bool:
+    """Whether a proposal that only waits, so that no acceptor is asked for it now, lets a newer one go first."""
+    return waiting.priority > newcomer.priority and waiting.stage in (Stage.QUEUED, Stage.BACKOFF)
 
 
 class Proposer:
@@ -137,10 +138,11 @@
         done: Done,
         next_set: tuple[str, ...] | None = None,
         is_wanted: collections.abc.Callable[[], bool] | None = None,
+        is_repair: bool = False,
     ) -> None:
         """Changes a register, after the proposals for it that this node began before.
 
-        A move goes before those of them that wait.
+        A move goes before those of them that wait, and any other change before repairs that wait.
 
         Args:
             name: the register.
@@ -150,6 +152,7 @@
                 `QuorumUnavailableError`: then the change may have been made, or may still be.
             next_set: the core set to move the register to.
             is_wanted: called before each attempt; False ends the proposal.
+            is_repair: whether it only makes known, or completes, what other proposals left behind.
         """
         self._last_number += 1
         proposal = Proposal(
@@ -160,29 +163,34 @@
             next_set=next_set,
             is_wanted=is_wanted,
             deadline=self._now() + self._limit_s,
+            is_repair=is_repair,
         )
         queue = self._queues.setdefault(name, collections.deque())
         if self._enqueue(queue, proposal):
             self._start(proposal)
 
-    def read(self, *, name: str, done: Done) -> None:
-        """Reads a register; `done` as with `change`, with result None."""
-        self.change(name=name, edit=None, done=done)
+    def read(self, *, name: str, done: Done, is_repair: bool = False) -> None:
+        """Reads a register; `done` and `is_repair` as with `change`, with result None."""
+        self.change(name=name, edit=None, done=done, is_repair=is_repair)
 
-    def finish_move(self, *, name: str) -> None:
-        """Writes the value found once more, without the set before it where the move from that is over."""
+    def finish_move(self, *, name: str, is_wanted: collections.abc.Callable[[], bool] | None = None) -> None:
+        """Writes the value found once more, without the set before it where the move from that is over.
+
+        Args:
+            name: the register.
+            is_wanted: called before each attempt; False ends the proposal.
+        """
 
         def unchanged(payload: object) -> tuple[object, None]:
             return payload, None
 
-        self.change(name=name, edit=unchanged, done=_ignore_outcome)
+        self.change(name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True)
 
     # The queue.
     def _enqueue(self, queue: collections.deque[Proposal], proposal: Proposal) -> bool:
         """Queues a proposal; returns whether it is the first, which is to start."""
-        position = len(queue)
-        if proposal.is_move:
-            position = next((index for index, waiting in enumerate(queue) if _lets_moves_pass(waiting)), position)
+        positions = (index for index, waiting in enumerate(queue) if _lets_pass(waiting, proposal))
+        position = next(positions, len(queue))
         if position == 0 and queue:
             self._deactivate(queue[0])
         queue.insert(position, proposal)
@@ -193,15 +201,16 @@
         self._active.pop(proposal.number, None)
         proposal.stage = Stage.QUEUED
 
-    def _let_move_pass(self, proposal: Proposal) -> bool:
-        """Requeues a proposal that pauses behind the moves that wait behind it; returns whether there are any."""
+    def _let_others_pass(self, proposal: Proposal) -> bool:
+        """Requeues a proposal that pauses behind those of a higher priority; returns whether there are any."""
         queue = self._queues[proposal.register]
-        if proposal.is_move or not any(waiting.is_move for waiting in queue):
+        if not any(_lets_pass(proposal, waiting) for waiting in queue):
             return False
         queue.remove(proposal)
         following = queue[0]
         self._deactivate(proposal)
-        position = next((index for index, waiting in enumerate(queue) if not waiting.is_move), len(queue))
+        positions = (index for index, waiting in enumerate(queue) if waiting.priority >= proposal.priority)
+        position = next(positions, len(queue))
         queue.insert(position, proposal)
         self._later(0, lambda: self._start_queued(following))
         return True
@@ -232,7 +241,7 @@
         proposal.done(*(proposal.move_outcome or outcome))
 
     def _start_queued(self, proposal: Proposal) -> None:
-        # A move may have been queued in front of it meanwhile.
+        # Another one may have been queued in front of it meanwhile.
         if proposal.stage is Stage.QUEUED and self._queues[proposal.register][0] is proposal:
             self._start(proposal)
 
@@ -391,7 +400,7 @@
         if proposal.stage in (Stage.FINISHED, Stage.BACKOFF):
             return
         proposal.stage = Stage.BACKOFF
-        if self._let_move_pass(proposal):
+        if self._let_others_pass(proposal):
             return
         # An attempt takes about half of its time-out: the attempts of two competing proposers have to be further apart
         # than that. The pauses of a move of the set do not grow, so that it succeeds while orders keep coming.
@@ -499,6 +508,8 @@
             self._prepare(proposal)
         elif proposal.next_set is not None and proposal.move_outcome is None and is_moving:
             # The move is chosen. One more attempt removes the older set from the value: it is no longer needed then.
+            # That attempt is made however late it is, as all other nodes wait for it before they propose.
+            proposal.deadline = max(proposal.deadline, self._now() + self.pacing.timeout_s())
             proposal.move_outcome = Outcome(written.error, revision, written.payload, written.result)
             proposal.edit = None
             proposal.next_set = None
--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -51,10 +51,13 @@
         )
         self.ended = []
 
-    def change(self, name="duty"):
+    def change(self, name="duty", **options):
         number = len(self.ended)
         self.proposer.change(
-            name=name, edit=lambda payload: (1, payload), done=lambda *row: self.ended.append((self.time.now, number))
+            name=name,
+            edit=lambda payload: (1, payload),
+            done=lambda *row: self.ended.append((self.time.now, number)),
+            **options,
         )
 
     def prepares(self):
@@ -125,3 +128,48 @@
     scene.change()
     scene.time.run(0.0)
     assert scene.prepares()
+
+
+def test_on_usual_disks_a_repair_waits_for_another_node_s_attempt_and_a_call_of_this_node_goes_first():
+    scene = Scene(is_move_expected=False)
+    scene.proposer.pacing.note_other_attempt(name="duty")
+    scene.change(is_repair=True)
+    scene.time.run(0.5 * TIMEOUT_S)
+    assert not scene.prepares()
+    scene.change()
+    assert scene.prepares() == [0.5 * TIMEOUT_S] * len(SET)
+
+
+def test_a_repair_goes_on_once_the_other_node_s_attempt_had_its_time():
+    scene = Scene(is_move_expected=False)
+    scene.proposer.pacing.note_other_attempt(name="duty")
+    scene.change(is_repair=True)
+    scene.time.run(1.1 * TIMEOUT_S)
+    assert len(scene.prepares()) == len(SET)
+
+
+def test_a_move_that_others_have_finished_is_not_finished_once_more():
+    scene = Scene(is_move_expected=False)
+    is_half_moved = [True, False]
+    scene.proposer.finish_move(name="duty", is_wanted=lambda: is_half_moved.pop(0))
+    scene.time.run(LIMIT_S)
+    assert len(scene.prepares()) == len(SET) and not is_half_moved
+
+
+def test_proposals_that_wait_stand_in_the_order_of_their_priorities():
+    scene = Scene(is_move_expected=False)
+    for options in ({}, {"is_repair": True}, {}, {"next_set": ("a", "b")}, {"is_repair": True}, {}):
+        scene.change(**options)
+    queue = scene.proposer._queues["duty"]
+    priorities = [waiting.priority.name for waiting in queue]
+    assert priorities == ["CALL", "MOVE", "CALL", "CALL", "REPAIR", "REPAIR"]  # the first one is at work
+
+
+def test_a_repair_that_fails_an_attempt_lets_the_call_behind_it_pass():
+    scene = Scene(is_move_expected=False)
+    scene.change(is_repair=True)
+    scene.change()
+    queue = scene.proposer._queues["duty"]
+    assert queue[0].is_repair
+    scene.proposer._back_off(queue[0])
+    assert [waiting.is_repair for waiting in queue] == [False, True]
--- a/ploverward/control_plane/consensus/test_move_priority.py
+++ b/ploverward/control_plane/consensus/test_move_priority.py
@@ -83,6 +83,21 @@
     assert ended == ["move", "order"]
 
 
+def test_a_move_that_is_chosen_late_still_leaves_out_the_former_set():
+    """All other nodes wait for that attempt, so it is made also where the proposal's time is over."""
+    model = settled(seed=6)
+    node = model.nodes["b"].voting
+    ends = []
+
+    def done(error, _revision, _payload, _result):
+        ends.append((error, ballots.member_sets(node.acceptor.get(NAME).value)))
+
+    node.proposer.change(name=NAME, edit=None, done=done, next_set=MOVED)
+    node.proposer._queues[NAME][0].deadline = model.world.now()
+    model.world.run(until=SETTLED_AT_S + 2.0)
+    assert ends == [(None, (MOVED,))]
+
+
 def test_another_node_lets_a_move_pass_and_goes_on_after_the_time_of_two_attempts():
     """b knows that the core set moved, while the register of orders still is under the former set."""
     model = settled(seed=5)
