--- a/ploverward/data_plane/quotas/test_tenant_admission.py
+++ b/ploverward/data_plane/quotas/test_tenant_admission.py
@@ -95,6 +95,22 @@
     assert send_request(scene, key=KEYS["clerks"])[0] == wanted
 
 
+def test_a_proxy_that_is_cut_off_serves_keys_for_a_while_refuses_them_by_a_promise_and_serves_again():
+    """Its configuration ages from the last question that was answered; then no key is refused for good."""
+    scene = scene_of(revocationStrict=1.0, revokeMs=5000.0)
+    freshness = credential_freshness.ConfigurationFreshness(now=scene.loop.now)
+    scene.proxy.configuration_age_s = lambda: freshness.age_s(version=BODY["edition"])
+    freshness.record(core="k", version=BODY["edition"], asked_at=scene.loop.now(), age_s=0.0)
+    scene.proxy.quota_allowance.record(core="k", asked_at=scene.loop.now() + 600.0, proxy_count=1, credits=[])
+    statuses = []
+    for skipped_s in (0.0, 3.0, 1.9, 30.0):
+        scene.loop.skip(seconds=skipped_s)
+        statuses.append((send_request(scene, key=KEYS["clerks"])[0], send_request(scene, key="unknown")[0]))
+    freshness.record(core="k", version=BODY["edition"], asked_at=scene.loop.now() - 0.1, age_s=0.2)
+    statuses.append((send_request(scene, key=KEYS["clerks"])[0], send_request(scene, key="unknown")[0]))
+    assert statuses == [(200, 401), (200, 503), (503, 503), (503, 503), (200, 401)]
+
+
 def test_the_tenants_priority_and_homes_bind():
     status, heard = send_request(scene_of(), key=KEYS["clerks"], lead="resume")
     assert status == 200 and b"x-urgency: 3" in heard.lower()
--- /dev/null
+++ b/ploverward/simulation/control_plane/test_processor_quota.py
@@ -0,0 +1,64 @@
+"""Core nodes whose share of a core is a quota: they stand still for the rest of each tenth of a second.
+
+Nobody may take that for a fault: no role changes its owner, the core set stays, every order is acknowledged in time.
+Runs are played in a process of their own, in which sets of strings have one order: so a seed names one history.
+"""
+
+import pytest
+
+from ploverward.testing.seeded_process import run
+
+QUOTA = """
+import sys
+from ploverward.simulation.control_plane import scenario
+
+PERIOD_S, RUNS_S, SETTLED_AT_S, UNTIL_S = 0.1, 0.04, 10.0, 30.0
+
+scenario.silence_log()
+plan = scenario.Plan(seed=int(sys.argv[1]), machines=5, tolerated=2, disk=int(sys.argv[2]), troubles=(), closing=())
+run = scenario.SimulationRun(plan=plan)
+run.build()
+run.operators.start()
+run.clock.run(until=SETTLED_AT_S)
+slots = list(run.fleet.slots)
+nodes = [slot.machine.core.core for slot in slots]
+
+
+def agreed():
+    return {(node.coordinator.epoch, node.coordinator.address, node.membership.agreed().members) for node in nodes}
+
+
+def stand_still(process):
+    process.is_frozen = True
+    run.clock.later(delay=PERIOD_S - RUNS_S, callback=lambda: go_on(process))
+
+
+def go_on(process):
+    process.thaw()
+    run.clock.later(delay=RUNS_S, callback=lambda: stand_still(process))
+
+
+before = agreed()
+for slot in slots:
+    process = slot.machine.running_process
+    begins_after_s = run.clock.chance.uniform(0.0, PERIOD_S)
+    run.clock.later(delay=begins_after_s, callback=lambda process=process: stand_still(process))
+run.clock.run(until=UNTIL_S)
+after = agreed()
+late = [
+    order.name
+    for order in run.operators.orders
+    if order.is_valid and order.begun_at > SETTLED_AT_S and order.begun_at < UNTIL_S - 5.0
+    and (order.ended_at is None or order.ended_at - order.begun_at > 5.0)
+]
+print(before, after, late, run.recorder.findings, len(run.values.configurations))
+is_undisturbed = len(before) == 1 and after == before and not late and not run.recorder.findings
+sys.exit(0 if is_undisturbed and len(run.values.configurations) > 5 else 1)
+"""
+
+
+@pytest.mark.parametrize("disk", ["0", "2"])
+@pytest.mark.parametrize("seed", ["1", "2"])
+def test_a_node_that_stands_still_in_each_tenth_of_a_second_is_no_fault(seed, disk):
+    ended = run("-c", QUOTA, seed, disk)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
