--- a/ploverward/control_plane/quotas/test_quota_meter.py
+++ b/ploverward/control_plane/quotas/test_quota_meter.py
@@ -160,7 +160,15 @@
 
 @pytest.mark.parametrize(
     "fault_kinds",
-    [("none",), ("hot",), ("cut_region", "hot"), ("restart_all", "hot"), ("restart_core", "hot"), ("lower", "hot")],
+    [
+        ("none",),
+        ("hot",),
+        ("cut_region", "hot"),
+        ("restart_all", "hot"),
+        ("disks_lost_all_power", "hot"),
+        ("restart_core", "hot"),
+        ("lower", "hot"),
+    ],
 )
 def test_no_window_passes_the_bound(fault_kinds):
     for seed in range(2):
--- a/ploverward/simulation/quota_simulation.py
+++ b/ploverward/simulation/quota_simulation.py
@@ -42,8 +42,11 @@
     "restart_cores",
     "restart_core",
     "restart_all",
+    "disks_lost_all_power",
     "lower",
 )
+DISKS_LOST = 2  # of the core nodes, in that fault
+EMPTIED_DOWN_S = 1.5  # until a core node whose disk was lost is back
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,8 +86,14 @@
     def __init__(self, *, simulation: "QuotaSimulation", name: str) -> None:
         self.simulation = simulation
         self.name = name
+        self.down_until = 0.0  # by the simulated time in seconds
         self.start()
 
+    @property
+    def is_down(self) -> bool:
+        """Whether its machine is not back yet."""
+        return self.simulation.world.now() < self.down_until
+
     def start(self) -> None:
         """Starts the process anew, without what it had counted."""
         world = self.simulation.world
@@ -136,7 +145,7 @@
         incarnation = str(self.incarnation)
 
         def deliver() -> None:
-            if self.is_partitioned or incarnation != str(self.incarnation):
+            if self.is_partitioned or incarnation != str(self.incarnation) or core.is_down:
                 return
             core.meter.record(proxy=self.name, incarnation=incarnation, rows=tenant_usage.unpack_usage(data))
             credits = core.meter.credits(proxy=self.name)
@@ -218,6 +227,7 @@
             "restart_cores": lambda: self._restart(self.cores[: CORES // 2]),
             "restart_core": lambda: self._restart(self.cores),
             "restart_all": self._restart_all,
+            "disks_lost_all_power": self._lose_disks_and_all_power,
             "lower": self._lower,
         }
         self.world.later(chance.uniform(FIRST_FAULT_S, LAST_FAULT_S), acts[name])
@@ -231,6 +241,14 @@
         self._restart((*self.cores, *self.proxies))
         self._freeze(self.proxies, RESTART_S)
 
+    def _lose_disks_and_all_power(self) -> None:
+        """As many core nodes as may be lost lose their disks, all other machines lose power at that moment."""
+        emptied = self.chance.sample(self.cores, DISKS_LOST)
+        for core in emptied:
+            core.down_until = self.world.now() + EMPTIED_DOWN_S
+        self._restart_all()
+        self.world.later(EMPTIED_DOWN_S, lambda: self._restart(emptied))
+
     def _freeze(self, proxies: Iterable[Proxy], for_s: float) -> None:
         for proxy in proxies:
             proxy.frozen_until = self.world.now() + for_s
