Catch-up: an emptied seed stands for no voter once the set has moved

Two seeds that were emptied together, with firstStart still true, counted each other's 'no identity' as an answer: each took over the value of a lower ballot without having heard the voter with the higher one. Change: such answers count only while no value stands under another set than the one to be founded. Ruled out: never beside a voter; then the last of three seeds waits for ever.

--- a/ploverward/control_plane/consensus/catch_up.py
+++ b/ploverward/control_plane/consensus/catch_up.py
@@ -6,8 +6,10 @@
 replies leave those out.
 
 At the first start of the whole system no disk has an identity and there is nothing to learn. Then the seeds answer each
-other that they have none (`handle_without_identity`); such an answer counts like one without rows, and as there is
-nothing to fence off, DONE follows LOOK. So a disk that was emptied later founds nothing, also where the settings still
+other that they have none (`handle_without_identity`), and as there is nothing to fence off, DONE follows LOOK. Such an
+answer counts, also beside that of a seed which founded the set a moment ago, while no value stands under another set.
+Later it comes from a node whose disk was emptied as well: it knows nothing of what it accepted, and may stand for no
+voter (docs/incidents/two-emptied-seeds.md). A disk that was emptied later founds nothing, also where the settings still
 say that this is the first start: the members of a set that exists answer with their rows, or do not answer.
 """
 
@@ -134,8 +136,7 @@
     def handle_without_identity(self, *, member: str, number: int, founding_set: tuple[str, ...]) -> None:
         """Processes the reply of a node that has no identity either and is to found a set.
 
-        It counts where both are to found the same set. What such a node may have voted for before its disk was emptied
-        needs no fence: accepts name the incarnation that promised, and it will have another one.
+        It counts where both are to found the same set, and that set is still the only one.
 
         Args:
             member: the node.
@@ -194,4 +195,14 @@
         if self._own in members:
             # It may have voted before its disk was emptied: so many others overlap each majority that it was in.
             needed = len(members) - needed + 1
-        return sum(1 for member in members if member != self._own and member in self.answers) >= needed
+        counted = self._counted_answers()
+        return sum(1 for member in members if member != self._own and member in counted) >= needed
+
+    def _counted_answers(self) -> collections.abc.Collection[str]:
+        """Who has answered with what it knows, and while the set is being founded those that have nothing to know."""
+        return self.answers.keys() if self._is_founding() else self.answers.keys() - self._without_identity
+
+    def _is_founding(self) -> bool:
+        """Whether no answer shows a value under another set than the one to be founded."""
+        values = (value.value for received in self._values.values() for value in received.values())
+        return all(ballots.member_sets(value) == (self.founding_set,) for value in values)
--- a/ploverward/control_plane/consensus/test_catch_up.py
+++ b/ploverward/control_plane/consensus/test_catch_up.py
@@ -273,6 +273,29 @@
     assert catch_up.has_found_values
 
 
+def test_of_two_emptied_seeds_neither_counts_for_the_other_once_the_set_has_moved():
+    """docs/incidents/two-emptied-seeds.md: five members, two without a disk; the three others have to answer twice."""
+    members = tuple("abcde")
+    catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS, founding_set=SEEDS)
+    rows = rows_of(members)
+    assert answer_without_identity(catch_up, "b") == refills.Stage.LOOK
+    assert handle(catch_up, {"c": rows, "d": rows}) == refills.Stage.LOOK
+    assert handle(catch_up, {"e": rows}) == refills.Stage.FENCE
+    assert answer_without_identity(catch_up, "b") == refills.Stage.FENCE
+    assert handle(catch_up, {"c": rows, "d": rows}) == refills.Stage.FENCE
+    assert handle(catch_up, {"e": rows}) == refills.Stage.DONE
+
+
+def test_a_register_without_a_value_does_not_make_them_count_either():
+    """One register has moved to five members; the others were never written, so they stand under the first set."""
+    members = tuple("abcde")
+    catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS, founding_set=SEEDS)
+    row = rows_of(members)[:1]
+    assert answer_without_identity(catch_up, "b") == refills.Stage.LOOK
+    assert handle(catch_up, {"c": row, "d": row, "e": row}) == refills.Stage.LOOK
+    assert handle(catch_up, {"b": row}) == refills.Stage.FENCE
+
+
 def test_a_learner_that_founds_nothing_does_not_count_them():
     catch_up = refills.LearnerCatchUp(own="a", registers=register_names.REGISTERS)
     assert answer_without_identity(catch_up, "bc") == refills.Stage.LOOK and not catch_up.answers
