--- a/ploverward/command_line/test_golden_interfaces.py
+++ b/ploverward/command_line/test_golden_interfaces.py
@@ -103,7 +103,7 @@
         """A proxy has told of a request and of an adapter."""
         operator_api = self.core().operator_api
         trails = (messages.CustodyTrail("a1", json.dumps(TRAIL).encode()),)
-        operator_api.handle_custody_trails(
+        self.core().custody.record(
             messages.CustodyTrails(node="n-p", incarnation="l1", number=0, is_last=False, trails=trails)
         )
         count = messages.AdapterCount(
--- /dev/null
+++ b/ploverward/control_plane/audit/test_trail_segments.py
@@ -0,0 +1,168 @@
+"""Blocks and segments of custody trails: what is written is read back, whatever the disk does to the last writes."""
+
+import json
+import struct
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from ploverward.control_plane.audit import trail_block
+from ploverward.control_plane.audit import trail_segments
+from ploverward.control_plane.consensus import checksummed_records
+
+ROW = trail_block.BatchRow("p1", "l1", 0, False, 1)
+
+
+def trail(name):
+    return name, json.dumps({"id": name, "goes": []}, separators=(",", ":")).encode()
+
+
+def block(number, *names, first_offset=None):
+    return trail_block.pack(
+        number=number,
+        first_offset=number * 100 if first_offset is None else first_offset,
+        written_at=float(number),
+        batches=[ROW._replace(number=number, trails=len(names))],
+        trails=[trail(name) for name in names],
+    )
+
+
+class Disk:
+    """Files in memory."""
+
+    def __init__(self):
+        self.files = {}
+        self.is_refusing = False
+
+    def read(self, *, name):
+        return self.files.get(name)
+
+    def append(self, *, name, data, size_before):
+        if self.is_refusing:
+            self.files[name] = self.files[name][:size_before] + data[: len(data) // 2]
+            raise OSError("refused")
+        self.files[name] = self.files[name][:size_before] + data
+
+    def replace(self, *, name, new_name, data):
+        if self.is_refusing:
+            raise OSError("refused")
+        self.files[name] = data
+
+
+def make(disk, *, limit_bytes=100_000):
+    return trail_segments.TrailSegments(disk=disk, limit_bytes=limit_bytes)
+
+
+def names_of(segments, blocks):
+    return [[row["id"] for row in segments.read(stored)] for stored in blocks]
+
+
+@given(
+    strategies.lists(strategies.text(max_size=12), max_size=20),
+    strategies.floats(min_value=0, max_value=1e10),
+    strategies.integers(min_value=1, max_value=2**62),
+)
+def test_a_block_is_read_as_it_was_written(names, written_at, first_offset):
+    rows = [trail_block.BatchRow("p", "l", 3, True, len(names))]
+    body = trail_block.pack(
+        number=7, first_offset=first_offset, written_at=written_at, batches=rows, trails=[trail(name) for name in names]
+    )
+    header = trail_block.unpack_header(body)
+    assert header[:4] == (7, first_offset, written_at, tuple(rows))
+    assert header.end_offset == first_offset + len(names)
+    assert [row["id"] for row in trail_block.unpack_trails(body)] == names
+    assert all(place in header.positions_of(name) for place, name in enumerate(names))
+
+
+@given(strategies.binary(max_size=200))
+def test_bytes_that_are_no_block_are_refused(data):
+    with pytest.raises(ValueError):
+        trail_block.unpack_header(data[:8] + struct.pack(">I", 0xFFFFFFF0) + data)
+
+
+def test_an_id_that_only_shares_bytes_with_two_neighbours_is_not_found():
+    header = trail_block.unpack_header(block(1, "a", "b"))
+    shifted = header.ids[2:6]
+    assert shifted in header.ids
+    pretended = header._replace(ids=header.ids)
+    assert all(pretended.ids[place * 4 : place * 4 + 4] != shifted for place in range(2))
+
+
+def test_blocks_of_an_earlier_process_are_found_and_continued():
+    disk = Disk()
+    first = make(disk)
+    first.write(block(1, "a", "b"))
+    first.write(block(2, "c"))
+    second = make(disk)
+    blocks = second.load()
+    assert names_of(second, blocks) == [["a", "b"], ["c"]]
+    blocks.append(second.write(block(3, "d")))
+    assert names_of(make(disk), make(disk).load()) == [["a", "b"], ["c"], ["d"]]
+    assert len(disk.files) == 1
+
+
+def test_the_oldest_segment_gives_way():
+    disk = Disk()
+    record = len(checksummed_records.pack(block(1, "name-1")))
+    segments = make(disk, limit_bytes=trail_segments.SEGMENTS * (2 * record + 10))
+    for number in range(1, 31):
+        segments.write(block(number, f"name-{number}"))
+    found = make(disk).load()
+    numbers = [stored.header.number for stored in found]
+    assert numbers == list(range(15, 31))
+    assert sum(map(len, disk.files.values())) <= trail_segments.SEGMENTS * (2 * record + 10)
+
+
+def test_a_block_that_was_overwritten_meanwhile_is_read_as_none():
+    disk = Disk()
+    record = len(checksummed_records.pack(block(1, "name-1")))
+    segments = make(disk, limit_bytes=trail_segments.SEGMENTS * (record + 1))
+    first = segments.write(block(1, "name-1"))
+    for number in range(2, trail_segments.SEGMENTS + 2):
+        segments.write(block(number, f"name-{number}"))
+    assert segments.read(first) == []
+
+
+@pytest.mark.parametrize("missing", [1, 5, 30])
+def test_a_torn_tail_costs_the_last_block_alone(missing):
+    disk = Disk()
+    segments = make(disk)
+    segments.write(block(1, "a"))
+    segments.write(block(2, "b"))
+    (name,) = disk.files
+    disk.files[name] = disk.files[name][:-missing]
+    second = make(disk)
+    blocks = second.load()
+    assert names_of(second, blocks) == [["a"]]
+    second.write(block(2, "c"))
+    third = make(disk)
+    assert names_of(third, third.load()) == [["a"], ["c"]]
+
+
+def test_damage_in_the_middle_keeps_what_stands_before_it():
+    disk = Disk()
+    segments = make(disk)
+    blocks = [segments.write(block(number, f"n{number}")) for number in (1, 2, 3)]
+    (name,) = disk.files
+    data = bytearray(disk.files[name])
+    data[blocks[1].begin + 12] ^= 0xFF
+    disk.files[name] = bytes(data)
+    second = make(disk)
+    assert names_of(second, second.load()) == [["n1"]]
+    second.write(block(4, "n4"))
+    assert names_of(make(disk), make(disk).load()) == [["n1"], ["n4"]]
+
+
+def test_after_a_refused_write_the_next_block_goes_to_another_segment():
+    disk = Disk()
+    segments = make(disk)
+    segments.write(block(1, "a"))
+    disk.is_refusing = True
+    with pytest.raises(OSError):
+        segments.write(block(2, "b"))
+    disk.is_refusing = False
+    segments.write(block(2, "b"))
+    third = make(disk)
+    assert names_of(third, third.load()) == [["a"], ["b"]]
+    assert len(disk.files) == 2
--- /dev/null
+++ b/ploverward/control_plane/audit/trail_archive.py
@@ -0,0 +1,255 @@
+"""Custody trails on a core node's disk: written in the background, found again after a restart (docs/residency.md).
+
+`TrailArchive` owns what waits for the next write and the index of what is written. States: LOADING (the index is being
+read; batches wait), then IDLE and WRITING by turns. A trail that was received is lost only with the disk, or with a
+process that ends within `flush_s` of it; the numbers of batches then show the gap.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import logging
+import typing
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from ploverward.common import failure_spell
+from ploverward.control_plane.audit import trail_block
+from ploverward.control_plane.audit import trail_segments
+from ploverward.transport import interfaces
+
+_log = logging.getLogger(__name__)
+
+MAX_WAITING_TRAILS = 4000  # that no disk has taken; the oldest are dropped beyond
+MAX_BLOCK_TRAILS = 500  # a page of an audit
+
+Trails = list[dict[str, typing.Any]]
+
+
+class _State(enum.Enum):
+    LOADING = "loading"
+    IDLE = "idle"
+    WRITING = "writing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NumberedBatch:
+    """A batch that is to be written.
+
+    Attributes:
+        row: What it covers.
+        first_offset: Of its first trail.
+        trails: Request id and trail as JSON.
+    """
+
+    row: trail_block.BatchRow
+    first_offset: int
+    trails: tuple[tuple[str, bytes], ...]
+
+
+class TrailArchive:
+    """The trails of one core node's disk.
+
+    Args:
+        loop: The event loop; all methods run on it.
+        segments: The files.
+        wall_time: Wall-clock time in seconds.
+        flush_s: From the first batch that waits to the write.
+        retention_s: How long a trail may be found, in seconds of wall-clock time.
+        on_loaded: Called once with the batches that the disk has.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: interfaces.Loop,
+        segments: trail_segments.TrailSegments,
+        wall_time: Callable[[], float],
+        flush_s: float,
+        retention_s: float,
+        on_loaded: Callable[[Sequence[trail_block.BatchRow]], object],
+    ) -> None:
+        self._loop = loop
+        self._segments = segments
+        self._wall_time = wall_time
+        self._flush_s = flush_s
+        self._retention_s = retention_s
+        self._on_loaded = on_loaded
+        self._state = _State.LOADING
+        self._waiting: list[NumberedBatch] = []
+        self._blocks: list[trail_segments.StoredBlock] = []  # the oldest first
+        self._next_number = 1
+        self._has_timer = False
+        self._dropped = 0
+        self._spell = failure_spell.FailureSpell(
+            now=loop.now, failed_event="custody_write_failed", recovered_event="custody_write_recovered"
+        )
+
+    def start(self) -> None:
+        """Reads the index."""
+        self._loop.offload(work=self._segments.load, done=self._handle_loaded)
+
+    def _handle_loaded(self, outcome: interfaces.Outcome) -> None:
+        if outcome.exception() is None:
+            self._blocks = outcome.result()
+        if self._blocks:
+            self._next_number = self._blocks[-1].header.number + 1
+        self._state = _State.IDLE
+        self._on_loaded([row for block in self._blocks for row in block.header.batches])
+        self._schedule()
+
+    @property
+    def end_offset(self) -> int:
+        """One behind the offset of the newest trail on the disk; 0 where there is none."""
+        return max((block.header.end_offset for block in self._blocks), default=0)
+
+    @property
+    def has_first_block(self) -> bool:
+        """Whether nothing that was written was overwritten yet; also where nothing was written."""
+        return not self._blocks or self._blocks[0].header.number == 1
+
+    # Writing.
+    def add(self, batch: NumberedBatch) -> None:
+        """Takes a batch for one of the next writes."""
+        self._waiting.append(batch)
+        waiting = sum(len(waiting.trails) for waiting in self._waiting)
+        while waiting > MAX_WAITING_TRAILS:
+            dropped = len(self._waiting.pop(0).trails)
+            waiting -= dropped
+            self._dropped += dropped
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._has_timer or not self._waiting or self._state is _State.LOADING:
+            return
+        self._has_timer = True
+        self._loop.after(delay=self._flush_s, callback=self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._has_timer = False
+        self.flush()
+        self._schedule()
+
+    def flush(self) -> None:
+        """Writes what waits, unless a write is under way."""
+        if self._state is not _State.IDLE or not self._waiting:
+            return
+        batches = self._next_batches()
+        self._state = _State.WRITING
+        self._loop.offload(
+            work=lambda: self._segments.write(self._block_of(batches)),
+            done=lambda outcome: self._handle_written(outcome, batches),
+        )
+
+    def _next_batches(self) -> list[NumberedBatch]:
+        """Those of the next block. Its trails have offsets without a gap; a batch without any fits each block."""
+        batches: list[NumberedBatch] = []
+        trails = 0
+        for batch in self._waiting:
+            is_gap = bool(trails and batch.trails) and batch.first_offset != _first_offset(batches) + trails
+            if is_gap or (batches and trails + len(batch.trails) > MAX_BLOCK_TRAILS):
+                break
+            batches.append(batch)
+            trails += len(batch.trails)
+        return batches
+
+    def _block_of(self, batches: Sequence[NumberedBatch]) -> bytes:
+        return trail_block.pack(
+            number=self._next_number,
+            first_offset=_first_offset(batches),
+            written_at=self._wall_time(),
+            batches=[batch.row for batch in batches],
+            trails=[trail for batch in batches for trail in batch.trails],
+        )
+
+    def _handle_written(self, outcome: interfaces.Outcome, batches: Sequence[NumberedBatch]) -> None:
+        self._state = _State.IDLE
+        error = outcome.exception()
+        if error is not None:
+            self._spell.note_failure(error)
+            return
+        self._spell.note_success()
+        self._note_dropped()
+        written = set(map(id, batches))
+        self._waiting = [batch for batch in self._waiting if id(batch) not in written]
+        stored = outcome.result()
+        self._next_number += 1
+        if stored.begin == 0:  # it replaced the segment
+            self._blocks = [block for block in self._blocks if block.segment != stored.segment]
+        self._blocks.append(stored)
+        if sum(len(batch.trails) for batch in self._waiting) >= MAX_BLOCK_TRAILS:
+            self.flush()
+
+    def _note_dropped(self) -> None:
+        if self._dropped:
+            _log.error("custody_dropped", extra={"trails": self._dropped})
+            self._dropped = 0
+
+    # Reading.
+    def _kept_blocks(self) -> list[trail_segments.StoredBlock]:
+        oldest = self._wall_time() - self._retention_s
+        return [block for block in self._blocks if block.header.written_at >= oldest]
+
+    def find(self, *, request_id: str, before: int, done: Callable[[Trails], object]) -> None:
+        """Finds the trails of a request.
+
+        Args:
+            request_id: Of the request.
+            before: Trails from this offset on are not looked for.
+            done: Called with the trails, the oldest first.
+        """
+        blocks = [
+            block
+            for block in self._kept_blocks()
+            if block.header.first_offset < before and block.header.may_have(request_id)
+        ]
+
+        def read() -> Trails:
+            found = []
+            for block in blocks:
+                trails = self._segments.read(block)[: max(0, before - block.header.first_offset)]
+                found += [trail for trail in trails if trail["id"] == request_id]
+            return found
+
+        self._read(read, done)
+
+    def page(self, *, after: int, before: int, done: Callable[[Trails, int], object]) -> bool:
+        """Reads the trails of one block.
+
+        Args:
+            after: Those behind this offset.
+            before: Those before this offset.
+            done: Called with the trails and the offset of the last one.
+
+        Returns:
+            Whether there are any; else `done` is not called.
+        """
+        for block in sorted(self._kept_blocks(), key=lambda block: block.header.first_offset):
+            first, end = block.header.first_offset, min(block.header.end_offset, before)
+            if first < end and after < end - 1:
+                self._read_range(block, begin=max(first, after + 1), end=end, done=done)
+                return True
+        return False
+
+    def _read_range(
+        self, block: trail_segments.StoredBlock, *, begin: int, end: int, done: Callable[[Trails, int], object]
+    ) -> None:
+        """Reads the trails of a block from one offset to before another."""
+        first = block.header.first_offset
+        self._read(
+            lambda: self._segments.read(block)[begin - first : end - first], lambda trails: done(trails, end - 1)
+        )
+
+    def _read(self, work: Callable[[], Trails], done: Callable[[Trails], object]) -> None:
+        def handle(outcome: interfaces.Outcome) -> None:
+            error = outcome.exception()
+            if error is not None:
+                _log.error("custody_unreadable", extra={"segment": -1, "fault": str(error)})
+            done([] if error is not None else outcome.result())
+
+        self._loop.offload(work=work, done=handle)
+
+
+def _first_offset(batches: Sequence[NumberedBatch]) -> int:
+    return next((batch.first_offset for batch in batches if batch.trails), 0)
--- a/ploverward/control_plane/audit/trail_store.py
+++ b/ploverward/control_plane/audit/trail_store.py
@@ -8,10 +8,10 @@
 import collections
 import collections.abc
 import dataclasses
-import itertools
 import json
 import typing
 
+from ploverward.control_plane.audit import trail_block
 from ploverward.transport import messages
 
 MAX_INCARNATIONS = 1000  # of proxies whose coverage is kept
@@ -67,23 +67,58 @@
         self._max_trails = max_trails
         self._trails: collections.OrderedDict[int, _StoredTrail] = collections.OrderedDict()  # by offset, rising
         self._offsets_by_request: dict[str, list[int]] = {}
-        self._offsets = itertools.count(1)
+        self._next_offset = 1
         self._batch_counts: dict[tuple[str, str], _BatchCounts] = {}  # by node and incarnation
 
-    def record(self, batch: messages.CustodyTrails) -> None:
-        """Stores a batch; a repeated one is ignored."""
+    def resume(
+        self, rows: collections.abc.Iterable[trail_block.BatchRow], *, end_offset: int, is_complete: bool
+    ) -> None:
+        """Continues from the batches that an earlier process of this node stored.
+
+        Args:
+            rows: the batches, the oldest first.
+            end_offset: one behind the offset of their last trail.
+            is_complete: whether all that was ever stored is there; else an incarnation's first batches may have been
+                dropped for their age, and are not missing.
+        """
+        self._next_offset = max(self._next_offset, end_offset)
+        for row in rows:
+            key = (row.node, row.incarnation)
+            if key not in self._batch_counts:
+                self._batch_counts[key] = _BatchCounts(next_number=0 if is_complete else row.number)
+            self._count(self._batch_counts[key], number=row.number, is_last=row.is_last, trails=row.trails)
+
+    @staticmethod
+    def _count(counts: _BatchCounts, *, number: int, is_last: bool, trails: int) -> None:
+        counts.missing += number - counts.next_number
+        counts.next_number = number + 1
+        counts.is_closed = counts.is_closed or is_last
+        counts.trails += trails
+
+    @property
+    def oldest_offset(self) -> int | None:
+        """The offset of the oldest trail that is kept; None where none is."""
+        self._trim()
+        return next(iter(self._trails), None)
+
+    def record(self, batch: messages.CustodyTrails) -> int | None:
+        """Stores a batch; a repeated one is ignored.
+
+        Returns:
+            The offset of its first trail, or of the next one where it has none; None: it was repeated.
+        """
         counts = self._batch_counts.setdefault((batch.node, batch.incarnation), _BatchCounts())
         if batch.number < counts.next_number:
-            return
-        counts.missing += batch.number - counts.next_number
-        counts.next_number = batch.number + 1
-        counts.is_closed = counts.is_closed or batch.is_last
-        counts.trails += len(batch.trails)
+            return None
+        self._count(counts, number=batch.number, is_last=batch.is_last, trails=len(batch.trails))
+        first_offset = self._next_offset
         for request_id, data in batch.trails:
-            offset = next(self._offsets)
+            offset = self._next_offset
+            self._next_offset += 1
             self._trails[offset] = _StoredTrail(request_id=request_id, stored_at=self._now(), data=data)
             self._offsets_by_request.setdefault(request_id, []).append(offset)
         self._trim()
+        return first_offset
 
     def find(self, request_id: str) -> list[Json]:
         """The trails of a request, the oldest first; several if several proxies received it."""
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -15,6 +15,7 @@
 from ploverward.control_plane import installed_state
 from ploverward.control_plane import node_runtime
 from ploverward.control_plane import node_status
+from ploverward.control_plane.audit import custody_service
 from ploverward.control_plane.cluster import consensus_channel
 from ploverward.control_plane.cluster import coordinator
 from ploverward.control_plane.cluster import core_liveness
@@ -71,6 +72,7 @@
         consensus: Acceptor, proposer and storage of the registers.
         membership: The core set as this node knows it.
         tallies: Counters that work without a majority.
+        custody: Trails of requests, for the audit.
         role_table: Who owns which singleton role.
         operator_api: What operators and clients call.
     """
@@ -144,6 +146,12 @@
             members=self._members,
             limits=tally_service.TallyLimits.from_settings(settings, peer_timeout_s=self.timing.peer_timeout_s),
         )
+        self.custody = custody_service.CustodyService(
+            loop=self.loop,
+            disk=self.runtime.disk(folder=settings.data_dir),
+            wall_time=self.runtime.wall_time,
+            limits=custody_service.CustodyLimits.from_settings(settings, contact_s=self.timing.contact_s),
+        )
         self.heartbeats = heartbeats.HeartbeatExchange(
             sessions=self.sessions, membership=self.membership, lease=self.lease, consensus=self.consensus
         )
@@ -273,6 +281,7 @@
             publisher=self.publisher,
             meter=self.meter,
             tallies=self.tallies,
+            custody=self.custody,
             node=dependencies.NodeState(
                 own=self.own,
                 settings=lambda: self.settings.current,
@@ -310,7 +319,7 @@
             coordinator=self.coordinator,
             core_set=self.core_set,
             wanted_voters=self.wanted_voters,
-            stop_serving=self.operator_api.shut_down,
+            stop_serving=self._stop_serving,
             reconcile_roles=self.roles.reconcile,
             has_handed_over=self.tallies.has_handed_over,
             end=self._end,
@@ -332,7 +341,7 @@
         self.router.add(self.witnesses.handlers())
         self.router.add(
             {
-                messages.CustodyTrails: lambda _connection, message: self.operator_api.handle_custody_trails(message),
+                messages.CustodyTrails: lambda _connection, message: self.custody.record(message),
                 messages.CacheOwners: lambda _connection, message: self.operator_api.handle_cache_owners(message),
                 messages.AdapterCounts: lambda _connection, message: self.operator_api.handle_adapter_counts(message),
             }
@@ -352,6 +361,7 @@
         self._resume_shares()
         self.sessions.connect_to_cores()
         self.tallies.start()
+        self.custody.start()
         self.operator_api.listen()
         self.watch.start()
         self.loop.every(interval_s=self.timing.heartbeat_interval_s, callback=self._on_heartbeat_interval)
@@ -376,6 +386,10 @@
         self.owned_shares.begin_first_start(first_set)
         self.share_granter.begin_first_start()
 
+    def _stop_serving(self) -> None:
+        self.operator_api.shut_down()
+        self.custody.flush()
+
     def _end(self) -> None:
         self.watch.stop()
         self.loop.stop()
--- a/ploverward/control_plane/node_runtime.py
+++ b/ploverward/control_plane/node_runtime.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import time
 import uuid
 from collections.abc import Callable
 from collections.abc import Collection
@@ -126,6 +127,10 @@
         """Returns a random number from 0 to below 1."""
         return random.random()
 
+    def wall_time(self) -> float:
+        """Returns the time of day in seconds since 1970; it may jump."""
+        return time.time()
+
     def unique_id(self) -> str:
         """Returns an identifier that no other call returns on any machine."""
         return uuid.uuid4().hex[:ID_DIGITS]
--- a/ploverward/control_plane/operator_api/custody_handlers.py
+++ b/ploverward/control_plane/operator_api/custody_handlers.py
@@ -9,7 +9,8 @@
 import itertools
 import typing
 
-from ploverward.control_plane.audit.trail_store import TrailStore
+from ploverward.control_plane.audit.custody_service import CustodyService
+from ploverward.control_plane.audit.trail_store import TrailPage
 from ploverward.control_plane.operator_api.dependencies import Json
 from ploverward.control_plane.operator_api.dependencies import NodeState
 from ploverward.control_plane.operator_api.router import Call
@@ -18,8 +19,6 @@
 from ploverward.transport.interfaces import Loop
 from ploverward.transport.interfaces import Timer
 
-RETENTION_CONTACTS = 720  # trails are kept for so many contactMs: an hour, at 5 s
-TRAILS_PER_MB = 60  # of the process's memory
 TRAILS_PER_PAGE = 500
 OWNER_REPLY_PARTS = 12  # a proxy has receiptMs / 12 to say which replicas have parts in their caches
 MAX_OFFSET_DIGITS = 19  # of the offset in a query
@@ -65,23 +64,18 @@
 class CustodyHandlers:
     """Reads custody trails.
 
-    Attributes:
-        trail_store: the trails that proxies reported.
-
     Args:
         loop: the event loop.
         node: the state of this node.
-        contact_s: `contactMs` of the settings, in seconds.
+        custody: the trails that proxies reported.
         receipt_s: `receiptMs` of the settings, in seconds.
     """
 
-    def __init__(self, *, loop: Loop, node: NodeState, contact_s: float, receipt_s: float) -> None:
+    def __init__(self, *, loop: Loop, node: NodeState, custody: CustodyService, receipt_s: float) -> None:
         self._loop = loop
         self._node = node
-        self._retention_s = contact_s * RETENTION_CONTACTS
+        self._custody = custody
         self._reply_timeout_s = receipt_s / OWNER_REPLY_PARTS
-        max_trails = int(node.settings().memory_mb * TRAILS_PER_MB)
-        self.trail_store = TrailStore(now=loop.now, retention_s=self._retention_s, max_trails=max_trails)
         self._queries: dict[int, _OwnerQuery] = {}
         self._numbers = itertools.count(1)
 
@@ -94,7 +88,9 @@
 
     def handle_get_trail(self, call: Call, request_id: str) -> None:
         """Answers with the trails of one request, and which replicas still have parts of its prompt cached."""
-        trails = self.trail_store.find(request_id)
+        self._custody.find(request_id=request_id, done=lambda trails: self._answer_found(call, request_id, trails))
+
+    def _answer_found(self, call: Call, request_id: str, trails: list[Json]) -> None:
         if not trails:
             missing = MissingTrailBody(error=f"no trail of '{request_id}' here", node=self._node.settings().node)
             call.answer(status=http.HTTPStatus.NOT_FOUND, body=missing)
@@ -116,7 +112,10 @@
 
     def handle_get_trails(self, call: Call) -> None:
         """Answers with a page of trails, from the offset in the query on."""
-        page = self.trail_store.page(after=_offset_in(call.query.get("after", "0")), limit=TRAILS_PER_PAGE)
+        after = _offset_in(call.query.get("after", "0"))
+        self._custody.page(after=after, limit=TRAILS_PER_PAGE, done=lambda page: self._answer_page(call, page))
+
+    def _answer_page(self, call: Call, page: TrailPage) -> None:
         live_incarnations = {proxy.incarnation for proxy in self._node.proxies(is_listed=False)}
         settings = self._node.settings()
         body = TrailsBody(
@@ -124,9 +123,9 @@
             trails=page.trails,
             last=page.last,
             has_more=page.has_more,
-            coverage=self.trail_store.coverage(live_incarnations=live_incarnations),
+            coverage=self._custody.coverage(live_incarnations=live_incarnations),
             zones=settings.zones,
-            keep_s=self._retention_s,
+            keep_s=self._custody.retention_s,
         )
         call.answer(status=http.HTTPStatus.OK, body=body)
 
--- a/ploverward/control_plane/operator_api/server.py
+++ b/ploverward/control_plane/operator_api/server.py
@@ -7,6 +7,7 @@
 import typing
 
 from ploverward.common import settings as node_settings
+from ploverward.control_plane.audit import custody_service
 from ploverward.control_plane.configuration.register_payloads import Payload
 from ploverward.control_plane.discovery import directory
 from ploverward.control_plane.operator_api.adapter_handlers import AdapterHandlers
@@ -46,6 +47,7 @@
         publisher: the publisher of distributed topics.
         meter: counts what proxies admit for tenants.
         tallies: the tallies of this node.
+        custody: the custody trails of this node.
         node: the state of this node.
         timing: durations from the settings.
     """
@@ -59,6 +61,7 @@
         publisher: Publisher,
         meter: TenantMeter,
         tallies: tally_service.TallyService,
+        custody: custody_service.CustodyService,
         node: NodeState,
         timing: Timing,
     ) -> None:
@@ -82,7 +85,7 @@
             has_majority_contact=node.has_majority_contact,
         )
         self._adapters = AdapterHandlers(loop=loop, publisher=publisher, node=node, contact_s=timing.contact_s)
-        self._custody = CustodyHandlers(loop=loop, node=node, contact_s=timing.contact_s, receipt_s=timing.receipt_s)
+        self._custody = CustodyHandlers(loop=loop, node=node, custody=custody, receipt_s=timing.receipt_s)
         self._tallies = TallyHandlers(tallies=tallies, node_name=lambda: node.settings().node)
         proxy_directory = directory.Directory(
             now=loop.now,
@@ -134,10 +137,6 @@
         """Records a chosen value of the register of old orders."""
         self._orders.learn_archive(payload)
 
-    def handle_custody_trails(self, message: messages.CustodyTrails) -> None:
-        """Stores a batch of trails from a proxy."""
-        self._custody.trail_store.record(message)
-
     def handle_adapter_counts(self, message: messages.AdapterCounts) -> None:
         """Stores what proxies counted of adapters."""
         for count in message.counts:
--- a/ploverward/simulation/control_plane/simulated_runtime.py
+++ b/ploverward/simulation/control_plane/simulated_runtime.py
@@ -99,6 +99,10 @@
         """Returns a random number from 0 to below 1, of the run's one generator."""
         return self._clock.chance.random()
 
+    def wall_time(self) -> float:
+        """Returns the simulated time: all machines agree on it."""
+        return self._clock.time
+
     def unique_id(self) -> str:
         """Returns an identifier that no other call returns."""
         return f"{self._clock.chance.getrandbits(ID_BITS):012x}"
