Look-ups: a complete region that is cut off goes on by itself at once

Change: an isolated directory answers at once where the client's region is complete and each route of its host has a home in reach; else 503 first, as before.

--- a/ploverward/control_plane/discovery/directory.py
+++ b/ploverward/control_plane/discovery/directory.py
@@ -1,8 +1,9 @@
 """Chooses the proxies that a client may connect to (design 4, 10, docs/residency.md).
 
 Owns the time since which this node has been isolated, that is out of contact with a majority of the core nodes. At
-first the other nodes are better informed, and clients are referred to them (docs/incidents/region-cut-lookups.md).
-Later they count as lost, and this node answers from its own state, but sends no client out of its own region.
+first the other nodes may serve a client better, and it is referred to them (docs/incidents/region-cut-lookups.md),
+unless nothing that it needs is out of reach: its region is complete, and each route of its host has a home in reach.
+Later the others count as lost, and this node answers from its own state. It sends no client out of its own region.
 """
 
 import collections.abc
@@ -37,6 +38,7 @@
         is_core_live: whether this node is connected to the core node with this address.
         proxies: lists the proxies that may be named.
         configuration: the newest configuration that this node knows to be chosen, or None.
+        zones: zone to region, of the settings.
         contact_s: `contactMs` of the settings, in seconds.
     """
 
@@ -48,6 +50,7 @@
         is_core_live: collections.abc.Callable[[str], bool],
         proxies: collections.abc.Callable[[], collections.abc.Sequence[ListedProxy]],
         configuration: collections.abc.Callable[[], dict[str, typing.Any] | None],
+        zones: collections.abc.Callable[[], collections.abc.Mapping[str, str]],
         contact_s: float,
     ) -> None:
         self._now = now
@@ -55,6 +58,7 @@
         self._is_core_live = is_core_live
         self._proxies = proxies
         self._configuration = configuration
+        self._zones = zones
         self._contact_s = contact_s
         self._isolated_since: float | None = None
 
@@ -72,11 +76,10 @@
         Raises:
             LookupRefusedError: this node must not answer now, or no proxy may serve the host.
         """
-        if self.is_isolated():
-            raise LookupRefusedError("cut off from the core; call another node")
         listed = self._proxies()
-        # Isolated for long, this node may not know the newest home regions, so it names proxies of the client's own
-        # region alone.
+        if self.is_isolated() and not self._has_all_in_reach(host=host, region=region, listed=listed):
+            raise LookupRefusedError("cut off from the core; call another node")
+        # An isolated node may not know the newest home regions, so it names proxies of the client's own region alone.
         configuration = None if self._isolated_since is not None else self._configuration()
         allowed = residency.lookup_regions(
             configuration=configuration, host=host, region=region, serving={proxy.region for proxy in listed}
@@ -97,3 +100,23 @@
         if self._isolated_since is None:
             self._isolated_since = self._now()
         return self._now() - self._isolated_since < self._contact_s * SILENT_CONTACTS
+
+    def _has_all_in_reach(self, *, host: str, region: str, listed: collections.abc.Sequence[ListedProxy]) -> bool:
+        """Whether a client of this region loses nothing if it stays there while this node is isolated.
+
+        That is so where the region is complete, so that the cut goes around it and not through it, and where each route
+        of the host has a home in reach. Which side has a majority, or whether any has, does not matter then: this node
+        can't know it.
+        """
+        zones = {zone for zone, its_region in self._zones().items() if its_region == region}
+        if not zones or not zones <= {proxy.zone for proxy in listed}:
+            return False
+        regions = {proxy.region for proxy in listed}
+        configuration = self._configuration()
+        if configuration is None:
+            return False
+        return all(
+            not route.get("homeRegions") or regions & set(route["homeRegions"])
+            for route in configuration.get("routes", ())
+            if route.get("host", "").lower() == host.lower()
+        )
--- a/ploverward/control_plane/operator_api/server.py
+++ b/ploverward/control_plane/operator_api/server.py
@@ -93,6 +93,7 @@
             is_core_live=node.is_core_live,
             proxies=node.proxies,
             configuration=node.configuration,
+            zones=lambda: node.settings().zones,
             contact_s=timing.contact_s,
         )
         handlers = (
