Repairs never compete with attempts that keep coming; a move is not finished beside another node's work

Change: a repair waits as long as attempts of others come and its own time allows one; a half-done move is not finished while another node is at work on the register.

--- a/ploverward/control_plane/consensus/attempt_pacing.py
+++ b/ploverward/control_plane/consensus/attempt_pacing.py
@@ -79,17 +79,27 @@
         self._other_attempts_until.pop(name, None)
 
     def has_to_yield(self, proposal: Proposal) -> bool:
-        """Whether a proposal lets another node's attempt pass now; it does so for a limited time in all."""
-        if proposal.is_move or not self._is_other_at_work(proposal):
+        """Whether a proposal lets another node's attempt pass now.
+
+        A repair does so for as long as there are such attempts and its time allows one of its own; others do so for a
+        limited time in all.
+        """
+        if proposal.is_move:
+            return False
+        if proposal.is_repair and self.is_other_attempting(proposal.register):
+            return self._now() < proposal.deadline - self.usual_timeout_s
+        if not self._is_other_at_work(proposal.register):
             return False
         if proposal.yields_until is None:
             until = self._now() + max(self.usual_timeout_s * YIELD_SHARE, self.timeout_s())
             proposal.yields_until = min(until, proposal.deadline - self.usual_timeout_s)
         return self._now() < proposal.yields_until
 
-    def _is_other_at_work(self, proposal: Proposal) -> bool:
-        if self._is_move_expected is not None and self._is_move_expected(proposal.register):
+    def is_other_attempting(self, register: str) -> bool:
+        """Whether another node began an attempt so lately that it may still be under way."""
+        return self._now() < self._other_attempts_until.get(register, 0.0)
+
+    def _is_other_at_work(self, register: str) -> bool:
+        if self._is_move_expected is not None and self._is_move_expected(register):
             return True
-        if not proposal.is_repair and not self.has_slow_disk():
-            return False
-        return self._now() < self._other_attempts_until.get(proposal.register, 0.0)
+        return self.has_slow_disk() and self.is_other_attempting(register)
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -399,9 +399,13 @@
                 if is_open:
                     self.repair(name)
                 else:
-                    self.proposer.finish_move(name=name, is_wanted=functools.partial(self._is_half_moved, name))
+                    self.proposer.finish_move(name=name, is_wanted=functools.partial(self._has_to_finish_move, name))
             self._behind[name] = (state.revision, heartbeats)
 
+    def _has_to_finish_move(self, name: str) -> bool:
+        """Whether a move is half-done here, and no other node is at work on the register now."""
+        return self._is_half_moved(name) and not self.proposer.pacing.is_other_attempting(name)
+
     def _is_half_moved(self, name: str) -> bool:
         """Whether the newest value accepted here names the set before a move of the core set as well."""
         return ballots.is_moving(self.acceptor.get(name).value)
--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -173,3 +173,17 @@
     assert queue[0].is_repair
     scene.proposer._back_off(queue[0])
     assert [waiting.is_repair for waiting in queue] == [False, True]
+
+
+def test_a_repair_makes_no_attempt_while_those_of_other_nodes_keep_coming():
+    scene = Scene(is_move_expected=False)
+    scene.change(is_repair=True, name="other")  # its own register is free
+    scene.proposer.pacing.note_other_attempt(name="duty")
+    scene.change(is_repair=True)
+    for _attempt in range(6):
+        scene.time.run(scene.time.now + 0.5 * TIMEOUT_S)
+        scene.proposer.pacing.note_other_attempt(name="duty")
+    assert not [m for _when, _member, m in scene.sent if isinstance(m, messages.Prepare) and m.register == "duty"]
+    scene.time.run(LIMIT_S + 2 * TIMEOUT_S)
+    assert [m for _when, _member, m in scene.sent if isinstance(m, messages.Prepare) and m.register == "duty"]
+    assert len(scene.ended) == 2
