--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -22,7 +22,7 @@
         self.calls.append((self.now + delay, len(self.calls), callback))
 
     def run(self, until):
-        while self.calls and min(self.calls)[0] <= until:
+        while self.calls and min(row[0] for row in self.calls) <= until:
             call = min(self.calls, key=lambda row: row[:2])
             self.calls.remove(call)
             self.now = max(self.now, call[0])
