--- a/ploverward/command_line/main.py
+++ b/ploverward/command_line/main.py
@@ -15,12 +15,13 @@
 from ploverward.command_line import output
 from ploverward.common import errors
 
-NODE_VERBS = ("core", "proxy")
+NODE_VERBS = ("core", "proxy", "store")
 STAND_IN_VERB = "stand-in"
 HELP_FLAGS = {"--help", "-h"}
 MODULES = {
     "core": "node",
     "proxy": "node",
+    "store": "node",
     "check": "check",
     "custody": "custody",
     "drill": "drill",
@@ -41,6 +42,7 @@
 Nodes, started with a settings file named by PLOVERWARD_NODE_FILE:
   core               register, leases, duties, dispatch and directory
   proxy              carries the traffic; hosts its region's relay by duty
+  store              keeps the lots of the batch tier
   check              reads the settings file and says whether it is whole
 
 Operators (--core ADDRESS:PORT[,...], or the seeds of PLOVERWARD_NODE_FILE):
--- a/ploverward/command_line/node.py
+++ b/ploverward/command_line/node.py
@@ -1,4 +1,4 @@
-"""`ploverward core` and `ploverward proxy`: run a node until it is ended by SIGTERM."""
+"""`ploverward core`, `ploverward proxy` and `ploverward store`: run a node until it is ended by SIGTERM."""
 
 import gc
 
@@ -7,7 +7,7 @@
 from ploverward.common import event_log
 from ploverward.common import settings as settings_files
 
-ROLES = ("core", "proxy")
+ROLES = ("core", "proxy", "store")
 # Of gc.set_threshold: objects, then collections of the younger generation. Most of what a node makes ends without the
 # cyclic collector, so it runs less often than by default (700, 10, 10).
 COLLECTOR_THRESHOLDS = (10000, 20, 20)
@@ -24,6 +24,11 @@
 
         _tune_collector()
         return core_node.CoreNode(settings=settings).run()
+    if verb == "store":
+        from ploverward.store import store_node
+
+        _tune_collector()
+        return store_node.StoreNode(settings=settings).run()
     from ploverward.data_plane import proxy_node
 
     _tune_collector()
--- a/ploverward/command_line/test_golden_command.py
+++ b/ploverward/command_line/test_golden_command.py
@@ -151,10 +151,10 @@
 
 def test_each_verb_of_the_usage_is_played():
     verbs = set(re.findall(r"^  ([a-z-]+)", USAGE, re.M)) | {"restore"}
-    assert verbs == {case["words"][0] for case in COMMAND["cases"]} | {"core", "proxy", "check", "simulate"}
+    assert verbs == {case["words"][0] for case in COMMAND["cases"]} | {"core", "proxy", "store", "check", "simulate"}
 
 
-@pytest.mark.parametrize("verb", ["check", "core", "proxy"])
+@pytest.mark.parametrize("verb", ["check", "core", "proxy", "store"])
 def test_nodes_without_whole_settings_exit_as_published(verb, tmp_path):
     path = tmp_path / "node.conf"
     for text, said in COMMAND["settings"]:
--- a/ploverward/command_line/verb_help.py
+++ b/ploverward/command_line/verb_help.py
@@ -65,6 +65,14 @@
         example="PLOVERWARD_NODE_FILE=/etc/ploverward/proxy.settings python3 -m ploverward proxy",
         page="docs/operations.md",
     ),
+    "store": VerbHelp(
+        synopses=("store",),
+        what="Runs a store, which keeps the lots of the batch tier on its disk and gives their items to proxies.",
+        codes=NODE_CODES,
+        flags=NODE_FLAGS,
+        example="PLOVERWARD_NODE_FILE=/etc/ploverward/store.settings python3 -m ploverward store",
+        page="docs/batch.md",
+    ),
     "check": VerbHelp(
         synopses=("check",),
         what="Reads the settings file named by PLOVERWARD_NODE_FILE and says whether a node can start with it.",
--- a/ploverward/common/settings.py
+++ b/ploverward/common/settings.py
@@ -12,6 +12,7 @@
 PATH_VARIABLE = "PLOVERWARD_NODE_FILE"  # the environment's variable that names the file
 BOUND_NAMES = ("contactMs", "receiptMs", "drainMs", "graceS", "applyMs", "evacuateMs")  # required, and above 0
 MAX_PORT = 65535
+BATCH_DEPLOYMENT = "batch"  # a kind of deployment with stores
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_FILE_HANDLES = 1024.0
 DEFAULT_CLOUD_CALLS_PER_S = 10.0
@@ -78,6 +79,11 @@
         configured = self.raw.get("tolerate.machines", "")
         return int(configured) if configured.isdigit() else (len(self.seeds) - 1) // 2
 
+    @property
+    def deployment(self) -> str:
+        """The kind of deployment; empty where the file does not name one."""
+        return self.raw.get("deployment", "")
+
     @property
     def core_port(self) -> int:
         """The port at which core nodes take connections of other nodes."""
@@ -176,6 +182,9 @@
         for name, value in self.below("bounds.").items():
             is_flag = value in ("true", "false")
             found[name] = float(value == "true") if is_flag else self.number(f"bounds.{name}")
+        if self._fields.get("deployment") == BATCH_DEPLOYMENT:
+            # Its operators evacuate nothing, and do not say how soon that would have to be acknowledged.
+            found.setdefault("evacuateMs", found.get("receiptMs", 0.0))
         for name in BOUND_NAMES:
             if found.get(name, 0.0) <= 0.0:
                 raise errors.SettingsError(f"bounds.{name}: missing or not above 0", step="settings")
--- a/ploverward/control_plane/cluster/coordinator.py
+++ b/ploverward/control_plane/cluster/coordinator.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import singleton_role_table
 from ploverward.control_plane.cluster import singleton_roles
 from ploverward.control_plane.consensus import ballots
@@ -140,6 +141,19 @@
         if rows:
             self._role_table.acquire(rows=rows)
 
+    def place_partitions(self, *, stores: list[partition_placement.StoreIdentity], copies: int) -> None:
+        """Gives the partitions of the batch tier that have no owners yet to the connected stores.
+
+        Args:
+            stores: All that are connected, once no further one came for a while.
+            copies: How many stores a partition has.
+        """
+        if self._role_table.is_acquiring:
+            return
+        rows = partition_placement.placement_changes(stores=stores, copies=copies, find_role=self._role_table.owner)
+        if rows:
+            self._role_table.acquire(rows=rows)
+
     def may_follow(self, *, epoch: int) -> bool:
         """Whether what was published under this epoch may be passed on: not from a coordinator known as replaced."""
         return epoch >= self.epoch or epoch == READ_BY_ITSELF
--- a/ploverward/control_plane/cluster/peer_sessions.py
+++ b/ploverward/control_plane/cluster/peer_sessions.py
@@ -25,6 +25,7 @@
 
     CORE = "core"
     PROXY = "proxy"
+    STORE = "store"
     UNKNOWN = ""  # a kind of node that this version does not know; it is connected and gets nothing but keep-alives
 
     @classmethod
@@ -221,6 +222,10 @@
         """Returns the other connected core nodes, members or not."""
         return [peer for peer in self._peers.values() if peer.role is NodeRole.CORE]
 
+    def stores(self) -> list[Peer]:
+        """Returns the connected stores."""
+        return [peer for peer in self._peers.values() if peer.role is NodeRole.STORE]
+
     def core_addresses(self) -> set[str]:
         """Returns the addresses of the other connected core nodes."""
         return {peer.address for peer in self._peers.values() if peer.role is NodeRole.CORE}
--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -10,11 +10,14 @@
 from ploverward.control_plane.cluster import core_membership
 from ploverward.control_plane.cluster import core_set_reconciler
 from ploverward.control_plane.cluster import owner_witnesses
+from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import singleton_roles
 from ploverward.control_plane.consensus import consensus_node
 from ploverward.control_plane.rollouts import manager
 
+STEADY_INTERVALS = 6  # heartbeat intervals: two peer time-outs
+
 
 class RoleReconciler:
     """Decides who coordinates, and does the coordinator's work where it is this node.
@@ -29,6 +32,7 @@
         witnesses: Whether other core nodes hear an owner of the role that this node has lost.
         rollout_manager: Roll-outs advance at the coordinator.
         core_set: The core set is changed by the coordinator.
+        copies: On how many stores a partition of the batch tier is.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         witnesses: owner_witnesses.OwnerWitnesses,
         rollout_manager: manager.RolloutManager,
         core_set: core_set_reconciler.CoreSetReconciler,
+        copies: int,
     ) -> None:
         self._status = status
         self._sessions = sessions
@@ -53,6 +58,9 @@
         self._witnesses = witnesses
         self._rollout_manager = rollout_manager
         self._core_set = core_set
+        self._copies = copies
+        self._stores: list[partition_placement.StoreIdentity] = []
+        self._steady_intervals = 0  # for which the same stores have been connected
 
     def reconcile(self) -> None:
         """Acquires, keeps or releases the role, and acts on it."""
@@ -85,9 +93,20 @@
                 for peer in self._sessions.proxies()
             ]
         )
+        self._place_partitions()
         self._rollout_manager.reconcile()
         self._core_set.reconcile()
 
+    def _place_partitions(self) -> None:
+        """Places partitions once the same stores have been connected for a while: at first they come one by one."""
+        stores = sorted(
+            partition_placement.StoreIdentity(address=peer.address, zone=peer.zone) for peer in self._sessions.stores()
+        )
+        self._steady_intervals = self._steady_intervals + 1 if stores == self._stores else 0
+        self._stores = stores
+        if stores and self._steady_intervals >= STEADY_INTERVALS:
+            self._coordinator.place_partitions(stores=stores, copies=self._copies)
+
     def _hand_over(self) -> None:
         """Transfers the coordinator role to the first other live member."""
         members = self._membership.members()
--- a/ploverward/control_plane/configuration/schema.py
+++ b/ploverward/control_plane/configuration/schema.py
@@ -43,7 +43,7 @@
     name: str = pydantic.Field(min_length=1)
     host: str = pydantic.Field(min_length=1)
     path_prefix: str = pydantic.Field(alias="pathLead", pattern=r"^/(.*/)?$")
-    kind: str = pydantic.Field(pattern=r"^(retry_safe|retry_unsafe|streaming)$")
+    kind: str = pydantic.Field(pattern=r"^(retry_safe|retry_unsafe|streaming|batch)$")
     timeout_ms: Number = pydantic.Field(alias="expiryMs", gt=0)
     latency_target_ms: Number = pydantic.Field(alias="targetMs", default=0, ge=0)
     priority: Integer = pydantic.Field(alias="urgency", default=0)
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -231,6 +231,7 @@
             witnesses=self.witnesses,
             rollout_manager=self.rollout_manager,
             core_set=self.core_set,
+            copies=settings.tolerated_machines + 1,
         )
 
     def _make_granters(self, settings: node_settings.Settings) -> None:
--- /dev/null
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -0,0 +1,152 @@
+"""Takes items from stores while there is room, runs them, and tells the store how each run ended (docs/batch.md 4).
+
+Nothing is pushed to a proxy: after a restart it asks for what it can run. `ItemPuller` owns the runs in progress.
+"""
+
+from __future__ import annotations
+
+import functools
+import http
+import logging
+import math
+import typing
+from collections.abc import Callable
+
+from ploverward.common import errors
+from ploverward.data_plane.batch import item_handler
+from ploverward.data_plane.batch import item_request
+from ploverward.data_plane.batch import store_client
+from ploverward.data_plane.quotas import tenant_directory
+from ploverward.data_plane.requests import handler_context
+from ploverward.data_plane.requests import route_table
+from ploverward.transport import batch_messages
+from ploverward.transport.batch_messages import Condition
+
+_log = logging.getLogger(__name__)
+
+PULL_INTERVAL_S = 0.1
+CALL_TIMEOUT_S = 1.0
+FINISH_RETRY_S = 0.3
+MAX_FINISH_ATTEMPTS = 60
+_FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300  # statuses
+SLOTS_SHARE = 0.5  # of the replicas' slots, that items take over all proxies
+
+
+class ItemPuller:
+    """Pulls and runs items.
+
+    Args:
+        node: The proxy.
+        stores: Calls stores.
+        proxy_count: Returns how many proxies there are.
+        is_draining: Whether this proxy is shutting down.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: handler_context.HandlerContext,
+        stores: store_client.StoreClient,
+        proxy_count: Callable[[], int],
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._node = node
+        self._stores = stores
+        self._proxy_count = proxy_count
+        self._is_draining = is_draining
+        self._context = typing.cast(handler_context.HandlerContext, item_handler.ItemContext(node))
+        self._running: set[tuple[str, str, str]] = set()  # tenant, lot, item
+        self._expected = 0  # items of calls that are under way
+        self._turn = 0
+
+    def start(self) -> None:
+        """Begins to pull."""
+        self._node.loop.every(interval_s=PULL_INTERVAL_S, callback=self._tick)
+
+    def _tick(self) -> None:
+        primaries = self._stores.primaries()
+        room = self._max_running() - len(self._running) - self._expected
+        if not primaries or room <= 0 or self._is_draining() or not self._node.is_serving:
+            return
+        self._turn += 1
+        address = primaries[self._turn % len(primaries)]
+        self._expected += room
+        self._stores.call(
+            address=address,
+            make_message=lambda number: batch_messages.PullItems(number, room),
+            timeout_s=CALL_TIMEOUT_S,
+            done=functools.partial(self._handle_pulled, room),
+        )
+
+    def _max_running(self) -> int:
+        """This proxy's part of the slots that items may take."""
+        slots = sum(
+            replica.batch_slots for replica in self._node.table.replicas.values() if self._takes_items(replica.service)
+        )
+        return max(1, math.ceil(slots * SLOTS_SHARE / max(1, self._proxy_count())))
+
+    def _takes_items(self, service: str) -> bool:
+        return service in self._node.routes.batch_services
+
+    def _handle_pulled(self, room: int, reply: batch_messages.PulledItems | None) -> None:
+        self._expected -= room
+        for item in reply.items if reply is not None else ():
+            self._run(item)
+
+    def _run(self, item: batch_messages.PulledItem) -> None:
+        key = (item.tenant, item.lot, item.item)
+        route = self._node.routes.named(item.route)
+        if route is None or route.batch is None or key in self._running:
+            self._finish(item, Condition.RELEASED, b"")
+            return
+        self._running.add(key)
+        try:
+            self._start(item, route)
+        except (ValueError, errors.PloverwardError) as error:
+            _log.error("item_not_started", extra={"item": item.item, "fault": str(error)})
+            self._handle_end(item, item_request.BROKEN_OFF, b"")
+
+    def _start(self, item: batch_messages.PulledItem, route: route_table.Route) -> None:
+        request = item_request.make_request(
+            item=item,
+            host=self._node.routes.place_of(item.route)[0],
+            now=self._node.loop.now(),
+            on_end=functools.partial(self._handle_end, item),
+        )
+        handler = item_handler.ItemHandler(context=self._context, request=request, tenant=self._tenant(item.tenant))
+        self._context.handlers.add(handler)
+        handler.start(route)
+
+    def _tenant(self, name: str) -> tenant_directory.Tenant | None:
+        directory = self._node.routes.tenant_directory
+        return directory.by_name.get(name) if directory is not None else None
+
+    def _handle_end(self, item: batch_messages.PulledItem, status: int, body: bytes) -> None:
+        self._running.discard((item.tenant, item.lot, item.item))
+        if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
+            self._finish(item, Condition.DELIVERED, item_request.text_of(body))
+        elif status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
+            self._finish(item, Condition.DEAD_LETTER, b"")
+        elif status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self._finish(item, Condition.FAILED, b"")
+        else:
+            self._finish(item, Condition.RELEASED, b"")
+
+    def _finish(self, item: batch_messages.PulledItem, condition: Condition, text: bytes, *, attempt: int = 1) -> None:
+        """Tells the store, again and again until it answers: a result must not be lost with one message."""
+
+        def handle(reply: batch_messages.LotReply | None) -> None:
+            is_kept = reply is not None and reply.outcome != batch_messages.Outcome.NOT_OWNER
+            if not is_kept and attempt < MAX_FINISH_ATTEMPTS:
+                self._node.loop.after(
+                    delay=FINISH_RETRY_S, callback=lambda: self._finish(item, condition, text, attempt=attempt + 1)
+                )
+
+        self._stores.call(
+            address=self._stores.primary_of(item.tenant),
+            make_message=lambda number: batch_messages.FinishItem(
+                number, item.tenant, item.lot, item.item, int(condition), text
+            ),
+            timeout_s=CALL_TIMEOUT_S,
+            done=handle,
+        )
--- /dev/null
+++ b/ploverward/data_plane/batch/store_client.py
@@ -0,0 +1,112 @@
+"""Calls of a proxy to stores: one connection a store, numbered requests, a time-out for each (docs/batch.md 2)."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import typing
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from ploverward.common import batch_partitions
+from ploverward.transport import event_loop
+from ploverward.transport import messages
+from ploverward.transport import peer_connection
+
+Done = Callable[[typing.Any], object]  # called with the reply, or with None where none came in time
+MakeMessage = Callable[[int], tuple]  # number: message
+
+
+class _Call(typing.NamedTuple):
+    address: str
+    done: Done
+    timer: event_loop.Timer
+
+
+class StoreClient:
+    """Knows the stores of each partition, and calls them.
+
+    Args:
+        loop: The event loop.
+        port: At which stores listen.
+        peer_timeout_s: A connection on which nothing arrives for so long is closed.
+    """
+
+    def __init__(self, *, loop: event_loop.Loop, port: int, peer_timeout_s: float) -> None:
+        self._loop = loop
+        self._port = port
+        self._peer_timeout_s = peer_timeout_s
+        self._primaries: dict[int, str] = {}
+        self._connectors: dict[str, peer_connection.Connector] = {}
+        self._calls: dict[int, _Call] = {}
+        self._numbers = itertools.count(1)
+
+    def update_roles(self, roles: Mapping[str, typing.Sequence]) -> None:
+        """The owners of singleton roles changed."""
+        for partition in range(batch_partitions.PARTITIONS):
+            self._primaries[partition] = batch_partitions.owners_of(partition=partition, roles=roles).primary
+        wanted = {address for address in self._primaries.values() if address}
+        for address in wanted - self._connectors.keys():
+            self._connectors[address] = peer_connection.Connector(
+                loop=self._loop,
+                address=(address, self._port),
+                on_up=lambda _connection: None,
+                on_message=self._handle_message,
+                on_end=functools.partial(self._handle_end, address),
+                peer_timeout_s=self._peer_timeout_s,
+            )
+        for address in self._connectors.keys() - wanted:
+            self._connectors.pop(address).stop()
+
+    def primaries(self) -> list[str]:
+        """Returns the stores that are primary of a partition."""
+        return sorted(self._connectors)
+
+    def primary_of(self, tenant: str) -> str:
+        """Returns the store that owns a tenant's lots; empty where there is none yet."""
+        return self._primaries.get(batch_partitions.partition_of(tenant), "")
+
+    def call(self, *, address: str, make_message: MakeMessage, timeout_s: float, done: Done) -> None:
+        """Calls a store.
+
+        Args:
+            address: Of the store.
+            make_message: Makes the message with the number that its reply is known by.
+            timeout_s: After which nobody waits any more.
+            done: Called once with the reply, or with None: then it is not known what became of the call.
+        """
+        connector = self._connectors.get(address)
+        connection = connector.link if connector is not None else None
+        if connection is None or not connection.is_up:
+            self._loop.command(callback=lambda: done(None))
+            return
+        number = next(self._numbers)
+        timer = self._loop.after(delay=timeout_s, callback=lambda: self._finish(number, None))
+        self._calls[number] = _Call(address, done, timer)
+        connection.send(make_message(number))
+
+    def is_reachable(self, address: str) -> bool:
+        """Whether a call to the store would be sent now."""
+        connector = self._connectors.get(address)
+        return connector is not None and connector.link is not None and connector.link.is_up
+
+    def send_heartbeats(self) -> None:
+        """To be called at each heartbeat interval."""
+        for connector in self._connectors.values():
+            if connector.link is not None and connector.link.is_up:
+                connector.link.send(messages.KeepAlive(number=0))
+
+    def _handle_message(self, _connection: peer_connection.PeerConnection, message: tuple) -> None:
+        number = getattr(message, "number", None)
+        if number is not None and not isinstance(message, messages.KeepAlive):
+            self._finish(number, message)
+
+    def _handle_end(self, address: str, _connection: peer_connection.PeerConnection, _reason: str) -> None:
+        for number in [number for number, call in self._calls.items() if call.address == address]:
+            self._finish(number, None)
+
+    def _finish(self, number: int, reply: tuple | None) -> None:
+        call = self._calls.pop(number, None)
+        if call is not None:
+            self._loop.cancel(timer=call.timer)
+            call.done(reply)
--- /dev/null
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -0,0 +1,133 @@
+"""Lots from hand-in to results, on real sockets: a proxy, three stores, scripted replicas."""
+
+import pytest
+
+from ploverward.common import batch_partitions
+from ploverward.simulation import batch_scene
+from ploverward.simulation import request_scene
+
+
+@pytest.fixture(name="scene")
+def quiet_scene(tmp_path):
+    return batch_scene.BatchScene(tmp_path, batch_scene.streaming(b"one", b"two"))
+
+
+def test_a_lot_is_kept_run_and_listed_once(scene):
+    assert scene.submit("l1", [batch_scene.item(name) for name in ("a", "b", "c")]).status == 202
+    results = scene.all_results("l1")
+    assert {row["id"] for row in results} == {"a", "b", "c"} and len(results) == 3
+    assert all(row == {"id": row["id"], "condition": "delivered", "text": "one\ntwo"} for row in results)
+    assert sorted(scene.arrivals()) == [b"a", b"b", b"c"]
+    assert scene.submit("l1", [batch_scene.item("a")]).status == 202  # it came again
+    assert scene.all_results("l1") == results
+
+
+def test_a_202_means_that_each_store_has_it_on_its_disk(scene):
+    assert scene.submit("l1", [batch_scene.item("a")]).status == 202
+    partition = batch_partitions.partition_of("clerks")
+    for store in scene.stores.values():
+        assert store._logs[partition].durable >= 1
+
+
+def test_pages_begin_where_the_reader_is_and_another_key_of_the_tenant_reads_too(scene):
+    scene.submit("l1", [batch_scene.item(name) for name in "abcd"])
+    results = scene.all_results("l1")
+    page = scene.results("l1", after=3, key="key-2").json
+    assert page["results"] == results[3:] and page["nextPage"] == 4 and page["total"] == 4
+    assert scene.results("l1", after=4).json["results"] == []
+
+
+@pytest.mark.parametrize("key, status", [("key-3", 404), ("nobody", 401)])
+def test_another_tenant_has_no_such_lot(scene, key, status):
+    scene.submit("l1", [batch_scene.item("a")])
+    assert scene.results("l1", key=key).status == status
+
+
+def test_a_lot_that_is_ended_stays_so_and_keeps_what_is_listed(scene):
+    scene.submit("l1", [batch_scene.item("a")])
+    results = scene.all_results("l1")
+    for _time in range(2):
+        assert scene.call("DELETE", "/ploverward/lots/l1").status == 200
+    assert scene.results("l1").json["results"] == results
+    assert scene.call("DELETE", "/ploverward/lots/other").status == 404
+
+
+def test_what_a_replica_can_never_run_is_a_dead_letter(tmp_path):
+    script = request_scene.answering(status=b"422 Never")
+    scene = batch_scene.BatchScene(tmp_path, script)
+    scene.submit("l1", [batch_scene.item("a")])
+    assert scene.all_results("l1") == [{"id": "a", "condition": "dead_letter", "text": ""}]
+
+
+def test_the_body_of_an_item_is_told_and_the_quota_counts_what_waits(tmp_path):
+    scene = batch_scene.BatchScene(tmp_path, lambda _number, _heard: None)  # the replica never answers
+    assert scene.submit("l1", [batch_scene.item("a", body=b"\x00\xff exactly", tokens=900)]).status == 202
+    got = scene.call("GET", "/ploverward/items/l1?id=a")
+    assert (got.status, got.body) == (200, b"\x00\xff exactly")
+    assert scene.call("GET", "/ploverward/items/l1?id=z").status == 404
+    assert scene.submit("l2", [batch_scene.item("b", tokens=101)]).status == 429
+    assert scene.submit("l2", [batch_scene.item("b", tokens=100)]).status == 202
+    assert scene.call("DELETE", "/ploverward/lots/l1").status == 200
+    assert scene.submit("l3", [batch_scene.item("c", tokens=900)]).status == 202
+
+
+def test_a_store_that_starts_again_has_what_it_had(scene):
+    scene.submit("l1", [batch_scene.item(name) for name in "ab"])
+    results = scene.all_results("l1")
+    for address in list(scene.stores):
+        scene.restart_store(address)
+        assert scene.until(
+            lambda: all(map(scene.proxy.batch.stores.is_reachable, scene.proxy.batch.stores.primaries()))
+        )
+        assert scene.until(lambda: scene.results("l1").status == 200)
+        assert scene.results("l1").json["results"] == results
+
+
+def test_without_a_backup_nothing_is_promised(scene):
+    address = list(scene.stores)[2]
+    scene.stores.pop(address).stop()
+    answer = scene.submit("l1", [batch_scene.item("a")])
+    assert answer.status == 504  # not a promise: it may be kept later
+    assert scene.results("l1").status in (404, 503)
+    assert not scene.arrivals()
+
+
+def test_requests_of_other_routes_are_served_as_before(tmp_path):
+    scene = batch_scene.BatchScene(tmp_path, request_scene.answering())
+    more = "X-Attempt-Id: a1\r\nX-Time-Left-Ms: 3000\r\n"
+    assert scene.call("POST", "/safe/x", body=b"body", more=more) == batch_scene.Answer(200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "change, text",
+    [
+        ({"id": ""}, "id"),
+        ({"path": "/other/x"}, "path"),
+        ({"path": "/lots/a b"}, "path"),
+        ({"parcel": "no base64!"}, "parcel"),
+        ({"tokens": -1}, "tokens"),
+        ({"tokens": True}, "tokens"),
+        ({"envelope": {"X Y": "1"}}, "envelope"),
+        ({"envelope": {"Authorization": "1"}}, "envelope"),
+        ({"envelope": {"X-Model": "a\r\nHost: b"}}, "X-Model"),
+    ],
+)
+def test_a_malformed_item_is_one_clear_error_and_takes_nothing(scene, change, text):
+    answer = scene.submit("l1", [batch_scene.item("a"), {**batch_scene.item("b"), **change}])
+    assert answer.status == 400 and text in answer.json["error"]
+    assert scene.results("l1").status == 404
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"requests":[]}', b'{"requests":{}}', b'{"requests":[1]}', b"\xff"]
+)
+def test_what_is_no_lot_is_refused(scene, body):
+    answer = scene.call("POST", "/lots/x", body=body, more="X-Attempt-Id: l1\r\n")
+    assert answer.status == 400 and answer.json["error"]
+
+
+def test_too_many_items_and_two_of_one_id_are_refused(scene):
+    many = [batch_scene.item(f"i{number}") for number in range(201)]
+    assert "200" in scene.submit("l1", many).json["error"]
+    assert "twice" in scene.submit("l1", [batch_scene.item("a"), batch_scene.item("a")]).json["error"]
+    assert scene.results("l1").status == 404
--- a/ploverward/data_plane/control_client/core_connections.py
+++ b/ploverward/data_plane/control_client/core_connections.py
@@ -34,6 +34,7 @@
         node_state: Callable[[], messages.NodeState],
         on_message: Callable[[str, peer_connection.PeerConnection, tuple], None],
         on_end: Callable[[str, peer_connection.PeerConnection], None],
+        role: str = "proxy",
     ) -> None:
         """Creates no connection yet; `connect` does.
 
@@ -45,6 +46,7 @@
             node_state: returns the present state of this proxy.
             on_message: (address, connection, message) from a core node.
             on_end: (address, connection) that ended.
+            role: that the handshake names.
         """
         self._loop = loop
         self._settings = settings
@@ -53,6 +55,7 @@
         self._node_state = node_state
         self._on_message = on_message
         self._on_end = on_end
+        self._role = role
         self.members: tuple[str, ...] = tuple(sorted(self._seeds()))
         self._connectors: dict[str, peer_connection.Connector] = {}
         self._near_hosts: set[str] = set()
@@ -76,6 +79,12 @@
         for host in self._connectors.keys() - wanted:
             self._connectors.pop(host).stop()
 
+    def stop(self) -> None:
+        """Ends all connections."""
+        for connector in self._connectors.values():
+            connector.stop()
+        self._connectors.clear()
+
     def install_members(self, members: tuple[str, ...]) -> None:
         """A newer core set was agreed."""
         self.members = members
@@ -85,12 +94,12 @@
         settings = self._settings()
         connection.send(
             messages.Handshake(
-                role="proxy",
+                role=self._role,
                 address=settings.ip,
                 zone=settings.zone,
                 region=settings.region,
                 incarnation=self._incarnation,
-                public_address="{}:{}".format(*settings.bindings["counter"]),
+                public_address=_public_address(settings),
             )
         )
         connection.send(self._node_state())
@@ -133,3 +142,8 @@
         """Sends to all core nodes that can be sent to now."""
         for _host, connection in self.established():
             connection.send(message)
+
+
+def _public_address(settings: settings_files.Settings) -> str:
+    """Where clients connect; empty for a node that they don't reach."""
+    return "{}:{}".format(*settings.bindings["counter"]) if "counter" in settings.bindings else ""
--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -4,11 +4,15 @@
 Everything runs in one thread, on one event loop.
 """
 
+from __future__ import annotations
+
 import functools
 import logging
 import random
 import signal
+import typing
 import uuid
+from collections.abc import Mapping
 
 from ploverward.common import errors
 from ploverward.common import settings as settings_files
@@ -38,6 +42,9 @@
 from ploverward.transport import messages
 from ploverward.transport import peer_connection
 
+if typing.TYPE_CHECKING:
+    from ploverward.data_plane.batch import batch_tier
+
 _log = logging.getLogger(__name__)
 
 PEER_TIMEOUTS_PER_CONTACT = 5
@@ -75,6 +82,7 @@
         self._make_front_end()
         self._make_balancing()
         self._make_control_client()
+        self._make_batch()
         self._connection_watch = connection_watch.ConnectionWatch(
             max_handles=settings.handles,
             clients=lambda: len(self._front_end.server.connections),
@@ -144,6 +152,7 @@
             is_serving=lambda: self._gate.is_open,
             is_draining=lambda: self._shutdown.is_draining,
             make_handler=lambda request: request_handler.RequestHandler(context=self, request=request),
+            takes_call=lambda request: self._batch is not None and self._batch.handle(request),
         )
         self.next_number = self._front_end.next_number
         self.handlers = self._front_end.requests
@@ -192,7 +201,7 @@
             quota_allowance=self.quota_allowance,
             residency=residency,
             on_core_set=self._connections.install_members,
-            on_singleton_roles=self._relay_client.update_roles,
+            on_singleton_roles=self._update_roles,
         )
         self._sessions = core_sessions.CoreSessions(
             loop=self.loop,
@@ -209,6 +218,24 @@
             on_endpoints_changed=self._relay_client.sync_relay,
         )
 
+    def _make_batch(self) -> None:
+        """Lots, in deployments that have stores."""
+        self._batch: batch_tier.BatchTier | None = None
+        if self.settings.deployment == settings_files.BATCH_DEPLOYMENT:
+            from ploverward.data_plane.batch import batch_tier  # other deployments do not pay for it at each start
+
+            self._batch = batch_tier.BatchTier(
+                node=self,
+                peer_timeout_s=self.peer_timeout_s,
+                proxy_count=self.quota_allowance.proxy_count,
+                is_draining=lambda: self._shutdown.is_draining,
+            )
+
+    def _update_roles(self, roles: Mapping[str, tuple[int, str, str]]) -> None:
+        self._relay_client.update_roles(roles)
+        if self._batch is not None:
+            self._batch.stores.update_roles(roles)
+
     @property
     def is_serving(self) -> bool:
         """Whether requests are served; False until the configuration is known to be new enough."""
@@ -229,6 +256,8 @@
         self._connections.connect()
         self._on_report_tick()
         self.loop.every(interval_s=self.peer_timeout_s / HEARTBEATS_PER_PEER_TIMEOUT, callback=self._on_heartbeat_tick)
+        if self._batch is not None:
+            self._batch.start()
         # A signal may arrive between any two instructions: what follows is left to the loop.
         signal.signal(signal.SIGTERM, lambda *_: self.loop.command(callback=self._shutdown.begin))
         signal.signal(signal.SIGHUP, lambda *_: self.loop.command(callback=self._reread_settings))
@@ -245,6 +274,8 @@
             self._rollout_reports.send()
         self._renewals.renew()  # it also shows core nodes that this proxy runs
         self._relay_client.send_heartbeats()
+        if self._batch is not None:
+            self._batch.stores.send_heartbeats()
         self.table.sweep()
         self.table.check_suspected_replicas()
         self._heartbeats += 1
--- a/ploverward/data_plane/quotas/quota_allowance.py
+++ b/ploverward/data_plane/quotas/quota_allowance.py
@@ -118,6 +118,10 @@
         """The connection to this core node ended: its last report may not have arrived, so all is reported again."""
         self._reported.pop(core, None)
 
+    def proxy_count(self) -> int:
+        """How many proxies there are, as core nodes last said."""
+        return self._isolated.proxy_count
+
     def record(self, *, core: str, asked_at: float, proxy_count: int, credits: Iterable[tenant_usage.Credit]) -> None:
         """Records a core node's reply.
 
--- a/ploverward/data_plane/requests/http_front_end.py
+++ b/ploverward/data_plane/requests/http_front_end.py
@@ -48,6 +48,7 @@
         is_serving: Callable[[], bool],
         is_draining: Callable[[], bool],
         make_handler: Callable[[http_request.Request], request_handler.RequestHandler],
+        takes_call: Callable[[http_request.Request], bool] = lambda _request: False,
     ) -> None:
         """Creates a front end that does not listen yet.
 
@@ -59,6 +60,7 @@
             is_serving: whether the proxy may serve.
             is_draining: whether it is shutting down.
             make_handler: the handler of a request.
+            takes_call: takes a request that is a call on lots; returns whether it was one.
         """
         self._loop = loop
         self._settings = settings
@@ -67,6 +69,7 @@
         self._is_serving = is_serving
         self._is_draining = is_draining
         self._make_handler = make_handler
+        self._takes_call = takes_call
         self.requests: set[request_handler.RequestHandler] = set()
         self.has_ended = False
         self._number = 0
@@ -104,6 +107,8 @@
         if self.has_ended:
             request.reply(status=503)
             return
+        if self._takes_call(request):
+            return
         handler = self._make_handler(request)
         self.requests.add(handler)
         handler.begin()
--- a/ploverward/data_plane/requests/request_handler.py
+++ b/ploverward/data_plane/requests/request_handler.py
@@ -124,6 +124,10 @@
                 self._answer(status=refused.status)
             return
         self._on(request_state.RequestEvent.ADMITTED)
+        self._begin_attempts()
+
+    def _begin_attempts(self) -> None:
+        facts = self.facts
         self.context.quota.retry_budget.record_request(facts.service)
         self._deadline_timer = self.loop.at(when=facts.deadline, callback=self.on_deadline)
         self._wait_until = self.request.at + facts.latency_target_s * QUEUE_WAIT_SHARE
--- a/ploverward/data_plane/requests/route_table.py
+++ b/ploverward/data_plane/requests/route_table.py
@@ -17,6 +17,27 @@
 DEFAULT_MAX_CONNECTIONS = 64  # to one replica, of all proxies together, where the service names none
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BatchTerms:
+    """What lots of a route are bound by.
+
+    Attributes:
+        due_s: All results of a lot are due so long after it was sent first.
+        max_queued_tokens: That a tenant may have waiting; 0: no limit.
+    """
+
+    due_s: float
+    max_queued_tokens: int
+
+    @classmethod
+    def of(cls, body: Mapping[str, typing.Any]) -> BatchTerms:
+        """Reads a route of a checked configuration."""
+        return cls(
+            due_s=float(body.get("deadlineMs") or 0) / 1000.0,
+            max_queued_tokens=int(body.get("maxQueuedTokens") or 0),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
     """One route.
@@ -35,6 +56,7 @@
         is_idempotent: Whether a request may run more than once.
         homes: Regions that may serve it; empty: all.
         portions: (service, share) of each service that it picks from.
+        batch: What lots of it are bound by, None where it takes requests.
     """
 
     name: str
@@ -50,12 +72,14 @@
     is_idempotent: bool
     homes: tuple[str, ...]
     portions: tuple[tuple[str, float], ...]
+    batch: BatchTerms | None = None
 
     @classmethod
     def of(cls, body: Mapping[str, typing.Any]) -> Route:
         """Reads a route of a checked configuration."""
-        is_stream = body["kind"] == "streaming"
-        is_resumable = bool(body.get("resume"))
+        is_batch = body["kind"] == "batch"
+        is_stream = is_batch or body["kind"] == "streaming"  # the items of a lot run as streams
+        is_resumable = is_batch or bool(body.get("resume"))
         if body.get("apportion") is not None:
             portions = tuple((part["destination"], float(part["share"])) for part in body["apportion"])
         else:
@@ -74,6 +98,7 @@
             is_idempotent=body["kind"] == "retry_safe" or (is_stream and is_resumable),
             homes=tuple(body.get("homeRegions") or ()),
             portions=portions,
+            batch=BatchTerms.of(body) if is_batch else None,
         )
 
     def pick(self, chance: float) -> str:
@@ -95,6 +120,7 @@
     Attributes:
         edition: Version of the configuration, 0 before the first one.
         tenant_directory: Its tenants by their keys, None where no key is required.
+        batch_services: The services that run items of lots.
     """
 
     def __init__(self, *, body: Mapping[str, typing.Any] | None = None) -> None:
@@ -103,6 +129,8 @@
         self._hosts: dict[str, dict[str, Route]] = {}  # by host, by path prefix
         for row in (body or {}).get("routes", ()):
             self._hosts.setdefault(row["host"].lower(), {})[row["pathLead"]] = Route.of(row)
+        routes = [route for table in self._hosts.values() for route in table.values()]
+        self.batch_services = {name for route in routes if route.batch is not None for name, _share in route.portions}
 
     def homes(self) -> dict[str, tuple[str, ...]]:
         """Returns the home regions of each route."""
@@ -113,6 +141,23 @@
         named = self.tenant_directory.by_name if self.tenant_directory is not None else {}
         return {name: tenant.homes for name, tenant in named.items()}
 
+    def batch_route(self, host: str) -> Route | None:
+        """Returns a route of this host that takes lots, None where none does."""
+        routes = (self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0]) or {}).values()
+        return next((route for route in routes if route.batch is not None), None)
+
+    def named(self, name: str) -> Route | None:
+        """Returns the route of a name, None where there is none."""
+        return next((route for table in self._hosts.values() for route in table.values() if route.name == name), None)
+
+    def place_of(self, name: str) -> tuple[str, str]:
+        """Returns host and path prefix of a route; empty where there is none."""
+        for host, table in self._hosts.items():
+            for prefix, route in table.items():
+                if route.name == name:
+                    return host, prefix
+        return "", ""
+
     def find(self, *, host: str, target: bytes) -> Route | None:
         """Returns the route of a request's target, None where there is none. Prefixes end at a slash."""
         prefixes = self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0])
--- /dev/null
+++ b/ploverward/simulation/batch_scene.py
@@ -0,0 +1,219 @@
+"""A proxy, three stores and scripted replicas on the loopback range: what tests of the batch tier have in common."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import pathlib
+import re
+import socket
+import typing
+
+from ploverward.common import batch_partitions
+from ploverward.data_plane.batch import batch_tier
+from ploverward.data_plane.requests import request_handler
+from ploverward.data_plane.requests import route_table
+from ploverward.simulation import loopback
+from ploverward.simulation import loopback_proxy
+from ploverward.simulation import request_scene
+from ploverward.store import store_node
+from ploverward.transport import http_request
+
+STORE_HOSTS = (11, 12, 13)
+TENANTS = [{"name": "clerks", "apiKeys": ["key-1", "key-2"]}, {"name": "players", "apiKeys": ["key-3"]}]
+KEY = "key-1"
+MAX_BODY_BYTES = 1_000_000
+LOT_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
+BODY = {
+    **loopback_proxy.CONFIGURATION,
+    "routes": [
+        loopback_proxy.route("lots", "/lots/", **LOT_ROUTE),
+        loopback_proxy.route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3),
+    ],
+    "senders": TENANTS,
+}
+
+
+class BatchProxy(loopback_proxy.LoopbackProxy):
+    """The loopback proxy, with a batch tier."""
+
+    def begin_batch(self, port: int) -> None:
+        """Takes calls on lots from now on; stores listen at `port`."""
+        self.routes = route_table.Routes(body=BODY)
+        self.quota_allowance.install(BODY)
+        self.quota_allowance.record(core="k", asked_at=self.loop.now() + 600.0, proxy_count=1, credits=[])
+        self.settings = dataclasses.replace(self.settings, inner_ports=(port - 1, port + 8))
+        self.batch = batch_tier.BatchTier(
+            node=self, peer_timeout_s=1.0, proxy_count=lambda: 1, is_draining=lambda: False
+        )
+        self.batch.start()
+
+    def handle(self, request: http_request.Request) -> None:
+        """A client sent a request."""
+        if self.batch.handle(request):
+            return
+        handler = request_handler.RequestHandler(context=self, request=request)
+        self.handlers.add(handler)
+        handler.begin()
+
+
+class Answer(typing.NamedTuple):
+    """An answer that a client got."""
+
+    status: int
+    body: bytes
+
+    @property
+    def json(self) -> typing.Any:  # noqa: ANN401  # whatever JSON can say
+        """The body, read as JSON."""
+        return json.loads(self.body)
+
+
+def item(name: str, *, body: bytes = b"body", tokens: int = 10, **more: object) -> dict[str, typing.Any]:
+    """Returns an item of a lot, with some fields changed or added."""
+    return {
+        "id": name,
+        "path": f"/lots/3/{name}",
+        "envelope": {"X-Model": "m", "X-Token-Count": "9,1", "X-Prompt-Lead": f"aa:5,{name}:4"},
+        "parcel": base64.b64encode(body).decode(),
+        "tokens": tokens,
+        **more,
+    }
+
+
+class BatchScene:
+    """Stores, one proxy, scripted replicas.
+
+    Args:
+        folder: Where the stores' disks are.
+        scripts: One for each replica.
+    """
+
+    def __init__(self, folder: pathlib.Path, *scripts: loopback.Script) -> None:
+        self.folder = folder
+        self.loop = loopback.new_loop()
+        self.port = _free_port()
+        self.peers = [loopback.Peer(loop=self.loop, script=script) for script in scripts]
+        self.stores: dict[str, store_node.StoreNode] = {}
+        for host in STORE_HOSTS:
+            self.start_store(loopback.own_address(host=host))
+        self.proxy = BatchProxy(
+            loop=self.loop,
+            peers=[(peer, "za") for peer in self.peers],
+            limits=lambda: loopback.limits(body_bytes=MAX_BODY_BYTES),
+        )
+        self.proxy.begin_batch(self.port)
+        self.arrange()
+
+    def start_store(self, address: str) -> None:
+        """Starts a store on the disk that it has."""
+        settings = loopback_proxy.settings(
+            node=f"store-{address}",
+            ip=address,
+            inner_ports=(self.port - 1, self.port + 8),
+            data_dir=str(self.folder / address),
+            seeds=((loopback.own_address(host=99), 1),),
+        )
+        store = store_node.StoreNode(settings=settings, loop=self.loop)
+        store.start()
+        self.stores[address] = store
+
+    def restart_store(self, address: str) -> None:
+        """Ends a store's process and starts it again."""
+        self.stores.pop(address).stop()
+        self.start_store(address)
+        self.stores[address].install_roles(self.roles)
+
+    def arrange(self) -> None:
+        """The first arrangement of all partitions becomes known."""
+        addresses = batch_partitions.join_stores(self.stores)
+        names = [batch_partitions.role_name(partition) for partition in range(batch_partitions.PARTITIONS)]
+        self.roles = {name: (1, addresses, "") for name in names}
+        for store in self.stores.values():
+            store.install_roles(self.roles)
+        self.proxy.batch.stores.update_roles(self.roles)
+        assert self.until(lambda: all(map(self.proxy.batch.stores.is_reachable, self.proxy.batch.stores.primaries())))
+        assert self.until(self.is_replicating)
+
+    def is_replicating(self) -> bool:
+        """Whether the primary has heard from its backups for all partitions."""
+        primary = next(iter(self.stores.values()))
+        return all(len(link._sent) == batch_partitions.PARTITIONS for link in primary._links.values())
+
+    def until(self, is_so: typing.Callable[[], object]) -> bool:
+        """Steps the loop until `is_so()`; returns whether that came in time."""
+        return loopback.until(self.loop, is_so)
+
+    def wait(self, seconds: float) -> None:
+        """Lets so much time pass."""
+        end = self.loop.now() + seconds
+        assert self.until(lambda: self.loop.now() >= end)
+
+    def call(self, method: str, path: str, *, body: bytes = b"", key: str = KEY, more: str = "") -> Answer:
+        """Sends one request on a new connection and returns its answer."""
+        client = loopback.Client(loop=self.loop, address=self.proxy.address)
+        head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n{more}"
+        client.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        assert self.until(lambda: _is_complete(client.got)), client.got
+        head_bytes, _blank, got = client.got.partition(b"\r\n\r\n")
+        return Answer(int(head_bytes.split()[1]), got)
+
+    def submit(self, lot: str, items: list[dict[str, typing.Any]], *, key: str = KEY) -> Answer:
+        """Hands a lot in."""
+        body = json.dumps({"requests": items}).encode()
+        return self.call("POST", "/lots/x", body=body, key=key, more=f"X-Attempt-Id: {lot}\r\n")
+
+    def results(self, lot: str, *, after: int = 0, wait_ms: int = 0, key: str = KEY) -> Answer:
+        """Reads results."""
+        more = f"X-Wait-Ms: {wait_ms}\r\n" if wait_ms else ""
+        return self.call("GET", f"/ploverward/lots/{lot}?afterRevision={after}", key=key, more=more)
+
+    def all_results(self, lot: str) -> list[dict[str, typing.Any]]:
+        """Reads all results of a lot, once they are all there."""
+        answers: list[Answer] = []
+
+        def is_listed() -> bool:
+            answers.append(self.results(lot))
+            return len(answers[-1].json["results"]) == answers[-1].json["total"]
+
+        for _attempt in range(200):
+            if is_listed():
+                return answers[-1].json["results"]
+            self.wait(0.05)
+        raise AssertionError(answers[-1].body)
+
+    def arrivals(self) -> list[bytes]:
+        """Returns the ids of all requests that replicas heard, in no certain order."""
+        heard = (heard for peer in self.peers for heard in peer.heard)
+        return [which for each in heard for which in re.findall(rb"(?i)X-Attempt-Id: (\S+)", each)]
+
+
+def _free_port() -> int:
+    """A port that is free on the addresses of the stores, and the one behind it too."""
+    with socket.socket() as sock:
+        sock.bind((loopback.own_address(host=STORE_HOSTS[0]), 0))
+        return sock.getsockname()[1]
+
+
+def _is_complete(got: bytes) -> bool:
+    head, blank, body = got.partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)Content-Length: (\d+)", head)
+    return bool(blank) and length is not None and len(body) >= int(length[1])
+
+
+def streaming(*texts: bytes) -> loopback.Script:
+    """Returns a script that streams an event for each text."""
+
+    def script(_number: int, heard: bytes) -> list[loopback.Act] | None:
+        if not request_scene.is_complete(heard):
+            return None
+        which = request_scene.request_id(heard)
+        events = b"".join(_chunk(b"id: %d\ndata: %s\n\n" % (number, text)) for number, text in enumerate(texts, 1))
+        return [request_scene.head(which) + events + request_scene.END]
+
+    return script
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- a/ploverward/simulation/loopback_proxy.py
+++ b/ploverward/simulation/loopback_proxy.py
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import typing
+from collections.abc import Callable
 
 from ploverward.common import settings as settings_files
 from ploverward.data_plane.adapter_cache import adapter_counts
@@ -116,6 +117,7 @@
         loop: The event loop.
         peers: The scripted replicas, each with its zone; they are named i0, i1, ...
         share: This proxy's share of the limits that hold over all machines.
+        limits: Of what clients may send.
 
     Attributes:
         faults: The reasons of attempts that failed.
@@ -125,7 +127,12 @@
     """
 
     def __init__(
-        self, *, loop: loopback.SkippingLoop, peers: list[tuple[loopback.Peer, str]], share: float = 1.0
+        self,
+        *,
+        loop: loopback.SkippingLoop,
+        peers: list[tuple[loopback.Peer, str]],
+        share: float = 1.0,
+        limits: Callable[[], http_request.Limits] = loopback.limits,
     ) -> None:
         self.loop = loop
         self.settings = settings()
@@ -171,7 +178,7 @@
             loop=loop,
             address=(loopback.own_address(), 0),
             on_request=self.handle,
-            limits=loopback.limits,
+            limits=limits,
             peer_timeout_s=5.0,
         )
         self.address = self.server.address
--- /dev/null
+++ b/ploverward/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store: keeps lots of the batch tier on disk, and gives their items to proxies (docs/batch.md)."""
--- /dev/null
+++ b/ploverward/store/lot_table.py
@@ -0,0 +1,178 @@
+"""The lots of one partition: what was taken, what is listed, who has leased what (docs/batch.md 4).
+
+`LotTable` applies committed entries in their order, so every copy that applies them has the same lots, positions and
+results. Leases are no part of that: only the primary has them, in memory, and a restart frees them.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import json
+from collections.abc import Iterator
+
+from ploverward.store import lot_entries
+from ploverward.transport import batch_messages
+
+PAGE_BYTES = 900_000  # of results in one page; the protocol allows a megabyte
+
+
+class ItemState(enum.Enum):
+    """Where an item is."""
+
+    WAITING = "waiting"
+    LEASED = "leased"
+    FINISHING = "finishing"  # its result is being written
+    LISTED = "listed"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Item:
+    """One item of a lot.
+
+    Attributes:
+        item_id: Its id.
+        path: Where it is sent to.
+        headers: Value by name.
+        parcel: Its body in base64.
+        tokens: Of the prompt and the most out.
+        state: Where it is.
+        lease_ends_at: By the loop's clock in seconds.
+        not_before: Before which it is not leased again, by the loop's clock in seconds.
+        failures: How many replicas answered 500.
+    """
+
+    item_id: str
+    path: str
+    headers: dict[str, str]
+    parcel: str
+    tokens: int
+    state: ItemState = ItemState.WAITING
+    lease_ends_at: float = 0.0
+    not_before: float = 0.0
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Lot:
+    """One lot.
+
+    Attributes:
+        tenant: Whose it is.
+        lot_id: Its id.
+        route: The name of its route.
+        due_at: When all results are due, by wall-clock time in seconds.
+        max_attempts: Answers of 500 after which an item is a dead letter.
+        items: By id, in the client's order.
+        results: In the order of their positions.
+        is_ended: Whether its client ended it.
+    """
+
+    tenant: str
+    lot_id: str
+    route: str
+    due_at: float
+    max_attempts: int
+    items: dict[str, Item]
+    results: list[batch_messages.ListedItem] = dataclasses.field(default_factory=list)
+    is_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items are still to run."""
+        return not self.is_ended and len(self.results) < len(self.items)
+
+    def queued_tokens(self) -> int:
+        """Tokens of items that are not listed; none once its client has ended it."""
+        if not self.is_open:
+            return 0
+        return sum(item.tokens for item in self.items.values() if item.state is not ItemState.LISTED)
+
+
+def items_of(body: bytes) -> dict[str, Item]:
+    """Reads the items of a lot that a proxy has checked."""
+    rows = json.loads(body)["requests"]
+    return {
+        row["id"]: Item(
+            item_id=row["id"],
+            path=row["path"],
+            headers=dict(row.get("envelope") or {}),
+            parcel=row.get("parcel") or "",
+            tokens=int(row.get("tokens") or 0),
+        )
+        for row in rows
+    }
+
+
+class LotTable:
+    """The lots of one partition.
+
+    Attributes:
+        lots: By tenant and id.
+    """
+
+    def __init__(self) -> None:
+        self.lots: dict[tuple[str, str], Lot] = {}
+
+    def apply(self, entry: lot_entries.Entry) -> None:
+        """Applies a committed entry; one that comes again, or comes too late, changes nothing."""
+        key = (entry.tenant, entry.lot)
+        if isinstance(entry, lot_entries.LotAccepted):
+            if key not in self.lots:
+                self.lots[key] = Lot(
+                    tenant=entry.tenant,
+                    lot_id=entry.lot,
+                    route=entry.route,
+                    due_at=entry.due_at,
+                    max_attempts=entry.max_attempts,
+                    items=items_of(entry.body),
+                )
+            return
+        lot = self.lots.get(key)
+        if lot is None:
+            return
+        if isinstance(entry, lot_entries.LotEnded):
+            lot.is_ended = True
+        else:
+            self._list(lot, entry)
+
+    @staticmethod
+    def _list(lot: Lot, entry: lot_entries.ItemListed) -> None:
+        item = lot.items.get(entry.item)
+        if item is None or item.state is ItemState.LISTED:
+            return
+        item.state = ItemState.LISTED
+        lot.results.append(batch_messages.ListedItem(entry.item, entry.condition, entry.text))
+
+    def find(self, *, tenant: str, lot: str) -> Lot | None:
+        """Returns a lot, or None."""
+        return self.lots.get((tenant, lot))
+
+    def queued_tokens(self, *, tenant: str, route: str) -> int:
+        """Tokens that a tenant has waiting on a route."""
+        return sum(lot.queued_tokens() for lot in self.lots.values() if (lot.tenant, lot.route) == (tenant, route))
+
+    def open_lots(self) -> list[Lot]:
+        """Lots with items to run, the earliest due first."""
+        return sorted((lot for lot in self.lots.values() if lot.is_open), key=lambda lot: lot.due_at)
+
+    @staticmethod
+    def free_items(lot: Lot, *, now: float) -> Iterator[Item]:
+        """Items of a lot that may be leased now: those that wait, and those whose lease has ended."""
+        for item in lot.items.values():
+            is_overdue = item.state is ItemState.LEASED and item.lease_ends_at <= now
+            if is_overdue or (item.state is ItemState.WAITING and item.not_before <= now):
+                yield item
+
+    @staticmethod
+    def page(lot: Lot, *, after: int) -> tuple[batch_messages.ListedItem, ...]:
+        """Results from a position on, one at least if there is one, as many as a page takes."""
+        page: collections.deque[batch_messages.ListedItem] = collections.deque()
+        size = 0
+        for result in lot.results[after:]:
+            size += len(result.text) + len(result.item)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(result)
+        return tuple(page)
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -19,6 +19,7 @@
 
 from ploverward.common import errors
 from ploverward.common import identifiers
+from ploverward.transport import batch_messages
 from ploverward.transport import messages
 
 MAX_FRAME_BYTES = 24 * 1024 * 1024  # what a peer may have this process buffer for one message
@@ -141,6 +142,22 @@
         JsonRows(messages.TallyTotal, (str, int)),
         TALLY_ADDS,
     ),
+    batch_messages.SubmitLot: (80, NUMBER, TEXT, TEXT, TEXT, NUMBER, NUMBER, NUMBER, BLOB),
+    batch_messages.LotReply: (81, NUMBER, NUMBER),
+    batch_messages.PullItems: (82, NUMBER, NUMBER),
+    batch_messages.PulledItems: (
+        83,
+        NUMBER,
+        _rows(batch_messages.PulledItem, TEXT, TEXT, TEXT, TEXT, TEXT, BLOB, BLOB, NUMBER),
+    ),
+    batch_messages.FinishItem: (84, NUMBER, TEXT, TEXT, TEXT, NUMBER, BLOB),
+    batch_messages.ReadLot: (85, NUMBER, TEXT, TEXT, NUMBER),
+    batch_messages.LotPage: (86, NUMBER, NUMBER, NUMBER, _rows(batch_messages.ListedItem, TEXT, NUMBER, BLOB)),
+    batch_messages.ReadItem: (87, NUMBER, TEXT, TEXT, TEXT),
+    batch_messages.ItemBody: (88, NUMBER, NUMBER, BLOB),
+    batch_messages.EndLot: (89, NUMBER, TEXT, TEXT),
+    batch_messages.ReplicateEntries: (90, NUMBER, NUMBER, NUMBER, _rows(batch_messages.LogEntry, BLOB)),
+    batch_messages.EntriesStored: (91, NUMBER, NUMBER, NUMBER),
 }
 _HEAD = struct.Struct(">IB")  # size of the body in bytes, kind
 HEAD_BYTES = _HEAD.size
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -365,7 +365,7 @@
 
 
 class PeerListener:
-    """Accepts connections of other nodes, for as long as the process runs.
+    """Accepts connections of other nodes.
 
     Args:
         loop: Calls back.
@@ -398,6 +398,11 @@
         self._acceptor = ConnectionAcceptor(sock=self._sock, now=loop.now, on_accepted=self._handle_accepted)
         loop.watch(sock=self._sock, mask=selectors.EVENT_READ, callback=self._ready)
 
+    def stop(self) -> None:
+        """Accepts no more connections; those that there are go on."""
+        self.loop.unwatch(sock=self._sock)
+        self._sock.close()
+
     def _ready(self, _mask: int) -> None:
         self._acceptor.accept_all()
 
--- a/ploverward/transport/test_frames.py
+++ b/ploverward/transport/test_frames.py
@@ -9,11 +9,15 @@
 from ploverward.common import errors
 from ploverward.common.identifiers import Ballot
 from ploverward.common.identifiers import Version
+from ploverward.transport import batch_messages
 from ploverward.transport import frames
 from ploverward.transport import messages
 
 MESSAGE_TYPES = {
-    value for value in vars(messages).values() if isinstance(value, type) and value.__module__ == messages.__name__
+    value
+    for module in (messages, batch_messages)
+    for value in vars(module).values()
+    if isinstance(value, type) and issubclass(value, tuple) and value.__module__ == module.__name__
 }
 
 
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -14,6 +14,7 @@
 
 from ploverward.common import errors
 from ploverward.common import identifiers
+from ploverward.transport import batch_messages
 from ploverward.transport import frames
 from ploverward.transport import messages
 
@@ -72,6 +73,18 @@
     "tally_positions": messages.TallyPositions,
     "tally_adds": messages.TallyAdds,
     "tally_snapshot": messages.TallySnapshot,
+    "submit_lot": batch_messages.SubmitLot,
+    "lot_reply": batch_messages.LotReply,
+    "pull_items": batch_messages.PullItems,
+    "pulled_items": batch_messages.PulledItems,
+    "finish_item": batch_messages.FinishItem,
+    "read_lot": batch_messages.ReadLot,
+    "lot_page": batch_messages.LotPage,
+    "read_item": batch_messages.ReadItem,
+    "item_body": batch_messages.ItemBody,
+    "end_lot": batch_messages.EndLot,
+    "replicate_entries": batch_messages.ReplicateEntries,
+    "entries_stored": batch_messages.EntriesStored,
 }
 KIND_NAMES = {message_type: name for name, message_type in MESSAGE_TYPES.items()}
 INLINE = (
