--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -17,7 +17,6 @@
 the same way, and let the attempts of other nodes pass: after a restart of all, every node has the same repairs to make.
 """
 
-import collections
 import collections.abc
 
 from ploverward.common import errors
@@ -26,6 +25,7 @@
 from ploverward.control_plane.consensus import ballots
 from ploverward.control_plane.consensus import known_sets
 from ploverward.control_plane.consensus import next_value
+from ploverward.control_plane.consensus import proposal_queues
 from ploverward.control_plane.consensus import quorum_read
 from ploverward.control_plane.consensus.proposal import Done
 from ploverward.control_plane.consensus.proposal import Edit
@@ -53,11 +53,6 @@
     """The default of `done`: the outcome is not needed."""
 
 
-def _lets_pass(waiting: Proposal, newcomer: Proposal) -> bool:
-    """Whether a proposal that only waits, so that no acceptor is asked for it now, lets a newer one go first."""
-    return waiting.priority > newcomer.priority and waiting.stage in (Stage.QUEUED, Stage.BACKOFF)
-
-
 class Proposer:
     """Changes and reads registers.
 
@@ -119,7 +114,7 @@
         self._highest_numbers: dict[str, int] = {}  # register: highest number of a ballot seen
         self._last_number = 0  # of the newest attempt
         self._active: dict[int, Proposal] = {}  # by the number of the attempt
-        self._queues: dict[str, collections.deque[Proposal]] = {}  # register: the active proposal, then those waiting
+        self._queues = proposal_queues.ProposalQueues()
 
     # Calls of this node.
     def members(self, name: str) -> tuple[str, ...]:
@@ -165,8 +160,10 @@
             deadline=self._now() + self._limit_s,
             is_repair=is_repair,
         )
-        queue = self._queues.setdefault(name, collections.deque())
-        if self._enqueue(queue, proposal):
+        displaced = self._queues.add(proposal)
+        if displaced is not None:
+            self._deactivate(displaced)
+        if self._queues.is_first(proposal):
             self._start(proposal)
 
     def read(self, *, name: str, done: Done, is_repair: bool = False) -> None:
@@ -187,15 +184,6 @@
         self.change(name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True)
 
     # The queue.
-    def _enqueue(self, queue: collections.deque[Proposal], proposal: Proposal) -> bool:
-        """Queues a proposal; returns whether it is the first, which is to start."""
-        positions = (index for index, waiting in enumerate(queue) if _lets_pass(waiting, proposal))
-        position = next(positions, len(queue))
-        if position == 0 and queue:
-            self._deactivate(queue[0])
-        queue.insert(position, proposal)
-        return position == 0
-
     def _deactivate(self, proposal: Proposal) -> None:
         """Puts a proposal that pauses back to waiting in the queue."""
         self._active.pop(proposal.number, None)
@@ -203,15 +191,10 @@
 
     def _let_others_pass(self, proposal: Proposal) -> bool:
         """Requeues a proposal that pauses behind those of a higher priority; returns whether there are any."""
-        queue = self._queues[proposal.register]
-        if not any(_lets_pass(proposal, waiting) for waiting in queue):
+        following = self._queues.let_others_pass(proposal)
+        if following is None:
             return False
-        queue.remove(proposal)
-        following = queue[0]
         self._deactivate(proposal)
-        positions = (index for index, waiting in enumerate(queue) if waiting.priority >= proposal.priority)
-        position = next(positions, len(queue))
-        queue.insert(position, proposal)
         self._later(0, lambda: self._start_queued(following))
         return True
 
@@ -232,17 +215,15 @@
         # A change whose time ran out in the queue never became active; it ends all the same.
         self._active.pop(proposal.number, None)
         proposal.stage = Stage.FINISHED
-        queue = self._queues[proposal.register]
-        queue.remove(proposal)
-        if queue:
-            following = queue[0]
+        following = self._queues.remove(proposal)
+        if following is not None:
             self._later(0, lambda: self._start_queued(following))
         # Once a move is chosen, the change is: only what follows a move was still in progress.
         proposal.done(*(proposal.move_outcome or outcome))
 
     def _start_queued(self, proposal: Proposal) -> None:
         # Another one may have been queued in front of it meanwhile.
-        if proposal.stage is Stage.QUEUED and self._queues[proposal.register][0] is proposal:
+        if proposal.stage is Stage.QUEUED and self._queues.is_first(proposal):
             self._start(proposal)
 
     def _activate(self, proposal: Proposal) -> int:
--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -160,7 +160,7 @@
     scene = Scene(is_move_expected=False)
     for options in ({}, {"is_repair": True}, {}, {"next_set": ("a", "b")}, {"is_repair": True}, {}):
         scene.change(**options)
-    queue = scene.proposer._queues["duty"]
+    queue = scene.proposer._queues.of("duty")
     priorities = [waiting.priority.name for waiting in queue]
     assert priorities == ["CALL", "MOVE", "CALL", "CALL", "REPAIR", "REPAIR"]  # the first one is at work
 
@@ -169,10 +169,10 @@
     scene = Scene(is_move_expected=False)
     scene.change(is_repair=True)
     scene.change()
-    queue = scene.proposer._queues["duty"]
-    assert queue[0].is_repair
-    scene.proposer._back_off(queue[0])
-    assert [waiting.is_repair for waiting in queue] == [False, True]
+    repair = scene.proposer._queues.of("duty")[0]
+    assert repair.is_repair
+    scene.proposer._back_off(repair)
+    assert [waiting.is_repair for waiting in scene.proposer._queues.of("duty")] == [False, True]
 
 
 def test_a_repair_makes_no_attempt_while_those_of_other_nodes_keep_coming():
--- a/ploverward/control_plane/consensus/test_move_priority.py
+++ b/ploverward/control_plane/consensus/test_move_priority.py
@@ -57,13 +57,13 @@
     ended = []
     proposer = model.nodes["a"].voting.proposer
     proposer.change(name=NAME, edit=lambda payload: (payload + 1, None), done=lambda *_row: ended.append("order"))
-    order = proposer._queues[NAME][0]
+    order = proposer._queues.of(NAME)[0]
     proposer._back_off(order)
-    assert proposer._queues[NAME][0] is order
+    assert proposer._queues.of(NAME)[0] is order
     proposer.change(
         name=NAME, edit=lambda payload: (payload, None), done=lambda *_row: ended.append("move"), next_set=MOVED
     )
-    assert proposer._queues[NAME][0].is_move and proposer._queues[NAME][1] is order
+    assert proposer._queues.of(NAME)[0].is_move and proposer._queues.of(NAME)[1] is order
     model.world.run(until=SETTLED_AT_S + 5.0)
     assert ended == ["move", "order"]
 
@@ -73,11 +73,11 @@
     ended = []
     proposer = model.nodes["a"].voting.proposer
     proposer.change(name=NAME, edit=lambda payload: (payload + 1, None), done=lambda *_row: ended.append("order"))
-    order = proposer._queues[NAME][0]
+    order = proposer._queues.of(NAME)[0]
     proposer.change(
         name=NAME, edit=lambda payload: (payload, None), done=lambda *_row: ended.append("move"), next_set=MOVED
     )
-    assert proposer._queues[NAME][0] is order
+    assert proposer._queues.of(NAME)[0] is order
     proposer._back_off(order)
     model.world.run(until=SETTLED_AT_S + 5.0)
     assert ended == ["move", "order"]
@@ -93,7 +93,7 @@
         ends.append((error, ballots.member_sets(node.acceptor.get(NAME).value)))
 
     node.proposer.change(name=NAME, edit=None, done=done, next_set=MOVED)
-    node.proposer._queues[NAME][0].deadline = model.world.now()
+    node.proposer._queues.of(NAME)[0].deadline = model.world.now()
     model.world.run(until=SETTLED_AT_S + 2.0)
     assert ends == [(None, (MOVED,))]
 
