Batch tier: the field's term for a lot is a batch job

Identifiers, modules, log events and the stored form (nothing of it has landed) say job; paths, JSON and the deploy file keep the operators' word, which ends at batch_api.

--- a/ploverward/common/batch_partitions.py
+++ b/ploverward/common/batch_partitions.py
@@ -1,4 +1,4 @@
-"""Partitions of the batch tier: which one a tenant's lots belong to, and how the roles of their owners are written.
+"""Partitions of the batch tier: which one a tenant's jobs belong to, and how the roles of their owners are written.
 
 A partition is owned by one store, its primary, and copied to backups in other zones. Its row in the register of
 singleton roles names them all, the primary first, so that an epoch belongs to one arrangement (docs/batch.md 2).
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 PARTITIONS = 32  # fixed: a tenant's partition never changes
-ROLE = "lots"
+ROLE = "jobs"
 
 
 class PartitionOwners(typing.NamedTuple):
@@ -35,7 +35,7 @@
 
 
 def partition_of(tenant: str) -> int:
-    """Returns the partition of a tenant's lots."""
+    """Returns the partition of a tenant's jobs."""
     return zlib.crc32(tenant.encode()) % PARTITIONS
 
 
--- a/ploverward/control_plane/audit/test_trail_segments.py
+++ b/ploverward/control_plane/audit/test_trail_segments.py
@@ -72,7 +72,7 @@
     assert header[:4] == (7, first_offset, written_at, tuple(rows))
     assert header.end_offset == first_offset + len(names)
     assert [row["id"] for row in trail_block.unpack_trails(body)] == names
-    assert all(place in header.positions_of(name) for place, name in enumerate(names))
+    assert all(index in header.positions_of(name) for index, name in enumerate(names))
 
 
 @given(strategies.binary(max_size=200))
@@ -86,7 +86,7 @@
     shifted = header.ids[2:6]
     assert shifted in header.ids
     pretended = header._replace(ids=header.ids)
-    assert all(pretended.ids[place * 4 : place * 4 + 4] != shifted for place in range(2))
+    assert all(pretended.ids[index * 4 : index * 4 + 4] != shifted for index in range(2))
 
 
 def test_blocks_of_an_earlier_process_are_found_and_continued():
--- a/ploverward/control_plane/audit/trail_block.py
+++ b/ploverward/control_plane/audit/trail_block.py
@@ -64,9 +64,9 @@
         return self.first_offset + self.trails
 
     def positions_of(self, request_id: str) -> list[int]:
-        """The places of trails that may be this request's; another request may share its short hash."""
+        """The indices of trails that may be this request's; another request may share its short hash."""
         wanted = short_hash(request_id)
-        return [place for place in range(self.trails) if self.ids[place * ID_BYTES : (place + 1) * ID_BYTES] == wanted]
+        return [index for index in range(self.trails) if self.ids[index * ID_BYTES : (index + 1) * ID_BYTES] == wanted]
 
     def may_have(self, request_id: str) -> bool:
         """Whether the block may have a trail of this request."""
--- a/ploverward/control_plane/cluster/test_partition_placement.py
+++ b/ploverward/control_plane/cluster/test_partition_placement.py
@@ -52,7 +52,7 @@
 
 
 def test_owners_are_read_as_they_were_written():
-    roles = {"lots/3": [4, batch_partitions.join_stores(("a", "b", "c")), ""]}
+    roles = {"jobs/3": [4, batch_partitions.join_stores(("a", "b", "c")), ""]}
     owners = batch_partitions.owners_of(partition=3, roles=roles)
     assert (owners.epoch, owners.primary, owners.backups) == (4, "a", ("b", "c"))
     nobody = batch_partitions.owners_of(partition=4, roles=roles)
--- a/ploverward/data_plane/batch/__init__.py
+++ b/ploverward/data_plane/batch/__init__.py
@@ -1,1 +1,1 @@
-"""Lots at a proxy: calls of clients, the connections to stores, and the items that run here (docs/batch.md)."""
+"""Jobs at a proxy: calls of clients, the connections to stores, and the items that run here (docs/batch.md)."""
--- a/ploverward/data_plane/batch/batch_api.py
+++ b/ploverward/data_plane/batch/batch_api.py
@@ -1,6 +1,6 @@
-"""The calls of clients on lots (docs/batch.md 5).
+"""The calls of clients on jobs (docs/batch.md 5).
 
-`BatchApi` takes a call where its route takes lots, or its path is that of a lot or an item; other requests go on to the
+`BatchApi` takes a call where its route takes jobs, or its path is that of a job or an item; other requests go on to the
 code that serves them. A store that can't be reached, or that does not know enough, is answered with 503, which promises
 that nothing was done; a call of which it is not known what became ends with 504.
 """
@@ -14,7 +14,7 @@
 import typing
 import urllib.parse
 
-from ploverward.data_plane.batch import lot_request
+from ploverward.data_plane.batch import job_request
 from ploverward.data_plane.batch import store_client
 from ploverward.data_plane.quotas import tenant_directory
 from ploverward.data_plane.requests import admission_filters
@@ -24,7 +24,7 @@
 from ploverward.transport import http_request
 from ploverward.transport.batch_messages import Outcome
 
-LOTS_PATH = "/ploverward/lots/"
+JOBS_PATH = "/ploverward/lots/"
 ITEMS_PATH = "/ploverward/items/"
 CALL_TIMEOUT_S = 0.9
 MAX_WAIT_S = 5.0  # of a read that is held
@@ -44,13 +44,13 @@
 Reply = typing.Any  # a message of a store, or None
 
 
-class LotCall(typing.NamedTuple):
+class JobCall(typing.NamedTuple):
     """A call that is admitted.
 
     Attributes:
         request: Of the client.
         tenant: Its name; empty where no tenants are configured.
-        store: The store that owns the tenant's lots.
+        store: The store that owns the tenant's jobs.
     """
 
     request: http_request.Request
@@ -59,7 +59,7 @@
 
 
 class BatchApi:
-    """Answers calls on lots.
+    """Answers calls on jobs.
 
     Args:
         node: The proxy.
@@ -71,23 +71,23 @@
         self._stores = stores
 
     def handle(self, request: http_request.Request) -> bool:
-        """Takes a call on lots; returns whether it was one."""
+        """Takes a call on jobs; returns whether it was one."""
         host = request.text(b"host")
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
-        if url.path.startswith((LOTS_PATH, ITEMS_PATH)) and self._node.routes.batch_route(host) is not None:
+        if url.path.startswith((JOBS_PATH, ITEMS_PATH)) and self._node.routes.batch_route(host) is not None:
             self._handle_resource(request, url)
             return True
         route = self._node.routes.find(host=host, target=request.target)
         if route is None or route.batch is None:
             return False
         if request.method != b"POST":
-            _refuse(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "a lot is handed in with POST")
+            _refuse(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "a job is handed in with POST")
         else:
-            self._submit(request, route, prefix=self._node.routes.place_of(route.name)[1])
+            self._submit(request, route, prefix=self._node.routes.location_of(route.name)[1])
         return True
 
     # Admission.
-    def _admit(self, request: http_request.Request, route: route_table.Route) -> LotCall | None:
+    def _admit(self, request: http_request.Request, route: route_table.Route) -> JobCall | None:
         """Returns the call, or None where it was refused."""
         if not self._node.is_serving:
             _refuse(request, http.HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
@@ -101,20 +101,20 @@
         if not self._stores.is_reachable(store):
             _refuse(request, http.HTTPStatus.SERVICE_UNAVAILABLE, "the store can't be reached")
             return None
-        return LotCall(request, name, store)
+        return JobCall(request, name, store)
 
-    def _call(self, call: LotCall, make_message: store_client.MakeMessage, done: store_client.Done) -> None:
+    def _call(self, call: JobCall, make_message: store_client.MakeMessage, done: store_client.Done) -> None:
         self._stores.call(address=call.store, make_message=make_message, timeout_s=CALL_TIMEOUT_S, done=done)
 
     # Handing in.
     def _submit(self, request: http_request.Request, route: route_table.Route, *, prefix: str) -> None:
-        lot = request.text(b"x-attempt-id")
-        if not lot:
-            _refuse(request, http.HTTPStatus.BAD_REQUEST, "X-Attempt-Id gives the lot's id")
+        job = request.text(b"x-attempt-id")
+        if not job:
+            _refuse(request, http.HTTPStatus.BAD_REQUEST, "X-Attempt-Id gives the job's id")
             return
         try:
-            lot_request.check(body=request.body, path_prefix=prefix)
-        except lot_request.LotError as error:
+            job_request.check(body=request.body, path_prefix=prefix)
+        except job_request.JobError as error:
             _refuse(request, http.HTTPStatus.BAD_REQUEST, error.text)
             return
         call = self._admit(request, route)
@@ -124,14 +124,14 @@
         due_ms = int(terms.due_s * 1000)
         self._call(
             call,
-            lambda number: batch_messages.SubmitLot(
-                number, call.tenant, lot, route.name, due_ms, route.max_attempts, terms.max_queued_tokens, request.body
+            lambda number: batch_messages.SubmitJob(
+                number, call.tenant, job, route.name, due_ms, route.max_attempts, terms.max_queued_tokens, request.body
             ),
             functools.partial(self._answer_outcome, call, http.HTTPStatus.ACCEPTED),
         )
 
     @staticmethod
-    def _answer_outcome(call: LotCall, done_status: http.HTTPStatus, reply: Reply) -> None:
+    def _answer_outcome(call: JobCall, done_status: http.HTTPStatus, reply: Reply) -> None:
         if reply is None:
             _refuse(call.request, http.HTTPStatus.GATEWAY_TIMEOUT, "not known what became of it")
         elif reply.outcome == Outcome.DONE:
@@ -139,7 +139,7 @@
         else:
             _refuse_outcome(call.request, Outcome(reply.outcome))
 
-    # Lots and items.
+    # Jobs and items.
     def _handle_resource(self, request: http_request.Request, url: urllib.parse.SplitResult) -> None:
         route = self._node.routes.batch_route(request.text(b"host"))
         call = self._admit(request, route) if route is not None else None
@@ -147,37 +147,37 @@
             return
         query = {name: values[-1] for name, values in urllib.parse.parse_qs(url.query).items()}
         is_item = url.path.startswith(ITEMS_PATH)
-        lot = urllib.parse.unquote(url.path.removeprefix(ITEMS_PATH if is_item else LOTS_PATH))
+        job = urllib.parse.unquote(url.path.removeprefix(ITEMS_PATH if is_item else JOBS_PATH))
         if is_item and request.method == b"GET":
-            self._read_item(call, lot, query.get("id", ""))
+            self._read_item(call, job, query.get("id", ""))
         elif not is_item and request.method == b"GET":
             wait_s = min(MAX_WAIT_S, _number(request.text(b"x-wait-ms")) / 1000)
             until = self._node.loop.now() + wait_s
-            self._read_lot(call, lot, after=_number(query.get("afterRevision", "0")), until=until)
+            self._read_job(call, job, after=_number(query.get("afterRevision", "0")), until=until)
         elif not is_item and request.method == b"DELETE":
             self._call(
                 call,
-                lambda number: batch_messages.EndLot(number, call.tenant, lot),
+                lambda number: batch_messages.EndJob(number, call.tenant, job),
                 functools.partial(self._answer_outcome, call, http.HTTPStatus.OK),
             )
         else:
             _refuse(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "no such call")
 
-    def _read_lot(self, call: LotCall, lot: str, *, after: int, until: float) -> None:
+    def _read_job(self, call: JobCall, job: str, *, after: int, until: float) -> None:
         self._call(
             call,
-            lambda number: batch_messages.ReadLot(number, call.tenant, lot, after),
-            lambda reply: self._answer_page(call, lot, after, until, reply),
+            lambda number: batch_messages.ReadJob(number, call.tenant, job, after),
+            lambda reply: self._answer_page(call, job, after, until, reply),
         )
 
-    def _answer_page(self, call: LotCall, lot: str, after: int, until: float, reply: Reply) -> None:
+    def _answer_page(self, call: JobCall, job: str, after: int, until: float, reply: Reply) -> None:
         if reply is None:
             _refuse(call.request, http.HTTPStatus.SERVICE_UNAVAILABLE, "the store did not answer")
         elif reply.outcome != Outcome.DONE:
             _refuse_outcome(call.request, Outcome(reply.outcome))
         elif not reply.results and after < reply.total and self._node.loop.now() + POLL_INTERVAL_S <= until:
             self._node.loop.after(
-                delay=POLL_INTERVAL_S, callback=lambda: self._read_lot(call, lot, after=after, until=until)
+                delay=POLL_INTERVAL_S, callback=lambda: self._read_job(call, job, after=after, until=until)
             )
         else:
             results = [
@@ -187,15 +187,15 @@
             body = {"total": reply.total, "nextPage": after + len(results), "results": results}
             _reply_json(call.request, http.HTTPStatus.OK, body)
 
-    def _read_item(self, call: LotCall, lot: str, item: str) -> None:
+    def _read_item(self, call: JobCall, job: str, item: str) -> None:
         self._call(
             call,
-            lambda number: batch_messages.ReadItem(number, call.tenant, lot, item),
+            lambda number: batch_messages.ReadItem(number, call.tenant, job, item),
             lambda reply: self._answer_item(call, reply),
         )
 
     @staticmethod
-    def _answer_item(call: LotCall, reply: Reply) -> None:
+    def _answer_item(call: JobCall, reply: Reply) -> None:
         if reply is None:
             _refuse(call.request, http.HTTPStatus.SERVICE_UNAVAILABLE, "the store did not answer")
         elif reply.outcome != Outcome.DONE:
--- a/ploverward/data_plane/batch/batch_tier.py
+++ b/ploverward/data_plane/batch/batch_tier.py
@@ -12,7 +12,7 @@
 
 
 class BatchTier:
-    """Calls on lots, and the items that run here.
+    """Calls on jobs, and the items that run here.
 
     Args:
         node: The proxy.
@@ -45,5 +45,5 @@
         self._puller.start()
 
     def handle(self, request: http_request.Request) -> bool:
-        """Takes a call on lots; returns whether it was one."""
+        """Takes a call on jobs; returns whether it was one."""
         return self._api.handle(request)
--- a/ploverward/data_plane/batch/item_handler.py
+++ b/ploverward/data_plane/batch/item_handler.py
@@ -1,6 +1,6 @@
 """Runs one item by the code that serves requests: choice of a replica, attempts, resumption (docs/batch.md 4).
 
-What differs from a request: the lot was admitted, so no filter runs; its time is the lot's; quotas and the budget of
+What differs from a request: the job was admitted, so no filter runs; its time is the job's; quotas and the budget of
 further attempts don't cover it.
 """
 
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -1,4 +1,4 @@
-"""Takes items from stores while there is room, runs them, and tells the store how each run ended (docs/batch.md 4).
+"""Takes items from stores while there is capacity, runs them, and tells the store how each run ended (docs/batch.md 4).
 
 Nothing is pushed to a proxy: after a restart it asks for what it can run. `ItemPuller` owns the runs in progress.
 """
@@ -55,9 +55,9 @@
         self._proxy_count = proxy_count
         self._is_draining = is_draining
         self._context = typing.cast(handler_context.HandlerContext, item_handler.ItemContext(node))
-        self._running: set[tuple[str, str, str]] = set()  # tenant, lot, item
+        self._running: set[tuple[str, str, str]] = set()  # tenant, job, item
         self._expected = 0  # items of calls that are under way
-        self._turn = 0
+        self._next_primary = 0
 
     def start(self) -> None:
         """Begins to pull."""
@@ -65,17 +65,17 @@
 
     def _tick(self) -> None:
         primaries = self._stores.primaries()
-        room = self._max_running() - len(self._running) - self._expected
-        if not primaries or room <= 0 or self._is_draining() or not self._node.is_serving:
+        capacity = self._max_running() - len(self._running) - self._expected
+        if not primaries or capacity <= 0 or self._is_draining() or not self._node.is_serving:
             return
-        self._turn += 1
-        address = primaries[self._turn % len(primaries)]
-        self._expected += room
+        self._next_primary += 1
+        address = primaries[self._next_primary % len(primaries)]
+        self._expected += capacity
         self._stores.call(
             address=address,
-            make_message=lambda number: batch_messages.PullItems(number, room),
+            make_message=lambda number: batch_messages.PullItems(number, capacity),
             timeout_s=CALL_TIMEOUT_S,
-            done=functools.partial(self._handle_pulled, room),
+            done=functools.partial(self._handle_pulled, capacity),
         )
 
     def _max_running(self) -> int:
@@ -88,13 +88,13 @@
     def _takes_items(self, service: str) -> bool:
         return service in self._node.routes.batch_services
 
-    def _handle_pulled(self, room: int, reply: batch_messages.PulledItems | None) -> None:
-        self._expected -= room
+    def _handle_pulled(self, capacity: int, reply: batch_messages.PulledItems | None) -> None:
+        self._expected -= capacity
         for item in reply.items if reply is not None else ():
             self._run(item)
 
     def _run(self, item: batch_messages.PulledItem) -> None:
-        key = (item.tenant, item.lot, item.item)
+        key = (item.tenant, item.job, item.item)
         route = self._node.routes.named(item.route)
         if route is None or route.batch is None or key in self._running:
             self._finish(item, Condition.RELEASED, b"")
@@ -109,7 +109,7 @@
     def _start(self, item: batch_messages.PulledItem, route: route_table.Route) -> None:
         request = item_request.make_request(
             item=item,
-            host=self._node.routes.place_of(item.route)[0],
+            host=self._node.routes.location_of(item.route)[0],
             now=self._node.loop.now(),
             on_end=functools.partial(self._handle_end, item),
         )
@@ -122,7 +122,7 @@
         return directory.by_name.get(name) if directory is not None else None
 
     def _handle_end(self, item: batch_messages.PulledItem, status: int, body: bytes) -> None:
-        self._running.discard((item.tenant, item.lot, item.item))
+        self._running.discard((item.tenant, item.job, item.item))
         if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
             self._finish(item, Condition.DELIVERED, item_request.text_of(body))
         elif status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
@@ -135,7 +135,7 @@
     def _finish(self, item: batch_messages.PulledItem, condition: Condition, text: bytes, *, attempt: int = 1) -> None:
         """Tells the store, again and again until it answers: a result must not be lost with one message."""
 
-        def handle(reply: batch_messages.LotReply | None) -> None:
+        def handle(reply: batch_messages.JobReply | None) -> None:
             is_kept = reply is not None and reply.outcome != batch_messages.Outcome.NOT_OWNER
             if not is_kept and attempt < MAX_FINISH_ATTEMPTS:
                 self._node.loop.after(
@@ -145,7 +145,7 @@
         self._stores.call(
             address=self._stores.primary_of(item.tenant),
             make_message=lambda number: batch_messages.FinishItem(
-                number, item.tenant, item.lot, item.item, int(condition), text
+                number, item.tenant, item.job, item.item, int(condition), text
             ),
             timeout_s=CALL_TIMEOUT_S,
             done=handle,
--- a/ploverward/data_plane/batch/item_request.py
+++ b/ploverward/data_plane/batch/item_request.py
@@ -1,4 +1,4 @@
-"""An item of a lot as a request without a client: its answer is gathered in memory (docs/batch.md 4).
+"""An item of a job as a request without a client: its answer is gathered in memory (docs/batch.md 4).
 
 `ItemRequest` takes the place of a client's request for the code that serves requests; `AnswerSink` that of the client's
 connection.
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -63,7 +63,7 @@
         return sorted(self._connectors)
 
     def primary_of(self, tenant: str) -> str:
-        """Returns the store that owns a tenant's lots; empty where there is none yet."""
+        """Returns the store that owns a tenant's jobs; empty where there is none yet."""
         return self._primaries.get(batch_partitions.partition_of(tenant), "")
 
     def call(self, *, address: str, make_message: MakeMessage, timeout_s: float, done: Done) -> None:
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -1,4 +1,4 @@
-"""Lots from hand-in to results, on real sockets: a proxy, three stores, scripted replicas."""
+"""Jobs from hand-in to results, on real sockets: a proxy, three stores, scripted replicas."""
 
 import pytest
 
@@ -12,7 +12,7 @@
     return batch_scene.BatchScene(tmp_path, batch_scene.streaming(b"one", b"two"))
 
 
-def test_a_lot_is_kept_run_and_listed_once(scene):
+def test_a_job_is_kept_run_and_listed_once(scene):
     assert scene.submit("l1", [batch_scene.item(name) for name in ("a", "b", "c")]).status == 202
     results = scene.all_results("l1")
     assert {row["id"] for row in results} == {"a", "b", "c"} and len(results) == 3
@@ -38,12 +38,12 @@
 
 
 @pytest.mark.parametrize("key, status", [("key-3", 404), ("nobody", 401)])
-def test_another_tenant_has_no_such_lot(scene, key, status):
+def test_another_tenant_has_no_such_job(scene, key, status):
     scene.submit("l1", [batch_scene.item("a")])
     assert scene.results("l1", key=key).status == status
 
 
-def test_a_lot_that_is_ended_stays_so_and_keeps_what_is_listed(scene):
+def test_a_job_that_is_ended_stays_so_and_keeps_what_is_listed(scene):
     scene.submit("l1", [batch_scene.item("a")])
     results = scene.all_results("l1")
     for _time in range(2):
@@ -121,7 +121,7 @@
 @pytest.mark.parametrize(
     "body", [b"", b"{", b"[]", b'{"requests":[]}', b'{"requests":{}}', b'{"requests":[1]}', b"\xff"]
 )
-def test_what_is_no_lot_is_refused(scene, body):
+def test_what_is_no_job_is_refused(scene, body):
     answer = scene.call("POST", "/lots/x", body=body, more="X-Attempt-Id: l1\r\n")
     assert answer.status == 400 and answer.json["error"]
 
--- a/ploverward/data_plane/requests/route_table.py
+++ b/ploverward/data_plane/requests/route_table.py
@@ -150,7 +150,7 @@
         """Returns the route of a name, None where there is none."""
         return next((route for table in self._hosts.values() for route in table.values() if route.name == name), None)
 
-    def place_of(self, name: str) -> tuple[str, str]:
+    def location_of(self, name: str) -> tuple[str, str]:
         """Returns host and path prefix of a route; empty where there is none."""
         for host, table in self._hosts.items():
             for prefix, route in table.items():
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -24,11 +24,11 @@
 TENANTS = [{"name": "clerks", "apiKeys": ["key-1", "key-2"]}, {"name": "players", "apiKeys": ["key-3"]}]
 KEY = "key-1"
 MAX_BODY_BYTES = 1_000_000
-LOT_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
+JOB_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
 BODY = {
     **loopback_proxy.CONFIGURATION,
     "routes": [
-        loopback_proxy.route("lots", "/lots/", **LOT_ROUTE),
+        loopback_proxy.route("jobs", "/lots/", **JOB_ROUTE),
         loopback_proxy.route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3),
     ],
     "senders": TENANTS,
@@ -39,7 +39,7 @@
     """The loopback proxy, with a batch tier."""
 
     def begin_batch(self, port: int) -> None:
-        """Takes calls on lots from now on; stores listen at `port`."""
+        """Takes calls on jobs from now on; stores listen at `port`."""
         self.routes = route_table.Routes(body=BODY)
         self.quota_allowance.install(BODY)
         self.quota_allowance.record(core="k", asked_at=self.loop.now() + 600.0, proxy_count=1, credits=[])
@@ -71,7 +71,7 @@
 
 
 def item(name: str, *, body: bytes = b"body", tokens: int = 10, **more: object) -> dict[str, typing.Any]:
-    """Returns an item of a lot, with some fields changed or added."""
+    """Returns an item of a job, with some fields changed or added."""
     return {
         "id": name,
         "path": f"/lots/3/{name}",
@@ -159,22 +159,22 @@
         head_bytes, _blank, got = client.got.partition(b"\r\n\r\n")
         return Answer(int(head_bytes.split()[1]), got)
 
-    def submit(self, lot: str, items: list[dict[str, typing.Any]], *, key: str = KEY) -> Answer:
-        """Hands a lot in."""
+    def submit(self, job: str, items: list[dict[str, typing.Any]], *, key: str = KEY) -> Answer:
+        """Hands a job in."""
         body = json.dumps({"requests": items}).encode()
-        return self.call("POST", "/lots/x", body=body, key=key, more=f"X-Attempt-Id: {lot}\r\n")
+        return self.call("POST", "/lots/x", body=body, key=key, more=f"X-Attempt-Id: {job}\r\n")
 
-    def results(self, lot: str, *, after: int = 0, wait_ms: int = 0, key: str = KEY) -> Answer:
+    def results(self, job: str, *, after: int = 0, wait_ms: int = 0, key: str = KEY) -> Answer:
         """Reads results."""
         more = f"X-Wait-Ms: {wait_ms}\r\n" if wait_ms else ""
-        return self.call("GET", f"/ploverward/lots/{lot}?afterRevision={after}", key=key, more=more)
+        return self.call("GET", f"/ploverward/lots/{job}?afterRevision={after}", key=key, more=more)
 
-    def all_results(self, lot: str) -> list[dict[str, typing.Any]]:
-        """Reads all results of a lot, once they are all there."""
+    def all_results(self, job: str) -> list[dict[str, typing.Any]]:
+        """Reads all results of a job, once they are all there."""
         answers: list[Answer] = []
 
         def is_listed() -> bool:
-            answers.append(self.results(lot))
+            answers.append(self.results(job))
             return len(answers[-1].json["results"]) == answers[-1].json["total"]
 
         for _attempt in range(200):
--- a/ploverward/store/lot_entries.py
+++ b/ploverward/store/job_entries.py
@@ -9,12 +9,12 @@
 import typing
 
 
-class LotAccepted(typing.NamedTuple):
-    """A lot was taken.
+class JobAccepted(typing.NamedTuple):
+    """A job was taken.
 
     Attributes:
         tenant: Whose it is.
-        lot: Its id.
+        job: Its id.
         route: The name of its route.
         due_at: When all results are due, by wall-clock time in seconds.
         max_attempts: Answers of 500 after which an item is a dead letter.
@@ -22,7 +22,7 @@
     """
 
     tenant: str
-    lot: str
+    job: str
     route: str
     due_at: float
     max_attempts: int
@@ -33,38 +33,38 @@
     """An item has its result; its position follows from the order of these entries.
 
     Attributes:
-        tenant: Whose lot it is.
-        lot: The lot.
+        tenant: Whose job it is.
+        job: The job.
         item: The item.
         condition: Of `batch_messages.Condition`: delivered or dead letter.
         text: The result.
     """
 
     tenant: str
-    lot: str
+    job: str
     item: str
     condition: int
     text: bytes
 
 
-class LotEnded(typing.NamedTuple):
-    """Its client ended a lot."""
+class JobEnded(typing.NamedTuple):
+    """Its client ended a job."""
 
     tenant: str
-    lot: str
+    job: str
 
 
-Entry = LotAccepted | ItemListed | LotEnded
+Entry = JobAccepted | ItemListed | JobEnded
 
 
 def pack(entry: Entry) -> bytes:
     """Returns the stored form of an entry."""
-    if isinstance(entry, LotAccepted):
-        head = {"lot": [entry.tenant, entry.lot, entry.route, entry.due_at, entry.max_attempts]}
+    if isinstance(entry, JobAccepted):
+        head = {"job": [entry.tenant, entry.job, entry.route, entry.due_at, entry.max_attempts]}
         return _pack(head, entry.body)
     if isinstance(entry, ItemListed):
-        return _pack({"item": [entry.tenant, entry.lot, entry.item, entry.condition]}, entry.text)
-    return _pack({"end": [entry.tenant, entry.lot]}, b"")
+        return _pack({"item": [entry.tenant, entry.job, entry.item, entry.condition]}, entry.text)
+    return _pack({"end": [entry.tenant, entry.job]}, b"")
 
 
 def _pack(head: dict[str, list], rest: bytes) -> bytes:
@@ -86,10 +86,10 @@
 
 
 def _entry(kind: str, fields: list, rest: bytes) -> Entry:
-    if kind == "lot":
-        return LotAccepted._make([*fields, rest])
+    if kind == "job":
+        return JobAccepted._make([*fields, rest])
     if kind == "item":
         return ItemListed._make([*fields, rest])
     if kind == "end":
-        return LotEnded._make(fields)
+        return JobEnded._make(fields)
     raise ValueError(f"unknown entry '{kind}'")
--- a/ploverward/store/lot_table.py
+++ b/ploverward/store/job_table.py
@@ -1,6 +1,6 @@
-"""The lots of one partition: what was taken, what is listed, who has leased what (docs/batch.md 4).
+"""The jobs of one partition: what was taken, what is listed, who has leased what (docs/batch.md 4).
 
-`LotTable` applies committed entries in their order, so every copy that applies them has the same lots, positions and
+`JobTable` applies committed entries in their order, so every copy that applies them has the same jobs, positions and
 results. Leases are no part of that: only the primary has them, in memory, and a restart frees them.
 """
 
@@ -12,7 +12,7 @@
 import json
 from collections.abc import Iterator
 
-from ploverward.store import lot_entries
+from ploverward.store import job_entries
 from ploverward.transport import batch_messages
 
 PAGE_BYTES = 900_000  # of results in one page; the protocol allows a megabyte
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Item:
-    """One item of a lot.
+    """One item of a job.
 
     Attributes:
         item_id: Its id.
@@ -55,12 +55,12 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Lot:
-    """One lot.
+class Job:
+    """One job.
 
     Attributes:
         tenant: Whose it is.
-        lot_id: Its id.
+        job_id: Its id.
         route: The name of its route.
         due_at: When all results are due, by wall-clock time in seconds.
         max_attempts: Answers of 500 after which an item is a dead letter.
@@ -70,7 +70,7 @@
     """
 
     tenant: str
-    lot_id: str
+    job_id: str
     route: str
     due_at: float
     max_attempts: int
@@ -91,7 +91,7 @@
 
 
 def items_of(body: bytes) -> dict[str, Item]:
-    """Reads the items of a lot that a proxy has checked."""
+    """Reads the items of a job that a proxy has checked."""
     rows = json.loads(body)["requests"]
     return {
         row["id"]: Item(
@@ -105,72 +105,72 @@
     }
 
 
-class LotTable:
-    """The lots of one partition.
+class JobTable:
+    """The jobs of one partition.
 
     Attributes:
-        lots: By tenant and id.
+        jobs: By tenant and id.
     """
 
     def __init__(self) -> None:
-        self.lots: dict[tuple[str, str], Lot] = {}
+        self.jobs: dict[tuple[str, str], Job] = {}
 
-    def apply(self, entry: lot_entries.Entry) -> None:
+    def apply(self, entry: job_entries.Entry) -> None:
         """Applies a committed entry; one that comes again, or comes too late, changes nothing."""
-        key = (entry.tenant, entry.lot)
-        if isinstance(entry, lot_entries.LotAccepted):
-            if key not in self.lots:
-                self.lots[key] = Lot(
+        key = (entry.tenant, entry.job)
+        if isinstance(entry, job_entries.JobAccepted):
+            if key not in self.jobs:
+                self.jobs[key] = Job(
                     tenant=entry.tenant,
-                    lot_id=entry.lot,
+                    job_id=entry.job,
                     route=entry.route,
                     due_at=entry.due_at,
                     max_attempts=entry.max_attempts,
                     items=items_of(entry.body),
                 )
             return
-        lot = self.lots.get(key)
-        if lot is None:
+        job = self.jobs.get(key)
+        if job is None:
             return
-        if isinstance(entry, lot_entries.LotEnded):
-            lot.is_ended = True
+        if isinstance(entry, job_entries.JobEnded):
+            job.is_ended = True
         else:
-            self._list(lot, entry)
+            self._list(job, entry)
 
     @staticmethod
-    def _list(lot: Lot, entry: lot_entries.ItemListed) -> None:
-        item = lot.items.get(entry.item)
+    def _list(job: Job, entry: job_entries.ItemListed) -> None:
+        item = job.items.get(entry.item)
         if item is None or item.state is ItemState.LISTED:
             return
         item.state = ItemState.LISTED
-        lot.results.append(batch_messages.ListedItem(entry.item, entry.condition, entry.text))
+        job.results.append(batch_messages.ListedItem(entry.item, entry.condition, entry.text))
 
-    def find(self, *, tenant: str, lot: str) -> Lot | None:
-        """Returns a lot, or None."""
-        return self.lots.get((tenant, lot))
+    def find(self, *, tenant: str, job: str) -> Job | None:
+        """Returns a job, or None."""
+        return self.jobs.get((tenant, job))
 
     def queued_tokens(self, *, tenant: str, route: str) -> int:
         """Tokens that a tenant has waiting on a route."""
-        return sum(lot.queued_tokens() for lot in self.lots.values() if (lot.tenant, lot.route) == (tenant, route))
+        return sum(job.queued_tokens() for job in self.jobs.values() if (job.tenant, job.route) == (tenant, route))
 
-    def open_lots(self) -> list[Lot]:
-        """Lots with items to run, the earliest due first."""
-        return sorted((lot for lot in self.lots.values() if lot.is_open), key=lambda lot: lot.due_at)
+    def open_jobs(self) -> list[Job]:
+        """Jobs with items to run, the earliest due first."""
+        return sorted((job for job in self.jobs.values() if job.is_open), key=lambda job: job.due_at)
 
     @staticmethod
-    def free_items(lot: Lot, *, now: float) -> Iterator[Item]:
-        """Items of a lot that may be leased now: those that wait, and those whose lease has ended."""
-        for item in lot.items.values():
+    def free_items(job: Job, *, now: float) -> Iterator[Item]:
+        """Items of a job that may be leased now: those that wait, and those whose lease has ended."""
+        for item in job.items.values():
             is_overdue = item.state is ItemState.LEASED and item.lease_ends_at <= now
             if is_overdue or (item.state is ItemState.WAITING and item.not_before <= now):
                 yield item
 
     @staticmethod
-    def page(lot: Lot, *, after: int) -> tuple[batch_messages.ListedItem, ...]:
+    def page(job: Job, *, after: int) -> tuple[batch_messages.ListedItem, ...]:
         """Results from a position on, one at least if there is one, as many as a page takes."""
         page: collections.deque[batch_messages.ListedItem] = collections.deque()
         size = 0
-        for result in lot.results[after:]:
+        for result in job.results[after:]:
             size += len(result.text) + len(result.item)
             if page and size > PAGE_BYTES:
                 break
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -1,4 +1,4 @@
-"""One partition at its primary: the log, how far each copy is, and the lots (docs/batch.md 2, 3).
+"""One partition at its primary: the log, how far each copy is, and the jobs (docs/batch.md 2, 3).
 
 An entry is committed once it is on this store's disk and on those of all backups. Only then is it applied, answered and
 shown, so what was shown or promised is on all copies.
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 
 from ploverward.common import batch_partitions
-from ploverward.store import lot_entries
-from ploverward.store import lot_table
+from ploverward.store import job_entries
+from ploverward.store import job_table
 from ploverward.store import store_disk
 from ploverward.transport import batch_messages
 from ploverward.transport.batch_messages import Condition
@@ -62,7 +62,7 @@
         number: As given.
         owners: As given.
         log: As given.
-        table: The committed lots.
+        table: The committed jobs.
         stored_at: Position up to which each backup has the log on its disk.
         committed: Position of the last entry that all copies have.
     """
@@ -81,7 +81,7 @@
         self.number = number
         self.owners = owners
         self.log = log
-        self.table = lot_table.LotTable()
+        self.table = job_table.JobTable()
         self.stored_at = dict.fromkeys(owners.backups, 0)
         self.committed = 0
         self._add = add
@@ -89,8 +89,8 @@
         self._wall_time = wall_time
         self._on_appended = on_appended
         self._waiting: dict[int, list[Callable[[], object]]] = {}  # position: what follows its commit
-        self._submitted: dict[tuple[str, str], int] = {}  # lots that are being written: position
-        self._submitted_tokens: dict[tuple[str, str], dict[str, int]] = {}  # tenant and route: tokens by such a lot
+        self._submitted: dict[tuple[str, str], int] = {}  # jobs that are being written: position
+        self._submitted_tokens: dict[tuple[str, str], dict[str, int]] = {}  # tenant and route: tokens by such a job
 
     @property
     def is_complete(self) -> bool:
@@ -98,8 +98,8 @@
         return self.committed == len(self.log.entries)
 
     # Commit.
-    def _append(self, entry: lot_entries.Entry, *, then: Callable[[], object]) -> int:
-        data = lot_entries.pack(entry)
+    def _append(self, entry: job_entries.Entry, *, then: Callable[[], object]) -> int:
+        data = job_entries.pack(entry)
         position = self.log.append(data)
         self._waiting.setdefault(position, []).append(then)
         self._add(store_disk.StoredEntry(self.number, position, data))
@@ -117,95 +117,95 @@
         reached = min([self.log.durable, *self.stored_at.values()])
         while self.committed < reached:
             self.committed += 1
-            self.table.apply(lot_entries.unpack(self.log.entries[self.committed - 1]))
+            self.table.apply(job_entries.unpack(self.log.entries[self.committed - 1]))
             for then in self._waiting.pop(self.committed, ()):
                 then()
 
-    # Lots.
-    def submit(self, message: batch_messages.SubmitLot, reply: Reply) -> None:
-        """Takes a lot once; `reply` is called when it is kept, or at once where it is not taken."""
+    # Jobs.
+    def submit(self, message: batch_messages.SubmitJob, reply: Reply) -> None:
+        """Takes a job once; `reply` is called when it is kept, or at once where it is not taken."""
         if not self.is_complete and self.committed == 0:
             reply(Outcome.NOT_OWNER)  # it has not heard from its backups since its start
             return
-        key = (message.tenant, message.lot)
-        if key in self.table.lots:
+        key = (message.tenant, message.job)
+        if key in self.table.jobs:
             reply(Outcome.DONE)
             return
         if key in self._submitted:
             self._waiting.setdefault(self._submitted[key], []).append(lambda: reply(Outcome.DONE))
             return
-        tokens = sum(item.tokens for item in lot_table.items_of(message.body).values())
+        tokens = sum(item.tokens for item in job_table.items_of(message.body).values())
         if message.max_queued_tokens and self._queued(message) + tokens > message.max_queued_tokens:
             reply(Outcome.OVER_QUOTA)
             return
-        entry = lot_entries.LotAccepted(
+        entry = job_entries.JobAccepted(
             tenant=message.tenant,
-            lot=message.lot,
+            job=message.job,
             route=message.route,
             due_at=self._wall_time() + message.due_ms / 1000,
             max_attempts=message.max_attempts,
             body=message.body,
         )
-        self._submitted_tokens.setdefault((message.tenant, message.route), {})[message.lot] = tokens
+        self._submitted_tokens.setdefault((message.tenant, message.route), {})[message.job] = tokens
         self._submitted[key] = self._append(entry, then=lambda: self._handle_accepted(message, reply))
 
-    def _queued(self, message: batch_messages.SubmitLot) -> int:
+    def _queued(self, message: batch_messages.SubmitJob) -> int:
         submitted = self._submitted_tokens.get((message.tenant, message.route), {})
         return self.table.queued_tokens(tenant=message.tenant, route=message.route) + sum(submitted.values())
 
-    def _handle_accepted(self, message: batch_messages.SubmitLot, reply: Reply) -> None:
-        self._submitted.pop((message.tenant, message.lot), None)
-        self._submitted_tokens[message.tenant, message.route].pop(message.lot, None)
+    def _handle_accepted(self, message: batch_messages.SubmitJob, reply: Reply) -> None:
+        self._submitted.pop((message.tenant, message.job), None)
+        self._submitted_tokens[message.tenant, message.route].pop(message.job, None)
         reply(Outcome.DONE)
 
-    def end_lot(self, message: batch_messages.EndLot, reply: Reply) -> None:
-        """Ends a lot; repeated calls are answered alike."""
-        lot = self.table.find(tenant=message.tenant, lot=message.lot)
-        if lot is None:
+    def end_job(self, message: batch_messages.EndJob, reply: Reply) -> None:
+        """Ends a job; repeated calls are answered alike."""
+        job = self.table.find(tenant=message.tenant, job=message.job)
+        if job is None:
             reply(Outcome.NOT_FOUND if self.is_complete else Outcome.NOT_OWNER)
-        elif lot.is_ended:
+        elif job.is_ended:
             reply(Outcome.DONE)
         else:
-            self._append(lot_entries.LotEnded(message.tenant, message.lot), then=lambda: reply(Outcome.DONE))
+            self._append(job_entries.JobEnded(message.tenant, message.job), then=lambda: reply(Outcome.DONE))
 
     # Items.
-    def lease(self, lot: lot_table.Lot, item: lot_table.Item) -> batch_messages.PulledItem:
+    def lease(self, job: job_table.Job, item: job_table.Item) -> batch_messages.PulledItem:
         """Leases an item to a proxy."""
-        item.state = lot_table.ItemState.LEASED
+        item.state = job_table.ItemState.LEASED
         item.lease_ends_at = self._now() + LEASE_S
         return batch_messages.PulledItem(
-            tenant=lot.tenant,
-            lot=lot.lot_id,
+            tenant=job.tenant,
+            job=job.job_id,
             item=item.item_id,
-            route=lot.route,
+            route=job.route,
             path=item.path,
             headers=_json_bytes(item.headers),
             parcel=item.parcel.encode(),
-            left_ms=max(0, math.floor((lot.due_at - self._wall_time()) * 1000)),
+            left_ms=max(0, math.floor((job.due_at - self._wall_time()) * 1000)),
         )
 
     def finish(self, message: batch_messages.FinishItem, reply: Reply) -> None:
         """A run ended: the item is listed, or waits for another run."""
-        lot = self.table.find(tenant=message.tenant, lot=message.lot)
-        item = lot.items.get(message.item) if lot is not None else None
-        if lot is None or item is None:
+        job = self.table.find(tenant=message.tenant, job=message.job)
+        item = job.items.get(message.item) if job is not None else None
+        if job is None or item is None:
             reply(Outcome.NOT_FOUND if self.is_complete else Outcome.NOT_OWNER)
             return
-        if item.state in (lot_table.ItemState.LISTED, lot_table.ItemState.FINISHING):
+        if item.state in (job_table.ItemState.LISTED, job_table.ItemState.FINISHING):
             reply(Outcome.DONE)
             return
         condition = Condition(message.condition)
         if condition is Condition.FAILED:
             item.failures += 1
-            condition = Condition.DEAD_LETTER if item.failures >= lot.max_attempts else Condition.RELEASED
+            condition = Condition.DEAD_LETTER if item.failures >= job.max_attempts else Condition.RELEASED
         if condition is Condition.RELEASED:
-            item.state = lot_table.ItemState.WAITING
+            item.state = job_table.ItemState.WAITING
             item.not_before = self._now() + RETRY_PAUSE_S
             reply(Outcome.DONE)
             return
-        item.state = lot_table.ItemState.FINISHING
+        item.state = job_table.ItemState.FINISHING
         text = message.text if condition is Condition.DELIVERED else b""
-        entry = lot_entries.ItemListed(message.tenant, message.lot, message.item, int(condition), text)
+        entry = job_entries.ItemListed(message.tenant, message.job, message.item, int(condition), text)
         self._append(entry, then=lambda: reply(Outcome.DONE))
 
 
--- a/ploverward/store/replication.py
+++ b/ploverward/store/replication.py
@@ -61,14 +61,14 @@
         connection.send(messages.KeepAlive(number=0))
         for partition in self._partitions_of(self._host):
             if partition.number not in self._sent:
-                self._ask(connection, partition)
+                self._request_position(connection, partition)
 
     def _handle_up(self, connection: peer_connection.PeerConnection) -> None:
         for partition in self._partitions_of(self._host):
-            self._ask(connection, partition)
+            self._request_position(connection, partition)
 
     @staticmethod
-    def _ask(connection: peer_connection.PeerConnection, partition: partitions.Partition) -> None:
+    def _request_position(connection: peer_connection.PeerConnection, partition: partitions.Partition) -> None:
         connection.send(batch_messages.ReplicateEntries(partition.number, partition.owners.epoch, 1, ()))
 
     def send_new(self, partition: partitions.Partition) -> None:
--- a/ploverward/store/store_disk.py
+++ b/ploverward/store/store_disk.py
@@ -19,8 +19,8 @@
 
 _log = logging.getLogger(__name__)
 
-FILE_NAME = "lots.log"
-NEW_NAME = "lots.new"
+FILE_NAME = "jobs.log"
+NEW_NAME = "jobs.new"
 RETRY_S = 0.2  # from a failed write to the next attempt
 _RECORD = struct.Struct(">IQ")  # partition, position
 
@@ -54,7 +54,7 @@
         self._is_writing = False
         self._waiting: list[StoredEntry] = []
         self._spell = failure_spell.FailureSpell(
-            now=loop.now, failed_event="lots_write_failed", recovered_event="lots_write_recovered"
+            now=loop.now, failed_event="jobs_write_failed", recovered_event="jobs_write_recovered"
         )
 
     def load(self) -> list[StoredEntry]:
@@ -74,7 +74,7 @@
                 self._size = checksummed_records.read(data, on_body=on_body)
                 self._is_new = False
         except (errors.StorageError, OSError) as error:
-            _log.error("lots_unreadable", extra={"fault": str(error)})
+            _log.error("jobs_unreadable", extra={"fault": str(error)})
         return found
 
     def add(self, entry: StoredEntry) -> None:
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -42,7 +42,7 @@
 
 
 class StoreNode:
-    """One process that keeps lots.
+    """One process that keeps jobs.
 
     Attributes:
         settings: In force.
@@ -97,12 +97,12 @@
             messages.Snapshot: lambda _host, link, message: self._subscriber.handle_snapshot(link, message),
         }
         self._handlers: dict[type, Callable] = {
-            batch_messages.SubmitLot: self._handle_submit,
+            batch_messages.SubmitJob: self._handle_submit,
             batch_messages.PullItems: self._handle_pull,
             batch_messages.FinishItem: self._handle_finish,
-            batch_messages.ReadLot: self._handle_read_lot,
+            batch_messages.ReadJob: self._handle_read_job,
             batch_messages.ReadItem: self._handle_read_item,
-            batch_messages.EndLot: self._handle_end_lot,
+            batch_messages.EndJob: self._handle_end_job,
             batch_messages.ReplicateEntries: self._handle_entries,
         }
 
@@ -259,9 +259,9 @@
 
     @staticmethod
     def _replier(connection: peer_connection.PeerConnection, number: int) -> partitions.Reply:
-        return lambda outcome: connection.send(batch_messages.LotReply(number, int(outcome)))
+        return lambda outcome: connection.send(batch_messages.JobReply(number, int(outcome)))
 
-    def _handle_submit(self, connection: peer_connection.PeerConnection, message: batch_messages.SubmitLot) -> None:
+    def _handle_submit(self, connection: peer_connection.PeerConnection, message: batch_messages.SubmitJob) -> None:
         reply = self._replier(connection, message.number)
         owned = self._owned_for(message.tenant)
         if owned is None:
@@ -277,41 +277,41 @@
         else:
             owned.finish(message, reply)
 
-    def _handle_end_lot(self, connection: peer_connection.PeerConnection, message: batch_messages.EndLot) -> None:
+    def _handle_end_job(self, connection: peer_connection.PeerConnection, message: batch_messages.EndJob) -> None:
         reply = self._replier(connection, message.number)
         owned = self._owned_for(message.tenant)
         if owned is None:
             reply(Outcome.NOT_OWNER)
         else:
-            owned.end_lot(message, reply)
+            owned.end_job(message, reply)
 
     def _handle_pull(self, connection: peer_connection.PeerConnection, message: batch_messages.PullItems) -> None:
         """Leases the items that are due first, over all partitions of this store."""
         now = self.loop.now()
-        lots = [(lot, owned) for owned in self._owned.values() for lot in owned.table.open_lots()]
-        lots.sort(key=lambda row: row[0].due_at)
+        jobs = [(job, owned) for owned in self._owned.values() for job in owned.table.open_jobs()]
+        jobs.sort(key=lambda row: row[0].due_at)
         pulled: list[batch_messages.PulledItem] = []
-        for lot, owned in lots:
-            for item in owned.table.free_items(lot, now=now):
+        for job, owned in jobs:
+            for item in owned.table.free_items(job, now=now):
                 if len(pulled) == message.limit:
                     break
-                pulled.append(owned.lease(lot, item))
+                pulled.append(owned.lease(job, item))
         connection.send(batch_messages.PulledItems(message.number, tuple(pulled)))
 
-    def _handle_read_lot(self, connection: peer_connection.PeerConnection, message: batch_messages.ReadLot) -> None:
+    def _handle_read_job(self, connection: peer_connection.PeerConnection, message: batch_messages.ReadJob) -> None:
         owned = self._owned_for(message.tenant)
-        lot = owned.table.find(tenant=message.tenant, lot=message.lot) if owned is not None else None
-        if owned is None or lot is None:
+        job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
+        if owned is None or job is None:
             outcome = self._absence(owned)
-            connection.send(batch_messages.LotPage(message.number, int(outcome), 0, ()))
+            connection.send(batch_messages.JobPage(message.number, int(outcome), 0, ()))
             return
-        page = owned.table.page(lot, after=message.after)
-        connection.send(batch_messages.LotPage(message.number, int(Outcome.DONE), len(lot.items), page))
+        page = owned.table.page(job, after=message.after)
+        connection.send(batch_messages.JobPage(message.number, int(Outcome.DONE), len(job.items), page))
 
     def _handle_read_item(self, connection: peer_connection.PeerConnection, message: batch_messages.ReadItem) -> None:
         owned = self._owned_for(message.tenant)
-        lot = owned.table.find(tenant=message.tenant, lot=message.lot) if owned is not None else None
-        item = lot.items.get(message.item) if lot is not None else None
+        job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
+        item = job.items.get(message.item) if job is not None else None
         if item is None:
             connection.send(batch_messages.ItemBody(message.number, int(self._absence(owned)), b""))
             return
--- a/ploverward/transport/batch_messages.py
+++ b/ploverward/transport/batch_messages.py
@@ -13,7 +13,7 @@
 
     DONE = 1
     OVER_QUOTA = 2  # nothing was done
-    NOT_FOUND = 3  # no such lot or item, for certain
+    NOT_FOUND = 3  # no such job or item, for certain
     NOT_OWNER = 4  # nothing was done: another store is the primary, or this one does not know enough yet
 
 
@@ -26,12 +26,12 @@
     RELEASED = 4  # it did not run to its end, and no replica is known to have failed
 
 
-class SubmitLot(typing.NamedTuple):
-    """Takes a lot."""
+class SubmitJob(typing.NamedTuple):
+    """Takes a job."""
 
     number: int
     tenant: str
-    lot: str
+    job: str
     route: str
     due_ms: int  # from now
     max_attempts: int  # answers of 500 after which an item is a dead letter
@@ -39,8 +39,8 @@
     body: bytes  # as the client sent it, checked
 
 
-class LotReply(typing.NamedTuple):
-    """Reply to `SubmitLot`, `FinishItem` and `EndLot`."""
+class JobReply(typing.NamedTuple):
+    """Reply to `SubmitJob`, `FinishItem` and `EndJob`."""
 
     number: int
     outcome: int
@@ -57,7 +57,7 @@
     """One item that the proxy has leased."""
 
     tenant: str
-    lot: str
+    job: str
     item: str
     route: str
     path: str
@@ -78,18 +78,18 @@
 
     number: int
     tenant: str
-    lot: str
+    job: str
     item: str
     condition: int
     text: bytes
 
 
-class ReadLot(typing.NamedTuple):
+class ReadJob(typing.NamedTuple):
     """Reads results from a position on."""
 
     number: int
     tenant: str
-    lot: str
+    job: str
     after: int
 
 
@@ -101,8 +101,8 @@
     text: bytes
 
 
-class LotPage(typing.NamedTuple):
-    """Reply to `ReadLot`."""
+class JobPage(typing.NamedTuple):
+    """Reply to `ReadJob`."""
 
     number: int
     outcome: int
@@ -115,7 +115,7 @@
 
     number: int
     tenant: str
-    lot: str
+    job: str
     item: str
 
 
@@ -127,12 +127,12 @@
     parcel: bytes  # the body in base64
 
 
-class EndLot(typing.NamedTuple):
-    """Ends a lot."""
+class EndJob(typing.NamedTuple):
+    """Ends a job."""
 
     number: int
     tenant: str
-    lot: str
+    job: str
 
 
 class LogEntry(typing.NamedTuple):
