Batch tier: a primary whose disk was lost takes over what its backups have before it answers

Now nothing is answered until all backups have said how far they are, what any of them has beyond is taken over, and all of it is committed. Five choices of one or two disks of three: nothing lost, never 'no such job'.

--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -1,5 +1,7 @@
 """Jobs from hand-in to results, on real sockets: a proxy, three stores, scripted replicas."""
 
+import shutil
+
 import pytest
 
 from ploverward.common import batch_partitions
@@ -83,6 +85,27 @@
         assert scene.results("l1").json["results"] == results
 
 
+@pytest.mark.parametrize("emptied", [(0,), (1,), (0, 1), (0, 2), (1, 2)])
+def test_two_lost_disks_lose_nothing(scene, emptied):
+    scene.submit("l1", [batch_scene.item(name) for name in "ab"])
+    results = scene.all_results("l1")
+    addresses = list(scene.stores)
+    for number in emptied:
+        scene.stores.pop(addresses[number]).stop()
+        shutil.rmtree(scene.folder / addresses[number])
+    for number in emptied:
+        scene.start_store(addresses[number])
+        scene.stores[addresses[number]].install_roles(scene.roles)
+    answers = []
+    assert scene.until(lambda: answers.append(scene.results("l1").status) or answers[-1] == 200)
+    assert set(answers) <= {200, 503}  # never "no such job"
+    assert scene.results("l1").json["results"] == results
+    assert scene.until(lambda: scene.submit("l2", [batch_scene.item("c")]).status == 202)
+    partition = batch_partitions.partition_of("clerks")
+    logs = [store._logs[partition] for store in scene.stores.values()]
+    assert all(log.entries[:4] == logs[0].entries[:4] and log.durable >= 4 for log in logs)
+
+
 def test_without_a_backup_nothing_is_promised(scene):
     address = list(scene.stores)[2]
     scene.stores.pop(address).stop()
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -9,6 +9,7 @@
 import json
 import math
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from ploverward.common import batch_partitions
 from ploverward.store import job_entries
@@ -83,6 +84,8 @@
         self.log = log
         self.table = job_table.JobTable()
         self.stored_at = dict.fromkeys(owners.backups, 0)
+        self._reported: dict[str, int] = {}  # by backup that has answered since this process began: its last position
+        self._recovers_to: int | None = None  # what has to be committed before anything is answered; None: not known
         self.committed = 0
         self._add = add
         self._now = now
@@ -93,9 +96,23 @@
         self._submitted_tokens: dict[tuple[str, str], dict[str, int]] = {}  # tenant and route: tokens by such a job
 
     @property
-    def is_complete(self) -> bool:
-        """Whether all that this store has of the log is committed, so that it may say what there is not."""
-        return self.committed == len(self.log.entries)
+    def is_serving(self) -> bool:
+        """Whether all that any copy had when this process took over is committed here.
+
+        Until then it would show an older state than one that was shown, or miss what was promised.
+        """
+        return self._recovers_to is not None and self.committed >= self._recovers_to
+
+    def _note_recovery(self) -> None:
+        """All backups have answered, and none has more than this store, whose disk may have been lost."""
+        last = len(self.log.entries)
+        has_heard_all = self._reported.keys() >= set(self.owners.backups)
+        if self._recovers_to is None and has_heard_all and max(self._reported.values(), default=0) <= last:
+            self._recovers_to = last
+
+    def absence(self) -> Outcome:
+        """What is answered where something is not there."""
+        return Outcome.NOT_FOUND if self.is_serving else Outcome.NOT_OWNER
 
     # Commit.
     def _append(self, entry: job_entries.Entry, *, then: Callable[[], object]) -> int:
@@ -109,9 +126,18 @@
     def handle_stored(self, backup: str, position: int) -> None:
         """A backup has the log up to this position."""
         if backup in self.stored_at:
+            self._reported[backup] = position
+            self._note_recovery()
             self.stored_at[backup] = max(self.stored_at[backup], min(position, len(self.log.entries)))
             self.advance()
 
+    def adopt(self, *, first: int, entries: Sequence[bytes]) -> None:
+        """Takes over what a backup has and this store lacks."""
+        for position, data in enumerate(entries, first):
+            if position == len(self.log.entries) + 1:
+                self.log.append(data)
+                self._add(store_disk.StoredEntry(self.number, position, data))
+
     def advance(self) -> None:
         """Applies what all copies have by now, and answers those who wait for it."""
         reached = min([self.log.durable, *self.stored_at.values()])
@@ -124,8 +150,8 @@
     # Jobs.
     def submit(self, message: batch_messages.SubmitJob, reply: Reply) -> None:
         """Takes a job once; `reply` is called when it is kept, or at once where it is not taken."""
-        if not self.is_complete and self.committed == 0:
-            reply(Outcome.NOT_OWNER)  # it has not heard from its backups since its start
+        if not self.is_serving:
+            reply(Outcome.NOT_OWNER)
             return
         key = (message.tenant, message.job)
         if key in self.table.jobs:
@@ -160,9 +186,9 @@
 
     def end_job(self, message: batch_messages.EndJob, reply: Reply) -> None:
         """Ends a job; repeated calls are answered alike."""
-        job = self.table.find(tenant=message.tenant, job=message.job)
+        job = self.table.find(tenant=message.tenant, job=message.job) if self.is_serving else None
         if job is None:
-            reply(Outcome.NOT_FOUND if self.is_complete else Outcome.NOT_OWNER)
+            reply(self.absence())
         elif job.is_ended:
             reply(Outcome.DONE)
         else:
@@ -189,7 +215,7 @@
         job = self.table.find(tenant=message.tenant, job=message.job)
         item = job.items.get(message.item) if job is not None else None
         if job is None or item is None:
-            reply(Outcome.NOT_FOUND if self.is_complete else Outcome.NOT_OWNER)
+            reply(self.absence())
             return
         if item.state in (job_table.ItemState.LISTED, job_table.ItemState.FINISHING):
             reply(Outcome.DONE)
--- a/ploverward/store/replication.py
+++ b/ploverward/store/replication.py
@@ -1,8 +1,8 @@
 """Sends the logs of this store's partitions to their backups (docs/batch.md 3).
 
 A `BackupLink` owns one connection to one backup, and how much of each log was sent on it. A new connection begins with
-the question how far the backup is; what is behind its answer is sent, then each entry as it is added. A backup that
-lacks something before an entry answers with its last position, and gets all that follows once more.
+the question how far the backup is, which names what the primary would write next. What is behind the backup's answer is
+sent, then each entry as it is added. A backup that has more, because the primary's disk was lost, sends that back.
 """
 
 from __future__ import annotations
@@ -69,7 +69,8 @@
 
     @staticmethod
     def _request_position(connection: peer_connection.PeerConnection, partition: partitions.Partition) -> None:
-        connection.send(batch_messages.ReplicateEntries(partition.number, partition.owners.epoch, 1, ()))
+        first = len(partition.log.entries) + 1
+        connection.send(batch_messages.ReplicateEntries(partition.number, partition.owners.epoch, first, ()))
 
     def send_new(self, partition: partitions.Partition) -> None:
         """Sends what the backup was not sent yet."""
@@ -78,25 +79,29 @@
             return
         while self._sent[partition.number] < len(partition.log.entries):
             first = self._sent[partition.number] + 1
-            entries = _up_to(partition.log.after(first - 1), MAX_SENT_BYTES)
+            entries = up_to(partition.log.after(first - 1), MAX_SENT_BYTES)
             self._sent[partition.number] += len(entries)
             rows = tuple(batch_messages.LogEntry(data) for data in entries)
             connection.send(batch_messages.ReplicateEntries(partition.number, partition.owners.epoch, first, rows))
 
-    def _handle_message(self, _connection: peer_connection.PeerConnection, message: tuple) -> None:
-        if not isinstance(message, batch_messages.EntriesStored):
+    def _handle_message(self, connection: peer_connection.PeerConnection, message: tuple) -> None:
+        if not isinstance(message, batch_messages.EntriesStored | batch_messages.ReplicateEntries):
             return
         for partition in self._partitions_of(self._host):
             if partition.number != message.partition or partition.owners.epoch != message.epoch:
                 continue
+            if isinstance(message, batch_messages.ReplicateEntries):
+                partition.adopt(first=message.first, entries=[entry.data for entry in message.entries])
+                self._request_position(connection, partition)
+                continue
             # Before its first answer, nothing was sent; later an answer below what was sent may just be on its way.
             self._sent.setdefault(partition.number, message.last)
             partition.handle_stored(self._host, message.last)
             self.send_new(partition)
 
 
-def _up_to(entries: list[bytes], limit: int) -> list[bytes]:
-    """The first entries that fit, one at least."""
+def up_to(entries: list[bytes], limit: int) -> list[bytes]:
+    """Returns the first entries that fit, one at least."""
     found: list[bytes] = []
     size = 0
     for data in entries:
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -59,9 +59,8 @@
         self._logs: dict[int, partitions.PartitionLog] = collections.defaultdict(partitions.PartitionLog)
         self._owned: dict[int, partitions.Partition] = {}
         self._links: dict[str, replication.BackupLink] = {}
-        self._backed: dict[int, set[peer_connection.PeerConnection]] = collections.defaultdict(
-            set
-        )  # who asked for acks
+        # By partition of which this store is a backup: the connections on which a primary asked how far it is.
+        self._backed: dict[int, set[peer_connection.PeerConnection]] = collections.defaultdict(set)
         self._epochs: dict[int, int] = {}
         self._accepted: set[peer_connection.PeerConnection] = set()
         disk = node_runtime.NodeRuntime().disk(folder=settings.data_dir)
@@ -233,7 +232,7 @@
             return  # one of the two does not know the newest arrangement yet; the primary asks again
         self._backed[number].add(connection)
         log = self._logs[number]
-        if message.first > len(log.entries) + 1:
+        if message.entries and message.first > len(log.entries) + 1:
             connection.close(reason="entries are missing before these")
             return
         for position, entry in enumerate(message.entries, message.first):
@@ -242,6 +241,14 @@
                 self._disk.add(store_disk.StoredEntry(number, position, entry.data))
         if not message.entries:
             self._acknowledge(connection, number)
+            self._send_back(connection, message)
+
+    def _send_back(self, connection: peer_connection.PeerConnection, message: batch_messages.ReplicateEntries) -> None:
+        """Sends a primary what it lacks; it asks again after each part."""
+        missing = self._logs[message.partition].after(message.first - 1)
+        if missing:
+            rows = tuple(map(batch_messages.LogEntry, replication.up_to(missing, replication.MAX_SENT_BYTES)))
+            connection.send(batch_messages.ReplicateEntries(message.partition, message.epoch, message.first, rows))
 
     # Requests of proxies.
     def _handle_message(self, connection: peer_connection.PeerConnection, message: tuple) -> None:
@@ -255,7 +262,9 @@
             connections.discard(connection)
 
     def _owned_for(self, tenant: str) -> partitions.Partition | None:
-        return self._owned.get(batch_partitions.partition_of(tenant))
+        """The tenant's partition, where this store is its primary and has all of it."""
+        owned = self._owned.get(batch_partitions.partition_of(tenant))
+        return owned if owned is not None and owned.is_serving else None
 
     @staticmethod
     def _replier(connection: peer_connection.PeerConnection, number: int) -> partitions.Reply:
@@ -288,7 +297,7 @@
     def _handle_pull(self, connection: peer_connection.PeerConnection, message: batch_messages.PullItems) -> None:
         """Leases the items that are due first, over all partitions of this store."""
         now = self.loop.now()
-        jobs = [(job, owned) for owned in self._owned.values() for job in owned.table.open_jobs()]
+        jobs = [(job, owned) for owned in self._owned.values() if owned.is_serving for job in owned.table.open_jobs()]
         jobs.sort(key=lambda row: row[0].due_at)
         pulled: list[batch_messages.PulledItem] = []
         for job, owned in jobs:
@@ -302,7 +311,7 @@
         owned = self._owned_for(message.tenant)
         job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
         if owned is None or job is None:
-            outcome = self._absence(owned)
+            outcome = owned.absence() if owned is not None else Outcome.NOT_OWNER
             connection.send(batch_messages.JobPage(message.number, int(outcome), 0, ()))
             return
         page = owned.table.page(job, after=message.after)
@@ -313,12 +322,10 @@
         job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
         item = job.items.get(message.item) if job is not None else None
         if item is None:
-            connection.send(batch_messages.ItemBody(message.number, int(self._absence(owned)), b""))
+            connection.send(
+                batch_messages.ItemBody(
+                    message.number, int(owned.absence() if owned is not None else Outcome.NOT_OWNER), b""
+                )
+            )
             return
         connection.send(batch_messages.ItemBody(message.number, int(Outcome.DONE), item.parcel.encode()))
-
-    @staticmethod
-    def _absence(owned: partitions.Partition | None) -> Outcome:
-        """What is answered where something is not there."""
-        is_certain = owned is not None and owned.is_complete and bool(owned.committed or not owned.log.entries)
-        return Outcome.NOT_FOUND if is_certain else Outcome.NOT_OWNER
