--- a/ploverward/control_plane/audit/trail_block.py
+++ b/ploverward/control_plane/audit/trail_block.py
@@ -15,7 +15,7 @@
 
 _HEAD = struct.Struct(">QQdII")  # number, offset of the first trail, when written, bytes of the rows, bytes of the ids
 ID_BYTES = 4
-COMPRESSION_LEVEL = 1  # the fastest; trails shrink to a seventh
+COMPRESSION_LEVEL = 1  # the fastest; trails shrink to a fifth
 
 
 class BatchRow(typing.NamedTuple):
