--- a/ploverward/simulation/control_plane/mutants.py
+++ b/ploverward/simulation/control_plane/mutants.py
@@ -153,7 +153,9 @@
         patches=tally_mutant_patches.acknowledged_before_sync, checks=TALLY_CHECKS, plan=TALLY_PLAN
     ),
     "an add acknowledged on too few disks": Mutant(
-        patches=tally_mutant_patches.acknowledged_on_too_few_disks, checks=TALLY_CHECKS, plan=DISKS_LOST_PLAN
+        patches=tally_mutant_patches.acknowledged_on_too_few_disks,
+        checks=TALLY_CHECKS,
+        plan=dataclasses.replace(DISKS_LOST_PLAN, troubles=("disks_lost_all_power",)),
     ),
     "an add kept after a 503": Mutant(
         patches=tally_mutant_patches.kept_after_refusal, checks=TALLY_CHECKS, plan=TALLY_PLAN
