--- a/ploverward/control_plane/configuration/schema.py
+++ b/ploverward/control_plane/configuration/schema.py
@@ -26,6 +26,21 @@
 Number = typing.Annotated[float, pydantic.BeforeValidator(_reject_text_and_booleans)]
 
 
+BATCH_KIND = "batch"
+
+
+def _accept_batch(value: object, check: pydantic.ValidatorFunctionWrapHandler) -> object:
+    """Takes the kind of routes for lots; the published error for other values names the kinds of requests."""
+    return value if value == BATCH_KIND else check(value)
+
+
+Kind = typing.Annotated[
+    str,
+    pydantic.Field(pattern=r"^(retry_safe|retry_unsafe|streaming)$"),
+    pydantic.WrapValidator(_accept_batch),
+]
+
+
 class _OpenModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="allow")
 
@@ -43,7 +58,7 @@
     name: str = pydantic.Field(min_length=1)
     host: str = pydantic.Field(min_length=1)
     path_prefix: str = pydantic.Field(alias="pathLead", pattern=r"^/(.*/)?$")
-    kind: str = pydantic.Field(pattern=r"^(retry_safe|retry_unsafe|streaming|batch)$")
+    kind: Kind
     timeout_ms: Number = pydantic.Field(alias="expiryMs", gt=0)
     latency_target_ms: Number = pydantic.Field(alias="targetMs", default=0, ge=0)
     priority: Integer = pydantic.Field(alias="urgency", default=0)
--- a/ploverward/control_plane/configuration/test_schema.py
+++ b/ploverward/control_plane/configuration/test_schema.py
@@ -165,3 +165,13 @@
         schema.check(body=merged)
     freed = patchs.merge(body=body, patch={"edition": 2, "withdraw": {"senders": ["a"]}})
     assert schema.check(body=freed).tenants == []
+
+
+@pytest.mark.parametrize("kind, is_valid", [("batch", True), ("streaming", True), ("Batch", False), ("", False)])
+def test_a_route_takes_lots_or_requests_of_one_of_three_kinds(kind, is_valid):
+    route = {"name": "r", "host": "h", "pathLead": "/r/", "kind": kind, "expiryMs": 5, "destination": "d"}
+    if is_valid:
+        assert schema.validated(schema.Route, route).kind == kind
+    else:
+        with pytest.raises(errors.InvalidConfigurationError):
+            schema.validated(schema.Route, route)
