--- a/ploverward/control_plane/audit/trail_archive.py
+++ b/ploverward/control_plane/audit/trail_archive.py
@@ -78,6 +78,7 @@
         self._on_loaded = on_loaded
         self._state = _State.LOADING
         self._waiting: list[NumberedBatch] = []
+        self._waiting_trails = 0  # of these batches
         self._blocks: list[trail_segments.StoredBlock] = []  # the oldest first
         self._next_number = 1
         self._has_timer = False
@@ -113,10 +114,10 @@
     def add(self, batch: NumberedBatch) -> None:
         """Takes a batch for one of the next writes."""
         self._waiting.append(batch)
-        waiting = sum(len(waiting.trails) for waiting in self._waiting)
-        while waiting > MAX_WAITING_TRAILS:
+        self._waiting_trails += len(batch.trails)
+        while self._waiting_trails > MAX_WAITING_TRAILS:
             dropped = len(self._waiting.pop(0).trails)
-            waiting -= dropped
+            self._waiting_trails -= dropped
             self._dropped += dropped
         self._schedule()
 
@@ -173,12 +174,13 @@
         self._note_dropped()
         written = set(map(id, batches))
         self._waiting = [batch for batch in self._waiting if id(batch) not in written]
+        self._waiting_trails = sum(len(batch.trails) for batch in self._waiting)
         stored = outcome.result()
         self._next_number += 1
         if stored.begin == 0:  # it replaced the segment
             self._blocks = [block for block in self._blocks if block.segment != stored.segment]
         self._blocks.append(stored)
-        if sum(len(batch.trails) for batch in self._waiting) >= MAX_BLOCK_TRAILS:
+        if self._waiting_trails >= MAX_BLOCK_TRAILS:
             self.flush()
 
     def _note_dropped(self) -> None:
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import json
@@ -168,7 +167,7 @@
     @staticmethod
     def page(job: Job, *, after: int) -> tuple[batch_messages.ListedItem, ...]:
         """Results from a position on, one at least if there is one, as many as a page takes."""
-        page: collections.deque[batch_messages.ListedItem] = collections.deque()
+        page: list[batch_messages.ListedItem] = []
         size = 0
         for result in job.results[after:]:
             size += len(result.text) + len(result.item)
