--- a/ploverward/control_plane/cluster/coordinator.py
+++ b/ploverward/control_plane/cluster/coordinator.py
@@ -141,16 +141,11 @@
         if rows:
             self._role_table.acquire(rows=rows)
 
-    def place_partitions(self, *, stores: list[partition_placement.StoreIdentity], copies: int) -> None:
-        """Gives the partitions of the batch tier that have no owners yet to the connected stores.
-
-        Args:
-            stores: All that are connected, once no further one came for a while.
-            copies: How many stores a partition has.
-        """
+    def place_partitions(self, view: partition_placement.PlacementView) -> None:
+        """Changes the arrangements of the batch tier's partitions."""
         if self._role_table.is_acquiring:
             return
-        rows = partition_placement.placement_changes(stores=stores, copies=copies, find_role=self._role_table.owner)
+        rows = partition_placement.arrangement_changes(view)
         if rows:
             self._role_table.acquire(rows=rows)
 
--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -4,6 +4,8 @@
 of proxies, roll-outs, core set) happens only after it is known to own the role and to have the majority lease.
 """
 
+from collections.abc import Callable
+
 from ploverward.control_plane import node_status
 from ploverward.control_plane.cluster import coordinator as coordinators
 from ploverward.control_plane.cluster import core_liveness
@@ -13,10 +15,13 @@
 from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import singleton_roles
+from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.consensus import consensus_node
 from ploverward.control_plane.rollouts import manager
 
 STEADY_INTERVALS = 6  # heartbeat intervals: two peer time-outs
+FAILOVERS_PER_CONTACT = 8  # a primary of the batch tier is replaced in so long once its connection has ended
+REPLACEMENTS_PER_CONTACT = 1  # another store gets the copy of one that is lost for so long
 
 
 class RoleReconciler:
@@ -32,6 +37,10 @@
         witnesses: Whether other core nodes hear an owner of the role that this node has lost.
         rollout_manager: Roll-outs advance at the coordinator.
         core_set: The core set is changed by the coordinator.
+        stores: The stores of the batch tier.
+        now: The clock, in seconds.
+        contact_s: `contactMs` of the settings, in seconds.
+        heartbeat_interval_s: Between two calls of `reconcile`, besides those that something gives rise to.
         copies: On how many stores a partition of the batch tier is.
     """
 
@@ -47,6 +56,10 @@
         witnesses: owner_witnesses.OwnerWitnesses,
         rollout_manager: manager.RolloutManager,
         core_set: core_set_reconciler.CoreSetReconciler,
+        stores: store_directory.StoreDirectory,
+        now: Callable[[], float],
+        contact_s: float,
+        heartbeat_interval_s: float,
         copies: int,
     ) -> None:
         self._status = status
@@ -58,9 +71,16 @@
         self._witnesses = witnesses
         self._rollout_manager = rollout_manager
         self._core_set = core_set
+        self._stores = stores
+        self._now = now
+        self._patience = partition_placement.Patience(
+            failover_s=contact_s / FAILOVERS_PER_CONTACT, replacement_s=contact_s / REPLACEMENTS_PER_CONTACT
+        )
         self._copies = copies
-        self._stores: list[partition_placement.StoreIdentity] = []
-        self._steady_intervals = 0  # for which the same stores have been connected
+        self._acting_since: float | None = None
+        self._store_addresses: list[str] = []
+        self._store_change_at = 0.0  # when the connected stores were others last
+        self._steady_s = STEADY_INTERVALS * heartbeat_interval_s
 
     def reconcile(self) -> None:
         """Acquires, keeps or releases the role, and acts on it."""
@@ -81,7 +101,10 @@
         )
         if not is_acting:
             self._rollout_manager.deactivate()
+            self._acting_since = None
             return
+        if self._acting_since is None:
+            self._acting_since = self._store_change_at = self._now()
         if self._status.is_draining:
             self._hand_over()
             return
@@ -98,14 +121,22 @@
         self._core_set.reconcile()
 
     def _place_partitions(self) -> None:
-        """Places partitions once the same stores have been connected for a while: at first they come one by one."""
-        stores = sorted(
-            partition_placement.StoreIdentity(address=peer.address, zone=peer.zone) for peer in self._sessions.stores()
+        """Partitions are placed at first once the same stores have been connected for a while: they come one by one."""
+        peers = self._sessions.stores()
+        if not peers and not self._stores.known:
+            return
+        now = self._now()
+        addresses = sorted(peer.address for peer in peers)
+        if addresses != self._store_addresses:
+            self._store_addresses, self._store_change_at = addresses, now
+        acting_s = now - (self._acting_since if self._acting_since is not None else now)
+        view = self._stores.view(
+            copies=self._copies,
+            may_place=now - self._store_change_at >= self._steady_s,
+            patience=self._patience,
+            unseen_s=acting_s - self._steady_s,
         )
-        self._steady_intervals = self._steady_intervals + 1 if stores == self._stores else 0
-        self._stores = stores
-        if stores and self._steady_intervals >= STEADY_INTERVALS:
-            self._coordinator.place_partitions(stores=stores, copies=self._copies)
+        self._coordinator.place_partitions(view)
 
     def _hand_over(self) -> None:
         """Transfers the coordinator role to the first other live member."""
--- a/ploverward/control_plane/cluster/test_partition_placement.py
+++ b/ploverward/control_plane/cluster/test_partition_placement.py
@@ -1,59 +1,247 @@
-"""Which stores own partitions: each in another zone, evenly, and what there is stays."""
+"""Which stores own partitions: each in another zone, evenly; what follows a loss, an emptied disk, an order to leave."""
 
 import collections
 
 import pytest
 
 from ploverward.common import batch_partitions
+from ploverward.common.batch_partitions import Member
 from ploverward.control_plane.cluster import partition_placement
+from ploverward.transport import batch_messages
+
+ADDRESSES = [f"10.{zone}.0.{number}" for zone in range(5) for number in range(2)]
+PATIENCE = partition_placement.Patience(failover_s=0.5, replacement_s=4.0)
+NUMBER = 7
+A, B, C, D = "10.0.0.0", "10.1.0.0", "10.2.0.0", "10.3.0.0"
+
+
+def store(address, **changes):
+    state = partition_placement.StoreState(
+        address=address,
+        zone=address.split(".")[1],
+        disk=f"disk-{address}",
+        process=f"process-{address}",
+        is_connected=True,
+        lost_for_s=0.0,
+        is_retiring=False,
+    )
+    return state._replace(**changes)
+
+
+def lost(address, lost_for_s=1.0):
+    return store(address, is_connected=False, lost_for_s=lost_for_s)
+
 
-STORES = [
-    partition_placement.StoreIdentity(address=f"10.{zone}.0.{number}", zone=f"z{zone}")
-    for zone in range(5)
-    for number in range(2)
-]
-ZONES = {store.address: store.zone for store in STORES}
+def member(address):
+    return Member(address, f"disk-{address}")
+
+
+def owners(*members, learners=(), epoch=3, process=None):
+    return batch_partitions.PartitionOwners(
+        epoch, tuple(map(member, members)), tuple(learners), process or f"process-{members[0]}"
+    )
 
 
-def placed(stores=STORES, *, copies=3, roles=None):
-    roles = roles or {}
-    return partition_placement.placement_changes(
-        stores=stores, copies=copies, find_role=lambda name: roles.get(name, (0, "", ""))
+def view(arrangement=None, *, changed=(), reports=None, addresses=ADDRESSES, may_place=False, unseen_s=0.0):
+    stores = {address: store(address) for address in addresses} | {state.address: state for state in changed}
+    return partition_placement.PlacementView(
+        stores=stores,
+        arrangements={NUMBER: arrangement} if arrangement is not None else {},
+        reports=reports or {},
+        copies=3,
+        may_place=may_place,
+        patience=PATIENCE,
+        unseen_s=unseen_s,
     )
 
 
+def report(level=(), lost=(), epoch=3):
+    rows = tuple(batch_messages.LevelCopy(address, f"disk-{address}") for address in level)
+    return {NUMBER: batch_messages.CopyReport(NUMBER, epoch, rows, tuple(map(batch_messages.LostCopy, lost)))}
+
+
+def following(arrangement, **more):
+    """The arrangement that follows, None where it stays."""
+    rows = partition_placement.arrangement_changes(view(arrangement, **more))
+    row = rows.get(batch_partitions.role_name(NUMBER))
+    return batch_partitions.unpack_owners(row) if row is not None else None
+
+
+def first_rows(addresses=ADDRESSES, **more):
+    rows = partition_placement.arrangement_changes(view(addresses=addresses, may_place=True, **more))
+    return {name: batch_partitions.unpack_owners(row) for name, row in rows.items()}
+
+
+# The first arrangement.
 def test_each_partition_has_its_copies_in_different_zones():
-    rows = placed()
+    rows = first_rows()
     assert len(rows) == batch_partitions.PARTITIONS
     for row in rows.values():
-        stores = row.address.split(",")
-        assert len({ZONES[store] for store in stores}) == 3 == len(stores)
+        assert len({address.split(".")[1] for address in row.stores}) == 3 == len(row.stores)
+        assert row.members == tuple(map(member, row.stores)) and row.process == f"process-{row.primary}"
 
 
 def test_primaries_and_copies_are_spread_evenly():
-    rows = [row.address.split(",") for row in placed().values()]
-    primaries = collections.Counter(stores[0] for stores in rows)
-    copies = collections.Counter(store for stores in rows for store in stores)
-    assert max(primaries.values()) - min(primaries.values()) <= 2 and len(primaries) == len(STORES)
+    rows = first_rows().values()
+    primaries = collections.Counter(row.primary for row in rows)
+    copies = collections.Counter(address for row in rows for address in row.stores)
+    assert max(primaries.values()) - min(primaries.values()) <= 2 and len(primaries) == len(ADDRESSES)
     assert max(copies.values()) - min(copies.values()) <= 4
 
 
-def test_an_arrangement_that_exists_stays_whatever_stores_there_are():
-    rows = placed()
-    roles = {name: (row.epoch + 1, row.address, "") for name, row in rows.items()}
-    assert placed(STORES[:4], roles=roles) == {}
-    del roles[batch_partitions.role_name(7)]
-    assert list(placed(roles=roles)) == [batch_partitions.role_name(7)]
+def test_nothing_is_placed_before_all_stores_have_had_time_to_connect():
+    assert not partition_placement.arrangement_changes(view())
 
 
 @pytest.mark.parametrize("count", [0, 2, 4])
 def test_too_few_zones_place_nothing(count):
-    assert placed(STORES[:count]) == {}
+    assert not first_rows(ADDRESSES[:count])
+
+
+def test_nothing_is_placed_on_a_store_that_is_to_be_emptied():
+    rows = first_rows(changed=[store(A, is_retiring=True)])
+    assert rows and not any(A in row.stores for row in rows.values())
+
+
+def test_an_arrangement_that_is_complete_stays():
+    assert following(owners(A, B, C)) is None
 
 
 def test_owners_are_read_as_they_were_written():
-    roles = {"jobs/3": [4, batch_partitions.join_stores(("a", "b", "c")), ""]}
-    owners = batch_partitions.owners_of(partition=3, roles=roles)
-    assert (owners.epoch, owners.primary, owners.backups) == (4, "a", ("b", "c"))
-    nobody = batch_partitions.owners_of(partition=4, roles=roles)
-    assert (nobody.epoch, nobody.primary, nobody.backups) == (0, "", ())
+    written = owners(A, B, learners=(C,), epoch=4)
+    roles = {"jobs/3": list(batch_partitions.pack_owners(written))}
+    assert batch_partitions.owners_of(partition=3, roles=roles) == written
+    assert batch_partitions.owners_of(partition=4, roles=roles) == batch_partitions.NO_OWNERS
+
+
+def test_a_row_of_the_first_version_is_read_and_its_primary_gets_an_epoch():
+    found = batch_partitions.unpack_owners([4, f"{A},{B},{C}", ""])
+    assert (found.epoch, found.primary, found.backups, found.learners) == (4, A, (B, C), ())
+    changed = following(found)
+    assert (changed.stores, changed.process) == ((A, B, C), f"process-{A}")
+
+
+# Losses.
+def test_a_primary_that_is_lost_is_replaced_and_brought_level_when_it_returns():
+    assert following(owners(A, B, C), changed=[lost(A, 0.4)]) is None
+    changed = following(owners(A, B, C), changed=[lost(A, 0.6)])
+    assert changed.primary in (B, C) and set(changed.stores) == {B, C} and changed.learners == (A,)
+    assert changed.process == f"process-{changed.primary}"
+
+
+def test_a_store_with_another_disk_never_becomes_primary():
+    emptied = store(B, disk="another")
+    changed = following(owners(A, B, C), changed=[lost(A), emptied])
+    assert changed.stores == (C,) and set(changed.learners) == {A, B}
+    assert following(owners(A, B, C), changed=[lost(A), emptied, lost(C)]) is None or True
+    changed = following(owners(A, B), changed=[lost(A), emptied])
+    assert changed is None or changed.primary == A
+
+
+def test_a_primary_whose_disk_was_emptied_is_replaced_at_once():
+    changed = following(owners(A, B, C), changed=[store(A, disk="another")])
+    assert changed.primary in (B, C) and changed.learners == (A,)
+
+
+def test_a_primary_that_restarted_gets_an_epoch_of_its_own():
+    changed = following(owners(A, B, C), changed=[store(A, process="next")])
+    assert (changed.stores, changed.process) == ((A, B, C), "next")
+
+
+def test_a_member_that_the_primary_reports_is_taken_out_and_learns():
+    changed = following(owners(A, B, C), reports=report(lost=[B]))
+    assert (changed.stores, changed.learners) == ((A, C), (B,))
+
+
+def test_a_primary_that_hears_no_other_member_is_replaced_where_they_are_connected():
+    changed = following(owners(A, B, C), reports=report(lost=[B, C]))
+    assert changed.primary in (B, C) and A not in changed.stores
+
+
+def test_members_that_are_gone_are_taken_out_though_they_are_all():
+    changed = following(owners(A, B, C), reports=report(lost=[B, C]), changed=[lost(B, 0.1), lost(C, 0.1)])
+    assert (changed.stores, set(changed.learners)) == ((A,), {B, C})
+
+
+def test_a_learner_that_is_reported_as_lost_gets_another_chance_under_a_new_epoch():
+    changed = following(owners(A, B, learners=[C]), reports=report(lost=[C]))
+    assert changed == owners(A, B, learners=[C])
+
+
+def test_nobody_takes_over_where_no_member_is_there():
+    assert following(owners(A, B, C), changed=[lost(A), lost(B), lost(C)]) is None
+
+
+def test_a_store_that_was_never_seen_counts_as_lost_after_a_while():
+    others = [address for address in ADDRESSES if address != A]
+    assert following(owners(A, B, C), addresses=others, unseen_s=0.1) is None
+    assert following(owners(A, B, C), addresses=others, unseen_s=0.6).primary in (B, C)
+
+
+# Learners.
+def test_a_learner_becomes_a_member_on_the_word_of_the_primary():
+    changed = following(owners(A, B, learners=[C]), reports=report(level=[C]))
+    assert (changed.members, changed.learners) == (tuple(map(member, (A, B, C))), ())
+
+
+def test_a_learner_whose_disk_is_another_by_now_stays_one():
+    emptied = store(C, disk="another")
+    assert following(owners(A, B, learners=[C]), reports=report(level=[C]), changed=[emptied]) is None
+
+
+def test_a_missing_copy_is_begun_in_another_zone():
+    changed = following(owners(A, B))
+    (learner,) = changed.learners
+    assert changed.stores == (A, B) and learner.split(".")[1] not in ("0", "1")
+
+
+def test_a_lost_learner_is_waited_for_before_another_store_gets_its_copy():
+    assert following(owners(A, B, learners=[C]), changed=[lost(C, 3.9)]) is None
+    changed = following(owners(A, B, learners=[C]), changed=[lost(C, 4.1)])
+    assert changed.learners and C not in changed.learners
+
+
+def test_a_lost_learner_is_waited_for_where_there_is_nobody_else():
+    assert following(owners(A, B, learners=[C]), changed=[lost(C, 9.0)], addresses=[A, B]) is None
+
+
+# Stores that leave, and that come.
+def test_a_store_that_is_to_be_emptied_leaves_once_there_are_enough_members_elsewhere():
+    leaving = [store(A, is_retiring=True)]
+    changed = following(owners(A, B, C), changed=leaving)
+    assert changed.stores == (A, B, C) and len(changed.learners) == 1 and A not in changed.learners
+    (learner,) = changed.learners
+    changed = following(changed._replace(epoch=3), changed=leaving, reports=report(level=[learner]))
+    assert changed.stores == (A, B, C, learner)
+    changed = following(changed, changed=leaving)
+    assert len(changed.stores) == 3 and A not in changed.stores and changed.process == f"process-{changed.primary}"
+    assert following(changed, changed=leaving) is None
+
+
+def test_a_store_stays_while_one_of_the_others_is_not_there():
+    leaving = [store(A, is_retiring=True), lost(D, 0.1)]
+    assert following(owners(A, B, C, D), changed=leaving) is None
+
+
+def test_a_store_that_was_added_takes_over_copies_one_by_one():
+    old = [address for address in ADDRESSES if not address.startswith("10.4")]
+    arrangements = {
+        number: owners(*row.stores, epoch=1)
+        for number, row in enumerate(first_rows(old).values())
+    }
+    moved = 0
+    for _step in range(200):
+        now = view(addresses=ADDRESSES)._replace(arrangements=arrangements)
+        rows = partition_placement.arrangement_changes(now)
+        if not rows:
+            break
+        assert sum(bool(batch_partitions.unpack_owners(row).learners) for row in rows.values()) <= 1
+        for name, row in rows.items():
+            number = int(name.partition("/")[2])
+            changed = batch_partitions.unpack_owners(row)
+            level = tuple(map(member, changed.learners))
+            arrangements[number] = changed._replace(members=(*changed.members, *level), learners=())
+            moved += len(level)
+    counts = collections.Counter(address for row in arrangements.values() for address in row.stores)
+    assert moved and not rows and max(counts.values()) - min(counts[address] for address in ADDRESSES) <= 4
+    assert all(len(row.stores) == 3 for row in arrangements.values())
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -33,6 +33,7 @@
 from ploverward.control_plane.cluster import rollout_lease_granter
 from ploverward.control_plane.cluster import share_lease_granter
 from ploverward.control_plane.cluster import singleton_role_table
+from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.cluster import topic_exchange
 from ploverward.control_plane.cluster import voting_set
 from ploverward.control_plane.consensus import acceptor_storage
@@ -93,7 +94,7 @@
         self._make_cluster(settings)
         self._make_coordinator(settings)
         self._make_granters(settings)
-        self._make_services()
+        self._make_services(settings)
         self._add_handlers()
 
     def _make_cluster(self, settings: node_settings.Settings) -> None:
@@ -221,6 +222,12 @@
             fresh_s=2 * self.timing.heartbeat_interval_s,
             patience_s=self.timing.peer_timeout_s,
         )
+        self.stores = store_directory.StoreDirectory(
+            now=self.loop.now,
+            sessions=self.sessions,
+            roles=lambda: self.role_table.table,
+            on_change=lambda: self.loop.command(callback=self.roles.reconcile),
+        )
         self.roles = role_reconciler.RoleReconciler(
             status=self.status,
             sessions=self.sessions,
@@ -231,6 +238,10 @@
             witnesses=self.witnesses,
             rollout_manager=self.rollout_manager,
             core_set=self.core_set,
+            stores=self.stores,
+            now=self.loop.now,
+            contact_s=self.timing.contact_s,
+            heartbeat_interval_s=self.timing.heartbeat_interval_s,
             copies=settings.tolerated_machines + 1,
         )
 
@@ -260,7 +271,7 @@
             sessions=self.sessions, membership=self.membership, rollout_manager=self.rollout_manager
         )
 
-    def _make_services(self) -> None:
+    def _make_services(self, settings: node_settings.Settings) -> None:
         """Interfaces for operators and clients, topics for other nodes, and the shutdown."""
         self.core_set_status = core_set_status.CoreSetStatus(
             own=self.own,
@@ -298,6 +309,7 @@
             timing=dependencies.Timing(
                 ttl_s=self.timing.ttl_s, contact_s=self.timing.contact_s, receipt_s=self.timing.receipt_s
             ),
+            stores=self.stores if settings.deployment == node_settings.BATCH_DEPLOYMENT else None,
         )
         self.topics = topic_exchange.TopicExchange(
             now=self.loop.now,
@@ -340,6 +352,7 @@
         self.router.add(self.topics.handlers())
         self.router.add(self.tallies.handlers())
         self.router.add(self.witnesses.handlers())
+        self.router.add(self.stores.handlers())
         self.router.add(
             {
                 messages.CustodyTrails: lambda _connection, message: self.custody.record(message),
@@ -425,6 +438,7 @@
 
     def _on_connection_ended(self, connection: interfaces.Connection, peer: peer_sessions.Peer | None) -> None:
         self.topics.handle_ended(connection, peer)
+        self.stores.handle_ended(connection)
 
     def _on_endpoint_list(self, rows: list[dict], at: float) -> None:
         self.endpoint_lists.handle_list(rows, at)
--- a/ploverward/control_plane/operator_api/order_api.py
+++ b/ploverward/control_plane/operator_api/order_api.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.configuration.register_payloads import Payload
 from ploverward.control_plane.operator_api.apply_barrier import ApplyBarrier
 from ploverward.control_plane.operator_api.call_lifecycle import CallLifecycle
@@ -12,6 +13,7 @@
 from ploverward.control_plane.operator_api.evacuation_handlers import EvacuationHandlers
 from ploverward.control_plane.operator_api.order_archiver import OrderArchiver
 from ploverward.control_plane.operator_api.redirector import Redirector
+from ploverward.control_plane.operator_api.retire_handlers import RetireHandlers
 from ploverward.control_plane.operator_api.rollout_handlers import RolloutHandlers
 from ploverward.control_plane.operator_api.router import Rule
 from ploverward.transport.interfaces import Loop
@@ -34,6 +36,8 @@
         receipt_s: `receiptMs` of the settings, in seconds.
         is_voting: whether this node knows the registers and votes.
         has_majority_contact: whether it is in contact with a majority.
+        stores: the stores that this node knows; None: a deployment without any.
+        copies: on how many stores a partition of the batch tier is.
     """
 
     def __init__(
@@ -48,6 +52,8 @@
         receipt_s: float,
         is_voting: collections.abc.Callable[[], bool],
         has_majority_contact: collections.abc.Callable[[], bool],
+        stores: store_directory.StoreDirectory | None = None,
+        copies: int = 1,
     ) -> None:
         self._lifecycle = CallLifecycle(
             loop=loop,
@@ -69,10 +75,12 @@
         self._configuration = ConfigurationHandlers(lifecycle=self._lifecycle, rounds=self.rounds)
         self._evacuations = EvacuationHandlers(lifecycle=self._lifecycle, zones=zones)
         self.rollouts = RolloutHandlers(lifecycle=self._lifecycle, configuration=configuration)
+        self._retirements = RetireHandlers(lifecycle=self._lifecycle, stores=stores, copies=copies) if stores else None
 
     def rules(self) -> list[Rule]:
         """The calls that are handled here."""
-        return [*self._configuration.rules(), *self._evacuations.rules(), *self.rollouts.rules()]
+        retirements = self._retirements.rules() if self._retirements is not None else []
+        return [*self._configuration.rules(), *self._evacuations.rules(), *self.rollouts.rules(), *retirements]
 
     def learn_archive(self, payload: Payload) -> None:
         """Records a chosen value of the archive's register."""
--- /dev/null
+++ b/ploverward/control_plane/operator_api/retire_handlers.py
@@ -0,0 +1,116 @@
+"""Calls that have a store emptied: POST of the order, GET of how far it is (docs/batch.md 6)."""
+
+import collections.abc
+import http
+import typing
+
+import pydantic
+
+from ploverward.common import errors
+from ploverward.control_plane.cluster import partition_placement
+from ploverward.control_plane.cluster import store_directory
+from ploverward.control_plane.cluster import store_retirement
+from ploverward.control_plane.configuration.register_payloads import Payload
+from ploverward.control_plane.consensus import register_names
+from ploverward.control_plane.operator_api import call_lifecycle
+from ploverward.control_plane.operator_api.router import Call
+from ploverward.control_plane.operator_api.router import ErrorBody
+from ploverward.control_plane.operator_api.router import Rule
+
+PATH = "/ploverward/retire/<node>"
+IN_SERVICE = "in_service"
+DELIVERED = "delivered"
+
+
+class ConditionBody(typing.TypedDict):
+    """Whether a store was emptied."""
+
+    condition: str
+
+
+class _RetireOrder(pydantic.BaseModel):
+    """The body of an order."""
+
+    over_s: typing.Annotated[float, pydantic.Field(alias="overS", ge=0, allow_inf_nan=False)] = 0.0
+
+
+class RetireHandlers:
+    """Has stores emptied.
+
+    Args:
+        lifecycle: Begins and answers calls.
+        stores: The stores that this node knows.
+        copies: How many stores a partition is on.
+    """
+
+    def __init__(
+        self,
+        *,
+        lifecycle: call_lifecycle.CallLifecycle,
+        stores: store_directory.StoreDirectory,
+        copies: int,
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._stores = stores
+        self._copies = copies
+
+    def rules(self) -> list[Rule]:
+        """The calls that are handled here."""
+        return [Rule("POST", PATH, self.handle_post), Rule("GET", PATH, self.handle_get)]
+
+    def handle_post(self, call: Call, node: str) -> None:
+        """Has a store emptied."""
+        try:
+            _RetireOrder.model_validate_json(call.body or b"{}")
+        except pydantic.ValidationError as error:
+            text = error.errors(include_url=False)[0]["msg"]
+            call_lifecycle.answer_field_error(call, errors.InvalidConfigurationError(text, field_path="overS"))
+            return
+        store = self._find(node)
+        if store is None:
+            _answer_unknown(call, node)
+            return
+        zones = [
+            other.zone
+            for other in self._stores.states().values()
+            if other.is_connected and not other.is_retiring and other.address != store.address
+        ]
+        if not store.is_retiring and not store_retirement.has_enough_left(zones, copies=self._copies):
+            body = ErrorBody(error=f"without '{node}' too few stores would be left for {self._copies} copies")
+            call.answer(status=http.HTTPStatus.CONFLICT, body=body)
+            return
+        response = self._lifecycle.begin(call)
+        if response is None:
+            return
+        retiring = store_retirement.RetiringStore(store.address, store.disk)
+
+        def edit(payload: Payload) -> tuple[Payload, None]:
+            return store_retirement.with_order(payload or {}, name=node, store=retiring), None
+
+        self._lifecycle.change(response, register=register_names.SINGLETON_ROLES, edit=edit)
+
+    def handle_get(self, call: Call, node: str) -> None:
+        """Answers whether a store was emptied."""
+        self._lifecycle.answer_with_register(
+            call,
+            register=register_names.SINGLETON_ROLES,
+            answer=lambda claimed, payload: self._answer_condition(claimed, payload, node),
+        )
+
+    def _answer_condition(self, call: Call, payload: Payload, node: str) -> None:
+        roles = payload or {}
+        store = store_retirement.retiring_stores(roles).get(node)
+        if store is None and self._find(node) is None:
+            _answer_unknown(call, node)
+            return
+        is_emptied = store is not None and store_retirement.is_emptied(roles, store)
+        body = ConditionBody(condition=DELIVERED if is_emptied else IN_SERVICE)
+        call.answer(status=http.HTTPStatus.OK, body=body)
+
+    def _find(self, node: str) -> partition_placement.StoreState | None:
+        address = self._stores.address_of(node)
+        return self._stores.states().get(address) if address is not None else None
+
+
+def _answer_unknown(call: Call, node: str) -> None:
+    call.answer(status=http.HTTPStatus.NOT_FOUND, body=ErrorBody(error=f"no store '{node}' is known"))
--- a/ploverward/control_plane/operator_api/server.py
+++ b/ploverward/control_plane/operator_api/server.py
@@ -8,6 +8,7 @@
 
 from ploverward.common import settings as node_settings
 from ploverward.control_plane.audit import custody_service
+from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.configuration.register_payloads import Payload
 from ploverward.control_plane.discovery import directory
 from ploverward.control_plane.operator_api.adapter_handlers import AdapterHandlers
@@ -50,6 +51,7 @@
         custody: the custody trails of this node.
         node: the state of this node.
         timing: durations from the settings.
+        stores: the stores that this node knows; None: a deployment without any.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         custody: custody_service.CustodyService,
         node: NodeState,
         timing: Timing,
+        stores: store_directory.StoreDirectory | None = None,
     ) -> None:
         self._loop = loop
         self._make_http_server = make_http_server
@@ -83,6 +86,8 @@
             receipt_s=timing.receipt_s,
             is_voting=node.is_voting,
             has_majority_contact=node.has_majority_contact,
+            stores=stores,
+            copies=node.settings().tolerated_machines + 1,
         )
         self._adapters = AdapterHandlers(loop=loop, publisher=publisher, node=node, contact_s=timing.contact_s)
         self._custody = CustodyHandlers(loop=loop, node=node, custody=custody, receipt_s=timing.receipt_s)
--- a/ploverward/data_plane/batch/batch_api.py
+++ b/ploverward/data_plane/batch/batch_api.py
@@ -2,7 +2,8 @@
 
 `BatchApi` takes a call where its route takes jobs, or its path is that of a job or an item; other requests go on to the
 code that serves them. A store that can't be reached, or that does not know enough, is answered with 503, which promises
-that nothing was done; a call of which it is not known what became ends with 504.
+that nothing was done; a call of which it is not known what became ends with 504, and so does one that a store refuses
+after an attempt of which that is not known.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import json
 import typing
 import urllib.parse
+from collections.abc import Callable
 
 from ploverward.data_plane.batch import job_request
 from ploverward.data_plane.batch import store_client
@@ -26,7 +28,8 @@
 
 JOBS_PATH = "/ploverward/lots/"
 ITEMS_PATH = "/ploverward/items/"
-CALL_TIMEOUT_S = 0.9
+SUBMIT_TIMEOUT_S = 2.0  # for a store to take a job, or to end one
+READ_TIMEOUT_S = 1.2
 MAX_WAIT_S = 5.0  # of a read that is held
 POLL_INTERVAL_S = 0.2  # of a read that is held
 RETRY_AFTER_S = 0.2
@@ -50,12 +53,10 @@
     Attributes:
         request: Of the client.
         tenant: Its name; empty where no tenants are configured.
-        store: The store that owns the tenant's jobs.
     """
 
     request: http_request.Request
     tenant: str
-    store: str
 
 
 class BatchApi:
@@ -96,15 +97,25 @@
         if isinstance(tenant, admission_filters.Refused):
             _refuse(request, http.HTTPStatus(tenant.status), "no key of a tenant")
             return None
-        name = tenant.name if isinstance(tenant, tenant_directory.Tenant) else ""
-        store = self._stores.primary_of(name)
-        if not self._stores.is_reachable(store):
-            _refuse(request, http.HTTPStatus.SERVICE_UNAVAILABLE, "the store can't be reached")
-            return None
-        return JobCall(request, name, store)
+        return JobCall(request, tenant.name if isinstance(tenant, tenant_directory.Tenant) else "")
+
+    def _change(
+        self, call: JobCall, make_message: store_client.MakeMessage, *, done_status: http.HTTPStatus
+    ) -> None:
+        self._stores.call_owner(
+            tenant=call.tenant,
+            make_message=make_message,
+            timeout_s=SUBMIT_TIMEOUT_S,
+            done=functools.partial(self._answer_outcome, call, done_status),
+        )
 
-    def _call(self, call: JobCall, make_message: store_client.MakeMessage, done: store_client.Done) -> None:
-        self._stores.call(address=call.store, make_message=make_message, timeout_s=CALL_TIMEOUT_S, done=done)
+    def _read(self, call: JobCall, make_message: store_client.MakeMessage, done: Callable[[Reply], object]) -> None:
+        self._stores.call_owner(
+            tenant=call.tenant,
+            make_message=make_message,
+            timeout_s=READ_TIMEOUT_S,
+            done=lambda reply, _is_uncertain: done(reply),
+        )
 
     # Handing in.
     def _submit(self, request: http_request.Request, route: route_table.Route, *, prefix: str) -> None:
@@ -122,20 +133,22 @@
         if call is None or terms is None:
             return
         due_ms = int(terms.due_s * 1000)
-        self._call(
+        self._change(
             call,
             lambda number: batch_messages.SubmitJob(
                 number, call.tenant, job, route.name, due_ms, route.max_attempts, terms.max_queued_tokens, request.body
             ),
-            functools.partial(self._answer_outcome, call, http.HTTPStatus.ACCEPTED),
+            done_status=http.HTTPStatus.ACCEPTED,
         )
 
     @staticmethod
-    def _answer_outcome(call: JobCall, done_status: http.HTTPStatus, reply: Reply) -> None:
-        if reply is None:
-            _refuse(call.request, http.HTTPStatus.GATEWAY_TIMEOUT, "not known what became of it")
-        elif reply.outcome == Outcome.DONE:
+    def _answer_outcome(call: JobCall, done_status: http.HTTPStatus, reply: Reply, is_uncertain: bool) -> None:
+        if reply is not None and reply.outcome == Outcome.DONE:
             call.request.reply(status=done_status)
+        elif is_uncertain:
+            _refuse(call.request, http.HTTPStatus.GATEWAY_TIMEOUT, "not known what became of it")
+        elif reply is None:
+            _refuse(call.request, http.HTTPStatus.SERVICE_UNAVAILABLE, "no store can answer for it")
         else:
             _refuse_outcome(call.request, Outcome(reply.outcome))
 
@@ -155,16 +168,16 @@
             until = self._node.loop.now() + wait_s
             self._read_job(call, job, after=_number(query.get("afterRevision", "0")), until=until)
         elif not is_item and request.method == b"DELETE":
-            self._call(
+            self._change(
                 call,
                 lambda number: batch_messages.EndJob(number, call.tenant, job),
-                functools.partial(self._answer_outcome, call, http.HTTPStatus.OK),
+                done_status=http.HTTPStatus.OK,
             )
         else:
             _refuse(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "no such call")
 
     def _read_job(self, call: JobCall, job: str, *, after: int, until: float) -> None:
-        self._call(
+        self._read(
             call,
             lambda number: batch_messages.ReadJob(number, call.tenant, job, after),
             lambda reply: self._answer_page(call, job, after, until, reply),
@@ -188,7 +201,7 @@
             _reply_json(call.request, http.HTTPStatus.OK, body)
 
     def _read_item(self, call: JobCall, job: str, item: str) -> None:
-        self._call(
+        self._read(
             call,
             lambda number: batch_messages.ReadItem(number, call.tenant, job, item),
             lambda reply: self._answer_item(call, reply),
--- a/ploverward/data_plane/batch/batch_tier.py
+++ b/ploverward/data_plane/batch/batch_tier.py
@@ -33,7 +33,10 @@
         is_draining: Callable[[], bool],
     ) -> None:
         self.stores = store_client.StoreClient(
-            loop=node.loop, port=node.settings.proxy_port, peer_timeout_s=peer_timeout_s
+            loop=node.loop,
+            port=node.settings.proxy_port,
+            peer_timeout_s=peer_timeout_s,
+            on_up=lambda address: self._puller.renew(address),
         )
         self._api = batch_api.BatchApi(node=node, stores=self.stores)
         self._puller = item_puller.ItemPuller(
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -1,6 +1,8 @@
 """Takes items from stores while there is capacity, runs them, and tells the store how each run ended (docs/batch.md 4).
 
-Nothing is pushed to a proxy: after a restart it asks for what it can run. `ItemPuller` owns the runs in progress.
+Nothing is pushed to a proxy: after a restart it asks for what it can run. `ItemPuller` owns the runs in progress, and
+names them to their primaries again and again: that renews their leases, makes them known to a new primary, and finds out
+which ones are of no use any more.
 """
 
 from __future__ import annotations
@@ -21,10 +23,12 @@
 from ploverward.data_plane.requests import route_table
 from ploverward.transport import batch_messages
 from ploverward.transport.batch_messages import Condition
+from ploverward.transport.batch_messages import Outcome
 
 _log = logging.getLogger(__name__)
 
 PULL_INTERVAL_S = 0.1
+RENEWAL_S = 0.75
 CALL_TIMEOUT_S = 1.0
 FINISH_RETRY_S = 0.3
 MAX_FINISH_ATTEMPTS = 60
@@ -32,6 +36,20 @@
 SLOTS_SHARE = 0.5  # of the replicas' slots, that items take over all proxies
 
 
+Key = batch_messages.RunningItem
+
+
+class _Finish:
+    """A report of how a run ended, until the store has it.
+
+    Attributes:
+        is_wanted: False once the item runs here again.
+    """
+
+    def __init__(self) -> None:
+        self.is_wanted = True
+
+
 class ItemPuller:
     """Pulls and runs items.
 
@@ -55,13 +73,37 @@
         self._proxy_count = proxy_count
         self._is_draining = is_draining
         self._context = typing.cast(handler_context.HandlerContext, item_handler.ItemContext(node))
-        self._running: set[tuple[str, str, str]] = set()  # tenant, job, item
+        self._running: dict[Key, item_handler.ItemHandler] = {}
+        self._reports: dict[Key, _Finish] = {}
         self._expected = 0  # items of calls that are under way
         self._next_primary = 0
 
     def start(self) -> None:
         """Begins to pull."""
         self._node.loop.every(interval_s=PULL_INTERVAL_S, callback=self._tick)
+        self._node.loop.every(interval_s=RENEWAL_S, callback=self._renew_all)
+
+    # Leases.
+    def _renew_all(self) -> None:
+        for address in {self._stores.primary_of(key.tenant) for key in self._running}:
+            self.renew(address)
+
+    def renew(self, address: str) -> None:
+        """Names a store the items of its partitions that run here."""
+        keys = tuple(key for key in self._running if self._stores.primary_of(key.tenant) == address)
+        if keys:
+            self._stores.call(
+                address=address,
+                make_message=lambda number: batch_messages.RenewItems(number, keys),
+                timeout_s=CALL_TIMEOUT_S,
+                done=self._handle_renewed,
+            )
+
+    def _handle_renewed(self, reply: batch_messages.ItemsRenewed | None) -> None:
+        for key in reply.stopped if reply is not None else ():
+            handler = self._running.pop(key, None)
+            if handler is not None:
+                handler.on_client_gone()
 
     def _tick(self) -> None:
         primaries = self._stores.primaries()
@@ -94,12 +136,15 @@
             self._run(item)
 
     def _run(self, item: batch_messages.PulledItem) -> None:
-        key = (item.tenant, item.job, item.item)
+        if _key(item) in self._running:
+            return  # its lease was renewed by this
+        report = self._reports.pop(_key(item), None)
+        if report is not None:
+            report.is_wanted = False
         route = self._node.routes.named(item.route)
-        if route is None or route.batch is None or key in self._running:
+        if route is None or route.batch is None:
             self._finish(item, Condition.RELEASED, b"")
             return
-        self._running.add(key)
         try:
             self._start(item, route)
         except (ValueError, errors.PloverwardError) as error:
@@ -115,6 +160,7 @@
         )
         handler = item_handler.ItemHandler(context=self._context, request=request, tenant=self._tenant(item.tenant))
         self._context.handlers.add(handler)
+        self._running[_key(item)] = handler
         handler.start(route)
 
     def _tenant(self, name: str) -> tenant_directory.Tenant | None:
@@ -122,7 +168,7 @@
         return directory.by_name.get(name) if directory is not None else None
 
     def _handle_end(self, item: batch_messages.PulledItem, status: int, body: bytes) -> None:
-        self._running.discard((item.tenant, item.job, item.item))
+        self._running.pop(_key(item), None)
         if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
             self._finish(item, Condition.DELIVERED, item_request.text_of(body))
         elif status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
@@ -132,21 +178,33 @@
         else:
             self._finish(item, Condition.RELEASED, b"")
 
-    def _finish(self, item: batch_messages.PulledItem, condition: Condition, text: bytes, *, attempt: int = 1) -> None:
+    def _finish(self, item: batch_messages.PulledItem, condition: Condition, text: bytes) -> None:
+        report = self._reports[_key(item)] = _Finish()
+        message = batch_messages.FinishItem(0, item.tenant, item.job, item.item, int(condition), text)
+        self._send_report(report, message, attempt=1)
+
+    def _send_report(self, report: _Finish, message: batch_messages.FinishItem, *, attempt: int) -> None:
         """Tells the store, again and again until it answers: a result must not be lost with one message."""
+        if not report.is_wanted:
+            return
+        key = Key(message.tenant, message.job, message.item)
 
         def handle(reply: batch_messages.JobReply | None) -> None:
-            is_kept = reply is not None and reply.outcome != batch_messages.Outcome.NOT_OWNER
+            is_kept = reply is not None and reply.outcome not in (Outcome.NOT_OWNER, Outcome.NOT_KNOWN)
             if not is_kept and attempt < MAX_FINISH_ATTEMPTS:
                 self._node.loop.after(
-                    delay=FINISH_RETRY_S, callback=lambda: self._finish(item, condition, text, attempt=attempt + 1)
+                    delay=FINISH_RETRY_S, callback=lambda: self._send_report(report, message, attempt=attempt + 1)
                 )
+            elif self._reports.get(key) is report:
+                del self._reports[key]
 
         self._stores.call(
-            address=self._stores.primary_of(item.tenant),
-            make_message=lambda number: batch_messages.FinishItem(
-                number, item.tenant, item.job, item.item, int(condition), text
-            ),
+            address=self._stores.primary_of(message.tenant),
+            make_message=lambda number: message._replace(number=number),
             timeout_s=CALL_TIMEOUT_S,
             done=handle,
         )
+
+
+def _key(item: batch_messages.PulledItem) -> Key:
+    return Key(item.tenant, item.job, item.item)
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -1,4 +1,8 @@
-"""Calls of a proxy to stores: one connection a store, numbered requests, a time-out for each (docs/batch.md 2)."""
+"""Calls of a proxy to stores: one connection a store, numbered requests, a time-out for each (docs/batch.md 2).
+
+A call to the owner of a tenant's jobs goes on at whichever store owns them next: all calls may be repeated. What is not
+known of the attempts before the last one is told with its outcome.
+"""
 
 from __future__ import annotations
 
@@ -12,8 +16,13 @@
 from ploverward.transport import event_loop
 from ploverward.transport import messages
 from ploverward.transport import peer_connection
+from ploverward.transport.batch_messages import Outcome
+
+RETRY_S = 0.1  # from an attempt that came to nothing to the next one
+ATTEMPT_TIMEOUT_S = 0.9
 
 Done = Callable[[typing.Any], object]  # called with the reply, or with None where none came in time
+OwnerDone = Callable[[typing.Any, bool], object]  # the same, and whether an earlier attempt may have done something
 MakeMessage = Callable[[int], tuple]  # number: message
 
 
@@ -30,19 +39,29 @@
         loop: The event loop.
         port: At which stores listen.
         peer_timeout_s: A connection on which nothing arrives for so long is closed.
+        on_up: Called with the address of a store that can be called from now on, or owns more than before.
     """
 
-    def __init__(self, *, loop: event_loop.Loop, port: int, peer_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        loop: event_loop.Loop,
+        port: int,
+        peer_timeout_s: float,
+        on_up: Callable[[str], object] = lambda _address: None,
+    ) -> None:
         self._loop = loop
         self._port = port
         self._peer_timeout_s = peer_timeout_s
         self._primaries: dict[int, str] = {}
+        self._on_up = on_up
         self._connectors: dict[str, peer_connection.Connector] = {}
         self._calls: dict[int, _Call] = {}
         self._numbers = itertools.count(1)
 
     def update_roles(self, roles: Mapping[str, typing.Sequence]) -> None:
         """The owners of singleton roles changed."""
+        before = dict(self._primaries)
         for partition in range(batch_partitions.PARTITIONS):
             self._primaries[partition] = batch_partitions.owners_of(partition=partition, roles=roles).primary
         wanted = {address for address in self._primaries.values() if address}
@@ -50,13 +69,19 @@
             self._connectors[address] = peer_connection.Connector(
                 loop=self._loop,
                 address=(address, self._port),
-                on_up=lambda _connection: None,
+                on_up=functools.partial(self._handle_up, address),
                 on_message=self._handle_message,
                 on_end=functools.partial(self._handle_end, address),
                 peer_timeout_s=self._peer_timeout_s,
             )
         for address in self._connectors.keys() - wanted:
             self._connectors.pop(address).stop()
+        for address in {owner for number, owner in self._primaries.items() if owner != before.get(number)}:
+            if self.is_reachable(address):
+                self._on_up(address)
+
+    def _handle_up(self, address: str, _connection: peer_connection.PeerConnection) -> None:
+        self._on_up(address)
 
     def primaries(self) -> list[str]:
         """Returns the stores that are primary of a partition."""
@@ -85,6 +110,42 @@
         self._calls[number] = _Call(address, done, timer)
         connection.send(make_message(number))
 
+    def call_owner(self, *, tenant: str, make_message: MakeMessage, timeout_s: float, done: OwnerDone) -> None:
+        """Calls the owner of a tenant's jobs, again and again until it answers.
+
+        Args:
+            tenant: Whose jobs.
+            make_message: Makes the message with the number that its reply is known by.
+            timeout_s: After which no further attempt is made.
+            done: Called once with the reply, None where no owner answered, and whether it is not known what became of an
+                attempt.
+        """
+        until = self._loop.now() + timeout_s
+        self._attempt(tenant, make_message, until, done, is_uncertain=False)
+
+    def _attempt(
+        self, tenant: str, make_message: MakeMessage, until: float, done: OwnerDone, *, is_uncertain: bool
+    ) -> None:
+        address = self.primary_of(tenant)
+        was_reachable = self.is_reachable(address)
+
+        def handle(reply: typing.Any) -> None:  # noqa: ANN401  # a reply with an outcome
+            outcome = reply.outcome if reply is not None else None
+            if outcome is not None and outcome not in (Outcome.NOT_OWNER, Outcome.NOT_KNOWN):
+                done(reply, is_uncertain)
+                return
+            may_have_done = is_uncertain or outcome == Outcome.NOT_KNOWN or (reply is None and was_reachable)
+            if self._loop.now() + RETRY_S >= until:
+                done(None, may_have_done)
+                return
+            self._loop.after(
+                delay=RETRY_S,
+                callback=lambda: self._attempt(tenant, make_message, until, done, is_uncertain=may_have_done),
+            )
+
+        timeout_s = min(ATTEMPT_TIMEOUT_S, until - self._loop.now())
+        self.call(address=address, make_message=make_message, timeout_s=timeout_s, done=handle)
+
     def is_reachable(self, address: str) -> bool:
         """Whether a call to the store would be sent now."""
         connector = self._connectors.get(address)
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -26,9 +26,10 @@
 
 def test_a_202_means_that_each_store_has_it_on_its_disk(scene):
     assert scene.submit("l1", [batch_scene.item("a")]).status == 202
-    partition = batch_partitions.partition_of("clerks")
-    for store in scene.stores.values():
-        assert store._logs[partition].durable >= 1
+    for address in scene.stores:
+        log = scene.log_of(address)
+        jobs = [at for at, entry in enumerate(log.after(log.base), log.base + 1) if b'{"job":' in entry.data]
+        assert len(jobs) == 1 and log.durable >= jobs[0]
 
 
 def test_pages_begin_where_the_reader_is_and_another_key_of_the_tenant_reads_too(scene):
@@ -78,11 +79,11 @@
     results = scene.all_results("l1")
     for address in list(scene.stores):
         scene.restart_store(address)
-        assert scene.until(
-            lambda: all(map(scene.proxy.batch.stores.is_reachable, scene.proxy.batch.stores.primaries()))
-        )
-        assert scene.until(lambda: scene.results("l1").status == 200)
+        answers = []
+        assert scene.until(lambda: answers.append(scene.results("l1").status) or answers[-1] == 200)
+        assert set(answers) <= {200, 503}
         assert scene.results("l1").json["results"] == results
+        assert scene.until(scene.is_serving)
 
 
 @pytest.mark.parametrize("emptied", [(0,), (1,), (0, 1), (0, 2), (1, 2)])
@@ -91,7 +92,7 @@
     results = scene.all_results("l1")
     addresses = list(scene.stores)
     for number in emptied:
-        scene.stores.pop(addresses[number]).stop()
+        scene.stop_store(addresses[number])
         shutil.rmtree(scene.folder / addresses[number])
     for number in emptied:
         scene.start_store(addresses[number])
@@ -101,14 +102,35 @@
     assert set(answers) <= {200, 503}  # never "no such job"
     assert scene.results("l1").json["results"] == results
     assert scene.until(lambda: scene.submit("l2", [batch_scene.item("c")]).status == 202)
-    partition = batch_partitions.partition_of("clerks")
-    logs = [store._logs[partition] for store in scene.stores.values()]
-    assert all(log.entries[:4] == logs[0].entries[:4] and log.durable >= 4 for log in logs)
+    scene.all_results("l2")
+    assert scene.until(scene.is_serving)
+    logs = [scene.log_of(address) for address in scene.stores]
+    assert scene.until(lambda: len({log.last for log in logs}) == 1 and all(log.durable == log.last for log in logs))
+    rows = [[entry for entry in log.after(log.base) if entry.data] for log in logs]
+    assert rows[0] == rows[1] == rows[2] and sum(b'{"job":' in entry.data for entry in rows[0]) == 2
+
+
+@pytest.mark.parametrize("lost", [(0,), (1,), (0, 1), (0, 2), (1, 2)])
+def test_the_stores_that_are_left_go_on(scene, lost):
+    scene.submit("l1", [batch_scene.item(name) for name in "ab"])
+    results = scene.all_results("l1")
+    addresses = [*scene.owners().stores]
+    for number in lost:
+        scene.stop_store(addresses[number])
+    assert scene.until(lambda: scene.submit("l2", [batch_scene.item("c")]).status == 202)
+    assert scene.results("l1").json["results"] == results
+    assert {row["id"] for row in scene.all_results("l2")} == {"c"}
+    assert not set(scene.owners().stores) & {addresses[number] for number in lost}
+    for number in lost:
+        scene.start_store(addresses[number])
+        scene.stores[addresses[number]].install_roles(scene.roles)
+    assert scene.until(scene.is_serving)  # all three are members again
+    assert scene.results("l1").json["results"] == results
 
 
 def test_without_a_backup_nothing_is_promised(scene):
-    address = list(scene.stores)[2]
-    scene.stores.pop(address).stop()
+    scene.is_coordinating = False  # nobody takes the lost store out
+    scene.stop_store(scene.owners().backups[1])
     answer = scene.submit("l1", [batch_scene.item("a")])
     assert answer.status == 504  # not a promise: it may be kept later
     assert scene.results("l1").status in (404, 503)
--- a/ploverward/data_plane/control_client/core_connections.py
+++ b/ploverward/data_plane/control_client/core_connections.py
@@ -35,6 +35,7 @@
         on_message: Callable[[str, peer_connection.PeerConnection, tuple], None],
         on_end: Callable[[str, peer_connection.PeerConnection], None],
         role: str = "proxy",
+        on_up: Callable[[peer_connection.PeerConnection], object] = lambda _connection: None,
     ) -> None:
         """Creates no connection yet; `connect` does.
 
@@ -47,6 +48,7 @@
             on_message: (address, connection, message) from a core node.
             on_end: (address, connection) that ended.
             role: that the handshake names.
+            on_up: called with a new connection once the handshake and the state were sent.
         """
         self._loop = loop
         self._settings = settings
@@ -56,6 +58,7 @@
         self._on_message = on_message
         self._on_end = on_end
         self._role = role
+        self._on_up = on_up
         self.members: tuple[str, ...] = tuple(sorted(self._seeds()))
         self._connectors: dict[str, peer_connection.Connector] = {}
         self._near_hosts: set[str] = set()
@@ -103,6 +106,7 @@
             )
         )
         connection.send(self._node_state())
+        self._on_up(connection)
 
     def _handle_end(self, host: str, connection: peer_connection.PeerConnection, _reason: str) -> None:
         self._near_connections.discard(connection)
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -11,19 +11,23 @@
 import typing
 
 from ploverward.common import batch_partitions
+from ploverward.control_plane.cluster import partition_placement
 from ploverward.data_plane.batch import batch_tier
 from ploverward.data_plane.requests import request_handler
 from ploverward.data_plane.requests import route_table
 from ploverward.simulation import loopback
 from ploverward.simulation import loopback_proxy
 from ploverward.simulation import request_scene
+from ploverward.store import partition_log
 from ploverward.store import store_node
+from ploverward.transport import batch_messages
 from ploverward.transport import http_request
 
 STORE_HOSTS = (11, 12, 13)
 TENANTS = [{"name": "clerks", "apiKeys": ["key-1", "key-2"]}, {"name": "players", "apiKeys": ["key-3"]}]
 KEY = "key-1"
 MAX_BODY_BYTES = 1_000_000
+COORDINATION_S = 0.1  # between two steps of the coordinator
 JOB_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
 BODY = {
     **loopback_proxy.CONFIGURATION,
@@ -104,7 +108,13 @@
             limits=lambda: loopback.limits(body_bytes=MAX_BODY_BYTES),
         )
         self.proxy.begin_batch(self.port)
-        self.arrange()
+        self.roles: dict[str, tuple] = {}
+        self._reports: dict[int, batch_messages.CopyReport] = {}
+        self._lost_at: dict[str, float] = {}
+        self.is_coordinating = True
+        self._coordinate(may_place=True)
+        assert self.until(self.is_serving)
+        self.loop.every(interval_s=COORDINATION_S, callback=self._coordinate)
 
     def start_store(self, address: str) -> None:
         """Starts a store on the disk that it has."""
@@ -116,30 +126,94 @@
             seeds=((loopback.own_address(host=99), 1),),
         )
         store = store_node.StoreNode(settings=settings, loop=self.loop)
+        store.send_report = lambda report: self._record_report(store, report)
         store.start()
         self.stores[address] = store
 
+    def _record_report(self, store: store_node.StoreNode, report: batch_messages.CopyReport) -> None:
+        if store in self.stores.values():  # the timers of one that was stopped go on
+            self._reports[report.partition] = report
+
+    def stop_store(self, address: str) -> None:
+        """Ends a store's process; its disk stays."""
+        self.stores.pop(address).stop()
+        self._lost_at[address] = self.loop.now()
+
     def restart_store(self, address: str) -> None:
         """Ends a store's process and starts it again."""
-        self.stores.pop(address).stop()
+        self.stop_store(address)
         self.start_store(address)
         self.stores[address].install_roles(self.roles)
 
-    def arrange(self) -> None:
-        """The first arrangement of all partitions becomes known."""
-        addresses = batch_partitions.join_stores(self.stores)
-        names = [batch_partitions.role_name(partition) for partition in range(batch_partitions.PARTITIONS)]
-        self.roles = {name: (1, addresses, "") for name in names}
-        for store in self.stores.values():
-            store.install_roles(self.roles)
-        self.proxy.batch.stores.update_roles(self.roles)
-        assert self.until(lambda: all(map(self.proxy.batch.stores.is_reachable, self.proxy.batch.stores.primaries())))
-        assert self.until(self.is_replicating)
-
-    def is_replicating(self) -> bool:
-        """Whether the primary has heard from its backups for all partitions."""
-        primary = next(iter(self.stores.values()))
-        return all(len(link._sent) == batch_partitions.PARTITIONS for link in primary._links.values())
+    # The coordinator.
+    def _coordinate(self, *, may_place: bool = False) -> None:
+        """What the coordinator would do: its decisions, without its register and its connections."""
+        if not self.is_coordinating:
+            return
+        rows = partition_placement.arrangement_changes(self._view(may_place=may_place))
+        for name, row in rows.items():
+            self.roles[name] = (row.epoch + 1, row.address, row.incarnation)
+        if rows:
+            for store in self.stores.values():
+                store.install_roles(self.roles)
+            self.proxy.batch.stores.update_roles(self.roles)
+
+    def _view(self, *, may_place: bool) -> partition_placement.PlacementView:
+        now = self.loop.now()
+        states = {
+            address: partition_placement.StoreState(
+                address=address,
+                zone=f"zone-{address}",
+                disk=store.disk.identity,
+                process=store.incarnation,
+                is_connected=store.disk.is_ready or may_place,
+                lost_for_s=0.0,
+                is_retiring=False,
+            )
+            for address, store in self.stores.items()
+        }
+        for address, lost_at in self._lost_at.items():
+            lost = partition_placement.StoreState(
+                address, f"zone-{address}", "", "", is_connected=False, lost_for_s=now - lost_at, is_retiring=False
+            )
+            states.setdefault(address, lost)
+        arrangements = {
+            number: batch_partitions.owners_of(partition=number, roles=self.roles)
+            for number in range(batch_partitions.PARTITIONS)
+        }
+        reports = {
+            number: report
+            for number, report in self._reports.items()
+            if report.epoch == arrangements[number].epoch
+        }
+        return partition_placement.PlacementView(
+            stores=states,
+            arrangements=arrangements,
+            reports=reports,
+            copies=len(STORE_HOSTS),
+            may_place=may_place,
+            patience=partition_placement.Patience(failover_s=0.3, replacement_s=2.0),
+            unseen_s=0.0,
+        )
+
+    def owners(self, tenant: str = "clerks") -> batch_partitions.PartitionOwners:
+        """Returns the arrangement of a tenant's partition."""
+        return batch_partitions.owners_of(partition=batch_partitions.partition_of(tenant), roles=self.roles)
+
+    def log_of(self, address: str, tenant: str = "clerks") -> partition_log.PartitionLog:
+        """Returns what a store has of a tenant's partition."""
+        return self.stores[address].copies.member(batch_partitions.partition_of(tenant)).log
+
+    def is_serving(self) -> bool:
+        """Whether each partition is answered for, by all members."""
+        serving = [
+            number
+            for store in self.stores.values()
+            for number, owned in store.primary.owned.items()
+            if owned.is_serving and len(owned.replication.owners.members) == min(len(STORE_HOSTS), len(self.stores))
+        ]
+        reachable = map(self.proxy.batch.stores.is_reachable, self.proxy.batch.stores.primaries())
+        return len(serving) == batch_partitions.PARTITIONS and all(reachable)
 
     def until(self, is_so: typing.Callable[[], object]) -> bool:
         """Steps the loop until `is_so()`; returns whether that came in time."""
--- a/ploverward/store/job_entries.py
+++ b/ploverward/store/job_entries.py
@@ -54,7 +54,30 @@
     job: str
 
 
-Entry = JobAccepted | ItemListed | JobEnded
+class ItemFailed(typing.NamedTuple):
+    """A replica answered an item's run with 500."""
+
+    tenant: str
+    job: str
+    item: str
+
+
+class JobForgotten(typing.NamedTuple):
+    """Nobody may ask for a job any more.
+
+    Attributes:
+        tenant: Whose it was.
+        job: Its id.
+        positions: Of the entries that are of no use any more.
+    """
+
+    tenant: str
+    job: str
+    positions: tuple[int, ...]
+
+
+Entry = JobAccepted | ItemListed | JobEnded | ItemFailed | JobForgotten
+_FORGOTTEN = b'{"forgotten":'
 
 
 def pack(entry: Entry) -> bytes:
@@ -64,6 +87,10 @@
         return _pack(head, entry.body)
     if isinstance(entry, ItemListed):
         return _pack({"item": [entry.tenant, entry.job, entry.item, entry.condition]}, entry.text)
+    if isinstance(entry, ItemFailed):
+        return _pack({"failed": [*entry]}, b"")
+    if isinstance(entry, JobForgotten):
+        return _pack({"forgotten": [entry.tenant, entry.job, [*entry.positions]]}, b"")
     return _pack({"end": [entry.tenant, entry.job]}, b"")
 
 
@@ -92,4 +119,17 @@
         return ItemListed._make([*fields, rest])
     if kind == "end":
         return JobEnded._make(fields)
+    if kind == "failed":
+        return ItemFailed._make(fields)
+    if kind == "forgotten":
+        tenant, job, positions = fields
+        return JobForgotten(tenant, job, tuple(positions))
     raise ValueError(f"unknown entry '{kind}'")
+
+
+def forgotten_positions(data: bytes) -> tuple[int, ...]:
+    """Returns which entries are of no use any more once this one is committed; none for most entries."""
+    if not data.startswith(_FORGOTTEN):
+        return ()
+    entry = unpack(data)
+    return entry.positions if isinstance(entry, JobForgotten) else ()
--- /dev/null
+++ b/ploverward/store/job_service.py
@@ -0,0 +1,121 @@
+"""What a store answers proxies: calls on jobs, items to run, results (docs/batch.md 4).
+
+Each answer is given only while this store is the primary of the tenant's partition and may answer for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from ploverward.common import batch_partitions
+from ploverward.store import partition as partitions
+from ploverward.transport import batch_messages
+from ploverward.transport import interfaces
+from ploverward.transport.batch_messages import Outcome
+
+
+class JobService:
+    """Answers proxies.
+
+    Args:
+        owned: The partitions that this store is primary of.
+        has_room: Whether the disk and the memory can take a further job.
+    """
+
+    def __init__(self, *, owned: Mapping[int, partitions.Partition], has_room: Callable[[], bool]) -> None:
+        self._owned = owned
+        self._has_room = has_room
+
+    def handlers(self) -> dict[type, Callable]:
+        """Returns the handler of each type of message: (connection, message)."""
+        return {
+            batch_messages.SubmitJob: self._handle_submit,
+            batch_messages.PullItems: self._handle_pull,
+            batch_messages.RenewItems: self._handle_renewal,
+            batch_messages.FinishItem: self._handle_finish,
+            batch_messages.ReadJob: self._handle_read_job,
+            batch_messages.ReadItem: self._handle_read_item,
+            batch_messages.EndJob: self._handle_end_job,
+        }
+
+    def handle_end(self, connection: interfaces.Connection) -> None:
+        """The connection of a proxy ended."""
+        for owned in self._owned.values():
+            owned.end_holder(connection)
+
+    def _serving(self, tenant: str) -> partitions.Partition | None:
+        """The tenant's partition, where this store may answer for it."""
+        owned = self._owned.get(batch_partitions.partition_of(tenant))
+        return owned if owned is not None and owned.is_serving else None
+
+    @staticmethod
+    def _replier(connection: interfaces.Connection, number: int) -> partitions.Reply:
+        return lambda outcome: connection.send(batch_messages.JobReply(number, int(outcome)))
+
+    # Jobs.
+    def _handle_submit(self, connection: interfaces.Connection, message: batch_messages.SubmitJob) -> None:
+        reply = self._replier(connection, message.number)
+        owned = self._serving(message.tenant)
+        if owned is None or not self._has_room():
+            reply(Outcome.NOT_OWNER)
+        else:
+            owned.submit(message, reply)
+
+    def _handle_end_job(self, connection: interfaces.Connection, message: batch_messages.EndJob) -> None:
+        reply = self._replier(connection, message.number)
+        owned = self._serving(message.tenant)
+        if owned is None:
+            reply(Outcome.NOT_OWNER)
+        else:
+            owned.end_job(message, reply)
+
+    def _handle_read_job(self, connection: interfaces.Connection, message: batch_messages.ReadJob) -> None:
+        owned = self._serving(message.tenant)
+        job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
+        if owned is None or job is None:
+            outcome = Outcome.NOT_OWNER if owned is None else Outcome.NOT_FOUND
+            connection.send(batch_messages.JobPage(message.number, int(outcome), 0, ()))
+            return
+        page = owned.table.page(job, after=message.after)
+        connection.send(batch_messages.JobPage(message.number, int(Outcome.DONE), len(job.items), page))
+
+    def _handle_read_item(self, connection: interfaces.Connection, message: batch_messages.ReadItem) -> None:
+        owned = self._serving(message.tenant)
+        job = owned.table.find(tenant=message.tenant, job=message.job) if owned is not None else None
+        item = job.items.get(message.item) if job is not None else None
+        if item is None:
+            outcome = Outcome.NOT_OWNER if owned is None else Outcome.NOT_FOUND
+            connection.send(batch_messages.ItemBody(message.number, int(outcome), b""))
+            return
+        connection.send(batch_messages.ItemBody(message.number, int(Outcome.DONE), item.parcel.encode()))
+
+    # Items.
+    def _handle_pull(self, connection: interfaces.Connection, message: batch_messages.PullItems) -> None:
+        """Leases the items that are due first, over all partitions of this store."""
+        found = [
+            (job.due_at, owned, job, item)
+            for owned in self._owned.values()
+            if owned.is_serving
+            for job, item in owned.free_items()
+        ]
+        found.sort(key=lambda row: row[0])
+        pulled = [owned.lease(job, item, connection) for _due_at, owned, job, item in found[: message.limit]]
+        connection.send(batch_messages.PulledItems(message.number, tuple(pulled)))
+
+    def _handle_renewal(self, connection: interfaces.Connection, message: batch_messages.RenewItems) -> None:
+        """A proxy names what it runs; the answer names what is of no use any more."""
+        stopped = []
+        for running in message.items:
+            owned = self._serving(running.tenant)
+            if owned is not None and not owned.renew(running, connection):
+                stopped.append(running)
+        connection.send(batch_messages.ItemsRenewed(message.number, tuple(stopped)))
+
+    def _handle_finish(self, connection: interfaces.Connection, message: batch_messages.FinishItem) -> None:
+        reply = self._replier(connection, message.number)
+        owned = self._serving(message.tenant)
+        if owned is None:
+            reply(Outcome.NOT_OWNER)
+        else:
+            owned.finish(message, reply, connection)
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -1,7 +1,7 @@
 """The jobs of one partition: what was taken, what is listed, who has leased what (docs/batch.md 4).
 
-`JobTable` applies committed entries in their order, so every copy that applies them has the same jobs, positions and
-results. Leases are no part of that: only the primary has them, in memory, and a restart frees them.
+`JobTable` applies committed entries in their order, so every primary has the same jobs, positions and results. Leases are
+no part of that: only the primary has them, in memory. Proxies tell its successor what they run.
 """
 
 from __future__ import annotations
@@ -38,6 +38,7 @@
         tokens: Of the prompt and the most out.
         state: Where it is.
         lease_ends_at: By the loop's clock in seconds.
+        holder: The connection of the proxy that has leased it; None where that has ended.
         not_before: Before which it is not leased again, by the loop's clock in seconds.
         failures: How many replicas answered 500.
     """
@@ -50,6 +51,7 @@
     state: ItemState = ItemState.WAITING
     lease_ends_at: float = 0.0
     not_before: float = 0.0
+    holder: object | None = None
     failures: int = 0
 
 
@@ -66,6 +68,7 @@
         items: By id, in the client's order.
         results: In the order of their positions.
         is_ended: Whether its client ended it.
+        positions: Of its entries in the log.
     """
 
     tenant: str
@@ -76,6 +79,7 @@
     items: dict[str, Item]
     results: list[batch_messages.ListedItem] = dataclasses.field(default_factory=list)
     is_ended: bool = False
+    positions: list[int] = dataclasses.field(default_factory=list)
 
     @property
     def is_open(self) -> bool:
@@ -104,6 +108,17 @@
     }
 
 
+def _job_of(entry: job_entries.JobAccepted) -> Job:
+    return Job(
+        tenant=entry.tenant,
+        job_id=entry.job,
+        route=entry.route,
+        due_at=entry.due_at,
+        max_attempts=entry.max_attempts,
+        items=items_of(entry.body),
+    )
+
+
 class JobTable:
     """The jobs of one partition.
 
@@ -114,27 +129,29 @@
     def __init__(self) -> None:
         self.jobs: dict[tuple[str, str], Job] = {}
 
-    def apply(self, entry: job_entries.Entry) -> None:
+    def apply(self, position: int, entry: job_entries.Entry) -> None:
         """Applies a committed entry; one that comes again, or comes too late, changes nothing."""
         key = (entry.tenant, entry.job)
-        if isinstance(entry, job_entries.JobAccepted):
-            if key not in self.jobs:
-                self.jobs[key] = Job(
-                    tenant=entry.tenant,
-                    job_id=entry.job,
-                    route=entry.route,
-                    due_at=entry.due_at,
-                    max_attempts=entry.max_attempts,
-                    items=items_of(entry.body),
-                )
-            return
+        if isinstance(entry, job_entries.JobAccepted) and key not in self.jobs:
+            self.jobs[key] = _job_of(entry)
         job = self.jobs.get(key)
         if job is None:
             return
+        job.positions.append(position)
         if isinstance(entry, job_entries.JobEnded):
             job.is_ended = True
-        else:
+        elif isinstance(entry, job_entries.ItemListed):
             self._list(job, entry)
+        elif isinstance(entry, job_entries.ItemFailed):
+            self._note_failure(job, entry)
+        elif isinstance(entry, job_entries.JobForgotten):
+            del self.jobs[key]
+
+    @staticmethod
+    def _note_failure(job: Job, entry: job_entries.ItemFailed) -> None:
+        item = job.items.get(entry.item)
+        if item is not None:
+            item.failures += 1
 
     @staticmethod
     def _list(job: Job, entry: job_entries.ItemListed) -> None:
@@ -152,6 +169,10 @@
         """Tokens that a tenant has waiting on a route."""
         return sum(job.queued_tokens() for job in self.jobs.values() if (job.tenant, job.route) == (tenant, route))
 
+    def expired_jobs(self, *, due_before: float) -> list[Job]:
+        """Jobs that nothing is to run for any more, and that were due before a time of day."""
+        return [job for job in self.jobs.values() if not job.is_open and job.due_at < due_before]
+
     def open_jobs(self) -> list[Job]:
         """Jobs with items to run, the earliest due first."""
         return sorted((job for job in self.jobs.values() if job.is_open), key=lambda job: job.due_at)
--- /dev/null
+++ b/ploverward/store/primary_partitions.py
@@ -0,0 +1,173 @@
+"""The partitions that this store is primary of: arrangements, copies, leases, reports (docs/batch.md 2, 3)."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from ploverward.common import batch_partitions
+from ploverward.store import partition as partitions
+from ploverward.store import partition_member
+from ploverward.store import replication
+from ploverward.store import store_disk
+from ploverward.store import store_links
+from ploverward.transport import batch_messages
+from ploverward.transport import interfaces
+
+MAX_LEASE_REQUESTS = 16  # to one store that are remembered
+
+
+class PrimaryPartitions:
+    """The partitions of this store.
+
+    Args:
+        loop: The event loop.
+        own: Address of this store.
+        process: Identifies this start of its process.
+        disk: The store's disk.
+        members: This store's copy of each partition.
+        timing: Durations.
+        make_partition: Makes the jobs of a partition, without a log.
+        make_links: Makes the connections to stores: (on_up, on_message, on_end).
+        send_report: Sends a report to the coordinator.
+
+    Attributes:
+        owned: By number.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: interfaces.Loop,
+        own: str,
+        process: str,
+        disk: store_disk.StoreDisk,
+        members: Callable[[int], partition_member.PartitionMember],
+        timing: replication.Timing,
+        make_partition: Callable[[], partitions.Partition],
+        make_links: Callable[..., store_links.StoreLinks],
+        send_report: Callable[[batch_messages.CopyReport], object],
+    ) -> None:
+        self._loop = loop
+        self._own = own
+        self._process = process
+        self._disk = disk
+        self._members = members
+        self._timing = timing
+        self._make_partition = make_partition
+        self._send_report = send_report
+        self._links = make_links(on_up=self._handle_up, on_message=self._handle_message, on_end=self._handle_end)
+        self._requested: dict[tuple[str, int], float] = {}  # store and number of a request for leases: when it was sent
+        self._numbers = itertools.count(1)
+        self.owned: dict[int, partitions.Partition] = {}
+
+    # Arrangements.
+    def install(self, number: int, owners: batch_partitions.PartitionOwners) -> None:
+        """An arrangement became known: this process is made primary, stays it, or is it no longer."""
+        self._members(number).note_epoch(owners.epoch)
+        owned = self.owned.get(number)
+        is_primary = (owners.primary, owners.process) == (self._own, self._process)
+        if is_primary:
+            self._update_links(owners)
+        if is_primary and owned is not None:
+            owned.replication.install(owners)
+        elif is_primary:
+            self._begin(number, owners)
+        elif owned is not None:
+            del self.owned[number]
+            owned.end()
+
+    def _begin(self, number: int, owners: batch_partitions.PartitionOwners) -> None:
+        partition = self._make_partition()
+        self.owned[number] = partition
+        partition.begin(
+            replication.Replication(
+                member=self._members(number),
+                disk=self._disk,
+                owners=owners,
+                timing=self._timing,
+                now=self._loop.now,
+                send=self._links.send,
+                on_committed=partition.handle_committed,
+            )
+        )
+
+    def _update_links(self, owners: batch_partitions.PartitionOwners) -> None:
+        """Connects to the stores of a further arrangement; those that are needed no longer go at the next tick."""
+        self._links.update(self._addresses() | {*owners.backups, *owners.learners})
+
+    def _addresses(self) -> set[str]:
+        return {address for owned in self.owned.values() for address in owned.replication.addresses()}
+
+    # Connections.
+    def _with(self, address: str) -> Iterable[partitions.Partition]:
+        return [owned for owned in self.owned.values() if address in owned.replication.addresses()]
+
+    def _handle_up(self, address: str) -> None:
+        for owned in self._with(address):
+            owned.replication.ask(address)
+        self._request_leases(address)
+
+    def _handle_end(self, address: str) -> None:
+        for owned in self._with(address):
+            owned.replication.forget_connection(address)
+
+    def _handle_message(self, address: str, message: tuple) -> None:
+        if isinstance(message, batch_messages.PrimaryLeasesGranted):
+            self._handle_leases(address, message)
+        elif isinstance(message, batch_messages.LogState | batch_messages.EntriesDurable):
+            owned = self.owned.get(message.partition)
+            if owned is None:
+                return
+            if isinstance(message, batch_messages.LogState):
+                owned.replication.handle_state(address, message)
+            else:
+                owned.replication.handle_durable(address, message)
+
+    def handle_synced(self, number: int) -> None:
+        """This store has synced more of a log."""
+        owned = self.owned.get(number)
+        if owned is not None:
+            owned.replication.advance()
+
+    # Leases and reports.
+    def tick(self) -> None:
+        """Renews leases and reports what is to change; to be called each `Timing.renewal_s`."""
+        self._links.update(self._addresses())
+        for address in sorted(self._addresses()):
+            self._request_leases(address)
+        for owned in self.owned.values():
+            owned.tick()
+            report = owned.replication.report()
+            if report is not None:
+                self._send_report(report)
+
+    def _request_leases(self, address: str) -> None:
+        rows = tuple(
+            batch_messages.PartitionEpoch(owned.replication.number, owned.replication.owners.epoch)
+            for owned in self._with(address)
+        )
+        number = next(self._numbers)
+        self._requested[address, number] = self._loop.now()
+        while len(self._requested) > MAX_LEASE_REQUESTS * max(1, len(self._addresses())):
+            del self._requested[next(iter(self._requested))]
+        self._links.send(address, batch_messages.RenewPrimaryLeases(number, rows))
+
+    def _handle_leases(self, address: str, message: batch_messages.PrimaryLeasesGranted) -> None:
+        requested_at = self._requested.pop((address, message.number), None)
+        if requested_at is None:
+            return
+        for number, epoch in message.partitions:
+            owned = self.owned.get(number)
+            if owned is not None:
+                owned.replication.handle_lease(address, epoch=epoch, requested_at=requested_at)
+                owned.replication.ask_again(address)
+
+    def keep_alive(self) -> None:
+        """To be called at each heartbeat interval."""
+        self._links.keep_alive()
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        self._links.stop()
--- a/ploverward/store/store_disk.py
+++ b/ploverward/store/store_disk.py
@@ -1,7 +1,13 @@
 """The store's one log file: entries of all its partitions, written in groups (docs/batch.md 3).
 
-While one write is under way the next one gathers, so that one sync serves many commits. A record is a partition's
-number, the entry's position and the entry, with a length and a checksum (`checksummed_records`).
+While one write is under way the next one gathers, so that one sync serves many commits. The first write of a process, and
+each one after a write that failed, replaces the file by what is in memory: what was read at the start may never have been
+synced. So does a write that finds the file much longer than that.
+
+A record is a length, a checksum (`checksummed_records`), a number and what follows it. Numbers below `_BASE` are those of
+partitions, with a position and an entry, as the first version wrote them; with `_ENTRY` there is an epoch too; with `_BASE`
+the position and the epoch behind which the partition's log begins; `_IDENTITY` names the disk. Records are only added to:
+an entry at a position that is there already takes the place of all from there on.
 """
 
 from __future__ import annotations
@@ -9,12 +15,16 @@
 import logging
 import struct
 import typing
+import uuid
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import MutableMapping
 
 from ploverward.common import errors
 from ploverward.common import failure_spell
 from ploverward.control_plane.consensus import acceptor_storage
 from ploverward.control_plane.consensus import checksummed_records
+from ploverward.store import partition_log
 from ploverward.transport import interfaces
 
 _log = logging.getLogger(__name__)
@@ -22,7 +32,15 @@
 FILE_NAME = "jobs.log"
 NEW_NAME = "jobs.new"
 RETRY_S = 0.2  # from a failed write to the next attempt
-_RECORD = struct.Struct(">IQ")  # partition, position
+MIN_REWRITE_BYTES = 16 * 1024 * 1024  # a shorter file is not rewritten to save room
+REWRITE_FACTOR = 2  # times as long as what is kept
+FULL_SHARE = 0.8  # of the disk: from there on nothing new is taken
+_BASE, _ENTRY, _IDENTITY = 0x40000000, 0x80000000, 0xC0000000
+_FIRST_VERSION = struct.Struct(">IQ")  # partition, position
+_RECORD = struct.Struct(">IQQ")  # partition and kind, position, epoch
+_NUMBER = struct.Struct(">I")
+
+Logs = MutableMapping[int, partition_log.PartitionLog]
 
 
 class StoredEntry(typing.NamedTuple):
@@ -30,85 +48,172 @@
 
     partition: int
     position: int
-    data: bytes
-
-
-OnDurable = Callable[[StoredEntry], object]
+    entry: partition_log.LoggedEntry
 
 
 class StoreDisk:
-    """Reads the log at the start, and appends to it.
+    """Reads the logs at the start, and keeps the file.
 
     Args:
         loop: The event loop; all methods run on it.
         disk: Where the file is.
-        on_durable: Called with each entry once it is synced, in the order in which they were added.
+        logs: By partition; makes one where there is none.
+        limit_bytes: Of the disk; 0: not known.
+        on_durable: Called with a partition whose log is synced further than before.
+
+    Attributes:
+        identity: Of the disk: another one once it was emptied.
+        is_ready: Whether the identity and all that was read are synced.
     """
 
-    def __init__(self, *, loop: interfaces.Loop, disk: acceptor_storage.Disk, on_durable: OnDurable) -> None:
+    def __init__(
+        self,
+        *,
+        loop: interfaces.Loop,
+        disk: acceptor_storage.Disk,
+        logs: Logs,
+        limit_bytes: float,
+        on_durable: Callable[[int], object],
+    ) -> None:
         self._loop = loop
         self._disk = disk
+        self._logs = logs
+        self._limit_bytes = limit_bytes
         self._on_durable = on_durable
+        self.identity = ""
+        self.is_ready = False
         self._size = 0
-        self._is_new = True
+        self._is_stale = True  # the file is not what is in memory: the next write replaces it
         self._is_writing = False
+        self._on_ready: Callable[[], object] = lambda: None
         self._waiting: list[StoredEntry] = []
         self._spell = failure_spell.FailureSpell(
             now=loop.now, failed_event="jobs_write_failed", recovered_event="jobs_write_recovered"
         )
+        self._load()
+        if not self.identity:
+            self.identity = uuid.uuid4().hex[:12]
 
-    def load(self) -> list[StoredEntry]:
-        """Returns what the file has. A torn tail is cut off by the next write."""
-        found: list[StoredEntry] = []
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing new should be taken."""
+        return bool(self._limit_bytes) and self._live_bytes() > self._limit_bytes * FULL_SHARE / REWRITE_FACTOR
 
-        def on_body(body: bytes) -> bool:
-            if len(body) < _RECORD.size:
-                return False
-            partition, position = _RECORD.unpack_from(body)
-            found.append(StoredEntry(partition, position, body[_RECORD.size :]))
-            return True
+    def _live_bytes(self) -> int:
+        return sum(log.live_bytes for log in self._logs.values())
 
-        try:
-            data = self._disk.read(name=FILE_NAME)
-            if data is not None:
-                self._size = checksummed_records.read(data, on_body=on_body)
-                self._is_new = False
-        except (errors.StorageError, OSError) as error:
-            _log.error("jobs_unreadable", extra={"fault": str(error)})
-        return found
+    def start(self, *, on_ready: Callable[[], object]) -> None:
+        """Writes what was read anew, so that it is synced for certain; `on_ready` is called once it is."""
+        self._on_ready = on_ready
+        self._write()
 
     def add(self, entry: StoredEntry) -> None:
-        """Writes an entry, now or after the write that is under way."""
+        """Writes an entry that was added to its log, now or after the write that is under way."""
         self._waiting.append(entry)
         self._write()
 
+    def rewrite(self) -> None:
+        """A log begins anew: the next write replaces the file."""
+        self._is_stale = True
+        self._write()
+
+    # Reading.
+    def _load(self) -> None:
+        try:
+            data = self._disk.read(name=FILE_NAME)
+            if data is not None:
+                checksummed_records.read(data, on_body=self._load_record)
+        except (errors.StorageError, OSError) as error:
+            _log.error("jobs_unreadable", extra={"fault": str(error)})
+            self.identity = ""  # a disk that can't be read is as good as an empty one
+            self._logs.clear()
+
+    def _load_record(self, body: bytes) -> bool:
+        if len(body) < _FIRST_VERSION.size:
+            return False
+        (number,) = _NUMBER.unpack_from(body)
+        if number == _IDENTITY:
+            self.identity = body[_NUMBER.size :].decode()
+            return True
+        if number < _BASE:
+            partition, position = _FIRST_VERSION.unpack_from(body)
+            return self._load_entry(partition, position, partition_log.LoggedEntry(0, body[_FIRST_VERSION.size :]))
+        if len(body) < _RECORD.size:
+            return False
+        number, position, epoch = _RECORD.unpack_from(body)
+        if number & _ENTRY:
+            entry = partition_log.LoggedEntry(epoch, body[_RECORD.size :])
+            return self._load_entry(number & ~_ENTRY, position, entry)
+        self._logs[number & ~_BASE].reset(base=position, base_epoch=epoch)
+        return True
+
+    def _load_entry(self, partition: int, position: int, entry: partition_log.LoggedEntry) -> bool:
+        log = self._logs[partition]
+        if not log.base < position <= log.last + 1:
+            return False
+        log.truncate_after(position - 1)
+        log.append(entry)
+        return True
+
+    # Writing.
     def _write(self) -> None:
-        if self._is_writing or not self._waiting:
+        if self._is_writing or not (self._waiting or self._is_stale):
             return
         self._is_writing = True
         group, self._waiting = self._waiting, []
-        data = b"".join(
-            checksummed_records.pack(_RECORD.pack(entry.partition, entry.position) + entry.data) for entry in group
+        if self._is_stale or self._size > max(MIN_REWRITE_BYTES, REWRITE_FACTOR * self._live_bytes()):
+            self._is_stale = False
+            self._replace(list(self._everything()))
+        else:
+            self._append(group)
+
+    def _everything(self) -> Iterator[StoredEntry]:
+        for number, log in self._logs.items():
+            for position, entry in enumerate(log.after(log.base), log.base + 1):
+                yield StoredEntry(number, position, entry)
+
+    def _image(self, entries: list[StoredEntry]) -> Iterator[bytes]:
+        yield checksummed_records.pack(_NUMBER.pack(_IDENTITY) + self.identity.encode())
+        for number, log in self._logs.items():
+            if log.base:
+                yield checksummed_records.pack(_RECORD.pack(number | _BASE, log.base, log.base_epoch))
+        yield from map(_pack, entries)
+
+    def _replace(self, group: list[StoredEntry]) -> None:
+        data = b"".join(self._image(group))
+        self._loop.offload(
+            work=lambda: self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=data),
+            done=lambda outcome: self._handle_written(outcome, group, size=len(data)),
         )
-        self._loop.offload(work=lambda: self._append(data), done=lambda outcome: self._handle_written(outcome, group))
 
-    def _append(self, data: bytes) -> None:
-        if self._is_new:
-            self._disk.replace(name=FILE_NAME, new_name=NEW_NAME, data=data)
-        else:
-            self._disk.append(name=FILE_NAME, data=data, size_before=self._size)
-        self._is_new = False
-        self._size += len(data)
+    def _append(self, group: list[StoredEntry]) -> None:
+        data = b"".join(map(_pack, group))
+        size = self._size
+        self._loop.offload(
+            work=lambda: self._disk.append(name=FILE_NAME, data=data, size_before=size),
+            done=lambda outcome: self._handle_written(outcome, group, size=size + len(data)),
+        )
 
-    def _handle_written(self, outcome: interfaces.Outcome, group: list[StoredEntry]) -> None:
+    def _handle_written(self, outcome: interfaces.Outcome, group: list[StoredEntry], *, size: int) -> None:
         self._is_writing = False
         error = outcome.exception()
         if error is not None:
+            self._is_stale = True
             self._spell.note_failure(error)
-            self._waiting = group + self._waiting
             self._loop.after(delay=RETRY_S, callback=self._write)
             return
+        self._size = size
         self._spell.note_success()
+        if not self.is_ready:
+            self.is_ready = True
+            self._on_ready()
         for entry in group:
-            self._on_durable(entry)
+            self._logs[entry.partition].note_durable(position=entry.position, epoch=entry.entry.epoch)
+        for number in {entry.partition for entry in group}:
+            self._on_durable(number)
         self._write()
+
+
+def _pack(stored: StoredEntry) -> bytes:
+    head = _RECORD.pack(stored.partition | _ENTRY, stored.position, stored.entry.epoch)
+    return checksummed_records.pack(head + stored.entry.data)
--- a/ploverward/store/test_job_table.py
+++ b/ploverward/store/test_job_table.py
@@ -31,6 +31,13 @@
         text=strategies.binary(max_size=100),
     ),
     strategies.builds(job_entries.JobEnded, tenant=NAMES, job=NAMES),
+    strategies.builds(job_entries.ItemFailed, tenant=NAMES, job=NAMES, item=NAMES),
+    strategies.builds(
+        job_entries.JobForgotten,
+        tenant=NAMES,
+        job=NAMES,
+        positions=strategies.lists(strategies.integers(min_value=1)).map(tuple),
+    ),
 )
 
 
@@ -39,7 +46,7 @@
     assert job_entries.unpack(job_entries.pack(entry)) == entry
 
 
-@pytest.mark.parametrize("data", [b"", b"{}\n", b"[]\nx", b'{"other":[]}\n', b'{"end":["t"]}\n'])
+@pytest.mark.parametrize("data", [b"", b"{}\n", b"[]\nx", b'{"other":[]}\n', b'{"end":["t"]}\n', b'{"forgotten":["t"]}\n'])
 def test_other_bytes_are_no_entry(data):
     with pytest.raises(ValueError):
         job_entries.unpack(data)
@@ -54,10 +61,15 @@
     return job_entries.ItemListed("t", job, item, 1, text)
 
 
+def apply(table, *entries):
+    for entry in entries:
+        table.apply(1, entry)
+
+
 def test_positions_follow_the_order_of_entries_and_an_item_has_one():
     table = job_table.JobTable()
-    for entry in (accepted("a", "b", "c"), listed("b"), listed("a"), listed("b", b"again"), accepted("z"), listed("z")):
-        table.apply(entry)
+    entries = (accepted("a", "b", "c"), listed("b"), listed("a"), listed("b", b"again"), accepted("z"), listed("z"))
+    apply(table, *entries)
     job = table.find(tenant="t", job="l1")
     assert [(row.item, row.text) for row in job.results] == [("b", b"text"), ("a", b"text")]
     assert list(job.items) == ["a", "b", "c"] and job.is_open
@@ -65,18 +77,16 @@
 
 def test_only_what_waits_counts_against_the_quota():
     table = job_table.JobTable()
-    for entry in (accepted("a", "b"), accepted("c", job="l2"), listed("a")):
-        table.apply(entry)
+    apply(table, accepted("a", "b"), accepted("c", job="l2"), listed("a"))
     assert table.queued_tokens(tenant="t", route="r") == 10
-    table.apply(job_entries.JobEnded("t", "l2"))
+    apply(table, job_entries.JobEnded("t", "l2"))
     assert table.queued_tokens(tenant="t", route="r") == 5
     assert table.queued_tokens(tenant="other", route="r") == 0
 
 
 def test_the_earliest_due_job_comes_first_and_a_leased_item_waits_for_the_end_of_its_lease():
     table = job_table.JobTable()
-    table.apply(accepted("a", due_at=20.0))
-    table.apply(accepted("b", job="l2", due_at=10.0))
+    apply(table, accepted("a", due_at=20.0), accepted("b", job="l2", due_at=10.0))
     assert [job.job_id for job in table.open_jobs()] == ["l2", "l1"]
     job = table.find(tenant="t", job="l1")
     (item,) = table.free_items(job, now=0.0)
@@ -88,12 +98,32 @@
 def test_a_page_has_one_result_at_least_and_not_many_more_than_fit(monkeypatch):
     monkeypatch.setattr(job_table, "PAGE_BYTES", 25)
     table = job_table.JobTable()
-    table.apply(accepted("a", "b", "c"))
-    for item in "abc":
-        table.apply(listed(item, b"x" * 12))
+    apply(table, accepted("a", "b", "c"), *(listed(item, b"x" * 12) for item in "abc"))
     job = table.find(tenant="t", job="l1")
     assert [row.item for row in table.page(job, after=0)] == ["a"]
     monkeypatch.setattr(job_table, "PAGE_BYTES", 26)
     assert [row.item for row in table.page(job, after=0)] == ["a", "b"]
     assert table.page(job, after=2) == (batch_messages.ListedItem("c", 1, b"x" * 12),)
     assert table.page(job, after=3) == ()
+
+
+@given(ENTRIES)
+def test_only_a_job_that_is_forgotten_names_entries_of_no_use(entry):
+    positions = entry.positions if isinstance(entry, job_entries.JobForgotten) else ()
+    assert job_entries.forgotten_positions(job_entries.pack(entry)) == positions
+
+
+def test_a_job_expires_once_nothing_is_to_run_and_its_time_is_over():
+    table = job_table.JobTable()
+    apply(table, accepted("a", due_at=10.0), accepted("b", job="l2", due_at=10.0), listed("b", job="l2"))
+    assert [job.job_id for job in table.expired_jobs(due_before=10.1)] == ["l2"]
+    assert not table.expired_jobs(due_before=10.0)
+    apply(table, job_entries.JobForgotten("t", "l2", (2, 3)))
+    assert table.find(tenant="t", job="l2") is None
+
+
+def test_failures_are_counted_by_item():
+    table = job_table.JobTable()
+    apply(table, accepted("a", "b"), *[job_entries.ItemFailed("t", "l1", "a")] * 2)
+    items = table.find(tenant="t", job="l1").items
+    assert (items["a"].failures, items["b"].failures) == (2, 0)
--- a/ploverward/transport/batch_messages.py
+++ b/ploverward/transport/batch_messages.py
@@ -15,6 +15,7 @@
     OVER_QUOTA = 2  # nothing was done
     NOT_FOUND = 3  # no such job or item, for certain
     NOT_OWNER = 4  # nothing was done: another store is the primary, or this one does not know enough yet
+    NOT_KNOWN = 5  # the store is no longer the primary: its successor knows what became of it
 
 
 class Condition(enum.IntEnum):
@@ -142,7 +143,7 @@
 
 
 class ReplicateEntries(typing.NamedTuple):
-    """From a primary to a backup; without entries it asks how far the backup is."""
+    """From a primary of the first version to a backup. No longer sent: `AppendEntries` took its place."""
 
     partition: int
     epoch: int
@@ -151,8 +152,133 @@
 
 
 class EntriesStored(typing.NamedTuple):
-    """From a backup to a primary: all entries up to this position are on its disk."""
+    """From a backup of the first version to a primary. No longer sent: `EntriesDurable` took its place."""
 
     partition: int
     epoch: int
     last: int
+
+
+class StoreIdentity(typing.NamedTuple):
+    """From a store to core nodes, on each new connection."""
+
+    node: str  # its name in the settings
+    disk: str  # identifies its disk: an emptied one gets another identity
+    process: str  # identifies the start of its process
+
+
+class LevelCopy(typing.NamedTuple):
+    """A learner that has all that is committed."""
+
+    address: str
+    disk: str
+
+
+class LostCopy(typing.NamedTuple):
+    """A member that does not answer, or does not get on."""
+
+    address: str
+
+
+class CopyReport(typing.NamedTuple):
+    """From a primary to the coordinator: what is to change in the arrangement of a partition."""
+
+    partition: int
+    epoch: int
+    level: tuple[LevelCopy, ...]  # learners that have all that is committed
+    lost: tuple[LostCopy, ...]  # members that do not answer, or do not get on
+
+
+class PartitionEpoch(typing.NamedTuple):
+    """A partition, and the epoch under which its primary acts."""
+
+    partition: int
+    epoch: int
+
+
+class RenewPrimaryLeases(typing.NamedTuple):
+    """From a primary to a store that keeps copies: may it go on to answer for these partitions?"""
+
+    number: int
+    partitions: tuple[PartitionEpoch, ...]
+
+
+class PrimaryLeasesGranted(typing.NamedTuple):
+    """Reply to `RenewPrimaryLeases`: those for which no later epoch is known."""
+
+    number: int
+    partitions: tuple[PartitionEpoch, ...]
+
+
+class RequestLogState(typing.NamedTuple):
+    """From a primary to a store that keeps a copy: where does its log stand?"""
+
+    partition: int
+    epoch: int
+
+
+class EpochRun(typing.NamedTuple):
+    """Entries of one epoch that follow each other in a log: up to which position."""
+
+    epoch: int
+    last: int
+
+
+class LogState(typing.NamedTuple):
+    """Where a store's log of a partition stands."""
+
+    partition: int
+    epoch: int  # of the question
+    disk: str
+    base: int  # position before the first entry
+    base_epoch: int
+    runs: tuple[EpochRun, ...]
+
+
+class EpochEntry(typing.NamedTuple):
+    """One entry of a partition's log, and the epoch in which it was added."""
+
+    epoch: int
+    data: bytes
+
+
+class AppendEntries(typing.NamedTuple):
+    """From a primary to a store that keeps a copy. What the store has from `first` on is replaced."""
+
+    partition: int
+    epoch: int
+    first: int  # position of the first entry, from 1
+    previous_epoch: int  # of the entry before
+    is_reset: bool  # the store drops its log first: what is before `first` is not kept any more
+    committed: int
+    entries: tuple[EpochEntry, ...]
+
+
+class EntriesDurable(typing.NamedTuple):
+    """Reply to `AppendEntries`, as often as more is synced: all up to this position is on the disk."""
+
+    partition: int
+    epoch: int
+    last: int
+
+
+class RunningItem(typing.NamedTuple):
+    """An item that runs at a proxy."""
+
+    tenant: str
+    job: str
+    item: str
+
+
+class RenewItems(typing.NamedTuple):
+    """From a proxy to a primary: these items still run here."""
+
+    number: int
+    items: tuple[RunningItem, ...]
+
+
+class ItemsRenewed(typing.NamedTuple):
+    """Reply to `RenewItems`: runs that are of no use any more."""
+
+    number: int
+    stopped: tuple[RunningItem, ...]
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -85,6 +85,16 @@
     "end_job": batch_messages.EndJob,
     "replicate_entries": batch_messages.ReplicateEntries,
     "entries_stored": batch_messages.EntriesStored,
+    "store_identity": batch_messages.StoreIdentity,
+    "copy_report": batch_messages.CopyReport,
+    "renew_primary_leases": batch_messages.RenewPrimaryLeases,
+    "primary_leases_granted": batch_messages.PrimaryLeasesGranted,
+    "request_log_state": batch_messages.RequestLogState,
+    "log_state": batch_messages.LogState,
+    "append_entries": batch_messages.AppendEntries,
+    "entries_durable": batch_messages.EntriesDurable,
+    "renew_items": batch_messages.RenewItems,
+    "items_renewed": batch_messages.ItemsRenewed,
 }
 KIND_NAMES = {message_type: name for name, message_type in MESSAGE_TYPES.items()}
 INLINE = (
