--- a/ploverward/common/batch_partitions.py
+++ b/ploverward/common/batch_partitions.py
@@ -1,12 +1,13 @@
 """Partitions of the batch tier: which one a tenant's jobs belong to, and how the roles of their owners are written.
 
 A partition has members, stores whose copies have all that was committed, the first of them its primary, and learners,
-stores that are brought level. Its row in the register of singleton roles names them all, so that an epoch belongs to one
-arrangement (docs/batch.md 2). A member is a store with a certain disk: one that comes back with an empty disk is none.
+stores that are brought level. Its row in the register of singleton roles names them all, so that an epoch belongs to
+one arrangement (docs/batch.md 2). A member is a store with a certain disk: one that comes back with an empty disk is
+none.
 
-The row's stored form: the epoch, then the members' addresses parted by commas, behind a semicolon those of the learners,
-then the primary's process and, behind a semicolon, the disks of the members in the same order. Rows of the first version
-have no process and no disks.
+The row's stored form: the epoch, then the members' addresses parted by commas, behind a semicolon those of the
+learners, then the primary's process and, behind a semicolon, the disks of the members in the same order. Rows of the
+first version have no process and no disks.
 """
 
 from __future__ import annotations
--- a/ploverward/control_plane/cluster/partition_placement.py
+++ b/ploverward/control_plane/cluster/partition_placement.py
@@ -5,10 +5,11 @@
 
 - A member has all that was committed, as long as its disk is the one that the arrangement names. Only members become
   primary.
-- A learner becomes a member only on the word of the primary of that epoch, which from then on commits nothing without it.
+- A learner becomes a member only on the word of the primary of that epoch, which from then on commits nothing without
+  it.
 - A member is taken out because its disk was emptied, or because it does not answer the primary. At least one stays.
-- A primary is replaced when its process restarted (it is given a new epoch), when its disk was emptied, when it is lost,
-  or when no other member hears it.
+- A primary is replaced when its process restarted (it is given a new epoch), when its disk was emptied, when it is
+  lost, or when no other member hears it.
 - A store that is to be emptied leaves a partition only once there are enough members elsewhere.
 """
 
@@ -144,9 +145,7 @@
         if changed is not None:
             loads.add(owners, -1)
             loads.add(changed, 1)
-            rows[batch_partitions.role_name(number)] = singleton_roles.RoleOwner(
-                *batch_partitions.pack_owners(changed)
-            )
+            rows[batch_partitions.role_name(number)] = singleton_roles.RoleOwner(*batch_partitions.pack_owners(changed))
     return rows
 
 
@@ -196,9 +195,7 @@
 
 
 # Primaries.
-def _after_failover(
-    number: int, owners: PartitionOwners, view: PlacementView, loads: _Loads
-) -> PartitionOwners | None:
+def _after_failover(number: int, owners: PartitionOwners, view: PlacementView, loads: _Loads) -> PartitionOwners | None:
     """Another member becomes primary where the present one is lost, emptied, or cut off from all others."""
     primary = owners.members[0]
     if not (view.is_lost(primary.address) or view.is_emptied(primary) or _is_cut_off(number, owners, view)):
@@ -253,15 +250,11 @@
 
 
 # Members and learners.
-def _without_lost(
-    number: int, owners: PartitionOwners, view: PlacementView, _loads: _Loads
-) -> PartitionOwners | None:
+def _without_lost(number: int, owners: PartitionOwners, view: PlacementView, _loads: _Loads) -> PartitionOwners | None:
     """Members that were emptied, or that the primary reports as lost, become learners."""
     report = view.reports.get(number)
     reported = {row.address for row in report.lost} if report is not None else set()
-    lost = [
-        member.address for member in owners.members[1:] if member.address in reported or view.is_emptied(member)
-    ]
+    lost = [member.address for member in owners.members[1:] if member.address in reported or view.is_emptied(member)]
     if not lost and not reported & {*owners.learners}:
         return None  # a learner that is reported has its chance under a new epoch: the primary waits for it no more
     kept = tuple(member for member in owners.members if member.address not in lost)
--- a/ploverward/control_plane/cluster/store_retirement.py
+++ b/ploverward/control_plane/cluster/store_retirement.py
@@ -1,7 +1,7 @@
 """Stores that are to be emptied and taken away: the rows that say so, and when it is done (docs/batch.md 6).
 
-The order is a row of the register of singleton roles, `retire/NAME`: the store's address and its disk. Placement moves the
-store's copies away; once no arrangement names the store it may go, and nothing is placed on that disk any more.
+The order is a row of the register of singleton roles, `retire/NAME`: the store's address and its disk. Placement moves
+the store's copies away; once no arrangement names the store it may go, and nothing is placed on that disk any more.
 """
 
 from __future__ import annotations
--- a/ploverward/control_plane/cluster/test_partition_placement.py
+++ b/ploverward/control_plane/cluster/test_partition_placement.py
@@ -1,4 +1,4 @@
-"""Which stores own partitions: each in another zone, evenly; what follows a loss, an emptied disk, an order to leave."""
+"""Which stores own partitions, and what follows a loss, an emptied disk, an order to leave."""
 
 import collections
 
@@ -225,10 +225,7 @@
 
 def test_a_store_that_was_added_takes_over_copies_one_by_one():
     old = [address for address in ADDRESSES if not address.startswith("10.4")]
-    arrangements = {
-        number: owners(*row.stores, epoch=1)
-        for number, row in enumerate(first_rows(old).values())
-    }
+    arrangements = {number: owners(*row.stores, epoch=1) for number, row in enumerate(first_rows(old).values())}
     moved = 0
     for _step in range(200):
         now = view(addresses=ADDRESSES)._replace(arrangements=arrangements)
--- a/ploverward/control_plane/operator_api/retire_handlers.py
+++ b/ploverward/control_plane/operator_api/retire_handlers.py
@@ -1,6 +1,5 @@
 """Calls that have a store emptied: POST of the order, GET of how far it is (docs/batch.md 6)."""
 
-import collections.abc
 import http
 import typing
 
--- a/ploverward/data_plane/batch/batch_api.py
+++ b/ploverward/data_plane/batch/batch_api.py
@@ -99,9 +99,7 @@
             return None
         return JobCall(request, tenant.name if isinstance(tenant, tenant_directory.Tenant) else "")
 
-    def _change(
-        self, call: JobCall, make_message: store_client.MakeMessage, *, done_status: http.HTTPStatus
-    ) -> None:
+    def _change(self, call: JobCall, make_message: store_client.MakeMessage, *, done_status: http.HTTPStatus) -> None:
         self._stores.call_owner(
             tenant=call.tenant,
             make_message=make_message,
--- a/ploverward/data_plane/batch/batch_tier.py
+++ b/ploverward/data_plane/batch/batch_tier.py
@@ -36,13 +36,16 @@
             loop=node.loop,
             port=node.settings.proxy_port,
             peer_timeout_s=peer_timeout_s,
-            on_up=lambda address: self._puller.renew(address),
+            on_up=self._handle_store_up,
         )
         self._api = batch_api.BatchApi(node=node, stores=self.stores)
         self._puller = item_puller.ItemPuller(
             node=node, stores=self.stores, proxy_count=proxy_count, is_draining=is_draining
         )
 
+    def _handle_store_up(self, address: str) -> None:
+        self._puller.renew(address)
+
     def start(self) -> None:
         """Begins to run items."""
         self._puller.start()
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -1,8 +1,8 @@
 """Takes items from stores while there is capacity, runs them, and tells the store how each run ended (docs/batch.md 4).
 
 Nothing is pushed to a proxy: after a restart it asks for what it can run. `ItemPuller` owns the runs in progress, and
-names them to their primaries again and again: that renews their leases, makes them known to a new primary, and finds out
-which ones are of no use any more.
+names them to their primaries again and again: that renews their leases, makes them known to a new primary, and finds
+out which ones are of no use any more.
 """
 
 from __future__ import annotations
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -117,8 +117,8 @@
             tenant: Whose jobs.
             make_message: Makes the message with the number that its reply is known by.
             timeout_s: After which no further attempt is made.
-            done: Called once with the reply, None where no owner answered, and whether it is not known what became of an
-                attempt.
+            done: Called once with the reply, None where no owner answered, and whether an attempt may have done
+                something.
         """
         until = self._loop.now() + timeout_s
         self._attempt(tenant, make_message, until, done, is_uncertain=False)
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from ploverward.common import batch_partitions
 from ploverward.simulation import batch_scene
 from ploverward.simulation import request_scene
 
@@ -14,6 +13,13 @@
     return batch_scene.BatchScene(tmp_path, batch_scene.streaming(b"one", b"two"))
 
 
+def statuses_until_read(scene, job):
+    """The statuses of all reads of a job up to the first 200."""
+    answers = []
+    assert scene.until(lambda: answers.append(scene.results(job).status) or answers[-1] == 200)
+    return set(answers)
+
+
 def test_a_job_is_kept_run_and_listed_once(scene):
     assert scene.submit("l1", [batch_scene.item(name) for name in ("a", "b", "c")]).status == 202
     results = scene.all_results("l1")
@@ -79,9 +85,7 @@
     results = scene.all_results("l1")
     for address in list(scene.stores):
         scene.restart_store(address)
-        answers = []
-        assert scene.until(lambda: answers.append(scene.results("l1").status) or answers[-1] == 200)
-        assert set(answers) <= {200, 503}
+        assert statuses_until_read(scene, "l1") <= {200, 503}
         assert scene.results("l1").json["results"] == results
         assert scene.until(scene.is_serving)
 
@@ -97,9 +101,7 @@
     for number in emptied:
         scene.start_store(addresses[number])
         scene.stores[addresses[number]].install_roles(scene.roles)
-    answers = []
-    assert scene.until(lambda: answers.append(scene.results("l1").status) or answers[-1] == 200)
-    assert set(answers) <= {200, 503}  # never "no such job"
+    assert statuses_until_read(scene, "l1") <= {200, 503}  # never "no such job"
     assert scene.results("l1").json["results"] == results
     assert scene.until(lambda: scene.submit("l2", [batch_scene.item("c")]).status == 202)
     scene.all_results("l2")
--- /dev/null
+++ b/ploverward/simulation/batch/simulated_store.py
@@ -0,0 +1,160 @@
+"""A machine with a store: the product's parts, wired as `ploverward.store.store_node` does, in simulated time."""
+
+from __future__ import annotations
+
+import collections
+import functools
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from ploverward.common import batch_partitions
+from ploverward.simulation.batch import store_network
+from ploverward.simulation.control_plane import simulated_clock
+from ploverward.simulation.control_plane import simulated_disk
+from ploverward.store import copy_service
+from ploverward.store import job_service
+from ploverward.store import partition as partitions
+from ploverward.store import partition_log
+from ploverward.store import partition_member
+from ploverward.store import primary_partitions
+from ploverward.store import replication
+from ploverward.store import store_disk
+from ploverward.transport import batch_messages
+
+TIMING = replication.Timing(lease_s=0.6)
+STATUS_S = 4.0
+
+
+class SimulatedStore:
+    """One machine; its disk outlives its processes.
+
+    Args:
+        name: Its address.
+        zone: Where it is.
+        network: Connections to other stores.
+        find: Returns the machine with a name.
+        send_report: Sends a report to the coordinator: (name, report).
+        on_failure: Called with a process and a traceback when a step raised.
+
+    Attributes:
+        process: The present one, None where the machine is down.
+        incarnation: Identifies the present process.
+        disk: Of the present process.
+        back_at: Since when it has been up, and whole.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        network: store_network.Network,
+        find: Callable[[str], SimulatedStore],
+        send_report: Callable[[str, batch_messages.CopyReport], object],
+        on_failure: Callable[[simulated_clock.Process, str], object],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self._network = network
+        self._clock = network.clock
+        self._find = find
+        self._send_report = send_report
+        self._on_failure = on_failure
+        self.files = simulated_disk.Disk(clock=network.clock)
+        self.process: simulated_clock.Process | None = None
+        self.incarnation = ""
+        self.back_at = 0.0
+        self.down_since = 0.0
+        self._starts = 0
+        self._epochs: dict[int, int] = {}
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.is_alive
+
+    def start(self) -> None:
+        """Starts a process on the disk as it is."""
+        self._starts += 1
+        self.incarnation = f"{self.name}-{self._starts}"
+        self.process = simulated_clock.Process(clock=self._clock, name=self.name, on_failure=self._on_failure)
+        self.back_at = self._clock.time
+        self.process.guard(self._begin)
+
+    def _begin(self) -> None:
+        process = self.process
+        assert process is not None
+        loop = simulated_clock.Loop(process=process, on_stop=lambda: None, disk=self.files)
+        logs: store_disk.Logs = collections.defaultdict(partition_log.PartitionLog)
+        self._epochs = {}
+        self.disk = store_disk.StoreDisk(
+            loop=loop,
+            disk=self.files,
+            logs=logs,
+            limit_bytes=0,
+            on_durable=self._handle_synced,
+            unique_id=lambda: f"disk-{self.incarnation}",
+        )
+        self.copies = copy_service.CopyService(
+            make_member=lambda number: partition_member.PartitionMember(
+                number=number, log=logs[number], disk=self.disk, now=loop.now, lease_s=TIMING.lease_s
+            )
+        )
+        self.primary = primary_partitions.PrimaryPartitions(
+            loop=loop,
+            own=self.name,
+            process=self.incarnation,
+            disk=self.disk,
+            members=self.copies.member,
+            timing=TIMING,
+            make_partition=lambda: partitions.Partition(
+                now=loop.now, wall_time=lambda: self._clock.time, status_s=STATUS_S
+            ),
+            make_links=functools.partial(
+                store_network.Links, network=self._network, own=self.name, process=process, find=self._find
+            ),
+            send_report=lambda report: self._send_report(self.name, report),
+        )
+        self.jobs = job_service.JobService(owned=self.primary.owned, has_room=lambda: True)
+        self._handlers: dict[type, Callable] = {
+            **self.jobs.handlers(),
+            batch_messages.RenewPrimaryLeases: self.copies.handle_leases,
+            batch_messages.RequestLogState: self.copies.handle_state_request,
+            batch_messages.AppendEntries: self.copies.handle_entries,
+        }
+        self.disk.start(on_ready=lambda: None)
+        loop.every(interval_s=TIMING.renewal_s, callback=self.primary.tick)
+
+    def _handle_synced(self, number: int) -> None:
+        self.primary.handle_synced(number)
+        self.copies.handle_synced(number)
+
+    def accept(self, channel: object, message: tuple) -> None:
+        """A message of another store, or of a proxy."""
+        self._handlers[type(message)](channel, message)
+
+    def handle_end(self, channel: object) -> None:
+        """A connection that another machine opened ended."""
+        self.copies.handle_end(channel)  # type: ignore[arg-type]
+        self.jobs.handle_end(channel)  # type: ignore[arg-type]
+
+    def install(self, rows: Mapping[str, Sequence]) -> None:
+        """Rows of the register became known."""
+        for number in range(batch_partitions.PARTITIONS):
+            owners = batch_partitions.owners_of(partition=number, roles=rows)
+            if owners.epoch > self._epochs.get(number, 0):
+                self._epochs[number] = owners.epoch
+                self.primary.install(number, owners)
+
+    def stop(self, *, has_power: bool = True, keeps_disk: bool = True) -> None:
+        """Ends the process, by a kill or by a loss of power, which may take the disk with it."""
+        if self.is_alive and self.process is not None:
+            self.process.end()
+            self.down_since = self._clock.time
+        if not has_power or not keeps_disk:
+            self.files.lose_power()
+        else:
+            self.files.kill()
+        if not keeps_disk:
+            self.files.empty()
--- /dev/null
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -0,0 +1,187 @@
+"""Mutants of the stores: seeded bugs in the product's code, to show that the checks of `batch_run` find them."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import unittest.mock
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from ploverward.common import batch_partitions
+from ploverward.control_plane.cluster import partition_placement
+from ploverward.simulation.batch import batch_run
+from ploverward.store import job_table
+from ploverward.store import partition
+from ploverward.store import partition_log
+from ploverward.store import partition_member
+from ploverward.store import primary_partitions
+from ploverward.store import replication
+from ploverward.transport import batch_messages
+
+MAX_SEEDS = 60
+
+Patch = contextlib.AbstractContextManager
+Patches = Callable[[], list[Patch]]
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """A seeded bug.
+
+    Attributes:
+        name: What is wrong with the code.
+        patches: Makes the patches that put it into the code.
+        kinds: Of the faults that may show it.
+        fault_s: Between two of them, on average; 0: drawn by the seed.
+    """
+
+    name: str
+    patches: Patches
+    kinds: tuple[str, ...] = batch_run.FAULT_KINDS
+    fault_s: float = 0.0
+
+
+def _replace(owner: object, name: str, value: object) -> Patch:
+    return unittest.mock.patch.object(owner, name, value)
+
+
+def _commit_alone() -> list[Patch]:
+    return [_replace(replication.Replication, "_required", lambda _self: iter(()))]
+
+
+def _forget_learners() -> list[Patch]:
+    """Learners that were reported as level are not waited for."""
+
+    def required(self: replication.Replication) -> Iterator[replication.Copy]:
+        return (copy for address, copy in self._copies.items() if address in self.owners.backups)
+
+    return [_replace(replication.Replication, "_required", required)]
+
+
+def _serve_past_lease() -> list[Patch]:
+    return [_replace(replication.Replication, "is_serving", property(lambda self: self.is_level))]
+
+
+def _serve_before_level() -> list[Patch]:
+    return [_replace(replication.Replication, "is_level", property(lambda _self: True))]
+
+
+def _ignore_disks() -> list[Patch]:
+    return [_replace(batch_partitions, "is_same_disk", lambda _member, _disk: True)]
+
+
+def _no_fence() -> list[Patch]:
+    return [_replace(partition_member.PartitionMember, "fence", property(lambda _self: 0))]
+
+
+def _keep_epoch() -> list[Patch]:
+    """A primary that restarted goes on under its former epoch."""
+    steps = tuple(step for step in partition_placement._STEPS if step is not partition_placement._after_restart)
+    install = primary_partitions.PrimaryPartitions.install
+
+    def install_for_any_process(
+        self: primary_partitions.PrimaryPartitions, number: int, owners: batch_partitions.PartitionOwners
+    ) -> None:
+        install(self, number, owners._replace(process=self._process))
+
+    return [
+        _replace(partition_placement, "_STEPS", steps),
+        _replace(primary_partitions.PrimaryPartitions, "install", install_for_any_process),
+    ]
+
+
+def _list_twice() -> list[Patch]:
+    """A result that comes again gets a second position."""
+    original = job_table.JobTable._list
+    listed = (job_table.ItemState.LISTED, job_table.ItemState.FINISHING)
+
+    def list_item(job: job_table.Job, entry: object) -> None:
+        item = job.items.get(entry.item)  # type: ignore[attr-defined]
+        if item is not None:
+            item.state = job_table.ItemState.WAITING
+        original(job, entry)  # type: ignore[arg-type]
+
+    finish = partition.Partition.finish
+
+    def finish_again(
+        self: partition.Partition, message: batch_messages.FinishItem, reply: partition.Reply, holder: object
+    ) -> None:
+        job = self.table.find(tenant=message.tenant, job=message.job)
+        item = job.items.get(message.item) if job is not None else None
+        if item is not None and item.state in listed:
+            item.state = job_table.ItemState.WAITING
+        finish(self, message, reply, holder)
+
+    return [
+        _replace(job_table.JobTable, "_list", staticmethod(list_item)),
+        _replace(partition.Partition, "finish", finish_again),
+    ]
+
+
+def _count_committed_only() -> list[Patch]:
+    """Jobs that are being written do not count against the quota."""
+    return [
+        _replace(
+            partition.Partition,
+            "_queued",
+            lambda self, message: self.table.queued_tokens(tenant=message.tenant, route=message.route),
+        )
+    ]
+
+
+def _keep_tail() -> list[Patch]:
+    """What a former primary added and never committed is not cut off."""
+
+    def agreed_end(self: partition_log.PartitionLog, other: object) -> int:
+        runs = other.runs  # type: ignore[attr-defined]
+        return min(self.last, runs[-1].last if runs else other.base)  # type: ignore[attr-defined]
+
+    return [_replace(partition_log.PartitionLog, "agreed_end", agreed_end)]
+
+
+def _acknowledge_unsynced() -> list[Patch]:
+    return [_replace(partition_log.PartitionLog, "durable", property(lambda self: self.last, lambda _self, _at: None))]
+
+
+def _forget_ends() -> list[Patch]:
+    original = job_table.JobTable.apply
+
+    def apply(self: job_table.JobTable, position: int, entry: object) -> None:
+        if type(entry).__name__ != "JobEnded":
+            original(self, position, entry)  # type: ignore[arg-type]
+
+    return [_replace(job_table.JobTable, "apply", apply)]
+
+
+MUTANTS = (
+    Mutant("commits without the other copies", _commit_alone),
+    Mutant("does not wait for learners that may be members", _forget_learners, fault_s=1.2),
+    Mutant("answers past its lease", _serve_past_lease, kinds=("cut", "one way", "freeze"), fault_s=2.0),
+    Mutant("answers before all copies have what it has", _serve_before_level, fault_s=1.2),
+    Mutant("takes an emptied disk for a member", _ignore_disks, kinds=("wipe two", "wipe"), fault_s=5.0),
+    Mutant("takes entries of former primaries", _no_fence, kinds=("cut core", "coordinator", "freeze"), fault_s=1.0),
+    Mutant("goes on under its epoch after a restart", _keep_epoch, kinds=("power", "all"), fault_s=1.0),
+    Mutant("lists an item twice", _list_twice),
+    Mutant("counts only committed jobs against the quota", _count_committed_only),
+    Mutant("keeps an end that was never committed", _keep_tail),
+    Mutant("acknowledges what is not synced", _acknowledge_unsynced),
+    Mutant("forgets that a job was ended", _forget_ends),
+)
+
+
+def find(mutant: Mutant, *, max_seeds: int = MAX_SEEDS) -> tuple[int, str] | None:
+    """Plays runs with a mutant until one shows it.
+
+    Returns:
+        The seed and what it broke; None where no run showed it.
+    """
+    for seed in range(max_seeds):
+        plan = batch_run.Plan(seed=seed, kinds=mutant.kinds, fault_s=mutant.fault_s)
+        with contextlib.ExitStack() as stack:
+            for patch in mutant.patches():
+                stack.enter_context(patch)
+            findings = batch_run.BatchRun(plan).play()
+        if findings:
+            return seed, findings[0]
+    return None
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -125,8 +125,9 @@
             data_dir=str(self.folder / address),
             seeds=((loopback.own_address(host=99), 1),),
         )
-        store = store_node.StoreNode(settings=settings, loop=self.loop)
-        store.send_report = lambda report: self._record_report(store, report)
+        store = store_node.StoreNode(
+            settings=settings, loop=self.loop, send_report=lambda report: self._record_report(store, report)
+        )
         store.start()
         self.stores[address] = store
 
@@ -182,9 +183,7 @@
             for number in range(batch_partitions.PARTITIONS)
         }
         reports = {
-            number: report
-            for number, report in self._reports.items()
-            if report.epoch == arrangements[number].epoch
+            number: report for number, report in self._reports.items() if report.epoch == arrangements[number].epoch
         }
         return partition_placement.PlacementView(
             stores=states,
--- a/ploverward/store/copy_service.py
+++ b/ploverward/store/copy_service.py
@@ -26,16 +26,12 @@
             self._members[number] = self._make_member(number)
         return self._members[number]
 
-    def handle_leases(
-        self, connection: interfaces.Connection, message: batch_messages.RenewPrimaryLeases
-    ) -> None:
+    def handle_leases(self, connection: interfaces.Connection, message: batch_messages.RenewPrimaryLeases) -> None:
         """A primary asks to go on."""
         granted = tuple(row for row in message.partitions if self.member(row.partition).grant_lease(row.epoch))
         connection.send(batch_messages.PrimaryLeasesGranted(message.number, granted))
 
-    def handle_state_request(
-        self, connection: interfaces.Connection, message: batch_messages.RequestLogState
-    ) -> None:
+    def handle_state_request(self, connection: interfaces.Connection, message: batch_messages.RequestLogState) -> None:
         """A primary asks where a log stands."""
         self._send_state(connection, message.partition, message.epoch)
 
@@ -58,7 +54,7 @@
         """More of a log is on this store's disk."""
         member = self.member(number)
         session, message = member.session, member.acknowledgement()
-        if isinstance(session, interfaces.Connection) and message is not None:
+        if session is not None and message is not None:
             session.send(message)
 
     def handle_end(self, connection: interfaces.Connection) -> None:
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -1,7 +1,7 @@
 """The jobs of one partition: what was taken, what is listed, who has leased what (docs/batch.md 4).
 
-`JobTable` applies committed entries in their order, so every primary has the same jobs, positions and results. Leases are
-no part of that: only the primary has them, in memory. Proxies tell its successor what they run.
+`JobTable` applies committed entries in their order, so every primary has the same jobs, positions and results. Leases
+are no part of that: only the primary has them, in memory. Proxies tell its successor what they run.
 """
 
 from __future__ import annotations
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -1,10 +1,10 @@
-"""One partition at its primary: jobs that are taken, items that are leased, results that are listed (docs/batch.md 3, 4).
+"""One partition at its primary: jobs taken, items leased, results listed (docs/batch.md 3, 4).
 
 Each change is an entry of the log. Only when it is committed (`replication`) it is applied, answered and shown, so what
 was shown or promised is known to whoever becomes primary next.
 
-Leases of items are in memory alone. A new primary gives out nothing of what it found for `CLAIM_S`: meanwhile proxies name
-what they run. A report that a run failed, or was given up, counts only from the proxy that has the lease.
+Leases of items are in memory alone. A new primary gives out nothing of what it found for `CLAIM_S`: meanwhile proxies
+name what they run. A report that a run failed, or was given up, counts only from the proxy that has the lease.
 """
 
 from __future__ import annotations
--- a/ploverward/store/partition_log.py
+++ b/ploverward/store/partition_log.py
@@ -1,8 +1,8 @@
 """The entries of one partition at one store (docs/batch.md 3).
 
-Each entry has a position, counted from 1, and the epoch of the primary that added it. Two logs with the same epoch at the
-same position are the same up to there: an epoch belongs to one process, and a store takes entries only behind an entry
-that both have. So where logs part is found by epochs alone, and an end that was never committed can be cut off.
+Each entry has a position, counted from 1, and the epoch of the primary that added it. Two logs with the same epoch at
+the same position are the same up to there: an epoch belongs to one process, and a store takes entries only behind an
+entry that both have. So where logs part is found by epochs alone, and an end that was never committed can be cut off.
 
 What a job left behind is dropped once the job is forgotten: its entries become empty, and empty ones at the front are
 taken away. `base` is the position before the first entry that is left; all up to there was committed.
--- a/ploverward/store/partition_member.py
+++ b/ploverward/store/partition_member.py
@@ -1,7 +1,8 @@
 """A partition's log at one store, as its primary sees it: questions, entries, leases (docs/batch.md 3).
 
-`PartitionMember` guards the log. It takes entries only from a primary of the newest epoch that it knows; each entry that
-it has is of an epoch that it knows, so that a restart does not make it forget one under which anything was committed.
+`PartitionMember` guards the log. It takes entries only from a primary of the newest epoch that it knows; each entry
+that it has is of an epoch that it knows, so that a restart does not make it forget one under which anything was
+committed.
 
 Entries come on the connection on which the log's state was asked for last, in order. What an older connection still
 brings is dropped: it would cut off what came since.
@@ -18,8 +19,9 @@
 from ploverward.store import partition_log
 from ploverward.store import store_disk
 from ploverward.transport import batch_messages
+from ploverward.transport import interfaces
 
-Session = object  # one connection of a primary
+Session = interfaces.Connection  # of a primary
 
 
 class PartitionMember:
@@ -84,9 +86,7 @@
         self._session, self._session_epoch = session, epoch
         self._matched = 0
         log = self.log
-        return batch_messages.LogState(
-            self.number, epoch, self._disk.identity, log.base, log.base_epoch, log.runs()
-        )
+        return batch_messages.LogState(self.number, epoch, self._disk.identity, log.base, log.base_epoch, log.runs())
 
     def append(self, session: Session, message: batch_messages.AppendEntries) -> bool:
         """Takes a primary's entries; returns whether they fit the log."""
--- a/ploverward/store/primary_partitions.py
+++ b/ploverward/store/primary_partitions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import typing
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -11,13 +12,28 @@
 from ploverward.store import partition_member
 from ploverward.store import replication
 from ploverward.store import store_disk
-from ploverward.store import store_links
 from ploverward.transport import batch_messages
 from ploverward.transport import interfaces
 
 MAX_LEASE_REQUESTS = 16  # to one store that are remembered
 
 
+class Links(typing.Protocol):
+    """Connections to other stores: `store_links.StoreLinks`, or the simulation's twin."""
+
+    def update(self, addresses: set[str]) -> None:
+        """Connects to these stores, and ends the connections to others."""
+
+    def send(self, address: str, message: tuple) -> None:
+        """Sends to a store; without a connection the message is lost."""
+
+    def keep_alive(self) -> None:
+        """To be called at each heartbeat interval."""
+
+    def stop(self) -> None:
+        """Ends all connections."""
+
+
 class PrimaryPartitions:
     """The partitions of this store.
 
@@ -46,7 +62,7 @@
         members: Callable[[int], partition_member.PartitionMember],
         timing: replication.Timing,
         make_partition: Callable[[], partitions.Partition],
-        make_links: Callable[..., store_links.StoreLinks],
+        make_links: Callable[..., Links],
         send_report: Callable[[batch_messages.CopyReport], object],
     ) -> None:
         self._loop = loop
--- a/ploverward/store/replication.py
+++ b/ploverward/store/replication.py
@@ -1,13 +1,13 @@
-"""A partition at its primary: which copies have what, what is committed, and until when it may answer (docs/batch.md 3).
+"""A partition at its primary: what each copy has, what is committed, until when it may answer (docs/batch.md 3).
 
 An entry is committed once it is synced here and at all other members, and at the learners that were reported as level:
-the coordinator may make them members at any moment. Whoever becomes primary next is one of these, so it has all that was
-committed.
+the coordinator may make them members at any moment. Whoever becomes primary next is one of these, so it has all that
+was committed.
 
 A process becomes primary by an epoch that was given to it. It adds an empty entry, which each member has to take: then
 all of them know the epoch, whatever they restart, and no former primary commits anything more. Only when that entry is
-committed, and what this store granted to the former primary has ended, does it answer. It goes on as long as all members
-renew its lease.
+committed, and what this store granted to the former primary has ended, does it answer. It goes on as long as all
+members renew its lease.
 """
 
 from __future__ import annotations
@@ -54,12 +54,10 @@
     """What the primary knows of another store's copy.
 
     Attributes:
-        disk: The store's disk; empty before it has answered on the connection that there is.
-        sent: The position of the last entry that was sent on this connection; None before the store said where it stands.
-        stored: Up to which position it has synced this log.
-        leased_until: When the lease ends that it granted.
-        heard_at: When it answered last.
-        moved_at: When it last had all, or got on.
+        disk: The store's disk; empty before it has answered on the connection that there is. sent: The position of the
+            last entry that was sent on this connection; None before the store said where it stands. stored: Up to
+            which position it has synced this log. leased_until: When the lease ends that it granted. heard_at: When it
+            answered last. moved_at: When it last had all, or got on.
     """
 
     heard_at: float
@@ -127,9 +125,7 @@
         self._member.note_epoch(owners.epoch)
         now = self._now()
         addresses = (*owners.backups, *owners.learners)
-        self._copies = {
-            address: self._copies.get(address) or Copy(heard_at=now, moved_at=now) for address in addresses
-        }
+        self._copies = {address: self._copies.get(address) or Copy(heard_at=now, moved_at=now) for address in addresses}
         for address, copy in self._copies.items():
             copy.moved_at = now  # a store has its time anew under each arrangement
             self.ask(address)  # it may have refused what was sent before, where it knew this epoch sooner
--- a/ploverward/store/store_disk.py
+++ b/ploverward/store/store_disk.py
@@ -1,13 +1,13 @@
 """The store's one log file: entries of all its partitions, written in groups (docs/batch.md 3).
 
-While one write is under way the next one gathers, so that one sync serves many commits. The first write of a process, and
-each one after a write that failed, replaces the file by what is in memory: what was read at the start may never have been
-synced. So does a write that finds the file much longer than that.
-
-A record is a length, a checksum (`checksummed_records`), a number and what follows it. Numbers below `_BASE` are those of
-partitions, with a position and an entry, as the first version wrote them; with `_ENTRY` there is an epoch too; with `_BASE`
-the position and the epoch behind which the partition's log begins; `_IDENTITY` names the disk. Records are only added to:
-an entry at a position that is there already takes the place of all from there on.
+While one write is under way the next one gathers, so that one sync serves many commits. The first write of a process,
+and each one after a write that failed, replaces the file by what is in memory: what was read at the start may never
+have been synced. So does a write that finds the file much longer than that.
+
+A record is a length, a checksum (`checksummed_records`), a number and what follows it. Numbers below `_BASE` are those
+of partitions, with a position and an entry, as the first version wrote them; with `_ENTRY` there is an epoch too; with
+`_BASE` the position and the epoch behind which the partition's log begins; `_IDENTITY` names the disk. Records are
+only added to: an entry at a position that is there already takes the place of all from there on.
 """
 
 from __future__ import annotations
@@ -60,6 +60,7 @@
         logs: By partition; makes one where there is none.
         limit_bytes: Of the disk; 0: not known.
         on_durable: Called with a partition whose log is synced further than before.
+        unique_id: Makes the identity of a disk that has none.
 
     Attributes:
         identity: Of the disk: another one once it was emptied.
@@ -74,6 +75,7 @@
         logs: Logs,
         limit_bytes: float,
         on_durable: Callable[[int], object],
+        unique_id: Callable[[], str] = lambda: uuid.uuid4().hex[:12],
     ) -> None:
         self._loop = loop
         self._disk = disk
@@ -92,7 +94,7 @@
         )
         self._load()
         if not self.identity:
-            self.identity = uuid.uuid4().hex[:12]
+            self.identity = unique_id()
 
     @property
     def is_full(self) -> bool:
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -1,7 +1,7 @@
 """The store program: its parts, their wiring and its heartbeat (docs/batch.md).
 
-A store is primary of some partitions and keeps copies of others, as the register of singleton roles says. Everything runs
-in one thread, on one event loop; the log is written on a pool thread.
+A store is primary of some partitions and keeps copies of others, as the register of singleton roles says. Everything
+runs in one thread, on one event loop; the log is written on a pool thread.
 """
 
 from __future__ import annotations
@@ -63,8 +63,20 @@
         primary: The partitions that it is primary of.
     """
 
-    def __init__(self, *, settings: settings_files.Settings, loop: event_loop.Loop | None = None) -> None:
-        """Reads the disk; nothing is connected yet. `loop`: the event loop, a new one by default."""
+    def __init__(
+        self,
+        *,
+        settings: settings_files.Settings,
+        loop: event_loop.Loop | None = None,
+        send_report: Callable[[batch_messages.CopyReport], object] | None = None,
+    ) -> None:
+        """Reads the disk; nothing is connected yet.
+
+        Args:
+            settings: In force.
+            loop: The event loop; a new one by default.
+            send_report: Takes what the coordinator is to know; sent there by default.
+        """
         self.settings = settings
         self.incarnation = uuid.uuid4().hex[:12]
         self.loop = loop or event_loop.Loop(on_fault=lambda fault: _log.error("step_failed", exc_info=fault))
@@ -76,7 +88,7 @@
         self._timing = replication.Timing(
             lease_s=settings.bound_s(name="settleMs", default=DEFAULT_SETTLE_MS) * LEASES_PER_SETTLE
         )
-        self._make_partitions()
+        self._make_partitions(send_report or self._send_report)
         self._make_control_client(contact_s)
         self._handlers: dict[type, Callable] = {
             **self._jobs.handlers(),
@@ -85,7 +97,7 @@
             batch_messages.AppendEntries: self.copies.handle_entries,
         }
 
-    def _make_partitions(self) -> None:
+    def _make_partitions(self, send_report: Callable[[batch_messages.CopyReport], object]) -> None:
         """The disk, copies and jobs."""
         settings = self.settings
         logs: store_disk.Logs = collections.defaultdict(partition_log.PartitionLog)
@@ -111,7 +123,7 @@
             timing=self._timing,
             make_partition=lambda: partitions.Partition(now=self.loop.now, wall_time=time.time, status_s=status_s),
             make_links=self._make_links,
-            send_report=lambda report: self.send_report(report),
+            send_report=send_report,
         )
         self._jobs = job_service.JobService(owned=self.primary.owned, has_room=lambda: not self.disk.is_full)
 
@@ -223,7 +235,7 @@
                 self._epochs[number] = owners.epoch
                 self.primary.install(number, owners)
 
-    def send_report(self, report: batch_messages.CopyReport) -> None:
+    def _send_report(self, report: batch_messages.CopyReport) -> None:
         """Sends a report to the coordinator; without a connection it is lost, and made again."""
         connection = self._connections.to(self._coordinator)
         if connection is not None:
--- a/ploverward/store/test_job_table.py
+++ b/ploverward/store/test_job_table.py
@@ -46,7 +46,9 @@
     assert job_entries.unpack(job_entries.pack(entry)) == entry
 
 
-@pytest.mark.parametrize("data", [b"", b"{}\n", b"[]\nx", b'{"other":[]}\n', b'{"end":["t"]}\n', b'{"forgotten":["t"]}\n'])
+@pytest.mark.parametrize(
+    "data", [b"", b"{}\n", b"[]\nx", b'{"other":[]}\n', b'{"end":["t"]}\n', b'{"forgotten":["t"]}\n']
+)
 def test_other_bytes_are_no_entry(data):
     with pytest.raises(ValueError):
         job_entries.unpack(data)
