--- a/ploverward/common/settings.py
+++ b/ploverward/common/settings.py
@@ -12,6 +12,9 @@
 PATH_VARIABLE = "PLOVERWARD_NODE_FILE"  # the environment's variable that names the file
 BOUND_NAMES = ("contactMs", "receiptMs", "drainMs", "graceS", "applyMs", "evacuateMs")  # required, and above 0
 MAX_PORT = 65535
+DEFAULT_USAGE_WINDOW_S = 5.0
+DEFAULT_USAGE_LATE_S = 10.0
+USAGE_DUTY = "metering"  # among `platform_duties`
 BATCH_DEPLOYMENT = "batch"  # a kind of deployment with stores
 DEFAULT_MEMORY_MB = 256.0
 DEFAULT_FILE_HANDLES = 1024.0
@@ -84,6 +87,21 @@
         """The kind of deployment; empty where the file does not name one."""
         return self.raw.get("deployment", "")
 
+    @property
+    def platform_duties(self) -> frozenset[str]:
+        """The calls to the platform that one node at a time makes, by the names of the settings; often none."""
+        return frozenset(self.raw.get("cloudApi.duties", "").split(",")) - {""}
+
+    @property
+    def usage_window_s(self) -> float:
+        """Length of a window of the reports of use."""
+        return self.bound(name="usageWindowS", default=DEFAULT_USAGE_WINDOW_S)
+
+    @property
+    def usage_late_s(self) -> float:
+        """When the report of a window is due after its end."""
+        return self.bound(name="usageLateS", default=DEFAULT_USAGE_LATE_S)
+
     @property
     def core_port(self) -> int:
         """The port at which core nodes take connections of other nodes."""
--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -18,6 +18,7 @@
 from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.consensus import consensus_node
 from ploverward.control_plane.rollouts import manager
+from ploverward.control_plane.usage import usage_duty
 
 STEADY_INTERVALS = 6  # heartbeat intervals: two peer time-outs
 FAILOVERS_PER_CONTACT = 8  # a primary of the batch tier is replaced in so long once its connection has ended
@@ -38,10 +39,14 @@
         rollout_manager: Roll-outs advance at the coordinator.
         core_set: The core set is changed by the coordinator.
         stores: The stores of the batch tier.
+        usage: Reports of use; None where the platform wants none.
         now: The clock, in seconds.
         contact_s: `contactMs` of the settings, in seconds.
         heartbeat_interval_s: Between two calls of `reconcile`, besides those that something gives rise to.
         copies: On how many stores a partition of the batch tier is.
+
+    Attributes:
+        acting_since: Since when this node has acted as coordinator without a break; None: it does not.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         rollout_manager: manager.RolloutManager,
         core_set: core_set_reconciler.CoreSetReconciler,
         stores: store_directory.StoreDirectory,
+        usage: usage_duty.UsageDuty | None,
         now: Callable[[], float],
         contact_s: float,
         heartbeat_interval_s: float,
@@ -72,12 +78,13 @@
         self._rollout_manager = rollout_manager
         self._core_set = core_set
         self._stores = stores
+        self._usage = usage
         self._now = now
         self._patience = partition_placement.Patience(
             failover_s=contact_s / FAILOVERS_PER_CONTACT, replacement_s=contact_s / REPLACEMENTS_PER_CONTACT
         )
         self._copies = copies
-        self._acting_since: float | None = None
+        self.acting_since: float | None = None
         self._store_addresses: list[str] = []
         self._store_change_at = 0.0  # when the connected stores were others last
         self._steady_s = STEADY_INTERVALS * heartbeat_interval_s
@@ -101,10 +108,10 @@
         )
         if not is_acting:
             self._rollout_manager.deactivate()
-            self._acting_since = None
+            self.acting_since = None
             return
-        if self._acting_since is None:
-            self._acting_since = self._store_change_at = self._now()
+        if self.acting_since is None:
+            self.acting_since = self._store_change_at = self._now()
         if self._status.is_draining:
             self._hand_over()
             return
@@ -117,6 +124,8 @@
             ]
         )
         self._place_partitions()
+        if self._usage is not None:
+            self._usage.tick()
         self._rollout_manager.reconcile()
         self._core_set.reconcile()
 
@@ -129,7 +138,7 @@
         addresses = sorted(peer.address for peer in peers)
         if addresses != self._store_addresses:
             self._store_addresses, self._store_change_at = addresses, now
-        acting_s = now - (self._acting_since if self._acting_since is not None else now)
+        acting_s = now - (self.acting_since if self.acting_since is not None else now)
         view = self._stores.view(
             copies=self._copies,
             may_place=now - self._store_change_at >= self._steady_s,
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -47,6 +47,7 @@
 from ploverward.control_plane.quotas import token_bucket
 from ploverward.control_plane.rollouts import manager
 from ploverward.control_plane.tallies import tally_service
+from ploverward.control_plane.usage import usage_duty
 from ploverward.transport import interfaces
 from ploverward.transport import messages
 
@@ -228,6 +229,7 @@
             roles=lambda: self.role_table.table,
             on_change=lambda: self.loop.command(callback=self.roles.reconcile),
         )
+        self.usage = self._make_usage(settings)
         self.roles = role_reconciler.RoleReconciler(
             status=self.status,
             sessions=self.sessions,
@@ -239,12 +241,44 @@
             rollout_manager=self.rollout_manager,
             core_set=self.core_set,
             stores=self.stores,
+            usage=self.usage,
             now=self.loop.now,
             contact_s=self.timing.contact_s,
             heartbeat_interval_s=self.timing.heartbeat_interval_s,
             copies=settings.tolerated_machines + 1,
         )
 
+    def _make_usage(self, settings: node_settings.Settings) -> usage_duty.UsageDuty | None:
+        """Reports of use, in deployments whose platform wants them."""
+        if node_settings.USAGE_DUTY not in settings.platform_duties:
+            return None
+        return usage_duty.UsageDuty(
+            now=self.loop.now,
+            wall_time=self.runtime.wall_time,
+            ownership=self._duty_ownership,
+            incarnations=lambda: [proxy.incarnation for proxy in self.sessions.proxies(is_listed=False)],
+            roles=lambda: self.role_table.table,
+            change=self.consensus.proposer.change,
+            post=self.runtime.platform_calls(loop=self.loop, address=settings.cloud_address),
+            timing=usage_duty.Timing(
+                window_s=settings.usage_window_s,
+                late_s=settings.usage_late_s,
+                settle_s=self.timing.lease_s + usage_duty.CALL_LIMIT_S,
+            ),
+        )
+
+    def _duty_ownership(self) -> usage_duty.Ownership | None:
+        """The right to make the calls of duties: of the coordinator, while it has the majority lease."""
+        since = self.roles.acting_since
+        if since is None or not self.coordinator.is_owner or not self.membership.has_majority_lease():
+            return None
+        return usage_duty.Ownership(self.settings.current.node, self.coordinator.epoch, since)
+
+    def _handle_usage(self, connection: interfaces.Connection, message: messages.UsageCounts) -> None:
+        proxy = self.sessions.proxy_of(connection)
+        if proxy is not None and self.usage is not None:
+            self.usage.table.record(proxy.incarnation, message)
+
     def _make_granters(self, settings: node_settings.Settings) -> None:
         """What is granted to proxies."""
         self.owned_shares = share_lease_granter.OwnedShares(own=self.own, now=self.loop.now, timing=self.timing)
@@ -347,6 +381,7 @@
                 messages.HeartbeatReply: self.heartbeats.handle_reply,
                 messages.RenewShares: self.share_granter.handle_renewal,
                 messages.RolloutEvidence: self.rollout_granter.handle_evidence,
+                messages.UsageCounts: self._handle_usage,
             }
         )
         self.router.add(self.topics.handlers())
--- a/ploverward/control_plane/discovery/platform_connection.py
+++ b/ploverward/control_plane/discovery/platform_connection.py
@@ -1,4 +1,4 @@
-"""GET requests to the platform, by pycurl's multi interface on the event loop (design 3).
+"""Requests to the platform, by pycurl's multi interface on the event loop (design 3).
 
 libcurl requests sockets and a timer to wait for; the loop reports their events by `socket_action`. Results are
 delivered by a command of the loop, never from inside a call of libcurl, which must not be entered again.
@@ -46,7 +46,7 @@
 
 
 class PlatformConnection:
-    """Sends GET requests.
+    """Sends requests.
 
     Args:
         loop: the event loop.
@@ -70,6 +70,41 @@
             done: called once with the outcome.
         """
         curl = pycurl.Curl()
+        curl.setopt(pycurl.HTTPHEADER, ["Accept: application/json"])
+        self._begin(curl, url=url, limit_s=limit_s, done=done)
+
+    def post(
+        self,
+        *,
+        url: str,
+        headers: collections.abc.Iterable[str],
+        body: bytes,
+        limit_s: float,
+        done: collections.abc.Callable[[PlatformResponse], None],
+    ) -> None:
+        """Sends a POST, once: on a connection of its own, as libcurl would send it again on one that was reused.
+
+        Args:
+            url: the URL.
+            headers: further headers, each as a line.
+            body: JSON.
+            limit_s: seconds until the request is given up.
+            done: called once with the outcome.
+        """
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.HTTPHEADER, ["Accept: application/json", "Content-Type: application/json", *headers])
+        curl.setopt(pycurl.POSTFIELDS, body)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        self._begin(curl, url=url, limit_s=limit_s, done=done)
+
+    def _begin(
+        self,
+        curl: pycurl.Curl,
+        *,
+        url: str,
+        limit_s: float,
+        done: collections.abc.Callable[[PlatformResponse], None],
+    ) -> None:
         body = io.BytesIO()
         limit_ms = int(limit_s * 1000)
         curl.setopt(pycurl.URL, url)
@@ -78,7 +113,6 @@
         curl.setopt(pycurl.TIMEOUT_MS, limit_ms)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, limit_ms)
         curl.setopt(pycurl.WRITEFUNCTION, body.write)
-        curl.setopt(pycurl.HTTPHEADER, ["Accept: application/json"])
         self._transfers[curl] = _Transfer(body=body, done=done)
         self._multi.add_handle(curl)
         self._act(pycurl.SOCKET_TIMEOUT, 0)
--- a/ploverward/control_plane/node_runtime.py
+++ b/ploverward/control_plane/node_runtime.py
@@ -18,6 +18,7 @@
 from ploverward.common import settings
 from ploverward.control_plane.consensus import disk
 from ploverward.control_plane.discovery import endpoint_list_poller
+from ploverward.control_plane.discovery import platform_calls
 from ploverward.transport import event_loop
 from ploverward.transport import http_server as http_servers
 from ploverward.transport import peer_connection
@@ -111,6 +112,10 @@
             loop=loop, address=address, gap_s=gap_s, limit_s=limit_s, on_list=on_list, zones=zones
         )
 
+    def platform_calls(self, *, loop: event_loop.Loop, address: str) -> platform_calls.PlatformCalls:
+        """Makes calls to the platform at an address."""
+        return platform_calls.PlatformCalls(loop=loop, address=address)
+
     def file_watch(self) -> settings.FileWatch:
         """Watches the settings file for changes."""
         return settings.FileWatch()
--- /dev/null
+++ b/ploverward/control_plane/usage/test_usage.py
@@ -0,0 +1,178 @@
+"""Reports of use: what is counted, when a window is closed, what is sent again, and who may send."""
+
+import json
+
+import pytest
+
+from ploverward.common import errors
+from ploverward.control_plane.discovery import platform_connection
+from ploverward.control_plane.usage import usage_duty
+from ploverward.control_plane.usage import usage_report
+from ploverward.control_plane.usage import usage_table
+from ploverward.transport import messages
+
+BEGIN = 1000.0  # a time of day at which window 200 begins
+OWNER = usage_duty.Ownership(node="sorting-1", epoch=4, since=0.0)
+
+
+def counts(*rows, until=0.0):
+    return messages.UsageCounts(until, tuple(messages.UsageCount(*row) for row in rows))
+
+
+class Scene:
+    """A core node's duty, with a register that is chosen at once and a platform that answers when it is told to."""
+
+    def __init__(self, roles=None):
+        self.time = 0.0
+        self.owner = OWNER
+        self.proxies = ["p1", "p2"]
+        self.roles = {} if roles is None else roles
+        self.calls = []
+        self.rounds = 0
+        self.duty = usage_duty.UsageDuty(
+            now=lambda: self.time,
+            wall_time=lambda: BEGIN + self.time,
+            ownership=lambda: self.owner,
+            incarnations=lambda: self.proxies,
+            roles=lambda: self.roles,
+            change=self.change,
+            post=lambda **call: self.calls.append(call),
+            timing=usage_duty.Timing(window_s=5.0, late_s=10.0, settle_s=2.0),
+        )
+
+    def change(self, *, name, edit, done):
+        assert name == "duty"
+        self.rounds += 1
+        self.roles, result = edit(self.roles)
+        done(None, 1, self.roles, result)
+
+    def at(self, time, ticks=1):
+        self.time = time
+        for _tick in range(ticks):
+            self.duty.tick()
+        return self
+
+    def answer(self, status, error=None):
+        self.calls[-1]["done"](platform_connection.PlatformResponse(status=status, error=error))
+
+    @property
+    def sent(self):
+        return [(call["body"]["windowNo"], call["body"]["tallies"]) for call in self.calls]
+
+
+def test_counts_are_merged_by_the_largest():
+    table = usage_table.UsageTable()
+    for incarnation, row in [
+        ("p1", (200, "a", 3)),
+        ("p1", (200, "a", 2)),
+        ("p2", (200, "a", 4)),
+        ("p2", (201, "b", 1)),
+    ]:
+        table.record(incarnation, counts(row))
+    assert table.totals(200) == {"a": 7} and table.totals(201) == {"b": 1} and table.totals(202) == {}
+
+
+def test_a_window_is_reported_once_all_proxies_have_told_their_counts():
+    scene = Scene().at(2.0)
+    scene.duty.table.record("p1", counts((200, "a", 3), until=BEGIN + 5.1))
+    scene.at(6.6, ticks=3)
+    assert not scene.calls  # p2 has not told
+    scene.duty.table.record("p2", counts((200, "a", 1), (200, "b", 2), until=BEGIN + 5.2))
+    scene.at(6.7, ticks=2)
+    assert scene.sent == [(200, {"a": 4, "b": 2})]
+    assert scene.calls[0]["headers"] == ("X-Duty-Holder: sorting-1", "X-Fence-Number: 4")
+    assert scene.calls[0]["path"] == "/usage"
+
+
+def test_a_window_is_not_reported_right_after_its_end_and_not_later_than_due_whoever_is_silent():
+    scene = Scene().at(2.0)
+    for proxy in scene.proxies:
+        scene.duty.table.record(proxy, counts(until=BEGIN + 6.0))
+    assert not scene.at(6.4, ticks=2).calls
+    scene.proxies.append("p3")  # connected, and never says anything
+    assert not scene.at(10.9, ticks=2).calls
+    assert scene.at(11.0, ticks=2).sent == [(200, {})]
+
+
+def test_a_report_is_agreed_on_before_it_is_sent_and_repeated_unchanged():
+    scene = Scene().at(2.0).at(11.0)
+    assert not scene.calls and usage_report.report_of(scene.roles) == usage_report.UsageReport(200, {})
+    scene.duty.table.record("p1", counts((200, "a", 3)))  # too late
+    scene.at(11.1)
+    scene.answer(0, error=OSError("no answer"))
+    scene.at(11.2)
+    assert len(scene.calls) == 1  # after a pause
+    scene.at(11.7)
+    assert scene.sent == [(200, {}), (200, {})]
+
+
+def test_the_next_window_follows_once_the_one_before_was_accepted():
+    scene = Scene().at(2.0).at(40.0, ticks=2)
+    assert scene.sent == [(200, {})]
+    scene.at(41.0, ticks=3)
+    assert len(scene.calls) == 1
+    scene.answer(200)
+    scene.at(41.1)
+    assert scene.sent[1:] == [(201, {})]
+
+
+def test_a_successor_repeats_what_was_agreed_on_and_has_its_own_fence():
+    first = Scene().at(2.0)
+    first.duty.table.record("p1", counts((200, "a", 3)))
+    first.at(11.0, ticks=2)
+    second = Scene(roles=first.roles)
+    second.owner = usage_duty.Ownership("sorting-2", 5, since=12.0)
+    assert not second.at(13.9, ticks=2).calls  # the former owner's lease and calls have to end
+    assert second.at(14.0, ticks=2).sent == [(200, {"a": 3})]
+    assert second.calls[0]["headers"][1] == "X-Fence-Number: 5"
+
+
+@pytest.mark.parametrize("is_owner", [False, True])
+def test_who_may_not_act_sends_nothing(is_owner):
+    scene = Scene()
+    scene.owner = OWNER if is_owner else None
+    assert bool(scene.at(2.0).at(11.0, ticks=3).calls) == is_owner
+
+
+def test_an_agreement_that_ends_after_the_duty_was_lost_changes_nothing():
+    scene = Scene().at(2.0)
+
+    def change(*, name, edit, done):
+        scene.owner = None
+        scene.change(name=name, edit=edit, done=done)
+
+    scene.duty._change = change
+    scene.at(11.0)
+    assert scene.rounds == 1 and scene.roles == {}
+
+
+def test_after_a_refusal_nothing_is_sent_under_the_same_fence():
+    scene = Scene().at(2.0).at(11.0, ticks=2)
+    scene.answer(409)
+    scene.at(30.0, ticks=3)
+    assert len(scene.calls) == 1
+    scene.owner = usage_duty.Ownership("sorting-1", 6, since=30.0)
+    assert len(scene.at(32.0, ticks=2).calls) == 2
+
+
+def test_a_platform_that_is_down_is_not_flooded():
+    scene = Scene().at(2.0).at(11.0, ticks=2)
+    for step in range(200):
+        if len(scene.calls) == scene.calls.index(scene.calls[-1]) + 1 and scene.duty._is_busy:
+            scene.answer(503)
+        scene.at(11.0 + step * 0.1)
+    assert 4 <= len(scene.calls) <= 10
+
+
+def test_an_older_report_never_replaces_a_later_one():
+    roles = usage_report.with_report({"watch": [1, "x", "y"]}, usage_report.UsageReport(7, {"a": 1}))
+    assert usage_report.with_report(roles, usage_report.UsageReport(7, {"a": 2})) == roles
+    assert usage_report.with_report(roles, usage_report.UsageReport(6, {})) == roles
+    newer = usage_report.with_report(roles, usage_report.UsageReport(8, {"b": 1}))
+    assert usage_report.report_of(newer) == usage_report.UsageReport(8, {"b": 1})
+    assert newer["watch"] == [1, "x", "y"] and json.loads(json.dumps(newer)) == newer
+
+
+def test_a_row_that_is_damaged_is_an_error_of_its_own():
+    with pytest.raises(errors.StorageError):
+        usage_report.report_of({"usage": [7, "no base85 \x00", ""]})
--- a/ploverward/data_plane/batch/item_handler.py
+++ b/ploverward/data_plane/batch/item_handler.py
@@ -95,6 +95,9 @@
         self._on(request_state.RequestEvent.ADMITTED)
         self._begin_attempts()
 
+    def _note_begun(self) -> None:
+        """Reports of use do not cover items."""
+
     def _follow_configuration(self) -> bool:
         route = admission_filters.find_route(request=self.request, routes=self.context.routes)
         if route is None or route.batch is None or not self.policy.may_continue_under(route):
--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -10,6 +10,7 @@
 import logging
 import random
 import signal
+import time
 import typing
 import uuid
 from collections.abc import Mapping
@@ -38,6 +39,7 @@
 from ploverward.data_plane.requests import request_handler
 from ploverward.data_plane.requests import route_table
 from ploverward.data_plane.rollouts import version_routing
+from ploverward.data_plane.usage import usage_counter
 from ploverward.transport import event_loop
 from ploverward.transport import messages
 from ploverward.transport import peer_connection
@@ -50,6 +52,7 @@
 PEER_TIMEOUTS_PER_CONTACT = 5
 FAILOVERS_PER_CONTACT = 16
 HEARTBEATS_PER_PEER_TIMEOUT = 3  # two may be lost
+USAGE_HEARTBEATS = 3  # heartbeats between two reports of use
 SLOW_TASKS_HEARTBEATS = 4  # heartbeats between two rounds of trails, adapter counts and a check of the settings file
 MAX_TRAILS_PER_BATCH = 200
 ADAPTER_WINDOW_CONTACTS = 6  # contactMs in a window of counts
@@ -134,6 +137,7 @@
             rollouts=self.rollouts,
             singleton_roles=lambda: self._installer.singleton_roles,
         )
+        self._usage_reports = self._make_usage_reports()
         self._custody_reports = core_reports.CustodyReports(
             connections=self._connections,
             batches=self.batches,
@@ -141,6 +145,23 @@
             incarnation=self.incarnation,
         )
 
+    def _make_usage_reports(self) -> usage_counter.UsageReports | None:
+        """Counts of use, in deployments whose platform wants them reported."""
+        if settings_files.USAGE_DUTY not in self.settings.platform_duties:
+            return None
+        self._usage_counter = usage_counter.UsageCounter(wall_time=time.time, window_s=self.settings.usage_window_s)
+        return usage_counter.UsageReports(
+            connections=self._connections,
+            counter=self._usage_counter,
+            roles=lambda: self._installer.singleton_roles,
+            wall_time=time.time,
+        )
+
+    def note_begun(self, tenant: str) -> None:
+        """A request of a tenant began to run at a replica."""
+        if self._usage_reports is not None:
+            self._usage_counter.note_begun(tenant)
+
     def _make_front_end(self) -> None:
         """Traffic from clients, and its end."""
         self._gate = serving_gate.ServingGate()
@@ -272,6 +293,8 @@
     def _on_heartbeat_tick(self) -> None:
         if self._heartbeats % self.rollouts.report_interval == 0:
             self._rollout_reports.send()
+        if self._usage_reports is not None and self._heartbeats % USAGE_HEARTBEATS == 0:
+            self._usage_reports.send()
         self._renewals.renew()  # it also shows core nodes that this proxy runs
         self._relay_client.send_heartbeats()
         if self._batch is not None:
@@ -297,6 +320,8 @@
 
     def _send_last_reports(self) -> None:
         self._custody_reports.send(is_last=True)
+        if self._usage_reports is not None:
+            self._usage_reports.send()
         self._relay_client.send_adapter_counts()
 
     def _node_state(self) -> messages.NodeState:
--- a/ploverward/data_plane/requests/handler_context.py
+++ b/ploverward/data_plane/requests/handler_context.py
@@ -95,6 +95,9 @@
     def note_fault(self, *, replica: replica_table.Replica, reason: str, was_up: bool) -> None:
         """An attempt failed; `was_up`: whether its connection was established."""
 
+    def note_begun(self, tenant: str) -> None:
+        """A request of a tenant began to run at a replica."""
+
     def note_wrong_replica(self, replica: replica_table.Replica) -> None:
         """421: another replica has the address."""
 
--- a/ploverward/data_plane/requests/request_handler.py
+++ b/ploverward/data_plane/requests/request_handler.py
@@ -83,6 +83,7 @@
         self.policy = self._runner.policy
         self.custody = self._runner.custody
         self._is_first_choice = True
+        self._has_begun = False  # whether a replica began to run it
         self._retry_timer: event_loop.Timer | None = None
         self._deadline_timer: event_loop.Timer | None = None
         self._wait_until = 0.0  # on the loop's clock
@@ -234,6 +235,8 @@
         if attempt.meaning is attempts.Meaning.SUCCESS and is_stream:
             self.writer.begin_stream(forwarded)
         else:
+            if attempt.meaning is attempts.Meaning.SUCCESS:
+                self._note_begun()
             self.writer.begin_body(forwarded)
 
     def handle_data(self, attempt: attempts.Attempt, data: bytes) -> None:
@@ -246,12 +249,19 @@
             return
         if not attempt.is_read:
             attempt.is_read = True
+            self._note_begun()
             self._steps.record(step_log.PREFILLED, now=self.loop.now())
             attempt_accounting.note_prefilled(attempt, facts=self.facts, context=self.context)
         for event in stream.receive_data(data):
             attempt.note_event(now=attempt.heard_at)
             self.forward_event(event)
 
+    def _note_begun(self) -> None:
+        """A replica began to run the request: that counts once, whatever is resumed or sent again."""
+        if not self._has_begun and self.facts.tenant is not None:
+            self.context.note_begun(self.facts.tenant.name)
+        self._has_begun = True
+
     def forward_event(self, event: bytes) -> None:
         """Writes one event; a client that reads slowly pauses its replica."""
         runner = self._runner
--- a/ploverward/simulation/loopback_proxy.py
+++ b/ploverward/simulation/loopback_proxy.py
@@ -162,6 +162,7 @@
         self.adapters = adapter_counts.AdapterCounter(now=loop.now, window_s=24.0, trust_s=4.0)
         self.number = 0
         self.faults: list[str] = []
+        self.begun: list[str] = []  # tenants of requests that replicas began
         self.residency = residency_history.ResidencyHistory(
             now=loop.now, binds_for_s=lambda: self.settings.bound_s(name="applyMs")
         )
@@ -219,6 +220,10 @@
         if not was_up:
             self.table.mark_suspected(replica)
 
+    def note_begun(self, tenant: str) -> None:
+        """A request of a tenant began to run at a replica."""
+        self.begun.append(tenant)
+
     def note_wrong_replica(self, replica: replica_table.Replica) -> None:
         """421: left alone for 2 s."""
         replica.backoff_until = self.loop.now() + 2.0
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -128,6 +128,7 @@
     messages.ReplicaLoads: (55, NUMBER, FLAG, BLOB),
     messages.Aggregates: (56, NUMBER, BLOB, BLOB),
     messages.AggregatesCounted: (57, NUMBER),
+    messages.UsageCounts: (58, REAL, _rows(messages.UsageCount, NUMBER, TEXT, NUMBER)),
     messages.CustodyTrails: (60, TEXT, TEXT, NUMBER, FLAG, _rows(messages.CustodyTrail, TEXT, BLOB)),
     messages.FindCacheOwners: (61, NUMBER, TEXT, TEXT, _rows(messages.PromptHash, BLOB)),
     messages.CacheOwners: (62, NUMBER, _rows(messages.CacheOwner, TEXT, TEXT)),
--- a/ploverward/transport/messages.py
+++ b/ploverward/transport/messages.py
@@ -282,6 +282,21 @@
 # Custody trails: proxies and core nodes (docs/residency.md).
 
 
+class UsageCount(typing.NamedTuple):
+    """Requests of one tenant that began to run at replicas in one window, counted by one proxy."""
+
+    window: int
+    tenant: str
+    count: int
+
+
+class UsageCounts(typing.NamedTuple):
+    """From a proxy to the coordinator: counts that changed; each is cumulative."""
+
+    counted_until: float  # by the proxy's time of day, in seconds since 1970
+    counts: tuple[UsageCount, ...]
+
+
 class CustodyTrail(typing.NamedTuple):
     """What a proxy knows of one request."""
 
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -73,6 +73,7 @@
     "tally_positions": messages.TallyPositions,
     "tally_adds": messages.TallyAdds,
     "tally_snapshot": messages.TallySnapshot,
+    "usage_counts": messages.UsageCounts,
     "submit_job": batch_messages.SubmitJob,
     "job_reply": batch_messages.JobReply,
     "pull_items": batch_messages.PullItems,
