--- a/ploverward/transport/messages.py
+++ b/ploverward/transport/messages.py
@@ -287,7 +287,7 @@
 
     window: int
     tenant: str
-    count: int
+    requests: int
 
 
 class UsageCounts(typing.NamedTuple):
