--- /dev/null
+++ b/ploverward/control_plane/cluster/test_store_retirement.py
@@ -0,0 +1,40 @@
+"""Stores that are to be emptied: the order, and when it is done."""
+
+from ploverward.common import batch_partitions
+from ploverward.control_plane.cluster import store_retirement
+
+STORE = store_retirement.RetiringStore("10.1.0.1", "disk-1")
+
+
+def roles_with(*members, learners=()):
+    owners = batch_partitions.PartitionOwners(3, tuple(batch_partitions.Member(*row) for row in members), learners)
+    return {"jobs/4": list(batch_partitions.pack_owners(owners))}
+
+
+def test_an_order_is_written_once_and_read_back():
+    roles = store_retirement.with_order({"watch": [1, "x", "y"]}, name="store-1", store=STORE)
+    assert store_retirement.retiring_stores(roles) == {"store-1": STORE}
+    assert store_retirement.with_order(roles, name="store-1", store=STORE) == roles
+    assert roles["watch"] == [1, "x", "y"]
+
+
+def test_a_machine_that_comes_back_under_the_name_with_another_disk_has_an_order_of_its_own():
+    roles = store_retirement.with_order({}, name="store-1", store=STORE)
+    other = STORE._replace(disk="disk-2")
+    changed = store_retirement.with_order(roles, name="store-1", store=other)
+    assert store_retirement.retiring_stores(changed) == {"store-1": other}
+
+
+def test_a_store_is_emptied_when_no_arrangement_names_it():
+    others = (("10.2.0.1", "disk-2"), ("10.3.0.1", "disk-3"))
+    assert not store_retirement.is_emptied(roles_with(*others, STORE), STORE)
+    assert not store_retirement.is_emptied(roles_with(*others, learners=(STORE.address,)), STORE)
+    assert not store_retirement.is_emptied(roles_with(*others, (STORE.address, "")), STORE)  # the disk is not known
+    assert store_retirement.is_emptied(roles_with(*others), STORE)
+    assert store_retirement.is_emptied(roles_with(*others, (STORE.address, "disk-9")), STORE)
+    assert store_retirement.is_emptied({}, STORE)
+
+
+def test_enough_zones_have_to_be_left():
+    assert store_retirement.has_enough_left(["a", "b", "c"], copies=3)
+    assert not store_retirement.has_enough_left(["a", "b", "b", "a"], copies=3)
--- /dev/null
+++ b/ploverward/control_plane/operator_api/test_retire_handlers.py
@@ -0,0 +1,110 @@
+"""Calls that have a store emptied: orders, answers, what is refused."""
+
+import json
+
+import pytest
+
+from ploverward.common import batch_partitions
+from ploverward.control_plane.cluster import partition_placement
+from ploverward.control_plane.operator_api import retire_handlers
+
+
+class Call:
+    def __init__(self, body=b'{"overS":10}'):
+        self.body = body
+        self.status = None
+        self.answered = None
+
+    def answer(self, *, status, body, headers=()):
+        self.status, self.answered = int(status), json.loads(json.dumps(body))
+
+
+class Lifecycle:
+    """Changes a register at once and acknowledges that."""
+
+    def __init__(self):
+        self.roles = {}
+
+    def begin(self, call):
+        return call
+
+    def change(self, call, *, register, edit):
+        assert register == "duty"
+        self.roles, _result = edit(self.roles)
+        call.answer(status=200, body={})
+
+    def answer_with_register(self, call, *, register, answer):
+        assert register == "duty"
+        answer(call, self.roles)
+
+
+class Stores:
+    def __init__(self, count):
+        self.names = {f"store-{number}": f"10.{number}.0.1" for number in range(count)}
+
+    def address_of(self, node):
+        return self.names.get(node)
+
+    def states(self):
+        return {
+            address: partition_placement.StoreState(
+                address, f"z{address}", f"disk-{address}", "p", is_connected=True, lost_for_s=0.0, is_retiring=False
+            )
+            for address in self.names.values()
+        }
+
+
+class Scene:
+    def __init__(self, count=4):
+        self.lifecycle = Lifecycle()
+        self.handlers = retire_handlers.RetireHandlers(lifecycle=self.lifecycle, stores=Stores(count), copies=3)
+
+    def post(self, node, body=b'{"overS":10}'):
+        call = Call(body)
+        self.handlers.handle_post(call, node)
+        return call
+
+    def condition(self, node):
+        call = Call()
+        self.handlers.handle_get(call, node)
+        return call.status, call.answered.get("condition")
+
+
+def arrangement(*addresses):
+    members = tuple(batch_partitions.Member(address, f"disk-{address}") for address in addresses)
+    return list(batch_partitions.pack_owners(batch_partitions.PartitionOwners(1, members)))
+
+
+def test_a_store_is_in_service_until_no_partition_names_it():
+    scene = Scene()
+    scene.lifecycle.roles = {"jobs/0": arrangement("10.0.0.1", "10.1.0.1", "10.2.0.1")}
+    assert scene.condition("store-0") == (200, "in_service")
+    assert scene.post("store-0").status == 200
+    assert scene.condition("store-0") == (200, "in_service")
+    scene.lifecycle.roles["jobs/0"] = arrangement("10.3.0.1", "10.1.0.1", "10.2.0.1")
+    assert scene.condition("store-0") == (200, "delivered")
+    assert scene.condition("store-1") == (200, "in_service")  # nobody asked for it
+
+
+def test_the_order_may_come_again():
+    scene = Scene()
+    assert scene.post("store-0").status == scene.post("store-0", body=b"").status == 200
+    assert len(scene.lifecycle.roles) == 1
+
+
+def test_unknown_stores_are_404():
+    scene = Scene()
+    assert scene.post("store-9").status == 404 and scene.condition("store-9") == (404, None)
+
+
+def test_too_few_left_is_409_and_changes_nothing():
+    scene = Scene(count=3)
+    call = scene.post("store-0")
+    assert call.status == 409 and "store-0" in call.answered["error"] and not scene.lifecycle.roles
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b'{"overS":-1}', b'{"overS":"soon"}', b'{"overS":1e999}'])
+def test_bad_bodies_get_one_clear_error(body):
+    scene = Scene()
+    call = scene.post("store-0", body=body)
+    assert call.status == 400 and call.answered["error"] and not scene.lifecycle.roles
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -143,6 +143,31 @@
     scene = batch_scene.BatchScene(tmp_path, request_scene.answering())
     more = "X-Attempt-Id: a1\r\nX-Time-Left-Ms: 3000\r\n"
     assert scene.call("POST", "/safe/x", body=b"body", more=more) == batch_scene.Answer(200, b"ok")
+    assert scene.proxy.begun == ["clerks"]  # reports of use count it once
+
+
+def test_reports_of_use_do_not_count_items(scene):
+    scene.submit("l1", [batch_scene.item("a")])
+    scene.all_results("l1")
+    assert not scene.proxy.begun
+
+
+def test_the_end_of_a_job_reaches_its_runs(tmp_path):
+    scene = batch_scene.BatchScene(tmp_path, lambda _number, _heard: None)  # the replica never answers
+    scene.submit("l1", [batch_scene.item("a")])
+    assert scene.until(lambda: scene.proxy.batch._puller._running)
+    assert scene.call("DELETE", "/ploverward/lots/l1").status == 200
+    assert scene.until(lambda: not scene.proxy.batch._puller._running)
+
+
+def test_a_run_goes_on_under_the_next_primary(tmp_path):
+    scene = batch_scene.BatchScene(tmp_path, lambda _number, _heard: None)
+    scene.submit("l1", [batch_scene.item("a")])
+    assert scene.until(lambda: len(scene.arrivals()) == 1)
+    scene.stop_store(scene.owners().primary)
+    assert scene.until(lambda: scene.results("l1").status == 200)
+    scene.wait(2.5)
+    assert len(scene.arrivals()) == 1  # its lease was renewed: nobody else runs it
 
 
 @pytest.mark.parametrize(
--- a/ploverward/simulation/batch/batch_run.py
+++ b/ploverward/simulation/batch/batch_run.py
@@ -20,6 +20,7 @@
 from ploverward.simulation.batch import simulated_store
 from ploverward.simulation.batch import store_network
 from ploverward.simulation.control_plane import simulated_clock
+from ploverward.simulation.control_plane import simulated_disk
 from ploverward.transport import batch_messages
 from ploverward.transport.batch_messages import Condition
 from ploverward.transport.batch_messages import Outcome
@@ -63,6 +64,7 @@
         length_s: For how long there are faults.
         fault_s: Between two faults, on average; 0: drawn by the seed.
         kinds: Of faults.
+        sync_s: Bounds of how long a sync takes; None: drawn by the seed.
     """
 
     seed: int
@@ -70,6 +72,7 @@
     length_s: float = 30.0
     fault_s: float = 0.0
     kinds: tuple[str, ...] = FAULT_KINDS
+    sync_s: tuple[float, float] | None = None
 
 
 class Caller:
@@ -107,12 +110,14 @@
         self._runs = 0
         self._coordinator_down_until = 0.0
         self._fault_s = plan.fault_s or self.chance.choice(FAULT_PAUSES_S)
+        sync_s = plan.sync_s or self.chance.choice(simulated_disk.SPEEDS_S[:3])
         self.stores = {
             f"s{number}": simulated_store.SimulatedStore(
                 name=f"s{number}",
                 zone=f"z{number % 5}",
                 network=self.network,
                 find=lambda name: self.stores[name],
+                sync_s=sync_s,
                 send_report=self._record_report,
                 on_failure=lambda process, text: self.model.findings.append(f"step of {process.name}: {text}"),
             )
--- a/ploverward/simulation/batch/simulated_store.py
+++ b/ploverward/simulation/batch/simulated_store.py
@@ -34,6 +34,7 @@
         zone: Where it is.
         network: Connections to other stores.
         find: Returns the machine with a name.
+        sync_s: Bounds of how long a sync takes.
         send_report: Sends a report to the coordinator: (name, report).
         on_failure: Called with a process and a traceback when a step raised.
 
@@ -51,6 +52,7 @@
         zone: str,
         network: store_network.Network,
         find: Callable[[str], SimulatedStore],
+        sync_s: tuple[float, float],
         send_report: Callable[[str, batch_messages.CopyReport], object],
         on_failure: Callable[[simulated_clock.Process, str], object],
     ) -> None:
@@ -61,7 +63,7 @@
         self._find = find
         self._send_report = send_report
         self._on_failure = on_failure
-        self.files = simulated_disk.Disk(clock=network.clock)
+        self.files = simulated_disk.Disk(clock=network.clock, speed_s=sync_s)
         self.process: simulated_clock.Process | None = None
         self.incarnation = ""
         self.back_at = 0.0
