--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -9,6 +9,7 @@
 """
 
 import functools
+import io
 import json
 import struct
 import typing
@@ -22,7 +23,9 @@
 from ploverward.transport import batch_messages
 from ploverward.transport import messages
 
+FRAMES_BEFORE_COMPILING = 20  # of one kind, until its parser is compiled
 MAX_FRAME_BYTES = 24 * 1024 * 1024  # what a peer may have this process buffer for one message
+_COMPILED_ERRORS = (construct.ConstructError, UnicodeDecodeError, struct.error, IndexError, ValueError)
 TEXT = construct.PascalString(construct.VarInt, "utf8")
 BLOB = construct.Prefixed(construct.VarInt, construct.GreedyBytes)
 NUMBER = construct.VarInt
@@ -243,6 +246,17 @@
     return message_type(*values)
 
 
+class _ExactStream(io.BytesIO):
+    """A body: a read beyond its end is an error. Compiled parsers do not look at how much they got."""
+
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Returns the next bytes."""
+        data = super().read(size)
+        if size is not None and len(data) < size:
+            raise construct.StreamError("the body ends early")
+        return data
+
+
 class _FrameKind:
     """The encoding of one type of message."""
 
@@ -253,6 +267,30 @@
         self.is_flat = not any(isinstance(field, Inline | Rows | JsonRows) for field in fields)
         self.encodings = _encodings(fields)
         self.parser = construct.Sequence(*self.encodings, construct.Terminated)
+        self._parsed = 0  # frames of the kind
+
+    @functools.cached_property
+    def compiled_parser(self) -> construct.Construct:
+        """Takes a third to half of the time of `parser`, and 1 to 3 ms once."""
+        return construct.Sequence(*self.encodings).compile()
+
+    def parse(self, body: bytes) -> list[Any]:
+        """Returns the values of a body, by the compiled parser once the kind has turned out to be frequent.
+
+        Raises:
+            ConstructError: The body is malformed. `parser` decides: compiled parsers have errors of their own.
+            UnicodeDecodeError: A text is.
+        """
+        self._parsed += 1
+        if self._parsed > FRAMES_BEFORE_COMPILING:
+            stream = _ExactStream(body)
+            try:
+                values = self.compiled_parser.parse_stream(stream)
+            except _COMPILED_ERRORS:
+                return self.parser.parse(body)[:-1]
+            if stream.tell() == len(body):
+                return values
+        return self.parser.parse(body)[:-1]  # without that of `Terminated`
 
     @functools.cached_property
     def builder(self) -> construct.Construct:
@@ -306,10 +344,9 @@
     if kind is None or _HEAD.unpack_from(frame, 0)[0] != len(frame) - HEAD_BYTES:
         raise errors.FrameError("not one complete frame", step="frame")
     try:
-        values = kind.parser.parse(frame[HEAD_BYTES:])
+        values = kind.parse(frame[HEAD_BYTES:])
     except (construct.ConstructError, UnicodeDecodeError) as error:
         raise errors.FrameError(f"{kind.message_type.__name__}: {error}", step="frame") from None
-    values.pop()  # of `Terminated`
     return kind.message_type(*values) if kind.is_flat else _assemble(kind.message_type, kind.fields, values)
 
 
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -10,6 +10,7 @@
 import struct
 import typing
 
+import construct
 import pytest
 
 from ploverward.common import errors
@@ -216,3 +217,21 @@
 def test_golden_frames_one_behind_the_other_are_split_into_the_same_frames():
     frames = [bytes.fromhex(entry["frame"]) for entry in ENTRIES]
     assert Representation.split(data=b"".join(frames)) == frames
+
+
+def _outcome(parse, body):
+    try:
+        return list(parse(body))
+    except (construct.ConstructError, UnicodeDecodeError) as error:
+        return type(error)
+
+
+@each_entry
+def test_the_compiled_parser_says_what_the_other_one_says(entry, monkeypatch):
+    monkeypatch.setattr(frames, "FRAMES_BEFORE_COMPILING", 0)
+    frame = bytes.fromhex(entry["frame"])
+    kind = frames._BY_NUMBER[frame[4]]
+    body = frame[HEAD.size :]
+    changed = [body[:at] + bytes([body[at] ^ 0xFF]) + body[at + 1 :] for at in range(min(len(body), 40))]
+    for data in (body, body + b"x", *(body[:size] for size in range(min(len(body), 40))), *changed):
+        assert _outcome(kind.parse, data) == _outcome(lambda data: kind.parser.parse(data)[:-1], data)
