--- a/ploverward/control_plane/quotas/quota_meter.py
+++ b/ploverward/control_plane/quotas/quota_meter.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -41,7 +42,7 @@
         self._owned_share = owned_share
         self._buckets: dict[bytes, token_bucket.TokenBucket] = {}  # by tenant key
         self._usage: dict[str, ProxyUsage] = {}  # by proxy
-        self._reported_at: dict[str, float] = {}  # by proxy
+        self._reported_at: dict[str, float] = {}  # by proxy, in the order of the last reports
 
     def install(self, configuration: Mapping | None) -> None:
         """Installs the limits of a configuration."""
@@ -58,20 +59,26 @@
 
     def proxy_count(self) -> int:
         """How many proxies may be admitting requests, in contact or isolated; at least 1."""
-        now = self._now()
-        self._reported_at = {proxy: at for proxy, at in self._reported_at.items() if now - at <= PROXY_EXPIRY_S}
+        for proxy in self._silent_for(PROXY_EXPIRY_S):
+            del self._reported_at[proxy]
         return max(1, len(self._reported_at))
 
+    def _silent_for(self, span_s: float) -> list[str]:
+        """Returns the proxies that have not reported for longer; those stand in front, so few are looked at."""
+        now = self._now()
+        silent = itertools.takewhile(lambda row: now - row[1] > span_s, self._reported_at.items())
+        return [proxy for proxy, _at in silent]
+
     def _issuable_share(self) -> float:
         """The owned share less an even share for each isolated proxy, which admits that much by itself."""
-        now = self._now()
         count = self.proxy_count()
-        isolated = sum(now - at > token_bucket.DEMAND_VALID_S for at in self._reported_at.values())
+        isolated = len(self._silent_for(token_bucket.DEMAND_VALID_S))
         return self._owned_share() * (1.0 - isolated / count)
 
     def record(self, *, proxy: str, incarnation: str, rows: Sequence[tenant_usage.Usage]) -> None:
         """Merges one report of a proxy. Rows of tenants without a limit are ignored."""
         now = self._now()
+        self._reported_at.pop(proxy, None)
         self._reported_at[proxy] = now
         admitted = self._admitted_before(proxy=proxy, incarnation=incarnation, rows=rows)
         owned_share = self._issuable_share()
