--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -18,7 +18,7 @@
 from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.consensus import consensus_node
 from ploverward.control_plane.rollouts import manager
-from ploverward.control_plane.usage import usage_duty
+from ploverward.control_plane.usage import usage_reporter
 
 STEADY_INTERVALS = 6  # heartbeat intervals: two peer time-outs
 FAILOVERS_PER_CONTACT = 8  # a primary of the batch tier is replaced in so long once its connection has ended
@@ -62,7 +62,7 @@
         rollout_manager: manager.RolloutManager,
         core_set: core_set_reconciler.CoreSetReconciler,
         stores: store_directory.StoreDirectory,
-        usage: usage_duty.UsageDuty | None,
+        usage: usage_reporter.UsageReporter | None,
         now: Callable[[], float],
         contact_s: float,
         heartbeat_interval_s: float,
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -47,7 +47,7 @@
 from ploverward.control_plane.quotas import token_bucket
 from ploverward.control_plane.rollouts import manager
 from ploverward.control_plane.tallies import tally_service
-from ploverward.control_plane.usage import usage_duty
+from ploverward.control_plane.usage import usage_reporter
 from ploverward.transport import interfaces
 from ploverward.transport import messages
 
@@ -248,31 +248,31 @@
             copies=settings.tolerated_machines + 1,
         )
 
-    def _make_usage(self, settings: node_settings.Settings) -> usage_duty.UsageDuty | None:
+    def _make_usage(self, settings: node_settings.Settings) -> usage_reporter.UsageReporter | None:
         """Reports of use, in deployments whose platform wants them."""
         if node_settings.USAGE_DUTY not in settings.platform_duties:
             return None
-        return usage_duty.UsageDuty(
+        return usage_reporter.UsageReporter(
             now=self.loop.now,
             wall_time=self.runtime.wall_time,
-            ownership=self._duty_ownership,
+            ownership=self._coordinator_ownership,
             incarnations=lambda: [proxy.incarnation for proxy in self.sessions.proxies(is_listed=False)],
             roles=lambda: self.role_table.table,
             change=self.consensus.proposer.change,
             post=self.runtime.platform_calls(loop=self.loop, address=settings.cloud_address),
-            timing=usage_duty.Timing(
+            timing=usage_reporter.Timing(
                 window_s=settings.usage_window_s,
                 late_s=settings.usage_late_s,
-                settle_s=self.timing.lease_s + usage_duty.CALL_LIMIT_S,
+                takeover_pause_s=self.timing.lease_s + usage_reporter.CALL_LIMIT_S,
             ),
         )
 
-    def _duty_ownership(self) -> usage_duty.Ownership | None:
+    def _coordinator_ownership(self) -> usage_reporter.Ownership | None:
         """The right to make the calls of duties: of the coordinator, while it has the majority lease."""
         since = self.roles.acting_since
         if since is None or not self.coordinator.is_owner or not self.membership.has_majority_lease():
             return None
-        return usage_duty.Ownership(self.settings.current.node, self.coordinator.epoch, since)
+        return usage_reporter.Ownership(self.settings.current.node, self.coordinator.epoch, since)
 
     def _handle_usage(self, connection: interfaces.Connection, message: messages.UsageCounts) -> None:
         proxy = self.sessions.proxy_of(connection)
--- a/ploverward/control_plane/usage/test_usage.py
+++ b/ploverward/control_plane/usage/test_usage.py
@@ -6,13 +6,13 @@
 
 from ploverward.common import errors
 from ploverward.control_plane.discovery import platform_connection
-from ploverward.control_plane.usage import usage_duty
 from ploverward.control_plane.usage import usage_report
+from ploverward.control_plane.usage import usage_reporter
 from ploverward.control_plane.usage import usage_table
 from ploverward.transport import messages
 
 BEGIN = 1000.0  # a time of day at which window 200 begins
-OWNER = usage_duty.Ownership(node="sorting-1", epoch=4, since=0.0)
+OWNER = usage_reporter.Ownership(node="sorting-1", epoch=4, since=0.0)
 
 
 def counts(*rows, until=0.0):
@@ -29,7 +29,7 @@
         self.roles = {} if roles is None else roles
         self.calls = []
         self.rounds = 0
-        self.duty = usage_duty.UsageDuty(
+        self.reporter = usage_reporter.UsageReporter(
             now=lambda: self.time,
             wall_time=lambda: BEGIN + self.time,
             ownership=lambda: self.owner,
@@ -37,7 +37,7 @@
             roles=lambda: self.roles,
             change=self.change,
             post=lambda **call: self.calls.append(call),
-            timing=usage_duty.Timing(window_s=5.0, late_s=10.0, settle_s=2.0),
+            timing=usage_reporter.Timing(window_s=5.0, late_s=10.0, takeover_pause_s=2.0),
         )
 
     def change(self, *, name, edit, done):
@@ -49,7 +49,7 @@
     def at(self, time, ticks=1):
         self.time = time
         for _tick in range(ticks):
-            self.duty.tick()
+            self.reporter.tick()
         return self
 
     def answer(self, status, error=None):
@@ -74,10 +74,10 @@
 
 def test_a_window_is_reported_once_all_proxies_have_told_their_counts():
     scene = Scene().at(2.0)
-    scene.duty.table.record("p1", counts((200, "a", 3), until=BEGIN + 5.1))
+    scene.reporter.table.record("p1", counts((200, "a", 3), until=BEGIN + 5.1))
     scene.at(6.6, ticks=3)
     assert not scene.calls  # p2 has not told
-    scene.duty.table.record("p2", counts((200, "a", 1), (200, "b", 2), until=BEGIN + 5.2))
+    scene.reporter.table.record("p2", counts((200, "a", 1), (200, "b", 2), until=BEGIN + 5.2))
     scene.at(6.7, ticks=2)
     assert scene.sent == [(200, {"a": 4, "b": 2})]
     assert scene.calls[0]["headers"] == ("X-Duty-Holder: sorting-1", "X-Fence-Number: 4")
@@ -87,7 +87,7 @@
 def test_a_window_is_not_reported_right_after_its_end_and_not_later_than_due_whoever_is_silent():
     scene = Scene().at(2.0)
     for proxy in scene.proxies:
-        scene.duty.table.record(proxy, counts(until=BEGIN + 6.0))
+        scene.reporter.table.record(proxy, counts(until=BEGIN + 6.0))
     assert not scene.at(6.4, ticks=2).calls
     scene.proxies.append("p3")  # connected, and never says anything
     assert not scene.at(10.9, ticks=2).calls
@@ -97,7 +97,7 @@
 def test_a_report_is_agreed_on_before_it_is_sent_and_repeated_unchanged():
     scene = Scene().at(2.0).at(11.0)
     assert not scene.calls and usage_report.report_of(scene.roles) == usage_report.UsageReport(200, {})
-    scene.duty.table.record("p1", counts((200, "a", 3)))  # too late
+    scene.reporter.table.record("p1", counts((200, "a", 3)))  # too late
     scene.at(11.1)
     scene.answer(0, error=OSError("no answer"))
     scene.at(11.2)
@@ -118,10 +118,10 @@
 
 def test_a_successor_repeats_what_was_agreed_on_and_has_its_own_fence():
     first = Scene().at(2.0)
-    first.duty.table.record("p1", counts((200, "a", 3)))
+    first.reporter.table.record("p1", counts((200, "a", 3)))
     first.at(11.0, ticks=2)
     second = Scene(roles=first.roles)
-    second.owner = usage_duty.Ownership("sorting-2", 5, since=12.0)
+    second.owner = usage_reporter.Ownership("sorting-2", 5, since=12.0)
     assert not second.at(13.9, ticks=2).calls  # the former owner's lease and calls have to end
     assert second.at(14.0, ticks=2).sent == [(200, {"a": 3})]
     assert second.calls[0]["headers"][1] == "X-Fence-Number: 5"
@@ -141,7 +141,7 @@
         scene.owner = None
         scene.change(name=name, edit=edit, done=done)
 
-    scene.duty._change = change
+    scene.reporter._change = change
     scene.at(11.0)
     assert scene.rounds == 1 and scene.roles == {}
 
@@ -151,14 +151,14 @@
     scene.answer(409)
     scene.at(30.0, ticks=3)
     assert len(scene.calls) == 1
-    scene.owner = usage_duty.Ownership("sorting-1", 6, since=30.0)
+    scene.owner = usage_reporter.Ownership("sorting-1", 6, since=30.0)
     assert len(scene.at(32.0, ticks=2).calls) == 2
 
 
 def test_a_platform_that_is_down_is_not_flooded():
     scene = Scene().at(2.0).at(11.0, ticks=2)
     for step in range(200):
-        if len(scene.calls) == scene.calls.index(scene.calls[-1]) + 1 and scene.duty._is_busy:
+        if len(scene.calls) == scene.calls.index(scene.calls[-1]) + 1 and scene.reporter._is_busy:
             scene.answer(503)
         scene.at(11.0 + step * 0.1)
     assert 4 <= len(scene.calls) <= 10
--- a/ploverward/control_plane/usage/usage_duty.py
+++ b/ploverward/control_plane/usage/usage_reporter.py
@@ -4,8 +4,8 @@
 of one machine, and rises with each change. The coordinator acts only while it has the majority lease. A new one waits
 until the lease of its predecessor, and the calls that it may have under way, have ended.
 
-`UsageDuty` owns what this process knows of reports: which window was accepted, and what is under way. There is one step
-under way at a time: an agreement or a call.
+`UsageReporter` owns what this process knows of reports: which window was accepted, and what is under way. There is one
+step under way at a time: an agreement or a call.
 """
 
 from __future__ import annotations
@@ -53,12 +53,12 @@
     Attributes:
         window_s: Length of a window.
         late_s: When the report of a window is due after its end.
-        settle_s: For how long a new owner waits.
+        takeover_pause_s: For how long a new owner waits.
     """
 
     window_s: float
     late_s: float
-    settle_s: float
+    takeover_pause_s: float
 
 
 class Post(typing.Protocol):
@@ -76,7 +76,7 @@
         """Sends a POST with a JSON body and calls `done` once."""
 
 
-class UsageDuty:
+class UsageReporter:
     """Makes the reports while this node may.
 
     Args:
@@ -130,7 +130,7 @@
             return
         if self._first_window is None:
             self._first_window = int(self._wall_time() // self._timing.window_s)
-        if self._now() < max(owner.since + self._timing.settle_s, self._retry_at):
+        if self._now() < max(owner.since + self._timing.takeover_pause_s, self._retry_at):
             return
         report = usage_report.report_of(self._roles())
         if report is not None and report.window > self.accepted:
--- a/ploverward/simulation/batch/simulated_store.py
+++ b/ploverward/simulation/batch/simulated_store.py
@@ -118,7 +118,7 @@
             ),
             send_report=lambda report: self._send_report(self.name, report),
         )
-        self.jobs = job_service.JobService(owned=self.primary.owned, has_room=lambda: True)
+        self.jobs = job_service.JobService(owned=self.primary.owned, has_capacity=lambda: True)
         self._handlers: dict[type, Callable] = {
             **self.jobs.handlers(),
             batch_messages.RenewPrimaryLeases: self.copies.handle_leases,
--- a/ploverward/simulation/batch/store_network.py
+++ b/ploverward/simulation/batch/store_network.py
@@ -109,9 +109,9 @@
             return
         clock = self._network.clock
         target, opener = self._target.name, self._opener
-        is_whole = self._network.is_reachable(opener, target) and self._network.is_reachable(target, opener)
+        is_connected = self._network.is_reachable(opener, target) and self._network.is_reachable(target, opener)
         is_alive = self._target_process is not None and self._target_process.is_alive and self._opener_process.is_alive
-        if is_whole and is_alive:
+        if is_connected and is_alive:
             self._stalled_since = None
             stalled, self._stalled = self._stalled, []
             for is_forward, message in stalled:
@@ -178,8 +178,8 @@
             return
         target = self._find(address)
         network = self._network
-        is_whole = network.is_reachable(self._own, address) and network.is_reachable(address, self._own)
-        if target.process is None or not target.process.is_alive or target.process.is_frozen or not is_whole:
+        is_connected = network.is_reachable(self._own, address) and network.is_reachable(address, self._own)
+        if target.process is None or not target.process.is_alive or target.process.is_frozen or not is_connected:
             network.clock.later(
                 delay=RECONNECT_S, callback=functools.partial(self._connect, address), process=self._process
             )
--- a/ploverward/store/job_service.py
+++ b/ploverward/store/job_service.py
@@ -20,12 +20,12 @@
 
     Args:
         owned: The partitions that this store is primary of.
-        has_room: Whether the disk and the memory can take a further job.
+        has_capacity: Whether the disk and the memory can take a further job.
     """
 
-    def __init__(self, *, owned: Mapping[int, partitions.Partition], has_room: Callable[[], bool]) -> None:
+    def __init__(self, *, owned: Mapping[int, partitions.Partition], has_capacity: Callable[[], bool]) -> None:
         self._owned = owned
-        self._has_room = has_room
+        self._has_capacity = has_capacity
 
     def handlers(self) -> dict[type, Callable]:
         """Returns the handler of each type of message: (connection, message)."""
@@ -57,7 +57,7 @@
     def _handle_submit(self, connection: interfaces.Connection, message: batch_messages.SubmitJob) -> None:
         reply = self._replier(connection, message.number)
         owned = self._serving(message.tenant)
-        if owned is None or not self._has_room():
+        if owned is None or not self._has_capacity():
             reply(Outcome.NOT_OWNER)
         else:
             owned.submit(message, reply)
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -125,7 +125,7 @@
             make_links=self._make_links,
             send_report=send_report,
         )
-        self._jobs = job_service.JobService(owned=self.primary.owned, has_room=lambda: not self.disk.is_full)
+        self._jobs = job_service.JobService(owned=self.primary.owned, has_capacity=lambda: not self.disk.is_full)
 
     def _make_links(self, **callbacks: typing.Any) -> store_links.StoreLinks:  # noqa: ANN401  # those of `StoreLinks`
         return store_links.StoreLinks(
