Placement: a check that could not fail is replaced by what follows

In the test of a store with another disk, one line said 'is None or True'. It now names the arrangement: nobody takes over, the emptied member becomes a learner.

--- a/ploverward/control_plane/cluster/test_partition_placement.py
+++ b/ploverward/control_plane/cluster/test_partition_placement.py
@@ -133,9 +133,10 @@
     emptied = store(B, disk="another")
     changed = following(owners(A, B, C), changed=[lost(A), emptied])
     assert changed.stores == (C,) and set(changed.learners) == {A, B}
-    assert following(owners(A, B, C), changed=[lost(A), emptied, lost(C)]) is None or True
+    changed = following(owners(A, B, C), changed=[lost(A), emptied, lost(C)])  # nobody can take over yet
+    assert (changed.stores, changed.learners) == ((A, C), (B,))
     changed = following(owners(A, B), changed=[lost(A), emptied])
-    assert changed is None or changed.primary == A
+    assert changed.stores == (A,) and B in changed.learners
 
 
 def test_a_primary_whose_disk_was_emptied_is_replaced_at_once():
