Replication: a learner that fell behind the log's base is asked anew

Found on re-reading: once a forgotten lot's entries were dropped at the front, a learner that had not been sent them yet would have got others in their place. It is asked where it stands, and begins at the base. Test that fails without it. A function that nobody called goes.

--- a/ploverward/common/batch_partitions.py
+++ b/ploverward/common/batch_partitions.py
@@ -14,7 +14,6 @@
 
 import typing
 import zlib
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 PARTITIONS = 32  # fixed: a tenant's partition never changes
@@ -108,8 +107,3 @@
 def is_same_disk(member: Member, disk: str) -> bool:
     """Whether a store's disk is the one that the arrangement names."""
     return member.disk in (disk, UNKNOWN_DISK)
-
-
-def addresses_of(arrangements: Iterable[PartitionOwners]) -> set[str]:
-    """Returns the addresses of all stores that an arrangement names."""
-    return {address for owners in arrangements for address in (*owners.stores, *owners.learners)}
--- a/ploverward/store/replication.py
+++ b/ploverward/store/replication.py
@@ -184,6 +184,8 @@
         return position
 
     def _send_missing(self, address: str, copy: Copy) -> None:
+        if copy.sent is not None and copy.sent < self.log.base:
+            self.ask(address)  # what it lacks was dropped meanwhile: its answer makes it begin at the base
         while copy.sent is not None and copy.sent < self.log.last and not self._is_far_ahead(copy):
             self._send_entries(address, copy)
 
--- a/ploverward/store/test_replication.py
+++ b/ploverward/store/test_replication.py
@@ -227,6 +227,23 @@
     assert not member.append(link, gap) and not member.append(link, other)
 
 
+def test_a_learner_that_fell_behind_the_base_is_asked_anew():
+    scene = Scene()
+    scene.deliver()
+    copy = scene.primary._copies["C"]
+    for _entry in range(3):
+        scene.primary.append(b"entry")
+    scene.deliver(only="B")
+    copy.sent = copy.stored = 1  # the rest was not sent yet
+    scene.primary.log.forget(range(1, 4))
+    scene.primary.log.trim(committed=scene.primary.committed)
+    scene.sent.clear()
+    scene.primary.append(b"last")
+    assert [type(message) for address, message in scene.sent if address == "C"] == [batch_messages.RequestLogState]
+    scene.deliver()
+    assert [tuple(entry) for entry in scene.stores["C"].member.log.after(3)] == [(3, b"entry"), (3, b"last")]
+
+
 def test_a_learner_behind_the_base_gets_the_log_from_there():
     scene = Scene()
     log = scene.primary.log
