--- /dev/null
+++ b/ploverward/simulation/batch/store_callers.py
@@ -0,0 +1,228 @@
+"""Callers of a run of the stores: clients that hand jobs in, read and end them, and proxies that run their items.
+
+`StoreCallers` draws from the run's generator what is called next, and notes what was answered in the run's model.
+"""
+
+from __future__ import annotations
+
+import collections
+import functools
+import json
+import typing
+from collections.abc import Callable
+
+from ploverward.common import batch_partitions
+from ploverward.simulation.batch import job_model
+from ploverward.simulation.batch import scene
+from ploverward.simulation.batch import simulated_store
+from ploverward.transport import batch_messages
+from ploverward.transport.batch_messages import Condition
+from ploverward.transport.batch_messages import Outcome
+
+if typing.TYPE_CHECKING:
+    from ploverward.simulation.batch import batch_run
+
+CALL_S = 0.025  # between two calls of clients, on average
+DUE_MS = 1000
+RESUBMISSION_S = 3.0
+ANSWER_S = 0.9  # after which a caller waits no more
+POLL_S = 0.01  # between two looks for a reply
+LAST_CALLS_S = 6.0  # after the time with faults
+TRIES = 3  # of an item
+NEW_JOB_CHANCE = 0.1  # that a call hands a new job in
+END_CHANCE = 0.1  # that an end that was drawn is sent
+MAX_FINISH_ATTEMPTS = 20
+FINISH_PAUSE_S = 0.3
+
+
+class ReplyBox:
+    """One end of a call: keeps the reply with its number."""
+
+    def __init__(self) -> None:
+        self.name = "caller"
+        self.replies: dict[int, tuple] = {}
+
+    def send(self, message: tuple) -> None:
+        """A store's reply."""
+        self.replies[message.number] = message  # type: ignore[attr-defined]
+
+
+class StoreCallers:
+    """The callers of one run.
+
+    Args:
+        run: The run.
+        until: When new jobs end, by the simulated time in seconds.
+    """
+
+    def __init__(self, *, run: batch_run.BatchRun, until: float) -> None:
+        self._clock = run.clock
+        self._chance = run.chance
+        self._stores = run.stores
+        self._model = run.model
+        self._owners = lambda: batch_partitions.owners_of(partition=scene.NUMBER, roles=run.rows)
+        self._until = until
+        self._next_number = 0
+        self._jobs = 0
+        self._runs = 0
+        self._pending: collections.Counter[str] = collections.Counter()  # by job: hand-ins that are not answered
+
+    def schedule(self) -> None:
+        """Draws when the next call is made."""
+        self._clock.later(delay=self._chance.expovariate(1 / CALL_S), callback=self._call)
+
+    def _call(self) -> None:
+        if self._clock.time > self._until + LAST_CALLS_S:
+            return
+        self.schedule()
+        is_late = self._clock.time > self._until
+        if is_late or not self._model.jobs or self._chance.random() < NEW_JOB_CHANCE:
+            if not is_late:
+                self._submit_new()
+            return
+        self._chance.choice((self._read, self._read, self._resubmit, self._pull, self._pull, self._end))()
+
+    def _some_store(self) -> simulated_store.SimulatedStore:
+        """The primary as the register has it, or any store: proxies may know an older arrangement."""
+        primary = self._owners().primary
+        if primary and self._chance.random() < 0.6:
+            return self._stores[primary]
+        return self._chance.choice(list(self._stores.values()))
+
+    def _ask(
+        self,
+        store: simulated_store.SimulatedStore,
+        make_message: Callable[[int], tuple],
+        then: Callable[[typing.Any], object],
+    ) -> None:
+        """Calls a store; `then` is called with the reply, or with None after a while."""
+        self._next_number += 1
+        number = self._next_number
+        caller = ReplyBox()
+        process = store.process
+        if store.is_alive:
+            arrival = functools.partial(store.accept, caller, make_message(number))
+            self._clock.later(delay=self._chance.uniform(0.001, 0.02), callback=arrival, process=process)
+        began = self._clock.time
+
+        def wait() -> None:
+            reply = caller.replies.get(number)
+            if reply is not None or self._clock.time - began > ANSWER_S:
+                then(reply)
+            else:
+                self._clock.later(delay=POLL_S, callback=wait)
+
+        self._clock.later(delay=POLL_S, callback=wait)
+
+    def _submit_new(self) -> None:
+        self._jobs += 1
+        job_id = f"j{self._jobs}"
+        items = {f"{job_id}i{number}": self._chance.randint(5, 20) for number in range(self._chance.randint(1, 4))}
+        self._model.jobs[job_id] = job_model.JobRecord(tokens=items, made_at=self._clock.time)
+        self._submit(job_id)
+
+    def _resubmit(self) -> None:
+        """Clients send a job again within some seconds; later it may be forgotten, and would be taken anew."""
+        recent = [
+            job_id for job_id, record in self._model.jobs.items() if self._clock.time - record.made_at < RESUBMISSION_S
+        ]
+        if recent:
+            self._submit(self._chance.choice(recent))
+
+    def _may_be_forgotten(self, record: job_model.JobRecord) -> bool:
+        is_over = record.is_ended or record.finished.keys() >= record.tokens.keys()
+        return is_over and self._clock.time - record.made_at > DUE_MS / 1000 + simulated_store.STATUS_S
+
+    def _submit(self, job_id: str) -> None:
+        record = self._model.jobs[job_id]
+        rows = [
+            {"id": item, "path": "/x", "envelope": {}, "parcel": "", "tokens": tokens}
+            for item, tokens in record.tokens.items()
+        ]
+        body = json.dumps({"requests": rows}).encode()
+        was_uncertain = record.is_uncertain
+        record.is_uncertain = True  # until it is answered
+
+        def then(reply: batch_messages.JobReply | None) -> None:
+            if reply is None or reply.outcome == Outcome.NOT_KNOWN:
+                return
+            if reply.outcome == Outcome.DONE:
+                self._model.note_taken(job_id)
+            elif not was_uncertain and self._pending[job_id] == 1:
+                record.is_uncertain = False
+            self._pending[job_id] -= 1
+
+        self._pending[job_id] += 1
+        self._ask(
+            self._some_store(),
+            lambda number: batch_messages.SubmitJob(
+                number, scene.TENANT, job_id, "r", DUE_MS, TRIES, scene.MAX_QUEUED_TOKENS, body
+            ),
+            then,
+        )
+
+    def _read(self) -> None:
+        job_id = self._chance.choice(list(self._model.jobs))
+        self.read_from(self._some_store(), job_id)
+
+    def read_from(self, store: simulated_store.SimulatedStore, job_id: str) -> None:
+        """Reads a job from its start at one store, and notes what it answers."""
+        record = self._model.jobs[job_id]
+        was_taken, known = record.is_taken, len(record.results)
+
+        def then(reply: batch_messages.JobPage | None) -> None:
+            if reply is None or self._may_be_forgotten(record):
+                return
+            if reply.outcome == Outcome.NOT_FOUND:
+                self._model.note_missing(job_id, was_taken=was_taken)
+            elif reply.outcome == Outcome.DONE:
+                page = [job_model.Result(*row) for row in reply.results]
+                self._model.note_page(job_id, after=0, total=reply.total, page=page)
+                self._model.note_short(job_id, known=known, listed=len(page))
+
+        self._ask(store, lambda number: batch_messages.ReadJob(number, scene.TENANT, job_id, 0), then)
+
+    def _end(self) -> None:
+        if self._chance.random() > END_CHANCE:
+            return
+        job_id = self._chance.choice(list(self._model.jobs))
+        record = self._model.jobs[job_id]
+        record.is_ended = True
+
+        def then(reply: batch_messages.JobReply | None) -> None:
+            record.is_end_known |= reply is not None and reply.outcome == Outcome.DONE
+
+        self._ask(self._some_store(), lambda number: batch_messages.EndJob(number, scene.TENANT, job_id), then)
+
+    def _pull(self) -> None:
+        store = self._some_store()
+        ended = {job_id for job_id, record in self._model.jobs.items() if record.is_end_known}
+
+        def then(reply: batch_messages.PulledItems | None) -> None:
+            for item in reply.items if reply is not None else ():
+                self._model.note_run(item.job, is_ended=item.job in ended)
+                self._clock.later(
+                    delay=self._chance.uniform(0.05, 3.0), callback=functools.partial(self._finish, item, 1)
+                )
+
+        self._ask(store, lambda number: batch_messages.PullItems(number, self._chance.randint(1, 3)), then)
+
+    def _finish(self, item: batch_messages.PulledItem, attempt: int) -> None:
+        """A run ended; its text differs from those of other runs, so that two listings can be told apart."""
+        if attempt == 1:
+            self._runs += 1
+            self._model.jobs[item.job].finished.setdefault(item.item, set()).add(b"run %d" % self._runs)
+        text = b"run %d" % self._runs if attempt == 1 else max(self._model.jobs[item.job].finished[item.item])
+
+        def then(reply: batch_messages.JobReply | None) -> None:
+            is_kept = reply is not None and reply.outcome not in (Outcome.NOT_OWNER, Outcome.NOT_KNOWN)
+            if not is_kept and attempt < MAX_FINISH_ATTEMPTS:
+                self._clock.later(delay=FINISH_PAUSE_S, callback=functools.partial(self._finish, item, attempt + 1))
+
+        self._ask(
+            self._some_store(),
+            lambda number: batch_messages.FinishItem(
+                number, scene.TENANT, item.job, item.item, int(Condition.DELIVERED), text
+            ),
+            then,
+        )
--- /dev/null
+++ b/ploverward/simulation/batch/store_faults.py
@@ -0,0 +1,199 @@
+"""Faults of a run of the stores: which are drawn, when, and what each does (docs/batch.md 8).
+
+`StoreFaults` draws from the run's generator. No more disks are lost at once than the copies allow for; machines and
+links may fail in any number.
+"""
+
+from __future__ import annotations
+
+import typing
+from collections.abc import Callable
+
+from ploverward.common import batch_partitions
+from ploverward.simulation.batch import scene
+from ploverward.simulation.batch import simulated_store
+
+if typing.TYPE_CHECKING:
+    from ploverward.simulation.batch import batch_run
+
+CATCH_UP_S = 6.0
+FAULT_KINDS = (
+    "kill",
+    "power",
+    "wipe",
+    "wipe two",
+    "cut",
+    "cut core",
+    "one way",
+    "freeze",
+    "all",
+    "coordinator",
+    "half",
+)
+FAULT_PAUSES_S = (0.8, 2.5, 7.0)  # between two faults, on average; disks can only be lost where it is long
+LAST_FAULT_S = 1.0  # before the end of the time with faults
+
+Begin = Callable[[simulated_store.SimulatedStore, float], None]  # (store, seconds)
+
+
+class StoreFaults:
+    """The faults of one run.
+
+    Args:
+        run: The run.
+        pause_s: Between two faults, on average.
+        until: When there are no further ones, by the simulated time in seconds.
+        publish: Sends a store the newest arrangement.
+
+    Attributes:
+        coordinator_down_until: When the coordinator is back.
+    """
+
+    def __init__(
+        self,
+        *,
+        run: batch_run.BatchRun,
+        pause_s: float,
+        until: float,
+        publish: Callable[[simulated_store.SimulatedStore], None],
+    ) -> None:
+        self.coordinator_down_until = 0.0
+        self._clock = run.clock
+        self._chance = run.chance
+        self._network = run.network
+        self._stores = run.stores
+        self._kinds = run.plan.kinds
+        self._owners = lambda: batch_partitions.owners_of(partition=scene.NUMBER, roles=run.rows)
+        self._pause_s = pause_s
+        self._until = until
+        self._publish = publish
+        self._begin: dict[str, Begin] = {
+            "kill": self._stop,
+            "power": lambda store, span: self._stop(store, span, has_power=False),
+            "wipe": self._wipe,
+            "wipe two": self._wipe_two,
+            "cut": self._cut_off,
+            "cut core": self._cut_core,
+            "one way": self._cut_one_way,
+            "freeze": self._freeze,
+            "all": self._stop_all,
+            "coordinator": self._stop_coordinator,
+            "half": self._cut_in_half,
+        }
+
+    def schedule(self) -> None:
+        """Draws when the next fault begins."""
+        self._clock.later(delay=self._chance.expovariate(1 / self._pause_s), callback=self._begin_one)
+
+    def _begin_one(self) -> None:
+        if self._clock.time > self._until - LAST_FAULT_S:
+            return
+        self.schedule()
+        kind = self._chance.choice(self._kinds)
+        store = self._chance.choice(list(self._stores.values()))
+        span = self._chance.uniform(0.3, 4.0)
+        self._begin[kind](store, span)
+
+    def _lost_machines(self) -> set[str]:
+        """Machines that count as lost: down, hidden, frozen, or back for less than the time to catch up."""
+        return {
+            name
+            for name, store in self._stores.items()
+            if not store.is_alive
+            or (store.process is not None and store.process.is_frozen)
+            or any(name in pair for pair in self._network.partitions)
+            or self._clock.time - store.back_at < CATCH_UP_S
+        }
+
+    def _stop(self, store: simulated_store.SimulatedStore, span: float, **how: bool) -> None:
+        if not store.is_alive:
+            return
+        store.stop(**how)
+        self._clock.later(delay=span, callback=lambda: self._restart(store))
+
+    def _restart(self, store: simulated_store.SimulatedStore) -> None:
+        if not store.is_alive:
+            store.start()
+            self._clock.later(delay=self._chance.uniform(0.05, 0.4), callback=lambda: self._publish(store))
+
+    def _wipe(self, store: simulated_store.SimulatedStore, span: float) -> None:
+        if len(self._lost_machines() | {store.name}) < scene.COPIES:
+            self._stop(store, span, keeps_disk=False)
+
+    def _wipe_two(self, _store: simulated_store.SimulatedStore, span: float) -> None:
+        """Two disks of one partition go; sometimes all other machines lose power in that moment."""
+        members = list(self._owners().stores)
+        chosen = self._chance.sample(members, min(2, len(members)))
+        if self._lost_machines() - set(chosen) or len(chosen) < scene.COPIES - 1:
+            return
+        for name in chosen:
+            self._stop(self._stores[name], span, keeps_disk=False)
+        if self._chance.random() < 0.5:
+            for other in self._stores.values():
+                self._stop(other, self._chance.uniform(0.3, 2.0), has_power=False)
+
+    def _stop_all(self, _store: simulated_store.SimulatedStore, _span: float) -> None:
+        has_power = self._chance.random() < 0.5
+        for store in self._stores.values():
+            self._stop(store, self._chance.uniform(0.3, 2.0), has_power=has_power)
+
+    def _cut(self, pairs: set[tuple[str, str]], span: float) -> None:
+        new = pairs - self._network.partitions
+        self._network.partitions |= new
+        for name in {name for pair in new for name in pair if name in self._stores}:
+            self._stores[name].down_since = self._clock.time
+
+        def heal() -> None:
+            self._network.partitions -= new
+            for name in {name for pair in new for name in pair if name in self._stores}:
+                self._stores[name].back_at = self._clock.time
+                self._publish(self._stores[name])
+
+        self._clock.later(delay=span, callback=heal)
+
+    def _cut_off(self, store: simulated_store.SimulatedStore, span: float) -> None:
+        others = [name for name in (*self._stores, scene.CORE) if name != store.name]
+        if self._chance.random() < 0.5:
+            others = self._chance.sample(others, 2)
+        self._cut({pair for name in others for pair in ((name, store.name), (store.name, name))}, span)
+
+    def _cut_core(self, store: simulated_store.SimulatedStore, span: float) -> None:
+        self._cut({(scene.CORE, store.name), (store.name, scene.CORE)}, span)
+
+    def _cut_one_way(self, store: simulated_store.SimulatedStore, span: float) -> None:
+        others = [name for name in (*self._stores, scene.CORE) if name != store.name]
+        is_deaf = self._chance.random() < 0.5
+        self._cut({(name, store.name) if is_deaf else (store.name, name) for name in others}, span)
+
+    def _cut_in_half(self, _store: simulated_store.SimulatedStore, span: float) -> None:
+        side = set(self._chance.sample(list(self._stores), len(self._stores) // 2))
+        rest = set(self._stores) - side
+        self._cut({pair for one in side for two in rest for pair in ((one, two), (two, one))}, span)
+
+    def _freeze(self, store: simulated_store.SimulatedStore, span: float) -> None:
+        process = store.process
+        if process is None or not process.is_alive or process.is_frozen:
+            return
+        process.is_frozen = True
+        store.down_since = self._clock.time
+
+        def thaw() -> None:
+            if process.is_alive and process.is_frozen:
+                store.back_at = self._clock.time
+                process.thaw()
+                self._publish(store)
+
+        self._clock.later(delay=span, callback=thaw)
+
+    def _stop_coordinator(self, _store: simulated_store.SimulatedStore, span: float) -> None:
+        self.coordinator_down_until = self._clock.time + span
+
+    def heal(self) -> None:
+        """Ends all faults that are left."""
+        self._network.partitions.clear()
+        self.coordinator_down_until = 0.0
+        for store in self._stores.values():
+            if store.process is not None and store.process.is_frozen:
+                store.process.thaw()
+            self._restart(store)
+            self._publish(store)
--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -14,6 +14,7 @@
 
 from ploverward.common import batch_partitions
 from ploverward.simulation.batch import batch_run
+from ploverward.simulation.batch import store_faults
 from ploverward.store import job_table
 from ploverward.store import partition
 from ploverward.store import partition_member
@@ -40,7 +41,7 @@
 
     name: str
     patches: Patches
-    kinds: tuple[str, ...] = batch_run.FAULT_KINDS
+    kinds: tuple[str, ...] = store_faults.FAULT_KINDS
     fault_s: float = 0.0
     sync_s: tuple[float, float] | None = None
 
