Simulated stores: a command with history, shortening and mutants; counts name their state

`python3 -m ploverward.simulation.batch` plays runs, prints one (faults, arrangements, findings), shortens broken ones fault by fault, plays the mutants. `state_digest.py` names the modules that a world plays; it stands in the count of the stores' and of the roll-outs' runs.

--- a/ploverward/command_line/simulate_rollouts.py
+++ b/ploverward/command_line/simulate_rollouts.py
@@ -11,10 +11,23 @@
 from ploverward.control_plane.rollouts import state
 from ploverward.simulation import rollout_checks
 from ploverward.simulation import rollout_simulation
+from ploverward.simulation import state_digest
 
 MAX_REPORTED_SEEDS = 20  # broken seeds that are printed with their first finding
 MAX_SHORTENED_SEEDS = 3  # broken seeds that are played again without some of their faults
 OTHER_WORLD_FLAGS = ("machines", "tolerate", "troubles", "tallies", "planted")
+PLAYED = (
+    "common",
+    "control_plane/rollouts",
+    "data_plane/requests/attempts.py",
+    "data_plane/rollouts",
+    "simulation/rollout_checks.py",
+    "simulation/rollout_nodes.py",
+    "simulation/rollout_simulation.py",
+    "simulation/simulated_world.py",
+    "transport/messages.py",
+    "transport/row_codec.py",
+)
 CHUNK_RUNS = 8  # runs handed to a process at a time
 
 
@@ -90,5 +103,5 @@
     for fault in rollout_simulation.FAULT_KINDS:
         cells = (f"{let_in[kind, fault]}/{played[kind, fault]}" for kind in kinds)
         out(f"  {fault:<16}" + "".join(f"{cell:>12}" for cell in cells))
-    out(f"{seeds} days, {len(broken)} broke a check")
+    out(f"{seeds} days on state {state_digest.digest(PLAYED)}, {len(broken)} broke a check")
     return exit_codes.ExitCode.BROKEN if broken else exit_codes.ExitCode.WELL
--- a/ploverward/simulation/batch/batch_run.py
+++ b/ploverward/simulation/batch/batch_run.py
@@ -41,6 +41,7 @@
         fault_s: Between two faults, on average; 0: drawn by the seed.
         kinds: Of faults.
         sync_s: Bounds of how long a sync takes; None: drawn by the seed.
+        skipped_faults: Numbers of faults that are drawn and not begun.
     """
 
     seed: int
@@ -49,6 +50,7 @@
     fault_s: float = 0.0
     kinds: tuple[str, ...] = store_faults.FAULT_KINDS
     sync_s: tuple[float, float] | None = None
+    skipped_faults: frozenset[int] = frozenset()
 
 
 class BatchRun:
@@ -57,6 +59,8 @@
     Attributes:
         model: What callers were told.
         findings: What broke a check.
+        faults: Draws and begins them.
+        history: When and what happened: faults, arrangements, findings.
     """
 
     def __init__(self, plan: Plan) -> None:
@@ -64,7 +68,10 @@
         self.clock = simulated_clock.Clock(seed=plan.seed)
         self.chance = random.Random(plan.seed + 1)
         self.network = store_network.Network(self.clock)
-        self.model = job_model.JobModel(max_queued_tokens=scene.MAX_QUEUED_TOKENS)
+        self.model = job_model.JobModel(
+            max_queued_tokens=scene.MAX_QUEUED_TOKENS, on_finding=lambda text: self.record(f"FINDING {text}")
+        )
+        self.history: list[tuple[float, str]] = []
         self.rows: dict[str, tuple] = {}
         self.rounds = 0
         self._reports: dict[int, tuple[str, float, batch_messages.CopyReport]] = {}
@@ -78,12 +85,12 @@
                 find=lambda name: self.stores[name],
                 sync_s=sync_s,
                 send_report=self._record_report,
-                on_failure=lambda process, text: self.model.findings.append(f"step of {process.name}: {text}"),
+                on_failure=lambda process, text: self.model.note_finding(f"step of {process.name}: {text}"),
             )
             for number in range(plan.stores)
         }
         self._faults_until = FAULTS_FROM_S + plan.length_s
-        self._faults = store_faults.StoreFaults(
+        self.faults = store_faults.StoreFaults(
             run=self, pause_s=fault_s, until=self._faults_until, publish=self._publish
         )
         self._callers = store_callers.StoreCallers(run=self, until=self._faults_until)
@@ -93,6 +100,10 @@
         """What broke a check."""
         return self.model.findings
 
+    def record(self, text: str) -> None:
+        """Adds a line to the history."""
+        self.history.append((self.clock.time, text))
+
     def play(self) -> list[str]:
         """Plays the run; returns what broke a check."""
         for store in self.stores.values():
@@ -100,9 +111,9 @@
         self.clock.later(delay=0.5, callback=lambda: self._coordinate(may_place=True))
         self.clock.run(until=FAULTS_FROM_S)
         self._callers.schedule()
-        self._faults.schedule()
+        self.faults.schedule()
         self.clock.run(until=self._faults_until)
-        self._faults.heal()
+        self.faults.heal()
         self.clock.run(until=self.clock.time + HEALED_S)
         self._check_end()
         return self.findings
@@ -114,7 +125,7 @@
 
     def _coordinate(self, *, may_place: bool = False) -> None:
         self.clock.later(delay=COORDINATION_S, callback=self._coordinate)
-        if self.clock.time < self._faults.coordinator_down_until:
+        if self.clock.time < self.faults.coordinator_down_until:
             return
         view = self._view(may_place=may_place)
         name = batch_partitions.role_name(scene.NUMBER)
@@ -129,6 +140,7 @@
             return
         self.rows = {name: (row[0] + 1, *row[1:])}
         self.rounds += 1
+        self.record(f"arrangement {self.rows[name]}")
         for store in self.stores.values():
             self._publish(store)
 
@@ -190,11 +202,11 @@
         """Once all faults are over, all copies are there again and answer, and nothing that was told is missing."""
         owners = batch_partitions.owners_of(partition=scene.NUMBER, roles=self.rows)
         if len(owners.members) < scene.COPIES or owners.learners:
-            self.findings.append(f"not whole again: {owners}")
+            self.model.note_finding(f"not whole again: {owners}")
         primary = self.stores[owners.primary]
         owned = primary.primary.owned.get(scene.NUMBER)
         if owned is None or not owned.is_serving:
-            self.findings.append(f"nobody serves: {owners}")
+            self.model.note_finding(f"nobody serves: {owners}")
             return
         for job_id in self.model.jobs:
             self._callers.read_from(primary, job_id)
--- /dev/null
+++ b/ploverward/simulation/batch/command_line.py
@@ -0,0 +1,110 @@
+"""The command: plays runs of the stores, prints one, shortens broken ones, or shows that mutants are found.
+
+python3 -m ploverward.simulation.batch --first 60000 --seeds 1000 --jobs 4
+python3 -m ploverward.simulation.batch --history 60007
+python3 -m ploverward.simulation.batch --planted
+"""
+
+import argparse
+import collections.abc
+import concurrent.futures
+import dataclasses
+
+from ploverward.simulation import state_digest
+from ploverward.simulation.batch import batch_run
+from ploverward.simulation.batch import store_mutants
+from ploverward.simulation.control_plane import scenario
+
+PLAYED = (
+    "common",
+    "control_plane/cluster/partition_placement.py",
+    "simulation/batch",
+    "simulation/control_plane/simulated_clock.py",
+    "simulation/control_plane/simulated_disk.py",
+    "store",
+    "transport",
+)
+MAX_SHORTENED_SEEDS = 3
+MAX_REPORTED_SEEDS = 20
+CHUNK_RUNS = 8
+
+
+def play(seed: int) -> tuple[int, list[str]]:
+    """Plays one run; returns its seed and what broke a check."""
+    scenario.silence_log()
+    return seed, batch_run.BatchRun(batch_run.Plan(seed=seed)).play()
+
+
+def shortened(seed: int) -> batch_run.Plan:
+    """Leaves out faults, one after the other, as long as the run still breaks a check."""
+    scenario.silence_log()
+    plan = batch_run.Plan(seed=seed)
+    run = batch_run.BatchRun(plan)
+    run.play()
+    for number in reversed(range(run.faults.drawn)):
+        shorter = dataclasses.replace(plan, skipped_faults=plan.skipped_faults | {number})
+        if batch_run.BatchRun(shorter).play():
+            plan = shorter
+    return plan
+
+
+def show(plan: batch_run.Plan) -> int:
+    """Plays one plan and prints its history; 1 where a check broke."""
+    scenario.silence_log()
+    run = batch_run.BatchRun(plan)
+    findings = run.play()
+    for when, text in run.history:
+        print(f"{when:9.3f} {text}")
+    print(f"{run.faults.drawn - len(plan.skipped_faults)} faults, {len(findings)} findings")
+    return int(bool(findings))
+
+
+def run_planted() -> int:
+    """Plays each mutant until a check finds it; 1 where one is not found."""
+    missed = 0
+    for mutant in store_mutants.MUTANTS:
+        found = store_mutants.find(mutant)
+        missed += found is None
+        print(f"{mutant.name}: {'NOT FOUND' if found is None else f'found with seed {found[0]}: {found[1]}'}")
+    return int(bool(missed))
+
+
+def run(*, first: int, seeds: int, jobs: int) -> int:
+    """Plays a range of seeds; 1 where a check broke."""
+    broken = []
+    with concurrent.futures.ProcessPoolExecutor(max_workers=max(1, jobs)) as pool:
+        for seed, findings in pool.map(play, range(first, first + seeds), chunksize=CHUNK_RUNS):
+            if findings:
+                broken.append(seed)
+                if len(broken) <= MAX_REPORTED_SEEDS:
+                    print(f"seed {seed}: {findings[0]}")
+    for seed in broken[:MAX_SHORTENED_SEEDS]:
+        print(f"seed {seed}, without the faults that it does not need:")
+        show(shortened(seed))
+    print(f"{seeds} runs of the stores on state {state_digest.digest(PLAYED)}, {len(broken)} broke a check")
+    return int(bool(broken))
+
+
+def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
+    """Plays what the arguments say.
+
+    Args:
+        arguments: Of the command; None for those of the process.
+
+    Returns:
+        The exit code: 1 where a check broke, or a mutant was not found.
+    """
+    parser = argparse.ArgumentParser(
+        prog="python3 -m ploverward.simulation.batch", description="Runs of the stores in simulated time."
+    )
+    parser.add_argument("--first", type=int, default=0, help="the first run's seed")
+    parser.add_argument("--seeds", type=int, default=100, help="how many runs are played")
+    parser.add_argument("--jobs", type=int, default=1, help="processes that play at the same time")
+    parser.add_argument("--history", type=int, metavar="SEED", help="prints all that happens in one run")
+    parser.add_argument("--planted", action="store_true", help="shows that the checks find each mutant")
+    chosen = parser.parse_args(arguments)
+    if chosen.planted:
+        return run_planted()
+    if chosen.history is not None:
+        return show(batch_run.Plan(seed=chosen.history))
+    return run(first=chosen.first, seeds=chosen.seeds, jobs=chosen.jobs)
--- a/ploverward/simulation/batch/job_model.py
+++ b/ploverward/simulation/batch/job_model.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import typing
+from collections.abc import Callable
 
 
 class Result(typing.NamedTuple):
@@ -46,15 +47,25 @@
 class JobModel:
     """Checks answers.
 
+    Args:
+        max_queued_tokens: The tenant's quota.
+        on_finding: Called with each finding when it is made.
+
     Attributes:
         jobs: By id.
         findings: What broke a rule, in words.
     """
 
-    def __init__(self, *, max_queued_tokens: int) -> None:
+    def __init__(self, *, max_queued_tokens: int, on_finding: Callable[[str], object]) -> None:
         self.jobs: dict[str, JobRecord] = {}
         self.findings: list[str] = []
         self._max_queued_tokens = max_queued_tokens
+        self._on_finding = on_finding
+
+    def note_finding(self, text: str) -> None:
+        """Something broke a rule."""
+        self.findings.append(text)
+        self._on_finding(text)
 
     def note_taken(self, job_id: str) -> None:
         """A job was acknowledged; the first time, its items must have fitted the quota."""
@@ -64,7 +75,7 @@
         job.is_taken = True
         queued = sum(map(self._queued, self.jobs.values()))
         if queued > self._max_queued_tokens:
-            self.findings.append(f"QUOTA {job_id}: {queued} tokens wait")
+            self.note_finding(f"QUOTA {job_id}: {queued} tokens wait")
 
     @staticmethod
     def _queued(job: JobRecord) -> int:
@@ -76,40 +87,38 @@
         """A page was read."""
         job = self.jobs[job_id]
         if total != len(job.tokens):
-            self.findings.append(f"MIXED {job_id}: total {total} of {len(job.tokens)}")
+            self.note_finding(f"MIXED {job_id}: total {total} of {len(job.tokens)}")
         for position, result in enumerate(page, after):
             if position < len(job.results):
                 if job.results[position] != result:
-                    self.findings.append(
-                        f"TWICE {job_id}: position {position} was {job.results[position]}, is {result}"
-                    )
+                    self.note_finding(f"TWICE {job_id}: position {position} was {job.results[position]}, is {result}")
                 continue
             self._note_new(job_id, job, position, result)
 
     def _note_new(self, job_id: str, job: JobRecord, position: int, result: Result) -> None:
         if position > len(job.results):
-            self.findings.append(f"LOST {job_id}: position {position} without the one before")
+            self.note_finding(f"LOST {job_id}: position {position} without the one before")
             return
         if any(known.item == result.item for known in job.results):
-            self.findings.append(f"TWICE {job_id}: {result.item} at a second position")
+            self.note_finding(f"TWICE {job_id}: {result.item} at a second position")
         if result.text not in job.finished.get(result.item, ()):
-            self.findings.append(f"MIXED {job_id}: {result.item} has a text that no run gave")
+            self.note_finding(f"MIXED {job_id}: {result.item} has a text that no run gave")
         job.results.append(result)
 
     def note_missing(self, job_id: str, *, was_taken: bool) -> None:
         """A store said for certain that there is no such job; `was_taken`: before it was asked."""
         if was_taken:
-            self.findings.append(f"LOST {job_id}: not found")
+            self.note_finding(f"LOST {job_id}: not found")
 
     def note_short(self, job_id: str, *, known: int, listed: int) -> None:
         """A page from position 0 has fewer results than were read before it was asked for."""
         if listed < known:
-            self.findings.append(f"LOST {job_id}: {listed} results, {known} were read")
+            self.note_finding(f"LOST {job_id}: {listed} results, {known} were read")
 
     def note_run(self, job_id: str, *, is_ended: bool) -> None:
         """An item of a job was given out to be run; `is_ended`: the job's end was acknowledged before."""
         job = self.jobs.get(job_id)
         if job is None or not (job.is_taken or job.is_uncertain):
-            self.findings.append(f"REFUSED {job_id}: it runs")
+            self.note_finding(f"REFUSED {job_id}: it runs")
         elif is_ended:
-            self.findings.append(f"UNASKED {job_id}: it was ended")
+            self.note_finding(f"UNASKED {job_id}: it was ended")
--- a/ploverward/simulation/batch/store_faults.py
+++ b/ploverward/simulation/batch/store_faults.py
@@ -47,6 +47,7 @@
 
     Attributes:
         coordinator_down_until: When the coordinator is back.
+        drawn: How many faults were drawn; their numbers count from 0.
     """
 
     def __init__(
@@ -58,6 +59,9 @@
         publish: Callable[[simulated_store.SimulatedStore], None],
     ) -> None:
         self.coordinator_down_until = 0.0
+        self.drawn = 0
+        self._skipped = run.plan.skipped_faults
+        self._record = run.record
         self._clock = run.clock
         self._chance = run.chance
         self._network = run.network
@@ -92,7 +96,11 @@
         kind = self._chance.choice(self._kinds)
         store = self._chance.choice(list(self._stores.values()))
         span = self._chance.uniform(0.3, 4.0)
-        self._begin[kind](store, span)
+        number = self.drawn
+        self.drawn += 1
+        if number not in self._skipped:
+            self._record(f"== {kind}, drawn for {store.name} and {span:.2f} s")
+            self._begin[kind](store, span)
 
     def _lost_machines(self) -> set[str]:
         """Machines that count as lost: down, hidden, frozen, or back for less than the time to catch up."""
--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -141,6 +141,15 @@
 )
 
 
+@contextlib.contextmanager
+def planted(mutant: Mutant) -> Iterator[None]:
+    """Puts a mutant into the code while the context lasts."""
+    with contextlib.ExitStack() as stack:
+        for patch in mutant.patches():
+            stack.enter_context(patch)
+        yield
+
+
 def find(mutant: Mutant, *, max_seeds: int = MAX_SEEDS) -> tuple[int, str] | None:
     """Plays runs with a mutant until one shows it.
 
@@ -149,9 +158,7 @@
     """
     for seed in range(max_seeds):
         plan = batch_run.Plan(seed=seed, kinds=mutant.kinds, fault_s=mutant.fault_s, sync_s=mutant.sync_s)
-        with contextlib.ExitStack() as stack:
-            for patch in mutant.patches():
-                stack.enter_context(patch)
+        with planted(mutant):
             findings = batch_run.BatchRun(plan).play()
         if findings:
             return seed, findings[0]
