Consensus: the round that finishes a move does not wait for that move

A repair that finishes a move lets the attempts of other nodes pass, as before, and no longer the move itself (`AttemptPacing.has_to_yield`, `Proposal.finishes_move`).

--- a/ploverward/control_plane/consensus/attempt_pacing.py
+++ b/ploverward/control_plane/consensus/attempt_pacing.py
@@ -82,13 +82,14 @@
         """Whether a proposal lets another node's attempt pass now.
 
         A repair does so for as long as there are such attempts and its time allows one of its own; others do so for a
-        limited time in all.
+        limited time in all. One that finishes a move waits for no move: it is what all others wait for. Until it is
+        done a majority of the older set is needed too, whose members may go for good (docs/set-moves.md 10).
         """
         if proposal.is_move:
             return False
         if proposal.is_repair and self.is_other_attempting(proposal.register):
             return self._now() < proposal.deadline - self.usual_timeout_s
-        if not self._is_other_at_work(proposal.register):
+        if proposal.finishes_move or not self._is_other_at_work(proposal.register):
             return False
         if proposal.yields_until is None:
             until = self._now() + max(self.usual_timeout_s * YIELD_SHARE, self.timeout_s())
--- a/ploverward/control_plane/consensus/proposal.py
+++ b/ploverward/control_plane/consensus/proposal.py
@@ -89,6 +89,7 @@
         is_wanted: False ends the proposal before its next attempt; None: always wanted.
         deadline: loop time in seconds after which no further attempt begins.
         is_repair: whether it only makes known, or completes, what other proposals left behind.
+        finishes_move: whether it completes a move of the set whose proposer is gone.
         stage: the present stage.
         attempts: how many were started.
         yields_until: loop time in seconds until which it lets a move by another node go first; None: no move was
@@ -116,6 +117,7 @@
     is_wanted: collections.abc.Callable[[], bool] | None
     deadline: float
     is_repair: bool = False
+    finishes_move: bool = False
     stage: Stage = Stage.QUEUED
     attempts: int = 0
     yields_until: float | None = None
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -134,6 +134,7 @@
         next_set: tuple[str, ...] | None = None,
         is_wanted: collections.abc.Callable[[], bool] | None = None,
         is_repair: bool = False,
+        finishes_move: bool = False,
     ) -> None:
         """Changes a register, after the proposals for it that this node began before.
 
@@ -148,6 +149,7 @@
             next_set: the core set to move the register to.
             is_wanted: called before each attempt; False ends the proposal.
             is_repair: whether it only makes known, or completes, what other proposals left behind.
+            finishes_move: whether it completes a move whose proposer is gone.
         """
         self._last_number += 1
         proposal = Proposal(
@@ -159,6 +161,7 @@
             is_wanted=is_wanted,
             deadline=self._now() + self._limit_s,
             is_repair=is_repair,
+            finishes_move=finishes_move,
         )
         displaced = self._queues.add(proposal)
         if displaced is not None:
@@ -181,7 +184,9 @@
         def unchanged(payload: object) -> tuple[object, None]:
             return payload, None
 
-        self.change(name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True)
+        self.change(
+            name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True, finishes_move=True
+        )
 
     # The queue.
     def _deactivate(self, proposal: Proposal) -> None:
--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -229,3 +229,19 @@
     scene.time.run(1.5)
     assert not any(isinstance(message, messages.QuorumRead) for _when, _member, message in scene.sent)
     assert len({when for when in scene.prepares()}) >= 1
+
+
+def test_what_finishes_a_move_waits_for_no_move():
+    """All nodes let the move pass whose proposer is gone: the round that finishes it must not wait with them."""
+    scene = Scene(is_move_expected=True)
+    scene.proposer.finish_move(name="duty")
+    assert scene.prepares() == [0.0] * len(SET)
+
+
+def test_what_finishes_a_move_lets_the_attempt_of_another_node_pass():
+    scene = Scene(is_move_expected=True)
+    scene.proposer.pacing.note_other_attempt(name="duty")
+    scene.proposer.finish_move(name="duty")
+    assert not scene.prepares()
+    scene.time.run(1.0)
+    assert scene.prepares()
