Re-reading: a flag that could be derived, checks that stood twice, work off the hot path

- `Proposal.finishes_move` is derived (a repair that is no read) and no longer passed through `Proposer.change`; "lost to another node" is one condition, not two halves at two places.
- The expected time to a first event is computed only while the service has a roll-out in progress, and not at each request; the test for that stands once in `VersionRouter`.
- The roll-outs' and the stores' shortening use one loop (`simulation/needless_faults.py`).

--- a/ploverward/command_line/simulate_rollouts.py
+++ b/ploverward/command_line/simulate_rollouts.py
@@ -9,6 +9,7 @@
 from ploverward.command_line import output
 from ploverward.common import errors
 from ploverward.control_plane.rollouts import state
+from ploverward.simulation import needless_faults
 from ploverward.simulation import rollout_checks
 from ploverward.simulation import rollout_simulation
 from ploverward.simulation import state_digest
@@ -66,12 +67,13 @@
 
 def _needed_faults(report: rollout_checks.Report) -> tuple[str, ...]:
     """The faults without which the run does not break its first check; others are left out one by one."""
-    skipped: frozenset[str] = frozenset()
-    for fault in report.fault_kinds:
-        shorter = rollout_simulation.run_simulation(report.seed, skipped=skipped | {fault})
-        if any(finding.check == report.findings[0].check for finding in shorter.findings):
-            skipped |= {fault}
-    return tuple(fault for fault in report.fault_kinds if fault not in skipped)
+
+    def still_breaks(skipped: frozenset[str]) -> bool:
+        shorter = rollout_simulation.run_simulation(report.seed, skipped=skipped)
+        return any(finding.check == report.findings[0].check for finding in shorter.findings)
+
+    needless = needless_faults.find(report.fault_kinds, still_breaks=still_breaks)
+    return tuple(fault for fault in report.fault_kinds if fault not in needless)
 
 
 def run(*, first: int, seeds: int, jobs: int, out: output.Out) -> int:
--- a/ploverward/control_plane/consensus/proposal.py
+++ b/ploverward/control_plane/consensus/proposal.py
@@ -89,7 +89,6 @@
         is_wanted: False ends the proposal before its next attempt; None: always wanted.
         deadline: loop time in seconds after which no further attempt begins.
         is_repair: whether it only makes known, or completes, what other proposals left behind.
-        finishes_move: whether it completes a move of the set whose proposer is gone.
         stage: the present stage.
         attempts: how many were started.
         yields_until: loop time in seconds until which it lets a move by another node go first; None: no move was
@@ -117,7 +116,6 @@
     is_wanted: collections.abc.Callable[[], bool] | None
     deadline: float
     is_repair: bool = False
-    finishes_move: bool = False
     stage: Stage = Stage.QUEUED
     attempts: int = 0
     yields_until: float | None = None
@@ -143,6 +141,11 @@
         """Whether it moves the register to another set, or removes the older set once that is done."""
         return self.next_set is not None or self.move_outcome is not None
 
+    @property
+    def finishes_move(self) -> bool:
+        """Whether it completes a move of the set whose proposer is gone: all other repairs are reads."""
+        return self.is_repair and self.edit is not None
+
     @property
     def priority(self) -> Priority:
         """Its priority among the proposals of its register at this node."""
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -30,6 +30,7 @@
 from ploverward.control_plane.consensus.proposal import Done
 from ploverward.control_plane.consensus.proposal import Edit
 from ploverward.control_plane.consensus.proposal import Outcome
+from ploverward.control_plane.consensus.proposal import Priority
 from ploverward.control_plane.consensus.proposal import Proposal
 from ploverward.control_plane.consensus.proposal import Stage
 from ploverward.control_plane.consensus.register_state import AcceptedValue
@@ -134,7 +135,6 @@
         next_set: tuple[str, ...] | None = None,
         is_wanted: collections.abc.Callable[[], bool] | None = None,
         is_repair: bool = False,
-        finishes_move: bool = False,
     ) -> None:
         """Changes a register, after the proposals for it that this node began before.
 
@@ -149,7 +149,6 @@
             next_set: the core set to move the register to.
             is_wanted: called before each attempt; False ends the proposal.
             is_repair: whether it only makes known, or completes, what other proposals left behind.
-            finishes_move: whether it completes a move whose proposer is gone.
         """
         self._last_number += 1
         proposal = Proposal(
@@ -161,7 +160,6 @@
             is_wanted=is_wanted,
             deadline=self._now() + self._limit_s,
             is_repair=is_repair,
-            finishes_move=finishes_move,
         )
         displaced = self._queues.add(proposal)
         if displaced is not None:
@@ -184,9 +182,7 @@
         def unchanged(payload: object) -> tuple[object, None]:
             return payload, None
 
-        self.change(
-            name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True, finishes_move=True
-        )
+        self.change(name=name, edit=unchanged, done=_ignore_outcome, is_wanted=is_wanted, is_repair=True)
 
     # The queue.
     def _deactivate(self, proposal: Proposal) -> None:
@@ -325,13 +321,12 @@
         so on any disk: the orders of several nodes end each other's attempts, and a read ends nobody's. It finds what
         the others made meanwhile, and where one of them is at work, nodes go on in turn (`_end_quorum_read`).
         """
-        if proposal.is_move or proposal.edit is None:
-            return False
-        return self.pacing.has_slow_disk() or self._has_lost_to_other(proposal)
+        is_change = not proposal.is_move and proposal.edit is not None
+        return is_change and (self.pacing.has_slow_disk() or self._has_lost_to_other(proposal))
 
     def _has_lost_to_other(self, proposal: Proposal) -> bool:
-        """Whether an attempt of this change failed, and another node attempts one now."""
-        is_retry = proposal.attempts > 0 and not proposal.is_repair
+        """Whether an attempt of a call's change failed, and another node attempts one now."""
+        is_retry = proposal.attempts > 0 and proposal.edit is not None and proposal.priority is Priority.CALL
         return is_retry and self.pacing.is_other_attempting(proposal.register)
 
     def _yields(self, proposal: Proposal) -> bool:
@@ -407,7 +402,7 @@
     def _resume_prepare(self, proposal: Proposal) -> None:
         if proposal.stage is not Stage.BACKOFF:
             return
-        if self._has_lost_to_other(proposal) and not proposal.is_move and proposal.edit is not None:
+        if self._has_lost_to_other(proposal):
             self._begin_quorum_read(proposal)
         else:
             self._prepare(proposal)
--- a/ploverward/data_plane/requests/attempt_accounting.py
+++ b/ploverward/data_plane/requests/attempt_accounting.py
@@ -70,9 +70,10 @@
     context: handler_context.HandlerContext,
 ) -> None:
     """The first event shows that the prompt was prefilled: it counts as cached from now on."""
-    context.rollouts.note_first(
-        service=facts.service, route=route.name, attempt=attempt, expected_s=_expected_s(attempt, context=context)
-    )
+    if context.rollouts.is_in_progress(facts.service):
+        context.rollouts.note_first(
+            service=facts.service, route=route.name, attempt=attempt, expected_s=_expected_s(attempt, context=context)
+        )
     if attempt.arrival is not None:
         context.adapters.note_run(attempt.arrival)
     replica = attempt.replica
--- a/ploverward/data_plane/rollouts/version_routing.py
+++ b/ploverward/data_plane/rollouts/version_routing.py
@@ -150,8 +150,8 @@
 
     def note_send(self, *, service: str, replica: replica_table.Replica) -> None:
         """One attempt begins."""
-        tracked = self._tracked.get(service)
-        if tracked is None or not tracked.rollout.is_in_progress:
+        tracked = self._find_in_progress(service)
+        if tracked is None:
             return
         tracked.sent += 1
         tracked.credit += self._share(tracked)
@@ -160,6 +160,14 @@
             tracked.credit -= 1.0
         tracked.credit = max(0.0, min(MAX_CREDIT, tracked.credit))
 
+    def is_in_progress(self, service: str) -> bool:
+        """Whether a roll-out of the service is in progress: only then attempts are counted."""
+        return self._find_in_progress(service) is not None
+
+    def _find_in_progress(self, service: str) -> TrackedRollout | None:
+        tracked = self._tracked.get(service)
+        return tracked if tracked is not None and tracked.rollout.is_in_progress else None
+
     def note_first(self, *, service: str, route: str, attempt: attempts.Attempt, expected_s: float) -> None:
         """The first event of an answer arrived; the arguments are those of `attempt_tally.count_first`."""
         tally = self._tally_of(service=service, route=route, attempt=attempt)
@@ -190,8 +198,8 @@
 
     def _tally_of(self, *, service: str, route: str, attempt: attempts.Attempt) -> rollout_evidence.Tally | None:
         """Where an attempt counts; None where it is no evidence, or the service has no roll-out in progress."""
-        tracked = self._tracked.get(service)
-        if tracked is None or not tracked.rollout.is_in_progress:
+        tracked = self._find_in_progress(service)
+        if tracked is None:
             return None
         if attempt.sent_at < tracked.counts_from or not attempt_tally.is_evidence(attempt):
             return None
--- a/ploverward/simulation/batch/command_line.py
+++ b/ploverward/simulation/batch/command_line.py
@@ -10,6 +10,7 @@
 import concurrent.futures
 import dataclasses
 
+from ploverward.simulation import needless_faults
 from ploverward.simulation import state_digest
 from ploverward.simulation.batch import batch_run
 from ploverward.simulation.batch import store_mutants
@@ -41,11 +42,11 @@
     plan = batch_run.Plan(seed=seed)
     run = batch_run.BatchRun(plan)
     run.play()
-    for number in reversed(range(run.faults.drawn)):
-        shorter = dataclasses.replace(plan, skipped_faults=plan.skipped_faults | {number})
-        if batch_run.BatchRun(shorter).play():
-            plan = shorter
-    return plan
+    needless = needless_faults.find(
+        reversed(range(run.faults.drawn)),
+        still_breaks=lambda skipped: bool(batch_run.BatchRun(dataclasses.replace(plan, skipped_faults=skipped)).play()),
+    )
+    return dataclasses.replace(plan, skipped_faults=needless)
 
 
 def show(plan: batch_run.Plan) -> int:
