Consensus: reads that waited out their time in the queue no longer starve each other

The last round of a move of `cores` stands at two of seven, so only a ballot decides it. Repairs of that register queued at each node, some ten; each waited out its 2.5 s there, read for 0.25 s, had no time left to propose and ended, and a new one came each 0.27 s. So nobody ever proposed. Ruled out: a missing majority (six of seven live in both sets), a duel (no attempt failed). docs/incidents/stale-repairs.md.

A read that is first in the queue ends at once if it has no time for an attempt of its own (`_has_time_to_propose`); a node makes one repair of a register at a time.

--- a/ploverward/control_plane/cluster/heartbeats.py
+++ b/ploverward/control_plane/cluster/heartbeats.py
@@ -60,5 +60,5 @@
     def _read_newer_core_set(self, version: int) -> None:
         """Reads the core set where another node knows a newer version of it."""
         is_behind = version > self._membership.chosen_version(register_names.CORE_SET)
-        if is_behind and self._consensus.acceptor.votes and not self._consensus.is_reading(register_names.CORE_SET):
+        if is_behind and self._consensus.acceptor.votes:
             self._consensus.repair(register_names.CORE_SET)
--- a/ploverward/control_plane/consensus/consensus_node.py
+++ b/ploverward/control_plane/consensus/consensus_node.py
@@ -359,11 +359,17 @@
     def read_unknown(self) -> None:
         """Reads the registers of which no chosen value is known yet."""
         for name in register_names.REGISTERS:
-            if not self._version(name) and name not in self._reading:
+            if not self._version(name):
                 self.repair(name)
 
     def repair(self, name: str) -> None:
-        """Reads a register, so that its newest value becomes known as chosen here."""
+        """Reads a register, so that its newest value becomes known as chosen here; does nothing while it is at that.
+
+        Repairs that queued behind each other would run out of time there one after the other, and none would ever
+        propose the value anew (docs/incidents/stale-repairs.md).
+        """
+        if name in self._reading:
+            return
         self._reading.add(name)
 
         def done(_error: Exception | None, _revision: int, _payload: object, _result: object) -> None:
@@ -371,10 +377,6 @@
 
         self.proposer.read(name=name, done=done, is_repair=True)
 
-    def is_reading(self, name: str) -> bool:
-        """Whether a `repair` of the register is in progress."""
-        return name in self._reading
-
     def run_anti_entropy(self) -> None:
         """Called at each heartbeat: finishes proposals of proposers that ended.
 
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -205,6 +205,10 @@
             self._active[proposal.number] = proposal
             error = errors.QuorumUnavailableError("this node is a learner", step="start", peer=proposal.register)
             self._later(0, lambda: self._finish(proposal, Outcome(error)))
+        elif proposal.is_read and not self._has_time_to_propose(proposal):
+            # It would take the time of those that wait behind it, until they have none left either: where only a ballot
+            # can decide the value, none of them would ever propose (docs/incidents/stale-repairs.md).
+            self._fail(proposal)
         elif proposal.is_read or self._looks_first(proposal):
             self._begin_quorum_read(proposal)
         else:
@@ -222,6 +226,17 @@
         # Once a move is chosen, the change is: only what follows a move was still in progress.
         proposal.done(*(proposal.move_outcome or outcome))
 
+    def _has_time_to_propose(self, proposal: Proposal) -> bool:
+        """Whether a read that begins now may still propose the value that it finds, if that is not known as chosen."""
+        needed_s = self._attempt_timeout_s * READ_TIMEOUT_SHARE + self.pacing.usual_timeout_s
+        return self._now() + needed_s < proposal.deadline
+
+    def _fail(self, proposal: Proposal) -> None:
+        """Ends a proposal that no majority answered in its time."""
+        step = proposal.stage.value or Stage.PREPARE.value
+        error = errors.QuorumUnavailableError("no majority", step=step, peer=proposal.register)
+        self._finish(proposal, Outcome(error))
+
     def _start_queued(self, proposal: Proposal) -> None:
         # Another one may have been queued in front of it meanwhile.
         if proposal.stage is Stage.QUEUED and self._queues.is_first(proposal):
@@ -361,9 +376,7 @@
         proposal.attempts += 1
         is_given_up = proposal.is_wanted is not None and not proposal.is_wanted()
         if is_given_up or self._now() >= proposal.deadline or proposal.attempts > MAX_ATTEMPTS:
-            step = proposal.stage.value or Stage.PREPARE.value
-            error = errors.QuorumUnavailableError("no majority", step=step, peer=proposal.register)
-            self._finish(proposal, Outcome(error))
+            self._fail(proposal)
             return
         name = proposal.register
         self.note_ballot_number(name=name, number=self._highest_numbers.get(name, 0) + 1)
--- a/ploverward/control_plane/consensus/test_attempt_pacing.py
+++ b/ploverward/control_plane/consensus/test_attempt_pacing.py
@@ -190,6 +190,17 @@
     assert len(scene.ended) == 2
 
 
+def test_reads_that_come_as_fast_as_they_end_do_not_keep_each_other_from_an_attempt():
+    """Seed 520047 of the simulation: each had used its time up in the queue, read once more and ended."""
+    scene = Scene(is_move_expected=False)
+    for step in range(160):
+        scene.time.run(step * TIMEOUT_S * proposer.READ_TIMEOUT_SHARE)
+        scene.proposer.read(name="duty", done=lambda *_row: scene.ended.append(scene.time.now), is_repair=True)
+    assert len({when for when in scene.prepares() if when > 20.0}) >= 8
+    scene.time.run(60.0)
+    assert len(scene.ended) == 160
+
+
 def reject(scene, *, by):
     """Every prepare that is on its way meets a higher ballot, of another node's attempt."""
     scene.proposer.pacing.note_other_attempt(name="duty")
--- a/ploverward/control_plane/consensus/test_move_priority.py
+++ b/ploverward/control_plane/consensus/test_move_priority.py
@@ -137,3 +137,16 @@
     assert all(known.members(register) == MOVED for register in register_names.REGISTERS)
     assert max(at for _register, _error, at in ends) - begun_at < MOVE_LIMIT_S
     assert linearizability.faults(history=model.history) == []
+
+
+def test_a_node_makes_one_repair_of_a_register_at_a_time():
+    model = settled(seed=1)
+    node = model.nodes["a"].voting
+    for name in ("duty", "duty", "cores", "duty"):
+        node.repair(name)
+    waiting = {name: len(node.proposer._queues.of(name)) for name in ("duty", "cores")}
+    assert waiting == {"duty": 1, "cores": 1}
+    model.world.run(until=2 * SETTLED_AT_S)
+    assert not node.proposer._queues.of("duty")
+    node.repair("duty")
+    assert len(node.proposer._queues.of("duty")) == 1
