--- a/ploverward/command_line/node.py
+++ b/ploverward/command_line/node.py
@@ -1,11 +1,18 @@
 """`ploverward core`, `ploverward proxy` and `ploverward store`: run a node until it is ended by SIGTERM."""
 
+import dataclasses
 import gc
+import logging
+import typing
 
 from ploverward.command_line import exit_codes
 from ploverward.command_line import options
 from ploverward.common import event_log
 from ploverward.common import settings as settings_files
+from ploverward.transport import event_loop
+from ploverward.transport import work_counter
+
+_log = logging.getLogger(__name__)
 
 ROLES = ("core", "proxy", "store")
 # Of gc.set_threshold: objects, then collections of the younger generation. Most of what a node makes ends without the
@@ -23,16 +30,41 @@
         from ploverward.control_plane import core_node
 
         _tune_collector()
-        return core_node.CoreNode(settings=settings).run()
+        return _run(core_node.CoreNode(settings=settings))
     if verb == "store":
         from ploverward.store import store_node
 
         _tune_collector()
-        return store_node.StoreNode(settings=settings).run()
+        return _run(store_node.StoreNode(settings=settings))
     from ploverward.data_plane import proxy_node
 
     _tune_collector()
-    return proxy_node.ProxyNode(settings=settings).run()
+    return _run(proxy_node.ProxyNode(settings=settings))
+
+
+class _Node(typing.Protocol):
+    loop: event_loop.Loop
+
+    def run(self) -> int:
+        """Serves until SIGTERM, and returns the status of the process."""
+
+
+def _run(node: _Node) -> int:
+    interval_s = options.FLAGS.work_log_s
+    if interval_s > 0:
+        _log_work(node.loop, interval_s)
+    return node.run()
+
+
+def _log_work(loop: event_loop.Loop, interval_s: float) -> None:
+    """Has a loop count its work, and logs the counts of each interval."""
+    work = loop.work = work_counter.WorkCounter()
+
+    def log() -> None:
+        counts = dataclasses.asdict(work.take())
+        _log.info("work_counted", extra={"interval_s": interval_s, **counts})
+
+    loop.every(interval_s=interval_s, callback=log)
 
 
 def _tune_collector() -> None:
--- a/ploverward/command_line/options.py
+++ b/ploverward/command_line/options.py
@@ -10,6 +10,7 @@
 
 # Nodes.
 flags.DEFINE_bool("chatty", False, "nodes: write every note at once, not only when something goes wrong")
+flags.DEFINE_float("work_log_s", 0.0, "nodes: seconds between two log events with counts of their work; 0: none")
 
 # Operators' verbs that call core nodes.
 flags.DEFINE_list("core", [], "operator tools: dispatch addresses of core nodes, ADDRESS:PORT, by commas")
--- a/ploverward/command_line/verb_help.py
+++ b/ploverward/command_line/verb_help.py
@@ -15,7 +15,10 @@
 JSON_TEXT = "machine-readable output"
 CORE = {CORE_FLAG: CORE_TEXT}
 CORE_AND_JSON = {**CORE, JSON_FLAG: JSON_TEXT}
-NODE_FLAGS = {"--chatty": "write every log event at once, not only errors and steps of roll-outs"}
+NODE_FLAGS = {
+    "--chatty": "write every log event at once, not only errors and steps of roll-outs",
+    "--work_log_s S": "log turns of the loop, calls and frames by kind, each S seconds (0: never)",
+}
 NODE_CODES = {
     exit_codes.ExitCode.WELL: "the node was shut down by SIGTERM",
     exit_codes.ExitCode.USAGE: "a settings file that is missing or malformed",
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -20,6 +20,7 @@
 import sortedcontainers
 
 from ploverward.transport import interfaces
+from ploverward.transport import work_counter
 from ploverward.transport.interfaces import Callback
 
 MAX_WAIT_S = 1.0  # of a step without timers
@@ -53,6 +54,9 @@
 
     Args:
         on_fault: Called with the exception of a callback. None: exceptions leave the loop, as tests want it.
+
+    Attributes:
+        work: Counts what the loop does; None: nothing is counted.
     """
 
     def __init__(self, *, on_fault: Callable[[Exception], object] | None = None) -> None:
@@ -67,6 +71,7 @@
         self._pool: concurrent.futures.ThreadPoolExecutor | None = None
         self._is_running = True
         self._on_fault = on_fault
+        self.work: work_counter.WorkCounter | None = None
 
     def now(self) -> float:
         """Returns a clock that only grows, in seconds."""
@@ -146,17 +151,24 @@
             wait_s = 0.0
         elif self._timers:
             wait_s = min(wait_s, max(0.0, self._timers[0].when - self.now()))
-        for key, mask in self._selector.select(wait_s):
+        ready = self._selector.select(wait_s)
+        for key, mask in ready:
             self._guard(key.data, mask)
+        has_commands = bool(self._commands)
         while self._commands:
             self._guard(self._commands.popleft())
         now = self.now()
+        has_timers = bool(self._timers) and self._timers[0].when <= now
         while self._timers and self._timers[0].when <= now:
             timer = self._timers.pop(0)
             timer.is_over = True
             self._guard(timer.callback)
+        if self.work is not None:
+            self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
     def _guard(self, callback: Callable, *args: int) -> None:
+        if self.work is not None:
+            self.work.note_call(callback)
         try:
             callback(*args)
         except Exception as error:  # one broken callback must not end the process; it is logged
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -334,6 +334,17 @@
     return frames
 
 
+def kinds_in(data: bytes) -> list[tuple[str, int]]:
+    """Returns the type's name and the size in bytes of each frame; `data` holds complete frames of known kinds."""
+    found = []
+    at = 0
+    while at < len(data):
+        body_bytes, number = _HEAD.unpack_from(data, at)
+        found.append((_BY_NUMBER[number].message_type.__name__, HEAD_BYTES + body_bytes))
+        at += HEAD_BYTES + body_bytes
+    return found
+
+
 def unpack(frame: bytes) -> tuple:
     """Returns the message of one complete frame.
 
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -189,6 +189,8 @@
         if len(self._out) + len(data) > MAX_SEND_BUFFER_BYTES:
             self.close(reason="peer does not read")
             return
+        if self.loop.work is not None:
+            self.loop.work.note_sent(data)
         was_empty = not self._out
         self._out += data
         if was_empty and self.state is State.UP:
@@ -254,6 +256,8 @@
 
     def _deliver(self, received: list[bytes]) -> None:
         for frame in received:
+            if self.loop.work is not None:
+                self.loop.work.note_received(frame)
             message = frames.unpack(frame)
             if type(message) is messages.KeepAlive:
                 continue
