Nodes: one write a step, shared silence checks, report ticks on change; state to all links

An idle second of a core node with 18 proxies took 124 turns of its loop: 40 for timers that each check one connection for silence, the rest for frames, of which a third were heartbeats beside frames that show the same. A proxy took 86, 13 of them for report ticks with nothing to report.

`Loop.every` calls all that have the same interval in one turn, and silence is checked so. What a step sends on a connection goes out in one write at its end (`Loop.at_end_of_step`). `keep_alive` sends a heartbeat only where nothing was sent since the last one. Reports tick seldom until something changes (`ReportTicker`). Found by it: a proxy that became ready, or began to drain, while a connection was being established never told that core node, which went on asking and did not list it.

A test that patched `send` at a heartbeat patches `keep_alive`, which is what heartbeats call now.

--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -445,7 +445,7 @@
 
     def _on_heartbeat_interval(self) -> None:
         for peer in self.sessions.peers():
-            peer.link.send(messages.KeepAlive(number=0))
+            peer.link.keep_alive()
             if peer.role is peer_sessions.NodeRole.PROXY and not peer.is_ready:
                 self.topics.send_minimum_versions(peer.link)
         self.heartbeats.send()
--- a/ploverward/control_plane/distribution/subscriber.py
+++ b/ploverward/control_plane/distribution/subscriber.py
@@ -113,6 +113,15 @@
         known = self._installed_version(topic) if topic in self._delta_topics else NO_VERSION
         connection.send(messages.Fetch(topic=topic, known=known))
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a publisher announced a version that is not here yet."""
+        return any(
+            version > self._version(topic)
+            for topic, announced in self._announced.items()
+            for version in announced.values()
+        )
+
     def tick(self) -> None:
         """Fetches again where a publisher did not answer in time, from another one where there is one."""
         for topic, announced in self._announced.items():
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -155,7 +155,7 @@
         """To be called at each heartbeat interval."""
         for connector in self._connectors.values():
             if connector.link is not None and connector.link.is_up:
-                connector.link.send(messages.KeepAlive(number=0))
+                connector.link.keep_alive()
 
     def _handle_message(self, _connection: peer_connection.PeerConnection, message: tuple) -> None:
         number = getattr(message, "number", None)
--- a/ploverward/data_plane/control_client/core_connections.py
+++ b/ploverward/data_plane/control_client/core_connections.py
@@ -142,6 +142,21 @@
                 found = connection
         return found
 
+    def keep_alive(self) -> None:
+        """Shows the core nodes that this process runs; to be called at each heartbeat interval."""
+        for _host, connection in self.established():
+            connection.keep_alive()
+
+    def send_state(self, state: messages.NodeState) -> None:
+        """Notifies all core nodes of a new state of this proxy.
+
+        On a connection that is still being established the state of its begin waits behind the handshake: without the
+        new one its core node would go on with the old one for as long as the connection lasts.
+        """
+        for connector in self._connectors.values():
+            if connector.link is not None:
+                connector.link.send(state)
+
     def broadcast(self, message: tuple) -> None:
         """Sends to all core nodes that can be sent to now."""
         for _host, connection in self.established():
--- a/ploverward/data_plane/control_client/core_sessions.py
+++ b/ploverward/data_plane/control_client/core_sessions.py
@@ -105,7 +105,7 @@
         """Begins to serve if the proxy has what it needs for that."""
         if self._gate.open_if_ready(members=self._connections.members, versions=self.subscriber.versions):
             _log.debug("serving_started", extra={"edition": self._installer.routes.edition})
-            self._connections.broadcast(messages.NodeState(is_ready=True, is_draining=self._is_draining()))
+            self._connections.send_state(messages.NodeState(is_ready=True, is_draining=self._is_draining()))
 
     def _handle_announcement(
         self, _host: str, connection: peer_connection.PeerConnection, message: messages.Announcement
--- a/ploverward/data_plane/control_client/test_core_sessions.py
+++ b/ploverward/data_plane/control_client/test_core_sessions.py
@@ -31,6 +31,7 @@
             is_near=lambda _connection: True,
             handle_handshake=self._handle,
             broadcast=self.broadcasts.append,
+            send_state=self.broadcasts.append,
         )
         self.gate = serving_gate.ServingGate()
         self.sessions = core_sessions.CoreSessions(
--- a/ploverward/data_plane/load_reports/digest.py
+++ b/ploverward/data_plane/load_reports/digest.py
@@ -289,10 +289,10 @@
         for connector in connectors:
             send_heartbeat(connector.link)
         for connection in list(self.fanout.members):
-            connection.send(messages.KeepAlive(0))
+            connection.keep_alive()
 
 
 def send_heartbeat(connection: peer_connection.PeerConnection | None) -> None:
-    """Sends a `KeepAlive` where there is a connection that is up."""
+    """Shows that this node is running where there is a connection that is up."""
     if connection is not None and connection.is_up:
-        connection.send(messages.KeepAlive(0))
+        connection.keep_alive()
--- a/ploverward/data_plane/load_reports/relay_client.py
+++ b/ploverward/data_plane/load_reports/relay_client.py
@@ -197,6 +197,12 @@
         _epoch, address, _incarnation = self._roles.get(second, (0, "", ""))
         return self._contact_s / TICKS_PER_CONTACT * (LARGE_ZONE_INTERVALS if address else 1)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the next tick would report nothing, and this proxy owns no role that publishes what others report."""
+        owns_role = bool(self.zone_digest.role) or self.relay_role.host is not None
+        return not owns_role and self.relay_role.gateway is None and not self.source.has_changes
+
     def tick(self) -> None:
         """Reports and publishes what changed."""
         self.zone_digest.tick()
--- a/ploverward/data_plane/load_reports/relay_role.py
+++ b/ploverward/data_plane/load_reports/relay_role.py
@@ -141,4 +141,4 @@
     def send_heartbeats(self) -> None:
         """Shows the relay's subscribers that this node is running."""
         for connection in list(self.host.subscribers) if self.host is not None else ():
-            connection.send(messages.KeepAlive(0))
+            connection.keep_alive()
--- a/ploverward/data_plane/load_reports/report_source.py
+++ b/ploverward/data_plane/load_reports/report_source.py
@@ -57,6 +57,9 @@
     """Makes the reports of one proxy.
 
     A report has the absolute loads of the replicas that changed, and the attempts that ended since the last report.
+
+    Attributes:
+        on_change: Called whenever something is to be reported.
     """
 
     def __init__(self, *, now: Callable[[], float], regions: Iterable[str], suspicion_s: float) -> None:
@@ -72,6 +75,7 @@
         self._reads: list[bytes] = []
         self._pending: list[collections.deque[_PendingReport]] = [collections.deque() for _name in self._names]
         self._counted: list[dict[bytes, LoadCounts]] = [{} for _name in self._names]
+        self.on_change: Callable[[], object] = lambda: None
         self._lost = set(self._names)  # regions whose published loads contain nothing of ours
 
     def record(self, *, replica: replica_table.Replica, kind: int) -> None:
@@ -91,6 +95,12 @@
                 outcomes = self._outcomes[key] = OutcomeCounts()
             outcomes.ended += 1
             outcomes.failed += kind != DONE
+        self.on_change()
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something for the next report."""
+        return bool(self._dirty or self._outcomes or self._reads or self._suspected)
 
     def record_read(
         self,
@@ -123,6 +133,7 @@
                 ),
             )
         )
+        self.on_change()
 
     def next_report(self) -> messages.LoadReport | None:
         """What changed since the last report; None where nothing did."""
--- a/ploverward/data_plane/load_reports/test_gateway.py
+++ b/ploverward/data_plane/load_reports/test_gateway.py
@@ -119,7 +119,7 @@
     assert loopback.until(zones.loop, lambda: len(node.relay.subscribers) == 3)
     links = [*node.relay.subscribers, *node.digest.fanout.members, *node.gateway.digest.fanout.members]
     for link in links:
-        link.send = lambda message, link=link: link.close(reason="ended as it was written to")
+        link.keep_alive = lambda link=link: link.close(reason="ended as it was written to")
     node.client.send_heartbeats()
     assert not any(link.is_open for link in links)
     zones.converge()
--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -29,6 +29,7 @@
 from ploverward.data_plane.load_balancing import replica_chooser
 from ploverward.data_plane.load_balancing import replica_table
 from ploverward.data_plane.load_reports import relay_client
+from ploverward.data_plane.load_reports import report_ticker
 from ploverward.data_plane.quotas import credential_freshness
 from ploverward.data_plane.quotas import quota_allowance
 from ploverward.data_plane.quotas import shared_limits
@@ -181,7 +182,7 @@
             loop=self.loop,
             settings=lambda: self.settings,
             front_end=self._front_end,
-            announce=lambda: self._connections.broadcast(messages.NodeState(is_ready=False, is_draining=True)),
+            announce=lambda: self._connections.send_state(messages.NodeState(is_ready=False, is_draining=True)),
             send_last_reports=self._send_last_reports,
         )
         self.drain_window = self._shutdown.drain_window
@@ -199,6 +200,14 @@
             replicas_in_use=self._replicas_in_use,
             near_core=self._connections.nearest,
         )
+        self._report_ticker = report_ticker.ReportTicker(
+            loop=self.loop,
+            on_tick=self._on_report_tick,
+            interval_s=self._relay_client.report_interval_s,
+            idle_interval_s=self.peer_timeout_s / HEARTBEATS_PER_PEER_TIMEOUT,
+            is_idle=lambda: self._relay_client.is_idle and not self._sessions.subscriber.is_behind,
+        )
+        self._relay_client.source.on_change = self._report_ticker.wake
         self.report_attempt = self._relay_client.source.record
         self.report_prefill = self._relay_client.source.record_read
         self.chooser = replica_chooser.Chooser(
@@ -275,7 +284,7 @@
         """Serves until SIGTERM and the end of the graceful shutdown. Returns the status of the process."""
         self._front_end.start()
         self._connections.connect()
-        self._on_report_tick()
+        self._report_ticker.start()
         self.loop.every(interval_s=self.peer_timeout_s / HEARTBEATS_PER_PEER_TIMEOUT, callback=self._on_heartbeat_tick)
         if self._batch is not None:
             self._batch.start()
@@ -288,7 +297,6 @@
     def _on_report_tick(self) -> None:
         self._relay_client.tick()
         self._sessions.subscriber.tick()
-        self.loop.after(delay=self._relay_client.report_interval_s(), callback=self._on_report_tick)
 
     def _on_heartbeat_tick(self) -> None:
         if self._heartbeats % self.rollouts.report_interval == 0:
--- a/ploverward/simulation/control_plane/simulated_peers.py
+++ b/ploverward/simulation/control_plane/simulated_peers.py
@@ -73,6 +73,7 @@
         self.is_up = not is_connecting
         self.heard_at = loop.now()
         self.has_heard = False
+        self._has_sent = False  # anything since the last call of `keep_alive`
         self.opened_at = loop.now()
         self.peer_timeout_s = peer_timeout_s
         self.frame = b""
@@ -116,10 +117,17 @@
         """Sends a message; does nothing on a closed connection."""
         self.send_bytes(pack(message))
 
+    def keep_alive(self) -> None:
+        """Shows the peer that this process runs, unless something was sent since the last call of this."""
+        if not self._has_sent:
+            self.send(messages.KeepAlive(number=0))
+        self._has_sent = False
+
     def send_bytes(self, data: bytes) -> None:
         """Sends one frame that is packed already; does nothing on a closed connection."""
         if not self.is_open:
             return
+        self._has_sent = True
         if self.is_up:
             self.wire.transmit(self._direction, data)
         else:
--- a/ploverward/simulation/zone_proxies.py
+++ b/ploverward/simulation/zone_proxies.py
@@ -136,6 +136,7 @@
 
     def __init__(self, *, loop: event_loop.Loop) -> None:
         self._loop = loop
+        self.work = None
         self.is_frozen = False
         self._deferred: list[tuple[Callable, tuple]] = []
 
@@ -167,9 +168,9 @@
         """As `event_loop.Loop` does."""
         return self._loop.at(when=when, callback=self._guard(callback))
 
-    def every(self, *, interval_s: float, callback: Callable) -> None:
+    def every(self, *, interval_s: float, callback: Callable) -> event_loop.Repetition:
         """As `event_loop.Loop` does."""
-        self._loop.every(interval_s=interval_s, callback=lambda: None if self.is_frozen else callback())
+        return self._loop.every(interval_s=interval_s, callback=lambda: None if self.is_frozen else callback())
 
     def cancel(self, *, timer: interfaces.Timer | None) -> None:
         """As `event_loop.Loop` does."""
@@ -187,6 +188,10 @@
         """As `event_loop.Loop` does."""
         self._loop.unwatch(sock=sock)
 
+    def at_end_of_step(self, *, callback: Callable) -> None:
+        """As `event_loop.Loop` does; what was sent goes out even if the node freezes in the same step."""
+        self._loop.at_end_of_step(callback=callback)
+
     def command(self, *, callback: Callable) -> None:
         """As `event_loop.Loop` does."""
         self._loop.command(callback=callback)
--- a/ploverward/store/store_links.py
+++ b/ploverward/store/store_links.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from ploverward.transport import event_loop
-from ploverward.transport import messages
 from ploverward.transport import peer_connection
 
 
@@ -71,8 +70,9 @@
 
     def keep_alive(self) -> None:
         """To be called at each heartbeat interval."""
-        for address in self._connectors:
-            self.send(address, messages.KeepAlive(number=0))
+        for connector in self._connectors.values():
+            if connector.link is not None and connector.link.is_up:
+                connector.link.keep_alive()
 
     def stop(self) -> None:
         """Ends all connections."""
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -209,7 +209,7 @@
         self._connections.connect()
 
     def _on_heartbeat(self) -> None:
-        self._connections.broadcast(messages.KeepAlive(number=0))
+        self._connections.keep_alive()
         self._subscriber.tick()
         self.primary.keep_alive()
 
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -1,8 +1,8 @@
 """One loop on one thread (docs/design.md 2). It owns all tables; other threads only hand it commands.
 
 A step waits for sockets until the next timer is due, then calls back in this order: ready sockets, commands, timers
-that are due. Sockets come first, so that a process that was frozen reads what arrived meanwhile before its time-outs
-judge by the clock that their peers are silent.
+that are due, what was left to the end of the step. Sockets come first, so that a process that was frozen reads what
+arrived meanwhile before its time-outs judge by the clock that their peers are silent.
 
 An exception of a callback ends that callback alone: it goes to `on_fault`, and the loop runs on. This is the one place
 that catches everything.
@@ -49,6 +49,21 @@
         self.is_over = False
 
 
+class Repetition:
+    """A callback that is called again and again.
+
+    Attributes:
+        callback: What is called.
+        is_stopped: Whether it is called no more; its owner sets it.
+    """
+
+    __slots__ = ("callback", "is_stopped")
+
+    def __init__(self, callback: Callback) -> None:
+        self.callback = callback
+        self.is_stopped = False
+
+
 class Loop:
     """The event loop of a process; `ploverward.transport.interfaces.Loop` documents its methods.
 
@@ -64,6 +79,8 @@
         self._timers = sortedcontainers.SortedKeyList(key=lambda timer: (timer.when, timer.order))
         self._order = 0
         self._commands: collections.deque[Callback] = collections.deque()
+        self._repetitions: dict[float, list[Repetition]] = {}  # by interval in seconds
+        self._end_of_step: collections.deque[Callback] = collections.deque()
         self._wake_in, self._wake_out = os.pipe()
         os.set_blocking(self._wake_in, False)
         os.set_blocking(self._wake_out, False)
@@ -105,14 +122,37 @@
         """Has a callback called after so many seconds."""
         return self.at(when=self.now() + delay, callback=callback)
 
-    def every(self, *, interval_s: float, callback: Callback) -> None:
-        """Has a callback called again and again; the next call is set up first, as this one may raise."""
-
-        def tick() -> None:
-            self.after(delay=interval_s, callback=tick)
-            callback()
-
-        self.after(delay=interval_s, callback=tick)
+    def every(self, *, interval_s: float, callback: Callback) -> "Repetition":
+        """Has a callback called again and again, until its `Repetition` is stopped.
+
+        All calls with the same interval are made in the same turn: the first one comes after an interval at most.
+        """
+        repetition = Repetition(callback)
+        group = self._repetitions.get(interval_s)
+        if group is None:
+            group = self._repetitions[interval_s] = []
+            self._schedule_repetitions(interval_s)
+        group.append(repetition)
+        return repetition
+
+    def _schedule_repetitions(self, interval_s: float) -> None:
+        self.after(delay=interval_s, callback=lambda: self._repeat(interval_s))
+
+    def _repeat(self, interval_s: float) -> None:
+        group = self._repetitions[interval_s]
+        if any(repetition.is_stopped for repetition in group):
+            group = self._repetitions[interval_s] = [each for each in group if not each.is_stopped]
+        if not group:
+            del self._repetitions[interval_s]
+            return
+        self._schedule_repetitions(interval_s)
+        for repetition in list(group):
+            if not repetition.is_stopped:
+                self._guard(repetition.callback)
+
+    def at_end_of_step(self, *, callback: Callback) -> None:
+        """Has a callback called once all other calls of this step were made, before the loop waits again."""
+        self._end_of_step.append(callback)
 
     def cancel(self, *, timer: interfaces.Timer | None) -> None:
         """Takes a call back; does nothing where it was made already, or for None."""
@@ -147,7 +187,7 @@
     def step(self) -> None:
         """Waits for the next event and makes all calls that are due."""
         wait_s = MAX_WAIT_S
-        if self._commands:
+        if self._commands or self._end_of_step:
             wait_s = 0.0
         elif self._timers:
             wait_s = min(wait_s, max(0.0, self._timers[0].when - self.now()))
@@ -163,6 +203,8 @@
             timer = self._timers.pop(0)
             timer.is_over = True
             self._guard(timer.callback)
+        while self._end_of_step:
+            self._guard(self._end_of_step.popleft())
         if self.work is not None:
             self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
--- a/ploverward/transport/interfaces.py
+++ b/ploverward/transport/interfaces.py
@@ -54,7 +54,7 @@
     def after(self, *, delay: float, callback: Callback) -> Timer:
         """Has a callback called after so many seconds."""
 
-    def every(self, *, interval_s: float, callback: Callback) -> None:
+    def every(self, *, interval_s: float, callback: Callback) -> object:
         """Has a callback called again and again, also where one call raised."""
 
     def cancel(self, *, timer: Timer | None) -> None:
@@ -98,6 +98,9 @@
     def send(self, message: Message) -> None:
         """Sends a message; does nothing on a closed connection."""
 
+    def keep_alive(self) -> None:
+        """Shows the peer that this process runs, unless something was sent since the last call of this."""
+
     def send_bytes(self, data: bytes) -> None:
         """Sends complete frames that are packed already; does nothing on a closed connection."""
 
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -162,7 +162,9 @@
         configure_socket(sock=sock, peer_timeout_s=peer_timeout_s)
         self._mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if is_connecting else 0)
         loop.watch(sock=sock, mask=self._mask, callback=self._ready)
-        self._check = loop.after(delay=peer_timeout_s / 2, callback=self._check_peer_timeout)
+        self._check = loop.every(interval_s=peer_timeout_s / SILENCE_CHECKS, callback=self._check_peer_timeout)
+        self._has_sent = False  # anything since the last call of `keep_alive`
+        self._is_flush_due = False  # at the end of this step of the loop
 
     @property
     def is_open(self) -> bool:
@@ -182,8 +184,17 @@
         """Sends a message; does nothing on a closed connection."""
         self.send_bytes(frames.pack(message))
 
+    def keep_alive(self) -> None:
+        """Shows the peer that this process runs, unless something was sent since the last call of this."""
+        if not self._has_sent:
+            self.send(messages.KeepAlive(number=0))
+        self._has_sent = False
+
     def send_bytes(self, data: bytes) -> None:
-        """Sends complete frames that are packed already; does nothing on a closed connection."""
+        """Sends complete frames that are packed already; does nothing on a closed connection.
+
+        They go out at the end of the loop's step, together with all that it sends on this connection.
+        """
         if self.state is State.CLOSED:
             return
         if len(self._out) + len(data) > MAX_SEND_BUFFER_BYTES:
@@ -191,29 +202,32 @@
             return
         if self.loop.work is not None:
             self.loop.work.note_sent(data)
+        self._has_sent = True
         was_empty = not self._out
         self._out += data
-        if was_empty and self.state is State.UP:
+        if self.state is not State.UP:
+            return
+        if self._is_flush_due and len(self._out) > IO_BYTES:
             self._flush()
+        elif was_empty and not self._is_flush_due:
+            self._is_flush_due = True
+            self.loop.at_end_of_step(callback=self._flush)
 
     def close(self, *, reason: str = "") -> None:
         """Ends the connection; `on_end` is called with the reason before this returns."""
         if self.state is State.CLOSED:
             return
+        if self._is_flush_due:
+            self._write_pending()  # what was sent earlier in this step
         self.state = State.CLOSED
-        self.loop.cancel(timer=self._check)
+        self._check.is_stopped = True
         self.loop.unwatch(sock=self.sock)
         self.sock.close()
         self._on_end(self, reason)
 
     def _check_peer_timeout(self) -> None:
-        if self.state is State.CLOSED:
-            return
         if self.loop.now() - self.heard_at > self.peer_timeout_s:
             self.close(reason="silent")
-            return
-        delay_s = self.peer_timeout_s / SILENCE_CHECKS
-        self._check = self.loop.after(delay=delay_s, callback=self._check_peer_timeout)
 
     def _ready(self, mask: int) -> None:
         if self.state is State.CLOSED:
@@ -267,6 +281,17 @@
                 return
 
     def _flush(self) -> None:
+        self._is_flush_due = False
+        if self.state is State.CLOSED:
+            return
+        error = self._write_pending()
+        if error is not None:
+            self.close(reason=str(error))
+            return
+        self._update_mask()
+
+    def _write_pending(self) -> OSError | None:
+        """Writes what the socket takes now; returns the error that ends the connection, if there is one."""
         try:
             while self._out:
                 count = self.sock.send(memoryview(self._out)[:IO_BYTES])
@@ -274,9 +299,8 @@
         except BlockingIOError:
             pass
         except OSError as error:
-            self.close(reason=str(error))
-            return
-        self._update_mask()
+            return error
+        return None
 
     def _update_mask(self) -> None:
         wants_write = self._out or self.state is State.CONNECTING
