Roll-outs: times are compared with those of the former version's last moments

Both versions had been slow until the canary began; the former version's window of six seconds hid the new one's slowness, and then the load test began, whose times do not count. The median and the share of slow answers come from the last 1.5 s where the former version has 20 times there.

--- a/ploverward/control_plane/rollouts/judge.py
+++ b/ploverward/control_plane/rollouts/judge.py
@@ -51,6 +51,7 @@
 CLEAR_LOG_ODDS = 3.0  # that the version is good: what a bad one reaches about once in a thousand times
 MIN_JUDGED_ANSWERS = 8  # on one route, below which they need not speak for the version
 WINDOW_S = 6.0  # of the former version's answers
+RECENT_TIMES = 20  # of the former version in its last moments, from which on they alone are compared with
 RECENT_S = 1.5  # of them that count by themselves: what begins to fail for all versions is not the new one's fault
 
 
@@ -157,18 +158,37 @@
         tally: The new version's answers.
         former: The former version's answers, to compare with.
     """
-    slow_bucket = None
     if fault in TIME_FAULTS:
-        median = _median(_histogram(former.window, fault))
-        slow_bucket = None if median is None else median + SLOW_BUCKETS
-    sample = _sample(tally, fault, slow_bucket)
+        return _time_step(fault, tally=tally, former=former)
+    sample = _sample(tally, fault, None)
+    baseline = _sample(former.window, fault, None)
     if not sample.total:
         return NO_STEP
-    baseline = _sample(former.window, fault, slow_bucket)
     if fault is FaultKind.BROKEN and baseline.total < MIN_FORMER_ANSWERS:
         return NO_STEP  # time-outs and resets may have any cause: they count only if the former version has answers
-    recent = _sample(former.recent, fault, slow_bucket)
-    ordinary = max(ORDINARY_RATES[fault], _former_rate(baseline), _former_rate(recent))
+    recent = _sample(former.recent, fault, None)
+    return _judged(sample, ordinary=max(ORDINARY_RATES[fault], _former_rate(baseline), _former_rate(recent)))
+
+
+def _time_step(fault: FaultKind, *, tally: rollout_evidence.Tally, former: _Baseline) -> _Step:
+    """The same of times, which are compared with those of the last moments where the former version has enough.
+
+    A slowness of both versions that is over would hide that of the new one for as long as the window lasts.
+    """
+    is_recent_enough = sum(_histogram(former.recent, fault).values()) >= RECENT_TIMES
+    compared = former.recent if is_recent_enough else former.window
+    median = _median(_histogram(compared, fault))
+    if median is None:
+        return NO_STEP
+    sample = _sample(tally, fault, median + SLOW_BUCKETS)
+    if not sample.total:
+        return NO_STEP
+    baseline = _sample(compared, fault, median + SLOW_BUCKETS)
+    return _judged(sample, ordinary=max(ORDINARY_RATES[fault], _former_rate(baseline)))
+
+
+def _judged(sample: _Sample, *, ordinary: float) -> _Step:
+    """The step of a sample; nothing where so many answers of the former version are bad that nothing can be told."""
     if ordinary > MAX_ORDINARY_RATE:
         return NO_STEP
     return _Step(_log_likelihood_ratio(sample, ordinary=ordinary), answers=sample.total)
--- a/ploverward/control_plane/rollouts/test_judge.py
+++ b/ploverward/control_plane/rollouts/test_judge.py
@@ -176,3 +176,23 @@
         counted[rollout_samples.key(group=tick % 4)] = rollout_samples.tally(ended=3, failed=1)
         judge.record(now=tick * 0.4, counted=counted)
         assert judge.verdict is not judges.Verdict.BAD
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_slowness_of_both_versions_that_is_over_does_not_hide_that_of_the_new_one(seed):
+    """Seed 601859 of the simulation: for as long as the window lasted, slow answers were compared with slow ones."""
+    chance = random.Random(seed)
+    judge = judges.CanaryJudge()
+    for tick in range(20):
+        shift = 6 if tick < 12 else 0  # three buckets are a factor of two
+        former = rollout_evidence.Tally(ended=30)
+        for _answer in range(30):
+            former.firsts[8 + shift + chance.choice((-1, 0, 0, 1, 2))] += 1
+        counted = {rollout_samples.key(is_new=False): former}
+        for group in range(4) if tick >= 12 else ():  # the canary begins as it ends
+            new = rollout_evidence.Tally(ended=2)
+            for _answer in range(2):
+                new.firsts[8 + chance.choice((-1, 0, 0, 1, 2)) + chance.choice((0, 9))] += 1
+            counted[rollout_samples.key(group=group)] = new
+        judge.record(now=tick * 0.4, counted=counted)
+    assert judge.verdict is judges.Verdict.BAD
