Consensus: an attempt needs majorities of the newest value's sets, not of older ones too

A move's last round had been accepted by three of five, two of these were replaced for good, as the bounds allow. An attempt that heard the value of the first round before that of the last one needed a majority of the older set for good, whose members are gone. Required are the set known as chosen, the member sets of the highest value found, and the set written; the argument is in docs/set-moves.md 3. The list that only grew is gone.

--- a/ploverward/control_plane/consensus/next_value.py
+++ b/ploverward/control_plane/consensus/next_value.py
@@ -16,10 +16,10 @@
     """The value for phase 2 of this attempt.
 
     Args:
-        proposal: with `highest`, the value found, and `required_sets`, the set known as chosen first.
+        proposal: with `highest`, the value found, and `known_set`.
     """
     found = proposal.highest
-    members = chosen_set = proposal.required_sets[0]
+    members = chosen_set = proposal.known_set
     payload = None
     if found.value:
         members, payload = ballots.unpack(found.value)
--- a/ploverward/control_plane/consensus/proposal.py
+++ b/ploverward/control_plane/consensus/proposal.py
@@ -7,6 +7,7 @@
 
 from ploverward.common.identifiers import NO_BALLOT
 from ploverward.common.identifiers import Ballot
+from ploverward.control_plane.consensus import ballots
 from ploverward.control_plane.consensus.register_state import NO_VALUE
 from ploverward.control_plane.consensus.register_state import AcceptedValue
 
@@ -95,8 +96,11 @@
             expected.
         has_deferred: whether its quorum read has already let other nodes go first.
         ballot: of the attempt.
-        required_sets: of each of these sets the attempt needs a majority. The first is the one that was known as chosen
-            when the attempt began; the others are added as values are found under them, never removed.
+        known_set: the set that was known as chosen when the attempt began.
+        found_sets: the member sets of `highest`. Those of an older value are not needed once a newer one is found: it
+            builds on all that was chosen before it (docs/set-moves.md 3).
+        written_set: the set under which the attempt writes, in and after `Stage.ACCEPT`; () before.
+        asked: members that were sent a prepare.
         known_revision: the revision of the chosen value that this node knew when the attempt began.
         known_value: the value on this node's own disk; replies leave that value out.
         read_replies: member to its accepted value, of a quorum read.
@@ -121,7 +125,10 @@
     yields_until: float | None = None
     has_deferred: bool = False
     ballot: Ballot = NO_BALLOT
-    required_sets: list[tuple[str, ...]] = dataclasses.field(default_factory=list)
+    known_set: tuple[str, ...] = ()
+    found_sets: tuple[tuple[str, ...], ...] = ()
+    written_set: tuple[str, ...] = ()
+    asked: set[str] = dataclasses.field(default_factory=set)
     known_revision: int = 0
     known_value: AcceptedValue = NO_VALUE
     read_replies: dict[str, AcceptedValue] = dataclasses.field(default_factory=dict)
@@ -131,6 +138,16 @@
     next_value: NextValue | None = None
     move_outcome: Outcome | None = None
 
+    @property
+    def required_sets(self) -> list[tuple[str, ...]]:
+        """The sets of each of which the attempt needs a majority."""
+        sets = [self.known_set, *self.found_sets]
+        return [*sets, self.written_set] if self.written_set else sets
+
+    def is_majority(self, among: collections.abc.Collection[str]) -> bool:
+        """Whether these members are a majority of each required set."""
+        return all(ballots.has_majority(of=members, among=among) for members in self.required_sets)
+
     @property
     def is_read(self) -> bool:
         """Whether a quorum read may answer it."""
@@ -157,14 +174,17 @@
         """Resets what belongs to one attempt, for a quorum read of these members."""
         self.stage = Stage.QUORUM_READ
         self.read_replies = {}
-        self.required_sets = [members]
+        self.known_set = members
         self.known_revision = known_revision
 
     def begin_attempt(self, *, ballot: Ballot, members: tuple[str, ...], known_revision: int) -> None:
         """Resets what belongs to one attempt, for phase 1 under this ballot."""
         self.stage = Stage.PREPARE
         self.ballot = ballot
-        self.required_sets = [members]
+        self.known_set = members
+        self.found_sets = ()
+        self.written_set = ()
+        self.asked = set()
         self.known_revision = known_revision
         self.read_replies = {}
         self.promises = {}
--- a/ploverward/control_plane/consensus/proposer.py
+++ b/ploverward/control_plane/consensus/proposer.py
@@ -298,7 +298,7 @@
         proposal.read_replies[member] = proposal.fill_in(accepted)
         verdict, chosen = quorum_read.evaluate(
             replies=proposal.read_replies,
-            members=proposal.required_sets[0],
+            members=proposal.known_set,
             known_revision=proposal.known_revision,
         )
         if verdict is quorum_read.Verdict.EMPTY:
@@ -387,13 +387,16 @@
             members=members,
             known_revision=self.known_sets.revision(name),
         )
-        for member in members:
-            self._send_prepare(proposal, member)
+        self._ask(proposal, members)
         self._later(self.pacing.timeout_s(), lambda: self._expire(proposal, number))
 
-    def _send_prepare(self, proposal: Proposal, member: str) -> None:
+    def _ask(self, proposal: Proposal, members: tuple[str, ...]) -> None:
+        """Sends a prepare to those of these members that were sent none yet."""
         known = proposal.known_value.ballot
-        self._send(member, messages.Prepare(proposal.number, proposal.register, proposal.ballot, known))
+        for member in members:
+            if member not in proposal.asked:
+                proposal.asked.add(member)
+                self._send(member, messages.Prepare(proposal.number, proposal.register, proposal.ballot, known))
 
     def _expire(self, proposal: Proposal, number: int) -> None:
         if proposal.number == number and proposal.stage in (Stage.PREPARE, Stage.ACCEPT):
@@ -449,20 +452,12 @@
         if reply.accepted > proposal.highest.ballot:
             found = AcceptedValue(reply.accepted, reply.revision, reply.value)
             proposal.highest = proposal.fill_in(found)
-            for members in ballots.member_sets(proposal.highest.value):
-                self._require_set(proposal, members)
-        if all(ballots.has_majority(of=members, among=proposal.promises) for members in proposal.required_sets):
+            proposal.found_sets = ballots.member_sets(proposal.highest.value)
+            for members in proposal.found_sets:
+                self._ask(proposal, members)
+        if proposal.is_majority(proposal.promises):
             self._accept(proposal)
 
-    def _require_set(self, proposal: Proposal, members: tuple[str, ...]) -> None:
-        """A majority of these members is needed too; those that were not sent a prepare yet are sent one."""
-        if members in proposal.required_sets:
-            return
-        for member in members:
-            if member not in proposal.promises and all(member not in known for known in proposal.required_sets):
-                self._send_prepare(proposal, member)
-        proposal.required_sets.append(members)
-
     # Phase 2.
     def _accept(self, proposal: Proposal) -> None:
         proposal.next_value = chosen = next_value.choose(proposal)
@@ -470,7 +465,8 @@
             self._finish(proposal, chosen.outcome)
             return
         proposal.stage = Stage.ACCEPT
-        self._require_set(proposal, chosen.members)
+        proposal.written_set = chosen.members
+        self._ask(proposal, chosen.members)
         for member in list(proposal.promises):
             self._send_accept(proposal, member)
 
@@ -501,7 +497,7 @@
         if reply.ballot != proposal.ballot:
             return  # a reply to an earlier process of this node, whose attempts had the same numbers
         proposal.accepts.add(member)
-        if all(ballots.has_majority(of=members, among=proposal.accepts) for members in proposal.required_sets):
+        if proposal.is_majority(proposal.accepts):
             self._handle_chosen(proposal)
 
     def _handle_chosen(self, proposal: Proposal) -> None:
