Core node: a start does not load pydantic; parsers of frames are made with the first frame

After all lost power a core node's start is in the way of all else: 0.26 s of a core here with compiled files, of which pydantic, the configuration's schema and the bodies of calls are 0.05. Bodies of roll-out orders, adds and retirements are modules of their own, loaded with the first such call, as is the schema.

--- a/ploverward/control_plane/configuration/orders.py
+++ b/ploverward/control_plane/configuration/orders.py
@@ -15,7 +15,6 @@
 from ploverward.common import errors
 from ploverward.control_plane.configuration import parser
 from ploverward.control_plane.configuration import patch
-from ploverward.control_plane.configuration import schema
 from ploverward.control_plane.configuration.register_payloads import Edit
 from ploverward.control_plane.configuration.register_payloads import Payload
 
@@ -110,6 +109,8 @@
 
 
 def _checked_candidate(*, base: int, body: dict[str, typing.Any]) -> Candidate:
+    from ploverward.control_plane.configuration import schema  # a start does not wait for pydantic
+
     edition = schema.check(body=body).edition
     return Candidate(base=base, edition=edition, body=body)
 
--- a/ploverward/control_plane/operator_api/retire_handlers.py
+++ b/ploverward/control_plane/operator_api/retire_handlers.py
@@ -3,8 +3,6 @@
 import http
 import typing
 
-import pydantic
-
 from ploverward.common import errors
 from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import store_directory
@@ -27,12 +25,6 @@
     condition: str
 
 
-class _RetireOrder(pydantic.BaseModel):
-    """The body of an order."""
-
-    over_s: typing.Annotated[float, pydantic.Field(alias="overS", ge=0, allow_inf_nan=False)] = 0.0
-
-
 class RetireHandlers:
     """Has stores emptied.
 
@@ -59,8 +51,12 @@
 
     def handle_post(self, call: Call, node: str) -> None:
         """Has a store emptied."""
+        import pydantic  # a start does not wait for it
+
+        from ploverward.control_plane.operator_api import call_bodies
+
         try:
-            _RetireOrder.model_validate_json(call.body or b"{}")
+            call_bodies.RetireOrder.model_validate_json(call.body or b"{}")
         except pydantic.ValidationError as error:
             text = error.errors(include_url=False)[0]["msg"]
             call_lifecycle.answer_field_error(call, errors.InvalidConfigurationError(text, field_path="overS"))
--- a/ploverward/control_plane/operator_api/tally_handlers.py
+++ b/ploverward/control_plane/operator_api/tally_handlers.py
@@ -5,8 +5,6 @@
 import json
 import typing
 
-import pydantic
-
 from ploverward.common import errors
 from ploverward.control_plane.operator_api.dependencies import Json
 from ploverward.control_plane.operator_api.router import Call
@@ -16,7 +14,6 @@
 from ploverward.transport import messages
 
 MAX_NAME_BYTES = 128  # of a tally's name, and of an id
-MAX_AMOUNT = 2**53 - 1  # the largest whole number that every JSON reader keeps
 
 
 class AddBody(typing.TypedDict):
@@ -41,15 +38,6 @@
     peers: dict[str, Json]
 
 
-class _AddOrder(pydantic.BaseModel):
-    """The body of an add. `actor` is the operators' word for its amount."""
-
-    model_config = pydantic.ConfigDict(strict=True)
-
-    id: str
-    actor: typing.Annotated[int, pydantic.Field(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
-
-
 class TallyHandlers:
     """Adds and reads.
 
@@ -128,8 +116,12 @@
     Raises:
         InvalidArgumentError: It is malformed; the text says how.
     """
+    import pydantic  # a start does not wait for it
+
+    from ploverward.control_plane.operator_api import call_bodies
+
     try:
-        order = _AddOrder.model_validate(json.loads(body))
+        order = call_bodies.AddOrder.model_validate(json.loads(body))
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False, include_context=False, include_input=False)[0]
         place = ".".join(str(part) for part in first["loc"]) or "body"
--- a/ploverward/control_plane/rollouts/orders.py
+++ b/ploverward/control_plane/rollouts/orders.py
@@ -10,16 +10,10 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-import pydantic
-
 from ploverward.common import errors
 from ploverward.control_plane.configuration import parser
-from ploverward.control_plane.configuration import schema
 from ploverward.control_plane.rollouts import state
 
-MAX_NAME_LENGTH = 200  # characters
-MAX_DURATION_S = 30 * 86400.0
-
 
 class OrderOutcome(enum.StrEnum):
     """The result of an order."""
@@ -31,16 +25,6 @@
 Edit = Callable[[state.Payload], tuple[state.Payload, OrderOutcome | None]]
 
 
-class _Body(pydantic.BaseModel):
-    """The body of an order, with the protocol's names."""
-
-    model_config = pydantic.ConfigDict(extra="allow", strict=True)
-
-    destination: str = pydantic.Field(min_length=1, max_length=MAX_NAME_LENGTH)
-    target_edition: str = pydantic.Field(alias="targetEdition", min_length=1, max_length=MAX_NAME_LENGTH)
-    over_s: float = pydantic.Field(alias="overS", gt=0, le=MAX_DURATION_S)
-
-
 @dataclasses.dataclass(frozen=True)
 class Order:
     """Move the traffic of `service` to replicas of version `target` within `over_s` seconds."""
@@ -56,7 +40,10 @@
     Raises:
         InvalidConfigurationError: The body is no order; the error names the field.
     """
-    checked = schema.validated(_Body, parser.read_json(data=data))
+    from ploverward.control_plane.configuration import schema  # a start does not wait for pydantic
+    from ploverward.control_plane.rollouts import order_body
+
+    checked = schema.validated(order_body.OrderBody, parser.read_json(data=data))
     return Order(service=checked.destination, target=checked.target_edition, over_s=checked.over_s)
 
 
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -265,10 +265,18 @@
         self.number = number
         self.fields = fields
         self.is_flat = not any(isinstance(field, Inline | Rows | JsonRows) for field in fields)
-        self.encodings = _encodings(fields)
-        self.parser = construct.Sequence(*self.encodings, construct.Terminated)
         self._parsed = 0  # frames of the kind
 
+    @functools.cached_property
+    def encodings(self) -> list[Any]:
+        """The encodings of all fields. Made with the first frame: a process sends and receives a third of all kinds."""
+        return _encodings(self.fields)
+
+    @functools.cached_property
+    def parser(self) -> construct.Construct:
+        """Parses a body, and decides whether it is malformed."""
+        return construct.Sequence(*self.encodings, construct.Terminated)
+
     @functools.cached_property
     def compiled_parser(self) -> construct.Construct:
         """Takes a third to half of the time of `parser`, and 1 to 3 ms once."""
