--- a/ploverward/command_line/simulate.py
+++ b/ploverward/command_line/simulate.py
@@ -11,6 +11,7 @@
 from ploverward.command_line import options
 from ploverward.command_line import output
 from ploverward.common import errors
+from ploverward.simulation import state_digest
 from ploverward.simulation.control_plane import faults
 from ploverward.simulation.control_plane import mutants
 from ploverward.simulation.control_plane import scenario
@@ -19,6 +20,15 @@
 HASH_SEED = "0"
 MAX_REPORTED_SEEDS = 20  # broken seeds that are printed with their findings
 MAX_SHORTENED_SEEDS = 3  # broken seeds that are shortened; each takes a minute or two
+PLAYED = (
+    "common",
+    "control_plane",
+    "data_plane/control_client",
+    "data_plane/quotas",
+    "simulation/control_plane",
+    "testing/seeded_process.py",
+    "transport",
+)
 CHUNK_RUNS = 4  # runs handed to a process at a time
 
 
@@ -32,9 +42,13 @@
         from ploverward.command_line import simulate_rollouts
 
         simulate_rollouts.refuse_other_flags([name for name in flags if flags[name].present])
+        if flags.planted:
+            return simulate_rollouts.run_planted(jobs=flags.jobs, out=print)
         if flags.history >= 0:
             return simulate_rollouts.show(seed=flags.history, out=print)
         return simulate_rollouts.run(first=flags.first, seeds=flags.seeds, jobs=flags.jobs, out=print)
+    if flags.state:
+        print(f"state {state_digest.digest(PLAYED)}")
     if flags.planted:
         return run_planted(jobs=flags.jobs, out=print)
     has_history = flags.history >= 0
--- a/ploverward/command_line/simulate_rollouts.py
+++ b/ploverward/command_line/simulate_rollouts.py
@@ -11,12 +11,13 @@
 from ploverward.control_plane.rollouts import state
 from ploverward.simulation import needless_faults
 from ploverward.simulation import rollout_checks
+from ploverward.simulation import rollout_mutants
 from ploverward.simulation import rollout_simulation
 from ploverward.simulation import state_digest
 
 MAX_REPORTED_SEEDS = 20  # broken seeds that are printed with their first finding
 MAX_SHORTENED_SEEDS = 3  # broken seeds that are played again without some of their faults
-OTHER_WORLD_FLAGS = ("machines", "tolerate", "troubles", "tallies", "planted")
+OTHER_WORLD_FLAGS = ("machines", "tolerate", "troubles", "tallies", "state")
 PLAYED = (
     "common",
     "control_plane/rollouts",
@@ -65,6 +66,19 @@
     return exit_codes.ExitCode.BROKEN if report.findings else exit_codes.ExitCode.WELL
 
 
+def run_planted(*, jobs: int, out: output.Out) -> int:
+    """Plays each mutant until its check finds it; `BROKEN` where one is not found."""
+    missed = 0
+    names = list(rollout_mutants.MUTANTS)
+    with concurrent.futures.ProcessPoolExecutor(max_workers=max(1, jobs), initializer=_disable_logs) as pool:
+        for name, seed in zip(names, pool.map(rollout_mutants.search, names), strict=True):
+            missed += seed is None
+            found = f"NOT FOUND in {rollout_mutants.MAX_SEEDS} days" if seed is None else f"found with seed {seed}"
+            out(f"{name}: {found}: {rollout_mutants.MUTANTS[name].check}")
+    out(f"{len(names) - missed} of {len(names)} planted faults were found")
+    return exit_codes.ExitCode.BROKEN if missed else exit_codes.ExitCode.WELL
+
+
 def _needed_faults(report: rollout_checks.Report) -> tuple[str, ...]:
     """The faults without which the run does not break its first check; others are left out one by one."""
 
--- a/ploverward/command_line/test_simulate.py
+++ b/ploverward/command_line/test_simulate.py
@@ -9,6 +9,7 @@
 from ploverward.command_line import simulate_rollouts
 from ploverward.common import errors
 from ploverward.simulation import rollout_checks
+from ploverward.simulation import state_digest
 
 
 def test_the_program_starts_anew_as_it_was_called_where_strings_hash_by_chance(monkeypatch):
@@ -53,3 +54,30 @@
 
     monkeypatch.setattr(simulate_rollouts.rollout_simulation, "run_simulation", play)
     assert simulate_rollouts._needed_faults(play(7)) == ("kill_all",)
+
+
+def test_a_planted_fault_of_the_rollouts_that_is_missed_is_told(monkeypatch):
+    class InThisProcess:
+        def __init__(self, **_about):
+            pass
+
+        def __enter__(self):
+            return self
+
+        def __exit__(self, *_about):
+            pass
+
+        map = staticmethod(map)
+
+    monkeypatch.setattr(simulate_rollouts.concurrent.futures, "ProcessPoolExecutor", InThisProcess)
+    monkeypatch.setattr(
+        simulate_rollouts.rollout_mutants, "search", lambda name: 4 if name == "leases without end" else None
+    )
+    lines = []
+    assert simulate_rollouts.run_planted(jobs=1, out=lines.append) == exit_codes.ExitCode.BROKEN
+    assert lines[0] == "leases without end: found with seed 4: lease"
+    assert "NOT FOUND" in lines[1] and lines[-1].startswith("1 of ")
+
+
+def test_the_state_of_the_control_plane_is_a_digest_of_modules_that_exist():
+    assert len(state_digest.digest(simulate.PLAYED)) == 2 * state_digest.DIGEST_BYTES
--- a/ploverward/command_line/verb_help.py
+++ b/ploverward/command_line/verb_help.py
@@ -247,6 +247,7 @@
             "--tallies": "applications use tallies, and there are long partitions",
             "--jobs N": "processes that play at the same time",
             "--history SEED": "prints all that happens in the run of this seed",
+            "--state": "prints a digest of the modules that are played (the roll-outs' line has it always)",
             "--planted": "shows that the checks find each planted fault",
         },
         example="python3 -m ploverward simulate --seeds 1000 --jobs 8",
