Simulated stores: callers and faults take what the scene holds; constants say what they are

Cause: `batch_run`, `store_callers` and `store_faults` imported each other since they came apart, and three constants told whether they had been measured or guessed. Change: `StoreScene` holds the run's stores, clock, network and model; the parts take it and the plan's values. Rates in `scoring.py` have their unit in their names.

--- a/ploverward/control_plane/tallies/tally_service.py
+++ b/ploverward/control_plane/tallies/tally_service.py
@@ -37,7 +37,7 @@
 MIN_MEMORY_MB = 64.0
 BYTES_PER_MB = 1024 * 1024
 ADD_DISK_BYTES = 80  # some 30 bytes, beside the next version of the file
-ADD_MEMORY_BYTES = 420  # 370 to 390 were measured (docs/CAPACITY.md)
+ADD_MEMORY_BYTES = 420  # of one id with its amount (docs/CAPACITY.md, "Tallies")
 READ_WAIT_SHARE = 0.6  # of the peer time-out: how long a read waits for the merge, less than its caller does
 KEPT_SHARE = 1 / 8  # of the limit: so many ids are kept before old ones are folded
 
--- a/ploverward/data_plane/load_balancing/scoring.py
+++ b/ploverward/data_plane/load_balancing/scoring.py
@@ -32,8 +32,8 @@
     from ploverward.data_plane.load_balancing import network_latency
     from ploverward.data_plane.load_balancing import replica as replicas
 
-FIRST_RATE = 20.0  # tokens prefilled in a millisecond, before anything was measured; our estimate
-RATE_FADE = 0.99  # of the measured rate, with each measurement: it is the maximum of the quicker answers
+FIRST_TOKENS_PER_MS = 20.0  # of prefill, until an answer has shown how fast replicas are
+RATE_KEPT_SHARE = 0.99  # of the known rate, at each answer: it is the maximum of the quicker ones
 MIN_MEASURED_TOKENS = 500  # with fewer tokens the network dominates the measured time
 CROSSINGS_IN_CONTACT = 50  # contactMs over this is the price of a crossing between regions
 CONTENTION_WEIGHT = 4.0
@@ -69,12 +69,12 @@
 
     def of(self, service: str) -> float:
         """Returns the rate of a service, in tokens a millisecond."""
-        return self.by_service.get(service, FIRST_RATE)
+        return self.by_service.get(service, FIRST_TOKENS_PER_MS)
 
     def record(self, *, service: str, tokens: int, took_s: float) -> None:
         """Records the seconds to a first event from when it was possible: a decaying maximum."""
         if took_s > 0 and tokens >= MIN_MEASURED_TOKENS:
-            self.by_service[service] = max(tokens / (took_s * 1000.0), self.of(service) * RATE_FADE)
+            self.by_service[service] = max(tokens / (took_s * 1000.0), self.of(service) * RATE_KEPT_SHARE)
 
 
 class Scorer:
--- a/ploverward/data_plane/load_balancing/test_scoring.py
+++ b/ploverward/data_plane/load_balancing/test_scoring.py
@@ -72,8 +72,8 @@
     rates = scoring.PrefillRates()
     rates.record(service="llm", tokens=scoring.MIN_MEASURED_TOKENS - 1, took_s=0.001)
     rates.record(service="llm", tokens=5000, took_s=0.0)
-    assert rates.of("llm") == scoring.FIRST_RATE
+    assert rates.of("llm") == scoring.FIRST_TOKENS_PER_MS
     rates.record(service="llm", tokens=5000, took_s=0.1)
-    assert rates.of("llm") == 50.0 and rates.of("other") == scoring.FIRST_RATE
+    assert rates.of("llm") == 50.0 and rates.of("other") == scoring.FIRST_TOKENS_PER_MS
     rates.record(service="llm", tokens=5000, took_s=1.0)
     assert rates.of("llm") == pytest.approx(49.5)
--- a/ploverward/data_plane/upstream/upstream_connection.py
+++ b/ploverward/data_plane/upstream/upstream_connection.py
@@ -37,7 +37,7 @@
 
 UNCHECKED_IDLE_S = 0.25  # a connection that was idle for longer is checked before it is used, by a system call
 KEEP_ALIVE_SHARE = 0.85  # of the idle time that a replica states: the remainder is for a request in flight
-DEFAULT_KEEP_ALIVE_S = 4.0  # where it states none: a guess, below what servers commonly have
+DEFAULT_KEEP_ALIVE_S = 4.0  # where it states none; servers commonly have more
 IO_BYTES = 131072  # read or written in one system call
 HOP_BY_HOP_HEADERS = frozenset(
     (
--- a/ploverward/simulation/batch/batch_run.py
+++ b/ploverward/simulation/batch/batch_run.py
@@ -90,10 +90,24 @@
             for number in range(plan.stores)
         }
         self._faults_until = FAULTS_FROM_S + plan.length_s
+        played = scene.StoreScene(
+            clock=self.clock,
+            chance=self.chance,
+            network=self.network,
+            stores=self.stores,
+            model=self.model,
+            rows=lambda: self.rows,
+            record=self.record,
+        )
         self.faults = store_faults.StoreFaults(
-            run=self, pause_s=fault_s, until=self._faults_until, publish=self._publish
+            played=played,
+            kinds=plan.kinds,
+            skipped=plan.skipped_faults,
+            pause_s=fault_s,
+            until=self._faults_until,
+            publish=self._publish,
         )
-        self._callers = store_callers.StoreCallers(run=self, until=self._faults_until)
+        self._callers = store_callers.StoreCallers(played=played, until=self._faults_until)
 
     @property
     def findings(self) -> list[str]:
--- a/ploverward/simulation/batch/store_callers.py
+++ b/ploverward/simulation/batch/store_callers.py
@@ -11,7 +11,6 @@
 import typing
 from collections.abc import Callable
 
-from ploverward.common import batch_partitions
 from ploverward.simulation.batch import job_model
 from ploverward.simulation.batch import scene
 from ploverward.simulation.batch import simulated_store
@@ -19,9 +18,6 @@
 from ploverward.transport.batch_messages import Condition
 from ploverward.transport.batch_messages import Outcome
 
-if typing.TYPE_CHECKING:
-    from ploverward.simulation.batch import batch_run
-
 CALL_S = 0.025  # between two calls of clients, on average
 DUE_MS = 1000
 RESUBMISSION_S = 3.0
@@ -51,16 +47,16 @@
     """The callers of one run.
 
     Args:
-        run: The run.
+        played: The run's stores, clock and model.
         until: When new jobs end, by the simulated time in seconds.
     """
 
-    def __init__(self, *, run: batch_run.BatchRun, until: float) -> None:
-        self._clock = run.clock
-        self._chance = run.chance
-        self._stores = run.stores
-        self._model = run.model
-        self._owners = lambda: batch_partitions.owners_of(partition=scene.NUMBER, roles=run.rows)
+    def __init__(self, *, played: scene.StoreScene, until: float) -> None:
+        self._scene = played
+        self._clock = played.clock
+        self._chance = played.chance
+        self._stores = played.stores
+        self._model = played.model
         self._until = until
         self._next_number = 0
         self._jobs = 0
@@ -84,7 +80,7 @@
 
     def _some_store(self) -> simulated_store.SimulatedStore:
         """The primary as the register has it, or any store: proxies may know an older arrangement."""
-        primary = self._owners().primary
+        primary = self._scene.owners.primary
         if primary and self._chance.random() < 0.6:
             return self._stores[primary]
         return self._chance.choice(list(self._stores.values()))
--- a/ploverward/simulation/batch/store_faults.py
+++ b/ploverward/simulation/batch/store_faults.py
@@ -6,16 +6,11 @@
 
 from __future__ import annotations
 
-import typing
 from collections.abc import Callable
 
-from ploverward.common import batch_partitions
 from ploverward.simulation.batch import scene
 from ploverward.simulation.batch import simulated_store
 
-if typing.TYPE_CHECKING:
-    from ploverward.simulation.batch import batch_run
-
 CATCH_UP_S = 6.0
 FAULT_KINDS = (
     "kill",
@@ -40,7 +35,9 @@
     """The faults of one run.
 
     Args:
-        run: The run.
+        played: The run's stores, clock and network.
+        kinds: Those that are drawn.
+        skipped: Numbers of faults that are drawn and not begun.
         pause_s: Between two faults, on average.
         until: When there are no further ones, by the simulated time in seconds.
         publish: Sends a store the newest arrangement.
@@ -53,21 +50,23 @@
     def __init__(
         self,
         *,
-        run: batch_run.BatchRun,
+        played: scene.StoreScene,
+        kinds: tuple[str, ...],
+        skipped: frozenset[int],
         pause_s: float,
         until: float,
         publish: Callable[[simulated_store.SimulatedStore], None],
     ) -> None:
         self.coordinator_down_until = 0.0
         self.drawn = 0
-        self._skipped = run.plan.skipped_faults
-        self._record = run.record
-        self._clock = run.clock
-        self._chance = run.chance
-        self._network = run.network
-        self._stores = run.stores
-        self._kinds = run.plan.kinds
-        self._owners = lambda: batch_partitions.owners_of(partition=scene.NUMBER, roles=run.rows)
+        self._scene = played
+        self._skipped = skipped
+        self._record = played.record
+        self._clock = played.clock
+        self._chance = played.chance
+        self._network = played.network
+        self._stores = played.stores
+        self._kinds = kinds
         self._pause_s = pause_s
         self._until = until
         self._publish = publish
@@ -130,7 +129,7 @@
 
     def _wipe_two(self, _store: simulated_store.SimulatedStore, span: float) -> None:
         """Two disks of one partition go; sometimes all other machines lose power in that moment."""
-        members = list(self._owners().stores)
+        members = list(self._scene.owners.stores)
         chosen = self._chance.sample(members, min(2, len(members)))
         if self._lost_machines() - set(chosen) or len(chosen) < scene.COPIES - 1:
             return
