Settings that are read again stand once; names of connections by the field's terms

Cause: the proxy, the store and the core node each had their own reading of the settings at SIGHUP; `Peer.link` and `Dialer` are words of the former house style. `Peer.connection`, `ConnectorFactory`. No behaviour changes but one: the proxy also looks for missing connectors where the file was rejected, which does nothing.

--- a/ploverward/control_plane/cluster/core_set_reconciler.py
+++ b/ploverward/control_plane/cluster/core_set_reconciler.py
@@ -78,11 +78,11 @@
         """
         now = self._now()
         return sorted(
-            (peer.link.opened_at, peer.address)
+            (peer.connection.opened_at, peer.address)
             for peer in self._sessions.cores()
             if peer.address not in members
             and not peer.is_draining
-            and now - peer.link.opened_at > self._peer_timeout_s * LOST_TIMEOUTS
+            and now - peer.connection.opened_at > self._peer_timeout_s * LOST_TIMEOUTS
             and self._lease.has_reply_within(member=peer.address, span_s=self._peer_timeout_s)
         )
 
--- a/ploverward/control_plane/cluster/node_shutdown.py
+++ b/ploverward/control_plane/cluster/node_shutdown.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
+from ploverward.common import reloadable_settings
 from ploverward.control_plane import core_timing
-from ploverward.control_plane import node_runtime
 from ploverward.control_plane import node_status
 from ploverward.control_plane.cluster import coordinator as coordinators
 from ploverward.control_plane.cluster import core_membership
@@ -51,7 +51,7 @@
         own: str,
         loop: interfaces.Loop,
         timing: core_timing.CoreTiming,
-        settings: node_runtime.ReloadableSettings,
+        settings: reloadable_settings.ReloadableSettings,
         status: node_status.NodeStatus,
         sessions: peer_sessions.PeerSessions,
         membership: core_membership.CoreMembership,
--- a/ploverward/control_plane/cluster/peer_sessions.py
+++ b/ploverward/control_plane/cluster/peer_sessions.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 
+from ploverward.common import reloadable_settings
 from ploverward.control_plane import node_runtime
 from ploverward.control_plane import node_status
 from ploverward.transport import event_loop
@@ -38,7 +39,7 @@
     """What this core node knows of one proxy or core node while its connection is open.
 
     Attributes:
-        link: The connection.
+        connection: The connection.
         role: What kind of node it is.
         address: IP address of the node.
         zone: Zone of the node.
@@ -49,7 +50,7 @@
         is_draining: Whether the node reported that it is shutting down.
     """
 
-    link: interfaces.Connection
+    connection: interfaces.Connection
     role: NodeRole
     address: str
     zone: str
@@ -85,7 +86,7 @@
         *,
         runtime: node_runtime.NodeRuntime,
         loop: event_loop.Loop,
-        settings: node_runtime.ReloadableSettings,
+        settings: reloadable_settings.ReloadableSettings,
         status: node_status.NodeStatus,
         incarnation: str,
         peer_timeout_s: float,
@@ -163,7 +164,7 @@
                 older.close(reason="a newer link of the same node")
         former = self._peers.get(connection)
         peer = Peer(
-            link=connection,
+            connection=connection,
             role=NodeRole(message.role),
             address=message.address,
             zone=message.zone,
--- a/ploverward/control_plane/cluster/store_directory.py
+++ b/ploverward/control_plane/cluster/store_directory.py
@@ -74,7 +74,7 @@
 
     def handle_report(self, connection: interfaces.Connection, message: batch_messages.CopyReport) -> None:
         """A primary says what is to change."""
-        address = next((peer.address for peer in self._sessions.stores() if peer.link is connection), "")
+        address = next((peer.address for peer in self._sessions.stores() if peer.connection is connection), "")
         self._reports[message.partition] = _Report(address, self._now(), message)
         self._on_change()
 
@@ -89,7 +89,7 @@
         """Brings `known` up to date; returns the addresses of the connected stores."""
         connected = set()
         for peer in self._sessions.stores():
-            identity = self._identities.get(peer.link)
+            identity = self._identities.get(peer.connection)
             if identity is not None:
                 connected.add(peer.address)
                 self.known[peer.address] = KnownStore(peer.zone, identity, self._now())
--- a/ploverward/control_plane/cluster/test_peer_sessions.py
+++ b/ploverward/control_plane/cluster/test_peer_sessions.py
@@ -112,7 +112,7 @@
     older = node.accept(role="proxy", address=OTHER)
     newer = node.accept(role="proxy", address=OTHER)
     assert [connection for connection, _peer in node.ended] == [older]
-    assert [peer.link for peer in node.sessions.proxies(is_listed=False)] == [newer]
+    assert [peer.connection for peer in node.sessions.proxies(is_listed=False)] == [newer]
     assert node.sessions.proxy_count == 1
 
 
--- a/ploverward/control_plane/cluster/topic_exchange.py
+++ b/ploverward/control_plane/cluster/topic_exchange.py
@@ -70,7 +70,7 @@
 
     def handle_joined(self, peer: peer_sessions.Peer) -> None:
         """Announces all topics to a node that connected."""
-        self._publisher.join(peer.link)
+        self._publisher.join(peer.connection)
 
     def handle_ended(self, connection: interfaces.Connection, peer: peer_sessions.Peer | None) -> None:
         """Forgets a connection. Orders no longer wait for a proxy that disconnected."""
--- a/ploverward/control_plane/core_node.py
+++ b/ploverward/control_plane/core_node.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable
 
+from ploverward.common import reloadable_settings
 from ploverward.common import settings as node_settings
 from ploverward.common.identifiers import Version
 from ploverward.control_plane import core_timing
@@ -81,7 +82,9 @@
 
     def __init__(self, *, settings: node_settings.Settings, runtime: node_runtime.NodeRuntime | None = None) -> None:
         self.runtime = runtime if runtime is not None else node_runtime.NodeRuntime()
-        self.settings = node_runtime.ReloadableSettings(runtime=self.runtime, initial=settings)
+        self.settings = reloadable_settings.ReloadableSettings(
+            initial=settings, load=self.runtime.load_settings, file_watch=self.runtime.file_watch()
+        )
         self.own = settings.ip
         self.incarnation = self.runtime.unique_id()
         self.loop = self.runtime.loop(on_fault=lambda error: _log.error("step_failed", exc_info=error))
@@ -445,9 +448,9 @@
 
     def _on_heartbeat_interval(self) -> None:
         for peer in self.sessions.peers():
-            peer.link.keep_alive()
+            peer.connection.keep_alive()
             if peer.role is peer_sessions.NodeRole.PROXY and not peer.is_ready:
-                self.topics.send_minimum_versions(peer.link)
+                self.topics.send_minimum_versions(peer.connection)
         self.heartbeats.send()
         self._interval_count += 1
         if self._interval_count % INTERVALS_PER_SETTINGS_CHECK == 0:
@@ -465,8 +468,8 @@
         if peer.role is not peer_sessions.NodeRole.UNKNOWN:
             self.topics.handle_joined(peer)
         if peer.role is peer_sessions.NodeRole.PROXY:
-            self.sessions.send_handshake(peer.link)
-            self.topics.send_minimum_versions(peer.link)
+            self.sessions.send_handshake(peer.connection)
+            self.topics.send_minimum_versions(peer.connection)
 
     def _on_core_dialed(self) -> None:
         self.tallies.handle_dialed()
--- a/ploverward/control_plane/node_runtime.py
+++ b/ploverward/control_plane/node_runtime.py
@@ -14,7 +14,6 @@
 from collections.abc import Callable
 from collections.abc import Collection
 
-from ploverward.common import errors
 from ploverward.common import settings
 from ploverward.control_plane.consensus import disk
 from ploverward.control_plane.discovery import endpoint_list_poller
@@ -146,32 +145,3 @@
         """Calls these on the loop at SIGTERM and SIGHUP. The signal handlers themselves only queue them."""
         signal.signal(signal.SIGTERM, lambda *_: loop.command(callback=on_terminate))
         signal.signal(signal.SIGHUP, lambda *_: loop.command(callback=on_reread))
-
-
-class ReloadableSettings:
-    """The settings in force, and how newer ones replace them.
-
-    Args:
-        runtime: Reads the settings file and watches it.
-        initial: The settings with which the process was started.
-
-    Attributes:
-        current: The settings in force; a file that is not valid leaves them as they are.
-    """
-
-    def __init__(self, *, runtime: NodeRuntime, initial: settings.Settings) -> None:
-        self._runtime = runtime
-        self._file_watch = runtime.file_watch()
-        self.current = initial
-
-    def reload(self) -> None:
-        """Reads the settings file again."""
-        try:
-            self.current = self._runtime.load_settings()
-        except errors.SettingsError as error:
-            _log.error("settings_rejected", extra={"fault": str(error)})
-
-    def reload_if_changed(self) -> None:
-        """Reads the settings file again where it was changed, for operators that send no signal."""
-        if self._file_watch.is_changed():
-            self.reload()
--- a/ploverward/control_plane/operator_api/custody_handlers.py
+++ b/ploverward/control_plane/operator_api/custody_handlers.py
@@ -135,7 +135,7 @@
         request = messages.FindCacheOwners(number=number, service=trail["service"], model=trail["model"], hashes=hashes)
         timer = self._loop.after(delay=self._reply_timeout_s, callback=lambda: self._give_up(number))
         self._queries[number] = _OwnerQuery(call=call, trails=trails, trail=trail, timer=timer)
-        self._node.proxies()[0].link.send(request)
+        self._node.proxies()[0].connection.send(request)
 
     def _give_up(self, number: int) -> None:
         query = self._queries.pop(number, None)
--- a/ploverward/control_plane/operator_api/dependencies.py
+++ b/ploverward/control_plane/operator_api/dependencies.py
@@ -61,7 +61,7 @@
 class Proxy(typing.Protocol):
     """A proxy that is connected to this node."""
 
-    link: Connection
+    connection: Connection
     address: str
     zone: str
     region: str
--- a/ploverward/control_plane/operator_api/test_apply_barrier.py
+++ b/ploverward/control_plane/operator_api/test_apply_barrier.py
@@ -38,7 +38,8 @@
     for link in links:
         publisher.join(link)
     barrier = apply_barrier.ApplyBarrier(
-        publisher=publisher, proxies=lambda *, is_listed=True: [types.SimpleNamespace(link=link) for link in links]
+        publisher=publisher,
+        proxies=lambda *, is_listed=True: [types.SimpleNamespace(connection=link) for link in links],
     )
     call = Call()
     response = pending_response.PendingResponse(loop=loop, call=call, limit_s=0.75, on_timeout=lambda response: None)
--- a/ploverward/data_plane/load_reports/digest.py
+++ b/ploverward/data_plane/load_reports/digest.py
@@ -17,7 +17,7 @@
 
 from ploverward.data_plane.load_reports import aggregates
 from ploverward.data_plane.load_reports import fanout
-from ploverward.data_plane.load_reports.digest_connection import Dialer
+from ploverward.data_plane.load_reports.digest_connection import ConnectorFactory
 from ploverward.data_plane.load_reports.digest_connection import DigestConnection
 from ploverward.data_plane.load_reports.digest_connection import RoleOwner
 from ploverward.data_plane.load_reports.digest_connection import install_publication
@@ -56,7 +56,7 @@
 
     Args:
         identity: under which it subscribes.
-        dialer: connects to relays and gateways.
+        connector_factory: connects to relays and gateways.
         mirrors: by region; the digest installs what the relays publish.
         on_credit: called with (region, number) when a relay counted this proxy's own reports up to that number.
         on_region_lost: called with the region whose stream broke.
@@ -66,7 +66,7 @@
         self,
         *,
         identity: DigestIdentity,
-        dialer: Dialer,
+        connector_factory: ConnectorFactory,
         regions: Iterable[str],
         mirrors: Mapping[str, mirror.RegionMirror],
         on_credit: Callable[[str, int], None],
@@ -79,7 +79,7 @@
         self.fanout = fanout.Fanout()
         self.cuts = fanout.CutQueue(members=self.fanout.members, mirrors=mirrors)
         self.mirrors = mirrors
-        self._dialer = dialer
+        self._connector_factory = connector_factory
         self._on_own_credit = on_credit
         self._on_region_lost = on_region_lost
         self._streams: dict[str, _RelayStream] = {}  # by region
@@ -104,7 +104,7 @@
         if stream is not None:
             self._stop_stream(region)
         self.mirrors[region].fail()
-        connector = self._dialer.connect(
+        connector = self._connector_factory.connect(
             owner.address,
             on_up=lambda connection: self._subscribe(region, connection, owner.epoch),
             on_message=lambda connection, message: self._handle_relay_message(region, connection, message),
@@ -155,7 +155,7 @@
             self.mirrors[region].fail()
         if owner is not None:
             self._gateway = DigestConnection(
-                dialer=self._dialer,
+                connector_factory=self._connector_factory,
                 owner=owner,
                 join_message=messages.JoinGateway(owner.epoch, self.identity.zone, self.identity.epoch),
                 events=self,
--- a/ploverward/data_plane/load_reports/digest_connection.py
+++ b/ploverward/data_plane/load_reports/digest_connection.py
@@ -27,7 +27,7 @@
     address: str
 
 
-class Dialer:
+class ConnectorFactory:
     """Connects to other proxies, all at the same port."""
 
     def __init__(self, *, loop: event_loop.Loop, port: int, peer_timeout_s: float) -> None:
@@ -74,7 +74,7 @@
     def __init__(
         self,
         *,
-        dialer: Dialer,
+        connector_factory: ConnectorFactory,
         owner: RoleOwner,
         join_message: messages.JoinDigest | messages.JoinGateway,
         events: MemberEvents,
@@ -87,7 +87,7 @@
             messages.ReportCredited: self._handle_report_credited,
             messages.RegionLost: self._handle_region_lost,
         }
-        self.connector = dialer.connect(
+        self.connector = connector_factory.connect(
             owner.address,
             on_up=lambda connection: connection.send(join_message),
             on_message=self._handle_message,
--- a/ploverward/data_plane/load_reports/relay_client.py
+++ b/ploverward/data_plane/load_reports/relay_client.py
@@ -18,7 +18,7 @@
 from ploverward.data_plane.load_reports import relay_role
 from ploverward.data_plane.load_reports import report_source
 from ploverward.data_plane.load_reports import zone_digest
-from ploverward.data_plane.load_reports.digest_connection import Dialer
+from ploverward.data_plane.load_reports.digest_connection import ConnectorFactory
 from ploverward.data_plane.load_reports.digest_connection import RoleOwner
 from ploverward.data_plane.relay import mirror
 from ploverward.transport import event_loop
@@ -70,12 +70,12 @@
         self._roles: Mapping[str, tuple[int, str, str]] = {}
         self.regions = {name: mirror.RegionMirror(now=loop.now, trust_s=contact_s) for name in names}
         self.source = report_source.ReportSource(now=loop.now, regions=names, suspicion_s=contact_s / 4)
-        dialer = Dialer(loop=loop, port=own.proxy_port, peer_timeout_s=peer_timeout_s)
+        connector_factory = ConnectorFactory(loop=loop, port=own.proxy_port, peer_timeout_s=peer_timeout_s)
         self.relay_role = relay_role.RelayRole(
             settings=settings,
             incarnation=incarnation,
             region_names=names,
-            dialer=dialer,
+            connector_factory=connector_factory,
             now=loop.now,
             contact_s=contact_s,
             table=table,
@@ -87,7 +87,7 @@
             region_names=names,
             mirrors=self.regions,
             source=self.source,
-            dialer=dialer,
+            connector_factory=connector_factory,
             peer_timeout_s=peer_timeout_s,
             table=table,
             replicas_in_use=replicas_in_use,
--- a/ploverward/data_plane/load_reports/relay_role.py
+++ b/ploverward/data_plane/load_reports/relay_role.py
@@ -24,7 +24,7 @@
         settings: the settings in force.
         incarnation: of this proxy; a role that an earlier one owned is not this one's.
         region_names: of all regions.
-        dialer: connects the gateway to the other regions' relays.
+        connector_factory: connects the gateway to the other regions' relays.
         now: the loop's clock, in seconds.
         contact_s: after this time without contact a lease is over.
         table: the replicas and services that the relay serves.
@@ -36,7 +36,7 @@
         settings: Callable[[], settings_files.Settings],
         incarnation: str,
         region_names: Sequence[str],
-        dialer: digest_connection.Dialer,
+        connector_factory: digest_connection.ConnectorFactory,
         now: Callable[[], float],
         contact_s: float,
         table: replica_table.Table,
@@ -46,7 +46,7 @@
         self._settings = settings
         self._incarnation = incarnation
         self._region_names = region_names
-        self._dialer = dialer
+        self._connector_factory = connector_factory
         self._now = now
         self._contact_s = contact_s
         self._table = table
@@ -67,7 +67,7 @@
             region=region,
             epoch=epoch,
             regions=self._region_names,
-            dialer=self._dialer,
+            connector_factory=self._connector_factory,
             now=self._now,
             trust_s=self._contact_s,
         )
--- a/ploverward/data_plane/load_reports/test_relay_role.py
+++ b/ploverward/data_plane/load_reports/test_relay_role.py
@@ -17,7 +17,7 @@
         settings=lambda: settings,
         incarnation="l1",
         region_names=("north", "south"),
-        dialer=digest_connection.Dialer(loop=loop, port=settings.proxy_port, peer_timeout_s=0.8),
+        connector_factory=digest_connection.ConnectorFactory(loop=loop, port=settings.proxy_port, peer_timeout_s=0.8),
         now=loop.now,
         contact_s=4.0,
         table=types.SimpleNamespace(replicas={}, services={}),
--- a/ploverward/data_plane/load_reports/zone_digest.py
+++ b/ploverward/data_plane/load_reports/zone_digest.py
@@ -16,7 +16,7 @@
 from ploverward.data_plane.load_balancing import replica_table
 from ploverward.data_plane.load_reports import digest as digests
 from ploverward.data_plane.load_reports import report_source
-from ploverward.data_plane.load_reports.digest_connection import Dialer
+from ploverward.data_plane.load_reports.digest_connection import ConnectorFactory
 from ploverward.data_plane.load_reports.digest_connection import DigestConnection
 from ploverward.data_plane.load_reports.digest_connection import RoleOwner
 from ploverward.data_plane.load_reports.digest_connection import install_publication
@@ -49,7 +49,7 @@
         region_names: of all regions.
         mirrors: by region; what relays publish is installed there.
         source: makes this proxy's reports.
-        dialer: connects to digests and relays.
+        connector_factory: connects to digests and relays.
         peer_timeout_s: a connection on which nothing arrives for so long ends.
         table: determines which replicas' loads this proxy needs.
         replicas_in_use: gives the replicas with attempts of this proxy in flight.
@@ -64,7 +64,7 @@
         region_names: tuple[str, ...],
         mirrors: Mapping[str, mirror.RegionMirror],
         source: report_source.ReportSource,
-        dialer: Dialer,
+        connector_factory: ConnectorFactory,
         peer_timeout_s: float,
         table: replica_table.Table,
         replicas_in_use: Callable[[], Iterable[replica_table.Replica]],
@@ -75,7 +75,7 @@
         self._region_names = region_names
         self._mirrors = mirrors
         self._source = source
-        self._dialer = dialer
+        self._connector_factory = connector_factory
         self._peer_timeout_s = peer_timeout_s
         self._table = table
         self._replicas_in_use = replicas_in_use
@@ -101,7 +101,7 @@
     def _new_digest(self, identity: digests.DigestIdentity) -> digests.Digest:
         return digests.Digest(
             identity=identity,
-            dialer=self._dialer,
+            connector_factory=self._connector_factory,
             regions=self._region_names,
             mirrors=self._mirrors,
             on_credit=self.on_credit,
@@ -164,7 +164,7 @@
         if not self.digest.is_connected:
             self._wait_for_digest()
         connection = DigestConnection(
-            dialer=self._dialer,
+            connector_factory=self._connector_factory,
             owner=owner,
             join_message=messages.JoinDigest(owner.epoch, self._settings().ip),
             events=self,
--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -15,7 +15,7 @@
 import uuid
 from collections.abc import Mapping
 
-from ploverward.common import errors
+from ploverward.common import reloadable_settings
 from ploverward.common import settings as settings_files
 from ploverward.data_plane import connection_watch
 from ploverward.data_plane.adapter_cache import adapter_counts
@@ -64,7 +64,6 @@
     """One process that serves requests. It is the `HandlerContext` of the requests' handlers.
 
     Attributes:
-        settings: in force; read again at SIGHUP and when the file changes.
         incarnation: differs for each start of the process.
         contact_s: the bound `contactMs`, from which most time-outs follow.
         peer_timeout_s: a connection to another node on which nothing arrives for so long is closed.
@@ -73,14 +72,15 @@
 
     def __init__(self, *, settings: settings_files.Settings) -> None:
         """Creates all components. Other proxies may connect from now on, clients and core nodes only after `run`."""
-        self.settings = settings
+        self._reloadable = reloadable_settings.ReloadableSettings(
+            initial=settings, file_watch=settings_files.FileWatch()
+        )
         self.incarnation = uuid.uuid4().hex[:12]
         self.loop = event_loop.Loop(on_fault=lambda fault: _log.error("step_failed", exc_info=fault))
         self.contact_s = settings.bound_s(name="contactMs")
         self.peer_timeout_s = self.contact_s / PEER_TIMEOUTS_PER_CONTACT
         self.failover_s = self.contact_s / FAILOVERS_PER_CONTACT
         self._heartbeats = 0
-        self._file_watch = settings_files.FileWatch()
         self._make_limits()
         self._make_connections()
         self._make_front_end()
@@ -266,6 +266,11 @@
         if self._batch is not None:
             self._batch.stores.update_roles(roles)
 
+    @property
+    def settings(self) -> settings_files.Settings:
+        """The settings in force; read again at SIGHUP and when the file changes."""
+        return self._reloadable.current
+
     @property
     def is_serving(self) -> bool:
         """Whether requests are served; False until the configuration is known to be new enough."""
@@ -290,7 +295,7 @@
             self._batch.start()
         # A signal may arrive between any two instructions: what follows is left to the loop.
         signal.signal(signal.SIGTERM, lambda *_: self.loop.command(callback=self._shutdown.begin))
-        signal.signal(signal.SIGHUP, lambda *_: self.loop.command(callback=self._reread_settings))
+        signal.signal(signal.SIGHUP, lambda *_: self.loop.command(callback=self._reload_settings))
         self.loop.run()
         return 0
 
@@ -314,16 +319,12 @@
             self._custody_reports.send()
             self._connection_watch.check()
             self._relay_client.send_adapter_counts()
-            if self._file_watch.is_changed():
-                self._reread_settings()
+            if self._reloadable.reload_if_changed():
+                self._connections.connect()
         self._sessions.check_serving()
 
-    def _reread_settings(self) -> None:
-        try:
-            self.settings = settings_files.load()
-        except errors.SettingsError as error:
-            _log.error("settings_rejected", extra={"fault": str(error)})
-            return
+    def _reload_settings(self) -> None:
+        self._reloadable.reload()
         self._connections.connect()
 
     def _send_last_reports(self) -> None:
--- a/ploverward/data_plane/relay/gateway.py
+++ b/ploverward/data_plane/relay/gateway.py
@@ -24,7 +24,7 @@
         region: its own.
         epoch: of the region's relay.
         regions: names of all regions.
-        dialer: connects to the other regions' relays.
+        connector_factory: connects to the other regions' relays.
         now: the loop's clock, in seconds.
         trust_s: how long a broken mirror is used.
     """
@@ -35,7 +35,7 @@
         region: str,
         epoch: int,
         regions: Iterable[str],
-        dialer: digest_connection.Dialer,
+        connector_factory: digest_connection.ConnectorFactory,
         now: Callable[[], float],
         trust_s: float,
     ) -> None:
@@ -46,7 +46,7 @@
         self._newest_epochs: dict[str, int] = {}  # by the singleton role of a digest
         self.digest = digest.Digest(
             identity=digest.DigestIdentity(region=region, zone=singleton_roles.relay_name(region=region), epoch=epoch),
-            dialer=dialer,
+            connector_factory=connector_factory,
             regions=names,
             mirrors={name: mirror.RegionMirror(now=now, trust_s=trust_s) for name in self.other_regions},
             on_credit=lambda _region, _number: None,
--- a/ploverward/data_plane/requests/handler_context.py
+++ b/ploverward/data_plane/requests/handler_context.py
@@ -31,7 +31,6 @@
     """The proxy, as far as a request handler uses it.
 
     Attributes:
-        settings: Of this node.
         incarnation: Id of this run of the process.
         failover_s: Seconds in which another node takes over, or a lost one returns: the pause for a client whose
             request no replica can serve.
@@ -47,7 +46,6 @@
         handlers: The handlers of all requests in progress; a handler removes itself at its end.
     """
 
-    settings: settings_files.Settings
     incarnation: str
     failover_s: float
     drain_window: graceful_shutdown.DrainWindow
@@ -61,6 +59,10 @@
     batches: custody_trails.TrailBatches
     handlers: set[request_handler.RequestHandler]
 
+    @property
+    def settings(self) -> settings_files.Settings:
+        """Of this node."""
+
     @property
     def loop(self) -> event_loop.Loop:
         """The event loop; its clock is the clock of all deadlines."""
