Stores show proxies that they run, and count what they sent without going through it

A proxy pulls from the primaries in turn, each 0.1 s; beyond ten of them one store is not called for longer than the peer time-out, says nothing meanwhile, and the proxy makes the connection anew, each second, with a pull that fails. And each entry appended copied and summed all that a copy had not answered (`_is_far_ahead`). A store sends its accepted connections a heartbeat where it sent nothing else. `Copy` keeps the bytes that were sent and not answered. The store reads its settings by `ReloadableSettings`.

--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -6,6 +6,7 @@
 
 from ploverward.simulation import batch_scene
 from ploverward.simulation import request_scene
+from ploverward.transport import peer_connection
 
 
 @pytest.fixture(name="scene")
@@ -203,3 +204,21 @@
     assert "200" in scene.submit("l1", many).json["error"]
     assert "twice" in scene.submit("l1", [batch_scene.item("a"), batch_scene.item("a")]).json["error"]
     assert scene.results("l1").status == 404
+
+
+def test_a_connection_to_a_store_lasts_without_calls(tmp_path):
+    """The proxies of a sweep with 300 machines made 147 new connections a second to each store."""
+    scene = batch_scene.BatchScene(tmp_path)
+    ended = []
+    connector = peer_connection.Connector(
+        loop=scene.loop,
+        address=(next(iter(scene.stores)), scene.port),
+        on_up=lambda _connection: None,
+        on_message=lambda _connection, _message: None,
+        on_end=lambda _connection, reason: ended.append(reason),
+        peer_timeout_s=1.0,
+    )
+    scene.loop.every(interval_s=0.3, callback=lambda: connector.link and connector.link.keep_alive())
+    scene.wait(4.0)
+    connector.stop()
+    assert ended == ["stopped"]
--- a/ploverward/store/replication.py
+++ b/ploverward/store/replication.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 from collections.abc import Callable
@@ -54,10 +55,14 @@
     """What the primary knows of another store's copy.
 
     Attributes:
-        disk: The store's disk; empty before it has answered on the connection that there is. sent: The position of the
-            last entry that was sent on this connection; None before the store said where it stands. stored: Up to
-            which position it has synced this log. leased_until: When the lease ends that it granted. heard_at: When it
-            answered last. moved_at: When it last had all, or got on.
+        heard_at: When it answered last.
+        moved_at: When it last had all, or got on.
+        disk: The store's disk; empty before it has answered on the connection that there is.
+        sent: The position of the last entry that was sent on this connection; None before the store said where it
+            stands.
+        stored: Up to which position it has synced this log.
+        leased_until: When the lease ends that it granted.
+        unanswered_bytes: Of the entries that were sent on this connection and that it has not said to have stored.
     """
 
     heard_at: float
@@ -66,6 +71,27 @@
     sent: int | None = None
     stored: int = 0
     leased_until: float = 0.0
+    unanswered_bytes: int = 0
+    _unanswered: collections.deque[tuple[int, int]] = dataclasses.field(default_factory=collections.deque)
+
+    def begin_at(self, position: int | None) -> None:
+        """What is sent next on this connection follows this position; None: it is not known."""
+        self.sent = position
+        self.unanswered_bytes = 0
+        self._unanswered.clear()
+
+    def note_sent(self, *, last: int, size: int) -> None:
+        """Entries of so many bytes were sent, up to a position."""
+        self.sent = last
+        self.unanswered_bytes += size
+        self._unanswered.append((last, size))
+
+    def note_stored(self, last: int) -> None:
+        """The store has synced all up to a position."""
+        self.stored = last
+        while self._unanswered and self._unanswered[0][0] <= last:
+            _position, size = self._unanswered.popleft()
+            self.unanswered_bytes -= size
 
 
 class Replication:
@@ -143,7 +169,7 @@
     # Connections.
     def ask(self, address: str) -> None:
         """Asks a store where its log stands: at first, and on each new connection."""
-        self._copies[address].sent = None
+        self._copies[address].begin_at(None)
         self._send(address, batch_messages.RequestLogState(self.number, self.owners.epoch))
 
     def ask_again(self, address: str) -> None:
@@ -155,7 +181,7 @@
     def forget_connection(self, address: str) -> None:
         """The connection to a store ended."""
         if address in self._copies:
-            self._copies[address].sent = None
+            self._copies[address].begin_at(None)
 
     def handle_state(self, address: str, state: batch_messages.LogState) -> None:
         """A store said where its log stands: what it has beyond that is cut off there, what it lacks is sent."""
@@ -166,8 +192,9 @@
         agreed = self.log.agreed_end(state)
         is_same_disk = copy.disk == state.disk
         copy.disk = state.disk
-        copy.sent = self.log.base if agreed is None else agreed
-        copy.stored = min(copy.stored, copy.sent) if is_same_disk and agreed is not None else 0
+        begin = self.log.base if agreed is None else agreed
+        copy.begin_at(begin)
+        copy.stored = min(copy.stored, begin) if is_same_disk and agreed is not None else 0
         self._send_entries(address, copy, is_reset=agreed is None)
         self._send_missing(address, copy)
 
@@ -186,20 +213,14 @@
     def _send_missing(self, address: str, copy: Copy) -> None:
         if copy.sent is not None and copy.sent < self.log.base:
             self.ask(address)  # what it lacks was dropped meanwhile: its answer makes it begin at the base
-        while copy.sent is not None and copy.sent < self.log.last and not self._is_far_ahead(copy):
+        while copy.sent is not None and copy.sent < self.log.last and copy.unanswered_bytes <= MAX_UNANSWERED_BYTES:
             self._send_entries(address, copy)
 
-    def _is_far_ahead(self, copy: Copy) -> bool:
-        assert copy.sent is not None
-        start = max(copy.stored, self.log.base)
-        unanswered = self.log.after(start)[: max(0, copy.sent - start)]
-        return sum(len(entry.data) for entry in unanswered) > MAX_UNANSWERED_BYTES
-
     def _send_entries(self, address: str, copy: Copy, *, is_reset: bool = False) -> None:
         sent = copy.sent
         assert sent is not None
         entries = up_to(self.log.after(sent), MAX_SENT_BYTES)
-        copy.sent = sent + len(entries)
+        copy.note_sent(last=sent + len(entries), size=sum(len(entry.data) for entry in entries))
         message = batch_messages.AppendEntries(
             self.number,
             self.owners.epoch,
@@ -218,7 +239,7 @@
             return
         copy.heard_at = self._now()
         if message.last > copy.stored:
-            copy.stored = min(message.last, self.log.last)
+            copy.note_stored(min(message.last, self.log.last))
             copy.moved_at = copy.heard_at
         self._send_missing(address, copy)
         self.advance()
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -17,7 +17,7 @@
 from collections.abc import Sequence
 
 from ploverward.common import batch_partitions
-from ploverward.common import errors
+from ploverward.common import reloadable_settings
 from ploverward.common import settings as settings_files
 from ploverward.control_plane import node_runtime
 from ploverward.control_plane.cluster import singleton_roles
@@ -77,7 +77,7 @@
             loop: The event loop; a new one by default.
             send_report: Takes what the coordinator is to know; sent there by default.
         """
-        self.settings = settings
+        self._reloadable = reloadable_settings.ReloadableSettings(initial=settings)
         self.incarnation = uuid.uuid4().hex[:12]
         self.loop = loop or event_loop.Loop(on_fault=lambda fault: _log.error("step_failed", exc_info=fault))
         contact_s = settings.bound_s(name="contactMs")
@@ -165,6 +165,11 @@
             messages.Snapshot: lambda _host, link, message: self._subscriber.handle_snapshot(link, message),
         }
 
+    @property
+    def settings(self) -> settings_files.Settings:
+        """The settings in force."""
+        return self._reloadable.current
+
     def identity(self) -> batch_messages.StoreIdentity:
         """What core nodes know this store and its disk by."""
         return batch_messages.StoreIdentity(self.settings.node, self.disk.identity, self.incarnation)
@@ -173,7 +178,7 @@
         """Serves until SIGTERM. Returns the status of the process."""
         self.start()
         signal.signal(signal.SIGTERM, lambda *_: self.loop.command(callback=self.loop.stop))
-        signal.signal(signal.SIGHUP, lambda *_: self.loop.command(callback=self._reread_settings))
+        signal.signal(signal.SIGHUP, lambda *_: self.loop.command(callback=self._reload_settings))
         self.loop.run()
         return 0
 
@@ -200,18 +205,17 @@
         self.primary.stop()
         self._connections.stop()
 
-    def _reread_settings(self) -> None:
-        try:
-            self.settings = settings_files.load()
-        except errors.SettingsError as error:
-            _log.error("settings_rejected", extra={"fault": str(error)})
-            return
+    def _reload_settings(self) -> None:
+        self._reloadable.reload()
         self._connections.connect()
 
     def _on_heartbeat(self) -> None:
         self._connections.keep_alive()
         self._subscriber.tick()
         self.primary.keep_alive()
+        # A proxy calls the stores in turn: where there are many, it hears nothing from one for longer than a time-out.
+        for connection in list(self._accepted):
+            connection.keep_alive()
 
     # Roles.
     def _handle_core_message(self, host: str, connection: peer_connection.PeerConnection, message: tuple) -> None:
--- a/ploverward/store/test_replication.py
+++ b/ploverward/store/test_replication.py
@@ -258,3 +258,26 @@
     copy = scene.stores["C"].member.log
     assert (copy.base, copy.base_epoch) == (3, 3)
     assert [tuple(entry) for entry in copy.after(3)] == [(3, b"entry")]
+
+
+def test_a_store_that_does_not_answer_is_sent_a_bounded_number_of_bytes(monkeypatch):
+    monkeypatch.setattr(replication, "MAX_UNANSWERED_BYTES", 1000)
+    scene = Scene()
+    scene.deliver()
+    scene.sent.clear()
+    for _entry in range(30):
+        scene.primary.append(b"x" * 100)
+    copy = scene.primary._copies["B"]
+    sent_bytes = sum(
+        len(entry.data)
+        for address, message in scene.sent
+        if address == "B" and isinstance(message, batch_messages.AppendEntries)
+        for entry in message.entries
+    )
+    assert copy.unanswered_bytes == sent_bytes == 1100  # one entry goes past the bound
+    scene.deliver()
+    scene.deliver()
+    assert copy.unanswered_bytes == 0 and copy.stored == scene.primary.log.last
+    scene.primary.append(b"x" * 100)
+    scene.primary.forget_connection("B")
+    assert copy.unanswered_bytes == 0  # on the next connection the store says where it stands
