--- a/review/harness/lots.py
+++ b/review/harness/lots.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 import random
+import signal
+import sys
 import time
 
 from harness import client
@@ -81,6 +83,7 @@
     """
 
     def __init__(self, *, folder: pathlib.Path, record_path: pathlib.Path, tenants: int, replicas: int = 5) -> None:
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes of the case end with it
         self.record = records.Record(record_path)
         self._tenants = tenants
         net = random.randrange(30, 240)
