--- a/ploverward/control_plane/cluster/coordinator.py
+++ b/ploverward/control_plane/cluster/coordinator.py
@@ -4,8 +4,11 @@
 it has the majority lease (docs/control.md 1, 2). When the owner is lost, the first live member acquires the role.
 """
 
+import logging
 from collections.abc import Callable
+from collections.abc import Mapping
 
+from ploverward.common import batch_partitions
 from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import singleton_role_table
 from ploverward.control_plane.cluster import singleton_roles
@@ -14,6 +17,8 @@
 from ploverward.control_plane.distribution import endpoint_list
 from ploverward.control_plane.distribution import publisher as publishers
 
+_log = logging.getLogger(__name__)
+
 UNCOORDINATED_EPOCH = 0  # epoch of an endpoint list that a core node read itself before any coordinator published one
 
 
@@ -157,8 +162,24 @@
             return
         rows = partition_placement.arrangement_changes(view)
         if rows:
+            _log_arrangements(rows)
             self._role_table.acquire(rows=rows)
 
     def accepts_epoch(self, *, epoch: int) -> bool:
         """Returns whether topics of this epoch may be forwarded; those of a coordinator known as replaced may not."""
         return epoch >= self.epoch or epoch == UNCOORDINATED_EPOCH
+
+
+def _log_arrangements(rows: Mapping[str, singleton_roles.RoleOwner]) -> None:
+    """Logs the new owners of partitions, each store with the disk that makes it a member."""
+    for name, row in rows.items():
+        owners = batch_partitions.unpack_owners(row)
+        _log.debug(
+            "partition_arranged",
+            extra={
+                "partition": name,
+                "epoch": row.epoch + 1,
+                "members": [f"{member.address} {member.disk}" for member in owners.members],
+                "learners": [*owners.learners],
+            },
+        )
--- a/ploverward/control_plane/cluster/store_retirement.py
+++ b/ploverward/control_plane/cluster/store_retirement.py
@@ -60,6 +60,17 @@
     return True
 
 
+def copies_of(roles: Roles, address: str) -> list[str]:
+    """Returns the copies that arrangements place at an address: each partition, with the disk of its member."""
+    copies = []
+    for number in range(batch_partitions.PARTITIONS):
+        owners = batch_partitions.owners_of(partition=number, roles=roles)
+        name = batch_partitions.role_name(number)
+        copies += [f"{name} {member.disk}" for member in owners.members if member.address == address]
+        copies += [f"{name} learner" for learner in owners.learners if learner == address]
+    return copies
+
+
 def has_enough_zones(other_zones: Iterable[str], *, copies: int) -> bool:
     """Whether partitions can have all their copies in different zones after a store is removed.
 
--- a/ploverward/control_plane/operator_api/retire_handlers.py
+++ b/ploverward/control_plane/operator_api/retire_handlers.py
@@ -4,6 +4,7 @@
 """
 
 import http
+import logging
 import typing
 
 from ploverward.common import errors
@@ -17,6 +18,8 @@
 from ploverward.control_plane.operator_api.router import ErrorBody
 from ploverward.control_plane.operator_api.router import Rule
 
+_log = logging.getLogger(__name__)
+
 PATH = "/ploverward/retire/<node>"
 IN_SERVICE = "in_service"  # the store may still hold partitions, or no retirement was ordered
 DELIVERED = "delivered"  # the retired store holds no partitions any more
@@ -103,6 +106,16 @@
             return
         is_emptied = store is not None and store_retirement.is_emptied(roles, store)
         body = ConditionBody(condition=DELIVERED if is_emptied else IN_SERVICE)
+        if store is not None:
+            _log.debug(
+                "retirement_answered",
+                extra={
+                    "store": node,
+                    "disk": store.disk,
+                    "condition": body["condition"],
+                    "copies": store_retirement.copies_of(roles, store.address),
+                },
+            )
         call.answer(status=http.HTTPStatus.OK, body=body)
 
     def _find_store(self, node: str) -> partition_placement.StoreState | None:
