A retirement applies to a store whatever disk it has; delivered means all copies exist

Cause: a retirement named the store by the disk that it had when the order came in, where copies are placed and where the question is answered.

Change: the order applies to the store of that name; delivered needs every arrangement without its addresses and no partition short of copies; the register takes no arrangement that gives a copy to a store with an order, however old the coordinator's view; whether enough stores are left is decided on the register's value, so that two orders at once can't both pass; an order ends once the emptied store was away for ten contactMs, or by DELETE. The simulated stores have an operator now; three planted faults.

Why it works: nothing that a store can lose or change decides any more whether the order holds, and the answer is a property of the register that no later arrangement can undo.

--- a/ploverward/common/errors.py
+++ b/ploverward/common/errors.py
@@ -130,6 +130,13 @@
         self.current = current
 
 
+class TooFewStoresError(PloverwardError):
+    """The retirement of a store would leave stores in too few zones for all copies of a partition.
+
+    Raised when the order is applied to its register; nothing is changed. The caller adds a store first.
+    """
+
+
 class CoreUnreachableError(PloverwardError):
     """A core node gave no conclusive response to a tool: no connection, a timeout, or status 307, 408, 429 or 5xx.
 
--- a/ploverward/control_plane/cluster/coordinator.py
+++ b/ploverward/control_plane/cluster/coordinator.py
@@ -12,6 +12,7 @@
 from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import singleton_role_table
 from ploverward.control_plane.cluster import singleton_roles
+from ploverward.control_plane.cluster import store_retirement
 from ploverward.control_plane.consensus import ballots
 from ploverward.control_plane.discovery import endpoint_list_poller
 from ploverward.control_plane.distribution import endpoint_list
@@ -156,13 +157,30 @@
         if rows:
             self._role_table.acquire(rows=rows)
 
-    def place_partitions(self, view: partition_placement.PlacementView) -> None:
-        """Updates the placement of the batch tier's partitions on stores."""
+    def place_partitions(self, view: partition_placement.PlacementView, *, admits: singleton_role_table.Admits) -> None:
+        """Updates the placement of the batch tier's partitions on stores.
+
+        Args:
+            view: The input of the decision.
+            admits: Whether the register may take an arrangement, as in `SingletonRoleTable.acquire`.
+        """
         if self._role_table.is_acquiring:
             return
         rows = partition_placement.arrangement_changes(view)
         if rows:
             _log_arrangements(rows)
+            self._role_table.acquire(rows=rows, admits=admits)
+
+    def complete_retirements(
+        self, *, known: store_retirement.KnownStores, copies: int, is_removed: Callable[[str], bool]
+    ) -> None:
+        """Ends the retirements of removed stores; arguments as in `store_retirement.completed_retirements`."""
+        if self._role_table.is_acquiring:
+            return
+        rows = store_retirement.completed_retirements(
+            self._role_table.table, known=known, copies=copies, is_removed=is_removed
+        )
+        if rows:
             self._role_table.acquire(rows=rows)
 
     def accepts_epoch(self, *, epoch: int) -> bool:
--- a/ploverward/control_plane/cluster/role_reconciler.py
+++ b/ploverward/control_plane/cluster/role_reconciler.py
@@ -16,12 +16,14 @@
 from ploverward.control_plane.cluster import peer_sessions
 from ploverward.control_plane.cluster import singleton_roles
 from ploverward.control_plane.cluster import store_directory
+from ploverward.control_plane.cluster import store_retirement
 from ploverward.control_plane.consensus import consensus_node
 from ploverward.control_plane.rollouts import manager
 from ploverward.control_plane.usage import usage_reporter
 
 STORE_SETTLING_INTERVALS = 6  # heartbeat intervals without a change of the connected stores: two peer timeouts
 FAILOVERS_PER_CONTACT = 8  # contact_s divided by this is the time until a disconnected batch primary is replaced
+REMOVAL_CONTACTS = 10  # contact_s times this is the time after which an emptied store that is away counts as removed
 REPLACEMENTS_PER_CONTACT = 1  # contact_s divided by this is the time until another store gets its copy
 
 
@@ -83,6 +85,7 @@
         self._placement_timeouts = partition_placement.PlacementTimeouts(
             failover_s=contact_s / FAILOVERS_PER_CONTACT, replacement_s=contact_s / REPLACEMENTS_PER_CONTACT
         )
+        self._removed_after_s = contact_s * REMOVAL_CONTACTS
         self._copies = copies
         self.acting_since: float | None = None
         self._store_addresses: list[str] = []
@@ -149,7 +152,17 @@
             timeouts=self._placement_timeouts,
             never_connected_for_s=acting_s - self._store_settling_s,
         )
-        self._coordinator.place_partitions(view)
+        known = self._stores.identities()
+        self._coordinator.place_partitions(
+            view, admits=lambda roles, name, row: store_retirement.admits(roles, name, row, known=known)
+        )
+        self._coordinator.complete_retirements(
+            known=known,
+            copies=self._copies,
+            is_removed=lambda node: (
+                self._stores.absent_for_s(node, never_connected_for_s=acting_s) >= self._removed_after_s
+            ),
+        )
 
     def _hand_over(self) -> None:
         """Transfers the coordinator role to the first other live member that is not draining."""
--- a/ploverward/control_plane/cluster/store_directory.py
+++ b/ploverward/control_plane/cluster/store_directory.py
@@ -102,8 +102,28 @@
         return connected
 
     def address_of(self, node: str) -> str | None:
-        """Returns the address of the store with this node name; None if no such store is known."""
-        return next((address for address, store in self.known.items() if store.identity.node == node), None)
+        """Returns the address at which the store with this node name was connected last; None if it is not known."""
+        self._update()
+        found = [(store.seen_at, address) for address, store in self.known.items() if store.identity.node == node]
+        return max(found)[1] if found else None
+
+    def identities(self) -> dict[str, batch_messages.StoreIdentity]:
+        """Returns the identities of the known stores, by address."""
+        return {address: store.identity for address, store in self.known.items()}
+
+    def connected_zones(self) -> dict[str, str]:
+        """Returns the zones of the connected stores, by address."""
+        return {address: self.known[address].zone for address in self._update()}
+
+    def absent_for_s(self, node: str, *, never_connected_for_s: float) -> float:
+        """Returns the time in seconds since a store was last connected at any address.
+
+        Args:
+            node: Name of the store.
+            never_connected_for_s: The result for a store that was never connected.
+        """
+        address = self.address_of(node)
+        return never_connected_for_s if address is None else self._now() - self.known[address].seen_at
 
     def arrangements(self) -> dict[int, batch_partitions.PartitionOwners]:
         """Returns the arrangement of each partition that has one."""
@@ -117,7 +137,7 @@
     def states(self) -> dict[str, partition_placement.StoreState]:
         """Returns the state of each known store, by address."""
         connected = self._update()
-        retiring = set(store_retirement.retiring_stores(self._roles()).values())
+        retiring = store_retirement.retiring_addresses(self._roles(), known=self.identities())
         return {
             address: partition_placement.StoreState(
                 address=address,
@@ -126,7 +146,7 @@
                 process=store.identity.process,
                 is_connected=address in connected,
                 disconnected_for_s=self._now() - store.seen_at,
-                is_retiring=store_retirement.RetiringStore(address, store.identity.disk) in retiring,
+                is_retiring=address in retiring,
             )
             for address, store in self.known.items()
         }
--- a/ploverward/control_plane/operator_api/call_lifecycle.py
+++ b/ploverward/control_plane/operator_api/call_lifecycle.py
@@ -18,6 +18,7 @@
 from ploverward.control_plane.operator_api.pending_response import PendingResponse
 from ploverward.control_plane.operator_api.redirector import Redirector
 from ploverward.control_plane.operator_api.router import Call
+from ploverward.control_plane.operator_api.router import ErrorBody
 from ploverward.transport.interfaces import Loop
 from ploverward.transport.interfaces import Outcome
 
@@ -68,6 +69,8 @@
             call.answer(status=http.HTTPStatus.CONFLICT, body=rollout_body)
         case errors.InvalidConfigurationError():
             answer_field_error(call, error)
+        case errors.TooFewStoresError():
+            call.answer(status=http.HTTPStatus.CONFLICT, body=ErrorBody(error=error.text))
         case errors.PloverwardError():
             call.answer_unavailable(reason=str(error))
         case _:
--- a/ploverward/control_plane/operator_api/retire_handlers.py
+++ b/ploverward/control_plane/operator_api/retire_handlers.py
@@ -1,14 +1,15 @@
-"""Calls that retire a store: POST orders the retirement, GET reports whether it is complete (docs/batch.md 6).
+"""Calls that retire a store: POST orders it, GET reports whether it is complete, DELETE withdraws it (docs/batch.md 6).
 
 The partitions of a retiring store move to other stores until it holds none.
 """
 
+import functools
 import http
 import logging
 import typing
+from collections.abc import Callable
 
 from ploverward.common import errors
-from ploverward.control_plane.cluster import partition_placement
 from ploverward.control_plane.cluster import store_directory
 from ploverward.control_plane.cluster import store_retirement
 from ploverward.control_plane.configuration.register_payloads import Payload
@@ -53,7 +54,11 @@
 
     def rules(self) -> list[Rule]:
         """Returns the routing rules of the calls that are handled here."""
-        return [Rule("POST", PATH, self.handle_post), Rule("GET", PATH, self.handle_get)]
+        return [
+            Rule("POST", PATH, self.handle_post),
+            Rule("GET", PATH, self.handle_get),
+            Rule("DELETE", PATH, self.handle_delete),
+        ]
 
     def handle_post(self, call: Call, node: str) -> None:
         """Orders the retirement of a store, unless too few stores would remain."""
@@ -67,26 +72,51 @@
             text = error.errors(include_url=False)[0]["msg"]
             call_lifecycle.answer_field_error(call, errors.InvalidConfigurationError(text, field_path="overS"))
             return
-        store = self._find_store(node)
-        if store is None:
+        address = self._stores.address_of(node)
+        if address is None:
             _answer_unknown(call, node)
             return
-        zones = [
-            other.zone
-            for other in self._stores.states().values()
-            if other.is_connected and not other.is_retiring and other.address != store.address
-        ]
-        if not store.is_retiring and not store_retirement.has_enough_zones(zones, copies=self._copies):
-            body = ErrorBody(error=f"without '{node}' too few stores would be left for {self._copies} copies")
-            call.answer(status=http.HTTPStatus.CONFLICT, body=body)
+        self._change(
+            call,
+            node,
+            lambda roles: store_retirement.with_retirement(
+                roles,
+                name=node,
+                address=address,
+                known=self._stores.identities(),
+                zones=self._stores.connected_zones(),
+                copies=self._copies,
+            ),
+        )
+
+    def handle_delete(self, call: Call, node: str) -> None:
+        """Withdraws the retirement of a store, so that it gets copies again."""
+        if self._stores.address_of(node) is None:
+            _answer_unknown(call, node)
             return
+        self._change(call, node, functools.partial(store_retirement.without_retirement, name=node))
+
+    def _change(
+        self, call: Call, node: str, edit_roles: Callable[[store_retirement.Roles], store_retirement.Roles]
+    ) -> None:
+        """Changes the retirement of a store, unless another order has changed it during the consensus round.
+
+        A round may apply an edit several times; a further change would undo a later order
+        (docs/incidents/evacuation-undone.md).
+        """
         response = self._lifecycle.begin(call)
         if response is None:
             return
-        retiring = store_retirement.RetiringStore(store.address, store.disk)
+        first_epoch: list[int] = []  # one entry after the first application
 
         def edit(payload: Payload) -> tuple[Payload, None]:
-            return store_retirement.with_retirement(payload or {}, name=node, store=retiring), None
+            roles = payload or {}
+            epoch = store_retirement.retirement_of(roles, node).epoch
+            if not first_epoch:
+                if response.is_claimed:
+                    raise errors.QuorumUnavailableError("no majority in time", step="retire", peer=node)
+                first_epoch.append(epoch)
+            return edit_roles(roles) if epoch == first_epoch[0] else payload, None
 
         self._lifecycle.change(response, register=register_names.SINGLETON_ROLES, edit=edit)
 
@@ -95,33 +125,28 @@
         self._lifecycle.answer_with_register(
             call,
             register=register_names.SINGLETON_ROLES,
-            answer=lambda claimed, payload: self._answer_condition(claimed, payload, node),
+            answer=lambda claimed, payload: self._answer_condition(claimed, payload or {}, node),
         )
 
-    def _answer_condition(self, call: Call, payload: Payload, node: str) -> None:
-        roles = payload or {}
-        store = store_retirement.retiring_stores(roles).get(node)
-        if store is None and self._find_store(node) is None:
+    def _answer_condition(self, call: Call, roles: store_retirement.Roles, node: str) -> None:
+        retirement = store_retirement.retirement_of(roles, node)
+        if not retirement.is_ordered and self._stores.address_of(node) is None:
             _answer_unknown(call, node)
             return
-        is_emptied = store is not None and store_retirement.is_emptied(roles, store)
+        addresses = store_retirement.addresses_of(node, retirement, known=self._stores.identities())
+        is_emptied = retirement.is_ordered and store_retirement.is_emptied(roles, addresses, copies=self._copies)
         body = ConditionBody(condition=DELIVERED if is_emptied else IN_SERVICE)
-        if store is not None:
-            _log.debug(
-                "retirement_answered",
-                extra={
-                    "store": node,
-                    "disk": store.disk,
-                    "condition": body["condition"],
-                    "copies": store_retirement.copies_of(roles, store.address),
-                },
-            )
+        _log.debug(
+            "retirement_answered",
+            extra={
+                "store": node,
+                "disk": retirement.disk,
+                "condition": body["condition"],
+                "copies": store_retirement.copies_of(roles, addresses),
+            },
+        )
         call.answer(status=http.HTTPStatus.OK, body=body)
 
-    def _find_store(self, node: str) -> partition_placement.StoreState | None:
-        address = self._stores.address_of(node)
-        return self._stores.states().get(address) if address is not None else None
-
 
 def _answer_unknown(call: Call, node: str) -> None:
     call.answer(status=http.HTTPStatus.NOT_FOUND, body=ErrorBody(error=f"no store '{node}' is known"))
--- a/ploverward/simulation/batch/batch_run.py
+++ b/ploverward/simulation/batch/batch_run.py
@@ -8,17 +8,21 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 import random
+import typing
+from collections.abc import Callable
 
 from ploverward.common import batch_partitions
 from ploverward.control_plane.cluster import partition_placement
+from ploverward.control_plane.cluster import singleton_roles
+from ploverward.control_plane.cluster import store_retirement
 from ploverward.simulation.batch import job_model
 from ploverward.simulation.batch import scene
 from ploverward.simulation.batch import simulated_store
 from ploverward.simulation.batch import store_callers
 from ploverward.simulation.batch import store_faults
 from ploverward.simulation.batch import store_network
+from ploverward.simulation.batch import store_operator
 from ploverward.simulation.control_plane import simulated_clock
 from ploverward.simulation.control_plane import simulated_disk
 from ploverward.transport import batch_messages
@@ -72,8 +76,9 @@
             max_queued_tokens=scene.MAX_QUEUED_TOKENS, on_finding=lambda text: self.record(f"FINDING {text}")
         )
         self.history: list[tuple[float, str]] = []
-        self.rows: dict[str, tuple] = {}
+        self.rows: dict[str, typing.Any] = {}
         self.rounds = 0
+        self._known: dict[str, batch_messages.StoreIdentity] = {}
         self._reports: dict[int, tuple[str, float, batch_messages.CopyReport]] = {}
         fault_s = plan.fault_s or self.chance.choice(store_faults.FAULT_INTERVALS_S)
         sync_s = plan.sync_s or self.chance.choice(simulated_disk.SPEEDS_S[:3])
@@ -99,6 +104,14 @@
             rows=lambda: self.rows,
             record=self.record,
         )
+        self._operator = store_operator.StoreOperator(
+            run_scene=run_scene,
+            register=store_operator.Register(
+                roles=lambda: self.rows, change=self._change_register, known=self._known_stores
+            ),
+            lost_machines=self._lost_machines,
+            until=self._faults_until,
+        )
         self.faults = store_faults.StoreFaults(
             run_scene=run_scene,
             kinds=plan.kinds,
@@ -106,6 +119,7 @@
             pause_s=fault_s,
             until=self._faults_until,
             publish=self._publish,
+            store_operator=self._operator,
         )
         self._callers = store_callers.StoreCallers(run_scene=run_scene, until=self._faults_until)
 
@@ -132,6 +146,9 @@
         self._check_final_state()
         return self.findings
 
+    def _lost_machines(self) -> set[str]:
+        return self.faults.lost_machines()
+
     # Coordinator.
     def _record_report(self, name: str, report: batch_messages.CopyReport) -> None:
         if self.network.is_reachable(name, scene.CORE):
@@ -145,18 +162,63 @@
         name = batch_partitions.role_name(scene.PARTITION)
         row = partition_placement.arrangement_changes(view).get(name)
         if row is not None:
-            delay = self.chance.uniform(0.002, 0.15)
-            self.clock.later(delay=delay, callback=functools.partial(self._write_arrangement, name, tuple(row)))
+            self._change_register(lambda roles: self._with_arrangement(roles, name, row))
+        self._complete_retirements()
 
-    def _write_arrangement(self, name: str, row: tuple) -> None:
-        """Models a round of the register, which fails if another round has changed the epoch in the meantime."""
-        if self.rows.get(name, (0,))[0] != row[0]:
-            return
-        self.rows = {name: (row[0] + 1, *row[1:])}
-        self.rounds += 1
-        self.record(f"arrangement {self.rows[name]}")
-        for store in self.stores.values():
-            self._publish(store)
+    def _complete_retirements(self) -> None:
+        completed = store_retirement.completed_retirements(
+            self.rows,
+            known=self._known_stores(),
+            copies=scene.COPIES,
+            is_removed=lambda name: self._disconnected_for_s(self.stores[name]) >= store_operator.REMOVED_AFTER_S,
+        )
+        if completed:
+            self._change_register(
+                lambda roles: {
+                    **roles,
+                    **{
+                        name: (row.epoch + 1, row.address, row.incarnation)
+                        for name, row in completed.items()
+                        if roles[name][0] == row.epoch
+                    },
+                }
+            )
+
+    def _with_arrangement(
+        self, roles: store_retirement.Roles, name: str, row: singleton_roles.RoleOwner
+    ) -> store_retirement.Roles:
+        """Returns the register with an arrangement, unless another round has changed it or the store is retiring."""
+        is_current = roles.get(name, (0,))[0] == row.epoch
+        if not is_current or not store_retirement.admits(roles, name, row, known=self._known_stores()):
+            return roles
+        return {**roles, name: (row.epoch + 1, row.address, row.incarnation)}
+
+    def _change_register(self, change: Callable[[store_retirement.Roles], store_retirement.Roles]) -> None:
+        """Models a round of the register, which applies a change to the value that it has at the end of the round."""
+
+        def apply() -> None:
+            changed = change(self.rows)
+            if changed == self.rows:
+                return
+            for name in changed.keys() | self.rows.keys():
+                if changed.get(name) != self.rows.get(name):
+                    self.record(f"{_described(name)} {changed.get(name)}")
+            self.rows = dict(changed)
+            self.rounds += 1
+            self._operator.check_arrangement()
+            for store in self.stores.values():
+                self._publish(store)
+
+        is_slow = self.chance.random() < store_operator.SLOW_ROUND_CHANCE
+        bounds = store_operator.SLOW_ROUND_S if is_slow else store_operator.ROUND_S
+        self.clock.later(delay=self.chance.uniform(*bounds), callback=apply)
+
+    def _known_stores(self) -> dict[str, batch_messages.StoreIdentity]:
+        """Returns the identities of the stores as they were when the core was last connected to them."""
+        for name, store in self.stores.items():
+            if store.is_alive and store.disk.is_ready and self._disconnected_for_s(store) == 0.0:
+                self._known[name] = batch_messages.StoreIdentity(name, store.disk.identity, store.incarnation)
+        return self._known
 
     def _publish(self, store: simulated_store.SimulatedStore) -> None:
         delay = self.chance.uniform(0.002, 0.05) if self.chance.random() < 0.9 else self.chance.uniform(0.05, 1.5)
@@ -198,7 +260,7 @@
             process=store.incarnation,
             is_connected=is_ready and disconnected_for_s == 0.0,
             disconnected_for_s=disconnected_for_s,
-            is_retiring=False,
+            is_retiring=store.name in store_retirement.retiring_addresses(self.rows, known=self._known_stores()),
         )
 
     def _disconnected_for_s(self, store: simulated_store.SimulatedStore) -> float:
@@ -214,6 +276,7 @@
     # Final check.
     def _check_final_state(self) -> None:
         """Checks that, after the faults, all copies exist again, a primary serves, and no answered data is missing."""
+        self._operator.check_end()
         owners = batch_partitions.owners_of(partition=scene.PARTITION, roles=self.rows)
         if len(owners.members) < scene.COPIES or owners.learners:
             self.model.note_finding(f"not whole again: {owners}")
@@ -225,3 +288,7 @@
         for job_id in self.model.jobs:
             self._callers.read_from(primary, job_id)
         self.clock.run(until=self.clock.time + 1.0)
+
+
+def _described(role: str) -> str:
+    return "retirement" if role.startswith(store_retirement.ROLE_PREFIX) else "arrangement"
--- a/ploverward/simulation/batch/store_faults.py
+++ b/ploverward/simulation/batch/store_faults.py
@@ -10,6 +10,7 @@
 
 from ploverward.simulation.batch import scene
 from ploverward.simulation.batch import simulated_store
+from ploverward.simulation.batch import store_operator as store_operators
 
 CATCH_UP_S = 6.0  # for how long a machine still counts as lost after its return
 FAULT_KINDS = (
@@ -24,6 +25,9 @@
     "all",
     "coordinator",
     "half",
+    "retire",
+    "retire, wipe",
+    "retire two",
 )
 FAULT_INTERVALS_S = (0.8, 2.5, 7.0)  # mean intervals; only long ones leave enough copies to lose a disk
 FAULT_FREE_END_S = 1.0  # at the end of the phase with faults, in which no new fault begins
@@ -41,6 +45,7 @@
         pause_s: Mean interval between faults.
         until: Simulated time in seconds at which the phase with faults ends.
         publish: Sends a store the newest arrangement.
+        store_operator: Has stores emptied and removes them.
 
     Attributes:
         coordinator_down_until: Simulated time at which the coordinator is back.
@@ -56,6 +61,7 @@
         pause_s: float,
         until: float,
         publish: Callable[[simulated_store.SimulatedStore], None],
+        store_operator: store_operators.StoreOperator,
     ) -> None:
         self.coordinator_down_until = 0.0
         self.drawn = 0
@@ -70,6 +76,7 @@
         self._pause_s = pause_s
         self._until = until
         self._publish = publish
+        self._operator = store_operator
         self._injectors: dict[str, Injector] = {
             "kill": self._stop,
             "power": lambda store, duration_s: self._stop(store, duration_s, has_power=False),
@@ -82,6 +89,9 @@
             "all": self._stop_all,
             "coordinator": self._stop_coordinator,
             "half": self._cut_in_half,
+            "retire": self._retire,
+            "retire, wipe": self._retire_and_wipe,
+            "retire two": self._retire_two,
         }
 
     def schedule(self) -> None:
@@ -101,16 +111,21 @@
             self._record(f"== {kind}, drawn for {store.name} and {duration_s:.2f} s")
             self._injectors[kind](store, duration_s)
 
-    def _lost_machines(self) -> set[str]:
+    def lost_machines(self) -> set[str]:
         """Returns the machines that count as lost: down, partitioned, frozen, or back for less than `CATCH_UP_S`."""
         return {
             name
             for name, store in self._stores.items()
-            if not store.is_alive
+            if name not in self._operator.removed and self._is_lost(name, store)
+        }
+
+    def _is_lost(self, name: str, store: simulated_store.SimulatedStore) -> bool:
+        return (
+            not store.is_alive
             or (store.process is not None and store.process.is_frozen)
             or any(name in pair for pair in self._network.partitions)
             or self._clock.time - store.back_at < CATCH_UP_S
-        }
+        )
 
     def _stop(self, store: simulated_store.SimulatedStore, duration_s: float, **options: bool) -> None:
         if not store.is_alive:
@@ -119,19 +134,19 @@
         self._clock.later(delay=duration_s, callback=lambda: self._restart(store))
 
     def _restart(self, store: simulated_store.SimulatedStore) -> None:
-        if not store.is_alive:
+        if not store.is_alive and store.name not in self._operator.removed:
             store.start()
             self._clock.later(delay=self._chance.uniform(0.05, 0.4), callback=lambda: self._publish(store))
 
     def _wipe(self, store: simulated_store.SimulatedStore, duration_s: float) -> None:
-        if len(self._lost_machines() | {store.name}) < scene.COPIES:
+        if len(self.lost_machines() | {store.name}) < scene.COPIES:
             self._stop(store, duration_s, keeps_disk=False)
 
     def _wipe_two(self, _store: simulated_store.SimulatedStore, duration_s: float) -> None:
         """Wipes two disks of the partition; sometimes all other machines lose power at the same time."""
         members = list(self._scene.owners.stores)
         chosen = self._chance.sample(members, min(2, len(members)))
-        if self._lost_machines() - set(chosen) or len(chosen) < scene.COPIES - 1:
+        if self.lost_machines() - set(chosen) or len(chosen) < scene.COPIES - 1:
             return
         for name in chosen:
             self._stop(self._stores[name], duration_s, keeps_disk=False)
@@ -164,6 +179,26 @@
             others = self._chance.sample(others, 2)
         self._cut({pair for name in others for pair in ((name, store.name), (store.name, name))}, duration_s)
 
+    def _retire(self, store: simulated_store.SimulatedStore, duration_s: float) -> None:
+        """Has a store emptied; sometimes two disks are lost right after its machine was removed."""
+        has_losses = self._chance.random() < 0.5
+        if store.is_alive:
+            self._operator.retire(store, on_removed=lambda: self._wipe_two(store, duration_s) if has_losses else None)
+
+    def _retire_and_wipe(self, store: simulated_store.SimulatedStore, duration_s: float) -> None:
+        """Has a store emptied that loses its disk in the meantime."""
+        delay = self._chance.choice((0.0, 0.3, 1.0))
+        if store.is_alive:
+            self._operator.retire(store, on_removed=lambda: self._wipe_two(store, duration_s))
+            self._clock.later(delay=delay, callback=lambda: self._wipe(store, self._chance.uniform(0.3, 1.5)))
+
+    def _retire_two(self, store: simulated_store.SimulatedStore, duration_s: float) -> None:
+        """Has two stores emptied at once."""
+        self._retire(store, duration_s)
+        other = self._chance.choice(list(self._stores.values()))
+        delay = self._chance.uniform(0.0, 0.5)
+        self._clock.later(delay=delay, callback=lambda: self._retire(other, duration_s))
+
     def _cut_core(self, store: simulated_store.SimulatedStore, duration_s: float) -> None:
         self._cut({(scene.CORE, store.name), (store.name, scene.CORE)}, duration_s)
 
--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -1,7 +1,8 @@
 """Mutants of the stores: bugs seeded into production code, which the checks of `batch_run` have to find.
 
-Two bugs are covered by unit tests instead (`test_replication.py`, `test_partition_placement.py`), as few or no runs
-find them: a primary that answers after its lease expired, and one that continues in its epoch after a restart.
+Three bugs are covered by unit tests instead (`test_replication.py`, `test_partition_placement.py`,
+`test_store_retirement.py`), as few or no runs find them: a primary that answers after its lease expired, one that
+continues in its epoch after a restart, and a copy that an outdated decision places on a retiring store.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from collections.abc import Iterator
 
 from ploverward.common import batch_partitions
+from ploverward.control_plane.cluster import store_retirement
 from ploverward.simulation.batch import batch_run
 from ploverward.simulation.batch import store_faults
 from ploverward.store import job_table
@@ -124,6 +126,49 @@
     return [_replace(job_table.JobTable, "apply", apply)]
 
 
+def _disks_of_orders(roles: store_retirement.Roles) -> set[str]:
+    """Returns the disks that retirements name."""
+    return {row[2] for name, row in roles.items() if name.startswith(store_retirement.ROLE_PREFIX)}
+
+
+def _retire_disks() -> list[Patch]:
+    """Applies a retirement only to a store that still has the disk of the order."""
+
+    def retiring(roles: store_retirement.Roles, *, known: store_retirement.KnownStores) -> set[str]:
+        disks = _disks_of_orders(roles)
+        return {address for address, identity in known.items() if identity.disk in disks}
+
+    return [_replace(store_retirement, "retiring_addresses", retiring)]
+
+
+def _overlook_new_disks() -> list[Patch]:
+    """Takes a store for emptied that is a member with another disk than the order names."""
+
+    def is_emptied(roles: store_retirement.Roles, addresses: set[str], *, copies: int) -> bool:
+        disks = _disks_of_orders(roles)
+        owners = [
+            batch_partitions.owners_of(partition=number, roles=roles) for number in range(batch_partitions.PARTITIONS)
+        ]
+        members = {member.address for row in owners for member in row.members if member.disk in disks}
+        learners = {address for row in owners for address in row.learners}
+        return not addresses & (members | learners) and all(
+            not row.members or len(row.members) >= copies for row in owners
+        )
+
+    return [_replace(store_retirement, "is_emptied", is_emptied)]
+
+
+def _empty_before_copies_exist() -> list[Patch]:
+    original = store_retirement.is_emptied
+    return [
+        _replace(
+            store_retirement, "is_emptied", lambda roles, addresses, *, copies: original(roles, addresses, copies=0)
+        )
+    ]
+
+
+_RETIREMENTS = ("retire", "retire, wipe")  # kinds of faults
+
 MUTANTS = (
     Mutant("commits without the other copies", _commit_alone),
     Mutant(
@@ -138,6 +183,19 @@
     Mutant("lists an item twice", _list_twice),
     Mutant("counts only committed jobs against the quota", _count_committed_only),
     Mutant("forgets that a job was ended", _forget_ends),
+    Mutant("a retirement ends with the disk of the order", _retire_disks, kinds=_RETIREMENTS, fault_s=7.0),
+    Mutant(
+        "reports a store as emptied that has copies on a new disk",
+        lambda: [*_retire_disks(), *_overlook_new_disks()],
+        kinds=_RETIREMENTS,
+        fault_s=7.0,
+    ),
+    Mutant(
+        "reports a store as emptied before other copies exist",
+        _empty_before_copies_exist,
+        kinds=("retire, wipe",),
+        fault_s=7.0,
+    ),
 )
 
 
