A lot is found and routed by what it is, not by the name of the route on which it came in

Cause: calls on a lot were recognised only where the configuration in force had a route of lots for their host, and items were routed by the name that the route had when the lot came in. The 404s had no body, so they came from the proxy's look-up and not from a store; put back after 9 s, the route brought all results again (trial). The same cause on paths beside it: after a renaming items waited for ever; where the name was given to another host or prefix, items ran there, at a service to which no configuration sent their path; tokens under the old name did not count against the quota.

Change: a lot's calls need no route. The proxy that takes a lot appends host, path prefix and edition to the stored body; items are routed by host and path; an item that no route of lots covers is a dead letter, but only by a configuration that is not older than the lot's. Stores hand the host out in a new message (kind 102) to proxies that send a handshake, which older stores skip. The quota counts by host and prefix as well.

Why it works: whatever a later configuration does with a name, the lot's own host and path decide, as for a client's request, and no proxy gives an item up by a configuration that may not have the route yet.

--- a/ploverward/data_plane/batch/batch_api.py
+++ b/ploverward/data_plane/batch/batch_api.py
@@ -1,9 +1,11 @@
 """The HTTP API by which clients submit, read and end batch jobs (docs/batch.md 5).
 
 `BatchApi` handles a request if its route is a batch route, or if its path names a job or an item; all other requests
-are left to the request handlers. If the store cannot be reached, or cannot answer for the tenant's jobs yet, the
-response is 503, which guarantees that nothing was done. If it is unknown whether a change took effect, the response is
-504, also if a store rejected the last attempt but an earlier attempt may have taken effect.
+are left to the request handlers. A call that names a job needs no route: a job stays readable, and can be ended, after
+the configuration has withdrawn the route on which it was submitted. If the store cannot be reached, or cannot answer
+for the tenant's jobs yet, the response is 503, which guarantees that nothing was done. If it is unknown whether a
+change took effect, the response is 504, also if a store rejected the last attempt but an earlier attempt may have taken
+effect.
 """
 
 from __future__ import annotations
@@ -16,6 +18,7 @@
 import urllib.parse
 from collections.abc import Callable
 
+from ploverward.common import job_origin
 from ploverward.data_plane.batch import job_request
 from ploverward.data_plane.batch import store_client
 from ploverward.data_plane.quotas import tenant_directory
@@ -73,27 +76,26 @@
 
     def handle(self, request: http_request.Request) -> bool:
         """Handles the request if it is an API call for batch jobs; returns whether it is."""
-        host = request.text(b"host")
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
-        if url.path.startswith((JOBS_PATH, ITEMS_PATH)) and self._node.routes.find_batch_route(host) is not None:
+        if url.path.startswith((JOBS_PATH, ITEMS_PATH)):
             self._handle_resource(request, url)
             return True
-        route = self._node.routes.find(host=host, target=request.target)
+        route = self._node.routes.find(host=request.text(b"host"), target=request.target)
         if route is None or route.batch is None:
             return False
         if request.method != b"POST":
             _reply_error(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "a job is handed in with POST")
         else:
-            self._submit(request, route, prefix=self._node.routes.host_and_prefix_of(route.name)[1])
+            self._submit(request, route)
         return True
 
     # Admission.
-    def _admit(self, request: http_request.Request, route: route_table.Route) -> JobCall | None:
+    def _admit(self, request: http_request.Request, *, is_keyless: bool) -> JobCall | None:
         """Returns the admitted call; None if the request was rejected and answered."""
         if not self._node.is_serving:
             _reply_error(request, http.HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
             return None
-        tenant = admission_filters.authenticate_tenant(request=request, route=route, context=self._node)
+        tenant = admission_filters.authenticate_tenant(request=request, is_keyless=is_keyless, context=self._node)
         if isinstance(tenant, admission_filters.Rejection):
             _reply_error(request, http.HTTPStatus(tenant.status), "no key of a tenant")
             return None
@@ -120,7 +122,8 @@
         )
 
     # Submission.
-    def _submit(self, request: http_request.Request, route: route_table.Route, *, prefix: str) -> None:
+    def _submit(self, request: http_request.Request, route: route_table.Route) -> None:
+        host, prefix = self._node.routes.host_and_prefix_of(route.name)
         job_id = request.text(b"x-attempt-id")
         if not job_id:
             _reply_error(request, http.HTTPStatus.BAD_REQUEST, "X-Attempt-Id gives the job's id")
@@ -130,11 +133,14 @@
         except job_request.JobError as error:
             _reply_error(request, http.HTTPStatus.BAD_REQUEST, error.text)
             return
-        call = self._admit(request, route)
+        call = self._admit(request, is_keyless=route.is_keyless)
         limits = route.batch
         if call is None or limits is None:
             return
         due_ms = int(limits.deadline_s * 1000)
+        body = job_origin.append_origin(
+            request.body, job_origin.JobOrigin(host=host, prefix=prefix, edition=self._node.routes.edition)
+        )
         self._send_change(
             call,
             lambda number: batch_messages.SubmitJob(
@@ -145,7 +151,7 @@
                 due_ms,
                 route.max_attempts,
                 limits.max_queued_tokens,
-                request.body,
+                body,
             ),
             done_status=http.HTTPStatus.ACCEPTED,
         )
@@ -163,8 +169,7 @@
 
     # Jobs and items.
     def _handle_resource(self, request: http_request.Request, url: urllib.parse.SplitResult) -> None:
-        route = self._node.routes.find_batch_route(request.text(b"host"))
-        call = self._admit(request, route) if route is not None else None
+        call = self._admit(request, is_keyless=self._is_keyless(request))
         if call is None:
             return
         query = {name: values[-1] for name, values in urllib.parse.parse_qs(url.query).items()}
@@ -185,6 +190,14 @@
         else:
             _reply_error(request, http.HTTPStatus.METHOD_NOT_ALLOWED, "no such call")
 
+    def _is_keyless(self, request: http_request.Request) -> bool:
+        """Whether a call on a job needs no key: the job may have been submitted on a route without keys.
+
+        If the host has no batch route any more, a call without a key can only concern the jobs of such a route.
+        """
+        route = self._node.routes.find_batch_route(host=request.text(b"host"))
+        return route.is_keyless if route is not None else not request.text(b"authorization")
+
     def _read_job(self, call: JobCall, job_id: str, *, after: int, until: float) -> None:
         self._send_read(
             call,
--- a/ploverward/data_plane/batch/batch_tier.py
+++ b/ploverward/data_plane/batch/batch_tier.py
@@ -9,6 +9,9 @@
 from ploverward.data_plane.batch import store_client
 from ploverward.data_plane.requests import handler_context
 from ploverward.transport import http_request
+from ploverward.transport import messages
+
+ROLE = "proxy"
 
 
 class BatchTier:
@@ -36,6 +39,14 @@
             loop=node.loop,
             port=node.settings.proxy_port,
             peer_timeout_s=peer_timeout_s,
+            handshake=messages.Handshake(
+                role=ROLE,
+                address=node.settings.ip,
+                zone=node.settings.zone,
+                region=node.settings.region,
+                incarnation=node.incarnation,
+                public_address="",  # stores connect to no proxy
+            ),
             on_up=self._handle_store_up,
         )
         self._api = batch_api.BatchApi(node=node, stores=self.stores)
--- a/ploverward/data_plane/batch/item_handler.py
+++ b/ploverward/data_plane/batch/item_handler.py
@@ -99,8 +99,9 @@
         """Does nothing: usage reports do not count items."""
 
     def _follow_configuration(self) -> bool:
-        route = admission_filters.find_route(request=self.request, routes=self.context.routes)
-        if route is None or route.batch is None or not self.policy.may_continue_under(route):
+        request = self.request
+        route = self.context.routes.find_batch_route(host=request.text(b"host"), path=request.target.decode("latin-1"))
+        if route is None or not self.policy.may_continue_under(route):
             return False
         if not any(name == self.facts.service for name, _share in route.service_shares):
             admission_filters.pick_service(
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -3,6 +3,11 @@
 Nothing is pushed to a proxy: after a restart it requests the items that it can run. `ItemPuller` owns the runs in
 progress and lists them to their primaries at regular intervals. This renews the leases of the items, makes the runs
 known to a new primary, and returns the runs whose results are no longer needed.
+
+An item is routed by its host and path in the current configuration. If no batch route covers it there, its route has
+ended and the item becomes a dead letter, but only if this configuration is not older than the one by which the job was
+accepted. Jobs that an earlier version accepted have no host: the route of their items is found by its name, and they
+wait while there is none.
 """
 
 from __future__ import annotations
@@ -15,6 +20,7 @@
 from collections.abc import Callable
 
 from ploverward.common import errors
+from ploverward.common import job_origin
 from ploverward.data_plane.batch import item_handler
 from ploverward.data_plane.batch import item_request
 from ploverward.data_plane.batch import store_client
@@ -130,31 +136,54 @@
     def _runs_items(self, service: str) -> bool:
         return service in self._node.routes.batch_services
 
-    def _handle_pulled(self, capacity: int, reply: batch_messages.PulledItems | None) -> None:
+    def _handle_pulled(
+        self, capacity: int, reply: batch_messages.LeasedItems | batch_messages.PulledItems | None
+    ) -> None:
         self._requested -= capacity
         for item in reply.items if reply is not None else ():
-            self._run(item)
+            self._run(item if isinstance(item, batch_messages.LeasedItem) else _without_origin(item))
 
-    def _run(self, item: batch_messages.PulledItem) -> None:
+    def _run(self, item: batch_messages.LeasedItem) -> None:
         if _key(item) in self._running:
             return  # the pull renewed the lease of the run in progress
         report = self._reports.pop(_key(item), None)
         if report is not None:
             report.is_current = False
-        route = self._node.routes.find_by_name(item.route)
-        if route is None or route.batch is None:
-            self._report_outcome(item, Condition.RELEASED, b"")
+        host = item.host or self._node.routes.host_and_prefix_of(item.route)[0]
+        route = self._find_route(item)
+        if route is None:
+            self._report_without_route(item)
             return
         try:
-            self._start(item, route)
+            self._start(item, route, host=host)
         except (ValueError, errors.PloverwardError) as error:
             _log.error("item_not_started", extra={"item": item.item, "fault": str(error)})
             self._handle_end(item, item_request.INCOMPLETE, b"")
 
-    def _start(self, item: batch_messages.PulledItem, route: route_table.Route) -> None:
+    def _find_route(self, item: batch_messages.LeasedItem) -> route_table.Route | None:
+        """Returns the batch route of an item in the current configuration; None if there is none."""
+        routes = self._node.routes
+        if item.host:
+            return routes.find_batch_route(host=item.host, path=item.path)
+        route = routes.find_by_name(item.route)
+        return route if route is not None and route.batch is not None else None
+
+    def _report_without_route(self, item: batch_messages.LeasedItem) -> None:
+        """Reports an item without a route: it is given up if its route has ended, and waits if that is not known."""
+        routes = self._node.routes
+        if not item.host or routes.edition < item.edition:
+            self._report_outcome(item, Condition.RELEASED, b"")
+            return
+        _log.debug(
+            "item_route_ended",
+            extra={"item": item.item, "route": item.route, "accepted": item.edition, "edition": routes.edition},
+        )
+        self._report_outcome(item, Condition.DEAD_LETTER, b"")
+
+    def _start(self, item: batch_messages.LeasedItem, route: route_table.Route, *, host: str) -> None:
         request = item_request.make_request(
             item=item,
-            host=self._node.routes.host_and_prefix_of(item.route)[0],
+            host=host,
             now=self._node.loop.now(),
             on_end=functools.partial(self._handle_end, item),
         )
@@ -167,7 +196,7 @@
         directory = self._node.routes.tenant_directory
         return directory.by_name.get(name) if directory is not None else None
 
-    def _handle_end(self, item: batch_messages.PulledItem, status: int, body: bytes) -> None:
+    def _handle_end(self, item: batch_messages.LeasedItem, status: int, body: bytes) -> None:
         self._running.pop(_key(item), None)
         if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
             self._report_outcome(item, Condition.DELIVERED, item_request.extract_event_data(body))
@@ -178,7 +207,7 @@
         else:
             self._report_outcome(item, Condition.RELEASED, b"")
 
-    def _report_outcome(self, item: batch_messages.PulledItem, condition: Condition, text: bytes) -> None:
+    def _report_outcome(self, item: batch_messages.LeasedItem, condition: Condition, text: bytes) -> None:
         report = self._reports[_key(item)] = _PendingReport()
         message = batch_messages.FinishItem(0, item.tenant, item.job, item.item, int(condition), text)
         self._send_report(report, message, attempt=1)
@@ -206,5 +235,11 @@
         )
 
 
-def _key(item: batch_messages.PulledItem) -> ItemKey:
+def _key(item: batch_messages.LeasedItem) -> ItemKey:
     return ItemKey(item.tenant, item.job, item.item)
+
+
+def _without_origin(item: batch_messages.PulledItem) -> batch_messages.LeasedItem:
+    """Returns an item that a store of an earlier version sent."""
+    origin = job_origin.UNKNOWN_ORIGIN
+    return batch_messages.LeasedItem(**item._asdict(), host=origin.host, edition=origin.edition)
--- a/ploverward/data_plane/batch/item_request.py
+++ b/ploverward/data_plane/batch/item_request.py
@@ -68,12 +68,12 @@
 
 
 def make_request(
-    *, item: batch_messages.PulledItem, host: str, now: float, on_end: Callable[[int, bytes], object]
+    *, item: batch_messages.LeasedItem, host: str, now: float, on_end: Callable[[int, bytes], object]
 ) -> http_request.Request:
     """Creates the request for an item.
 
     Args:
-        item: The item as pulled from the store.
+        item: The item as leased from the store.
         host: Host of the item's route.
         now: Time of the event loop's clock, in seconds.
         on_end: Called once with the HTTP status, or `INCOMPLETE`, and the body of the response.
@@ -91,7 +91,7 @@
     return request
 
 
-def _headers(item: batch_messages.PulledItem) -> list[tuple[str, str]]:
+def _headers(item: batch_messages.LeasedItem) -> list[tuple[str, str]]:
     return list(json.loads(item.headers).items())
 
 
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -40,6 +40,7 @@
         loop: The event loop.
         port: The port that stores listen on.
         peer_timeout_s: Seconds without received data after which a connection is closed.
+        handshake: Identifies this proxy on each new connection; stores answer `LeasedItems` to proxies that send one.
         on_up: Called with the address of a store for each new connection, while it is still connecting, and of a
             reachable store that became primary of further partitions.
     """
@@ -50,11 +51,13 @@
         loop: event_loop.Loop,
         port: int,
         peer_timeout_s: float,
+        handshake: messages.Handshake,
         on_up: Callable[[str], object] = lambda _address: None,
     ) -> None:
         self._loop = loop
         self._port = port
         self._peer_timeout_s = peer_timeout_s
+        self._handshake = handshake
         self._primaries: dict[int, str] = {}
         self._on_up = on_up
         self._connectors: dict[str, peer_connection.Connector] = {}
@@ -82,7 +85,8 @@
             if self.is_reachable(address):
                 self._on_up(address)
 
-    def _handle_up(self, address: str, _connection: peer_connection.PeerConnection) -> None:
+    def _handle_up(self, address: str, connection: peer_connection.PeerConnection) -> None:
+        connection.send(self._handshake)
         self._on_up(address)
 
     def primaries(self) -> list[str]:
--- a/ploverward/data_plane/quotas/test_tenant_admission.py
+++ b/ploverward/data_plane/quotas/test_tenant_admission.py
@@ -140,10 +140,13 @@
     scene = scene_of()
     request = types.SimpleNamespace(headers=[(b"authorization", b"Bearer old-key")])
     route = scene.proxy.routes.find(host="h", target=b"/safe/x")
-    assert admission_filters.authenticate_tenant(request=request, route=route, context=scene.proxy).name == "clerks"
+    assert (
+        admission_filters.authenticate_tenant(request=request, is_keyless=route.is_keyless, context=scene.proxy).name
+        == "clerks"
+    )
     remaining = [{**TENANTS[0], "apiKeys": [KEYS["clerks"]]}, TENANTS[1]]
     scene.proxy.routes = route_table.Routes(body={**BODY, "senders": remaining})
-    rejection = admission_filters.authenticate_tenant(request=request, route=route, context=scene.proxy)
+    rejection = admission_filters.authenticate_tenant(request=request, is_keyless=route.is_keyless, context=scene.proxy)
     assert isinstance(rejection, admission_filters.Rejection) and rejection.status == 401
 
 
--- a/ploverward/data_plane/requests/admission_filters.py
+++ b/ploverward/data_plane/requests/admission_filters.py
@@ -142,7 +142,7 @@
     route = find_route(request=request, routes=context.routes)
     if route is None:
         return Rejection(status=404)
-    tenant = authenticate_tenant(request=request, route=route, context=context)
+    tenant = authenticate_tenant(request=request, is_keyless=route.is_keyless, context=context)
     if isinstance(tenant, Rejection):
         return tenant
     facts.route = route
@@ -185,7 +185,7 @@
     Returns:
         False if the newer configuration rejects the request.
     """
-    tenant = authenticate_tenant(request=request, route=route, context=context)
+    tenant = authenticate_tenant(request=request, is_keyless=route.is_keyless, context=context)
     if isinstance(tenant, Rejection):
         return False  # its key was revoked after it arrived
     facts.tenant = tenant
@@ -201,7 +201,7 @@
 
 
 def authenticate_tenant(
-    *, request: http_request.Request, route: route_table.Route, context: handler_context.HandlerContext
+    *, request: http_request.Request, is_keyless: bool, context: handler_context.HandlerContext
 ) -> tenant_directories.Tenant | Rejection | None:
     """Returns the tenant whose key the request has, None if no key is required, or the rejection.
 
@@ -210,7 +210,7 @@
     status is 503 (docs/keys.md).
     """
     tenant_directory = context.routes.tenant_directory
-    if tenant_directory is None or route.is_keyless:
+    if tenant_directory is None or is_keyless:
         return None
     rows = [value for name, value in request.headers if name == b"authorization"]
     key = tenant_directories.bearer_key(rows[0]) if len(rows) == 1 else b""
--- a/ploverward/data_plane/requests/route_table.py
+++ b/ploverward/data_plane/requests/route_table.py
@@ -145,10 +145,21 @@
         tenants = self.tenant_directory.by_name if self.tenant_directory is not None else {}
         return {name: tenant.homes for name, tenant in tenants.items()}
 
-    def find_batch_route(self, host: str) -> Route | None:
-        """Returns a batch route of this host; None if there is none."""
-        routes = (self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0]) or {}).values()
-        return next((route for route in routes if route.batch is not None), None)
+    def find_batch_route(self, *, host: str, path: str = "") -> Route | None:
+        """Returns the batch route of a host with the longest prefix of a path; None if there is none.
+
+        Args:
+            host: The host.
+            path: The path; empty for any batch route of the host.
+        """
+        prefixes = self._prefixes_of(host)
+        batch = {prefix: route for prefix, route in prefixes.items() if route.batch is not None}
+        found = [prefix for prefix in batch if not path or path.startswith(prefix)]
+        return batch[max(found, key=len)] if found else None
+
+    def _prefixes_of(self, host: str) -> Mapping[str, Route]:
+        """Returns the routes of a host, with or without a port, by path prefix."""
+        return self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0]) or {}
 
     def find_by_name(self, name: str) -> Route | None:
         """Returns the route with this name; None if there is none."""
@@ -167,7 +178,7 @@
 
         Prefixes end at a slash.
         """
-        prefixes = self._hosts.get(host.lower()) or self._hosts.get(host.lower().rpartition(":")[0])
+        prefixes = self._prefixes_of(host)
         if not prefixes:
             return None
         path = target.decode("latin-1").partition("?")[0]
--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -111,7 +111,7 @@
         _replace(
             partition.Partition,
             "_queued_tokens",
-            lambda self, message: self.table.queued_tokens(tenant=message.tenant, route=message.route),
+            lambda self, job: self.table.queued_tokens(tenant=job.tenant, route=job.route),
         )
     ]
 
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -29,30 +29,46 @@
 MAX_BODY_BYTES = 1_000_000
 COORDINATION_S = 0.1  # between two runs of the coordinator
 JOB_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
+SAFE_ROUTE = loopback_proxy.route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3)
 BODY = {
     **loopback_proxy.CONFIGURATION,
     "routes": [
         loopback_proxy.route("jobs", "/lots/", **JOB_ROUTE),
-        loopback_proxy.route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3),
+        SAFE_ROUTE,
     ],
     "senders": TENANTS,
 }
 
 
 class BatchProxy(loopback_proxy.LoopbackProxy):
-    """A loopback proxy with a batch tier."""
+    """A loopback proxy with a batch tier.
 
-    def begin_batch(self, port: int) -> None:
-        """Starts the batch tier, which handles job calls from now on; stores listen at `port`."""
+    Attributes:
+        is_draining_batch: Whether the batch tier pulls no items.
+    """
+
+    is_draining_batch = False
+
+    def begin_batch(self, port: int, *, proxy_count: int = 1) -> None:
+        """Starts the batch tier, which handles job calls from now on.
+
+        Args:
+            port: The port that the stores listen at.
+            proxy_count: The number of proxies that share the replicas.
+        """
         self.routes = route_table.Routes(body=BODY)
         self.quota_allowance.install(BODY)
         self.quota_allowance.record(core="k", sent_at=self.loop.now() + 600.0, proxy_count=1, credits=[])
         self.settings = dataclasses.replace(self.settings, inner_ports=(port - 1, port + 8))
         self.batch = batch_tier.BatchTier(
-            node=self, peer_timeout_s=1.0, proxy_count=lambda: 1, is_draining=lambda: False
+            node=self, peer_timeout_s=1.0, proxy_count=lambda: proxy_count, is_draining=lambda: self.is_draining_batch
         )
         self.batch.start()
 
+    def install_routes(self, routes: list[dict[str, typing.Any]], *, edition: int) -> None:
+        """Installs a configuration with these routes."""
+        self.routes = route_table.Routes(body={**BODY, "routes": routes, "edition": edition})
+
     def handle(self, request: http_request.Request) -> None:
         """Handles a request of a client: a job call by the batch tier, any other by a request handler."""
         if self.batch.handle(request):
@@ -94,14 +110,19 @@
 
 
 class BatchScene:
-    """Three stores, one proxy with a batch tier, and scripted replicas.
+    """Three stores, proxies with a batch tier, and scripted replicas.
 
     Args:
         folder: The folder that holds the stores' disks.
         scripts: One script for each replica.
+        proxies: The number of proxies.
+
+    Attributes:
+        proxies: The proxies.
+        proxy: The first of them, which calls go to by default.
     """
 
-    def __init__(self, folder: pathlib.Path, *scripts: loopback.Script) -> None:
+    def __init__(self, folder: pathlib.Path, *scripts: loopback.Script, proxies: int = 1) -> None:
         self.folder = folder
         self.loop = loopback.new_loop()
         self.port = _free_port()
@@ -109,12 +130,17 @@
         self.stores: dict[str, store_node.StoreNode] = {}
         for host in STORE_HOSTS:
             self.start_store(loopback.own_address(host=host))
-        self.proxy = BatchProxy(
-            loop=self.loop,
-            peers=[(peer, "za") for peer in self.peers],
-            limits=lambda: loopback.limits(body_bytes=MAX_BODY_BYTES),
-        )
-        self.proxy.begin_batch(self.port)
+        self.proxies = [
+            BatchProxy(
+                loop=self.loop,
+                peers=[(peer, "za") for peer in self.peers],
+                limits=lambda: loopback.limits(body_bytes=MAX_BODY_BYTES),
+            )
+            for _number in range(proxies)
+        ]
+        self.proxy = self.proxies[0]
+        for proxy in self.proxies:
+            proxy.begin_batch(self.port, proxy_count=proxies)
         self.roles: dict[str, tuple] = {}
         self._reports: dict[int, batch_messages.CopyReport] = {}
         self._lost_at: dict[str, float] = {}
@@ -164,7 +190,8 @@
         if rows:
             for store in self.stores.values():
                 store.install_roles(self.roles)
-            self.proxy.batch.stores.update_roles(self.roles)
+            for proxy in self.proxies:
+                proxy.batch.stores.update_roles(self.roles)
 
     def _view(self, *, may_place: bool) -> partition_placement.PlacementView:
         now = self.loop.now()
@@ -224,7 +251,11 @@
             for number, owned in store.primary.owned.items()
             if owned.is_serving and len(owned.replication.owners.members) == min(len(STORE_HOSTS), len(self.stores))
         ]
-        reachable = map(self.proxy.batch.stores.is_reachable, self.proxy.batch.stores.primaries())
+        reachable = [
+            proxy.batch.stores.is_reachable(address)
+            for proxy in self.proxies
+            for address in proxy.batch.stores.primaries()
+        ]
         return len(serving) == batch_partitions.PARTITIONS and all(reachable)
 
     def until(self, condition: typing.Callable[[], object]) -> bool:
@@ -236,7 +267,16 @@
         end = self.loop.now() + seconds
         assert self.until(lambda: self.loop.now() >= end)
 
-    def call(self, method: str, path: str, *, body: bytes = b"", key: str = KEY, more: str = "") -> Answer:
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        key: str = KEY,
+        more: str = "",
+        proxy: BatchProxy | None = None,
+    ) -> Answer:
         """Sends one request on a new connection and returns the response.
 
         Args:
@@ -245,8 +285,9 @@
             body: The body.
             key: The API key of the tenant.
             more: Further header lines, each with its CRLF.
+            proxy: The proxy; the first one by default.
         """
-        client = loopback.Client(loop=self.loop, address=self.proxy.address)
+        client = loopback.Client(loop=self.loop, address=(proxy or self.proxy).address)
         head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n{more}"
         client.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         assert self.until(lambda: _is_complete(client.got)), client.got
--- a/ploverward/store/job_service.py
+++ b/ploverward/store/job_service.py
@@ -13,6 +13,7 @@
 from ploverward.store import partition as partitions
 from ploverward.transport import batch_messages
 from ploverward.transport import interfaces
+from ploverward.transport import messages
 from ploverward.transport.batch_messages import Outcome
 
 
@@ -27,10 +28,12 @@
     def __init__(self, *, owned: Mapping[int, partitions.Partition], has_capacity: Callable[[], bool]) -> None:
         self._owned = owned
         self._has_capacity = has_capacity
+        self._identified: set[interfaces.Connection] = set()  # connections of proxies that read `LeasedItems`
 
     def handlers(self) -> dict[type, Callable]:
         """Returns the handler of each message type, called with (connection, message)."""
         return {
+            messages.Handshake: self._handle_handshake,
             batch_messages.SubmitJob: self._handle_submit,
             batch_messages.PullItems: self._handle_pull,
             batch_messages.RenewItems: self._handle_renewal,
@@ -42,9 +45,13 @@
 
     def handle_end(self, connection: interfaces.Connection) -> None:
         """Detaches item leases from a proxy connection that has closed."""
+        self._identified.discard(connection)
         for owned in self._owned.values():
             owned.detach_holder(connection)
 
+    def _handle_handshake(self, connection: interfaces.Connection, _message: messages.Handshake) -> None:
+        self._identified.add(connection)
+
     def _serving_partition(self, tenant: str) -> partitions.Partition | None:
         """Returns the tenant's partition if this store may answer for it, else None."""
         owned = self._owned.get(batch_partitions.partition_of(tenant))
@@ -101,8 +108,11 @@
             for job, item in owned.leasable_items()
         ]
         found.sort(key=lambda row: row[0])
-        pulled = [owned.lease(job, item, connection) for _due_at, owned, job, item in found[: message.limit]]
-        connection.send(batch_messages.PulledItems(message.number, tuple(pulled)))
+        leased = [owned.lease(job, item, connection) for _due_at, owned, job, item in found[: message.limit]]
+        if connection in self._identified:
+            connection.send(batch_messages.LeasedItems(message.number, tuple(leased)))
+        else:
+            connection.send(batch_messages.PulledItems(message.number, tuple(map(_without_host, leased))))
 
     def _handle_renewal(self, connection: interfaces.Connection, message: batch_messages.RenewItems) -> None:
         """Renews the leases of items that a proxy runs; the reply lists the runs that it should stop."""
@@ -120,3 +130,9 @@
             reply(Outcome.NOT_OWNER)
         else:
             owned.finish(message, reply, connection)
+
+
+def _without_host(item: batch_messages.LeasedItem) -> batch_messages.PulledItem:
+    """Returns an item in the form that proxies of earlier versions read."""
+    fields = item._asdict()
+    return batch_messages.PulledItem(**{name: fields[name] for name in batch_messages.PulledItem._fields})
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -10,8 +10,10 @@
 import dataclasses
 import enum
 import json
+import typing
 from collections.abc import Iterator
 
+from ploverward.common import job_origin
 from ploverward.store import job_entries
 from ploverward.transport import batch_messages
 
@@ -67,6 +69,7 @@
         due_at: When all results are due, in wall-clock seconds.
         max_attempts: Number of 500 responses after which an item becomes a dead letter.
         items: Items by id, in the order in which the client sent them.
+        origin: The host and the path prefix of its route when it was submitted.
         results: Results in the order of their positions.
         is_ended: Whether the client has ended the job.
         positions: Positions of the job's entries in the log.
@@ -78,6 +81,7 @@
     due_at: float
     max_attempts: int
     items: dict[str, Item]
+    origin: job_origin.JobOrigin = job_origin.UNKNOWN_ORIGIN
     results: list[batch_messages.ItemResult] = dataclasses.field(default_factory=list)
     is_ended: bool = False
     positions: list[int] = dataclasses.field(default_factory=list)
@@ -87,6 +91,10 @@
         """Whether items remain to be run."""
         return not self.is_ended and len(self.results) < len(self.items)
 
+    def is_on_route(self, *, route: str, origin: job_origin.JobOrigin) -> bool:
+        """Whether the job was submitted on a route of this name, or at the place of this route under another name."""
+        return self.route == route or job_origin.is_same_place(self.origin, origin)
+
     def queued_tokens(self) -> int:
         """Returns the tokens of all items without a listed result; 0 once the job is ended or complete."""
         if not self.is_open:
@@ -94,10 +102,22 @@
         return sum(item.tokens for item in self.items.values() if item.state is not ItemState.LISTED)
 
 
-def parse_items(body: bytes) -> dict[str, Item]:
-    """Parses the items of a job body, which a proxy has already validated."""
-    rows = json.loads(body)["requests"]
-    return {
+class JobBody(typing.NamedTuple):
+    """The parsed body of a job.
+
+    Attributes:
+        items: The items by id, in the order in which the client sent them.
+        origin: Where the job was submitted.
+    """
+
+    items: dict[str, Item]
+    origin: job_origin.JobOrigin
+
+
+def parse_body(body: bytes) -> JobBody:
+    """Parses a job body, which a proxy has already validated."""
+    fields = json.loads(body)
+    items = {
         row["id"]: Item(
             item_id=row["id"],
             path=row["path"],
@@ -105,18 +125,22 @@
             parcel=row.get("parcel") or "",
             tokens=int(row.get("tokens") or 0),
         )
-        for row in rows
+        for row in fields["requests"]
     }
+    return JobBody(items, job_origin.origin_of(fields))
 
 
-def _new_job(entry: job_entries.JobAccepted) -> Job:
+def new_job(entry: job_entries.JobAccepted) -> Job:
+    """Returns the job that an entry accepts."""
+    body = parse_body(entry.body)
     return Job(
         tenant=entry.tenant,
         job_id=entry.job,
         route=entry.route,
         due_at=entry.due_at,
         max_attempts=entry.max_attempts,
-        items=parse_items(entry.body),
+        items=body.items,
+        origin=body.origin,
     )
 
 
@@ -138,7 +162,7 @@
         """
         key = (entry.tenant, entry.job)
         if isinstance(entry, job_entries.JobAccepted) and key not in self.jobs:
-            self.jobs[key] = _new_job(entry)
+            self.jobs[key] = new_job(entry)
         job = self.jobs.get(key)
         if job is None:
             return
@@ -170,9 +194,19 @@
         """Returns a job, or None if it is not in the table."""
         return self.jobs.get((tenant, job))
 
-    def queued_tokens(self, *, tenant: str, route: str) -> int:
-        """Returns the tokens of a tenant's unfinished items on a route, which count against its quota."""
-        return sum(job.queued_tokens() for job in self.jobs.values() if (job.tenant, job.route) == (tenant, route))
+    def queued_tokens(
+        self, *, tenant: str, route: str, origin: job_origin.JobOrigin = job_origin.UNKNOWN_ORIGIN
+    ) -> int:
+        """Returns the tokens of a tenant's unfinished items on a route, which count against its quota.
+
+        Args:
+            tenant: Name of the tenant.
+            route: Name of the route.
+            origin: Host and path prefix of the route; jobs that were submitted there under another name of the route
+                count, too.
+        """
+        jobs = [job for job in self.jobs.values() if job.tenant == tenant]
+        return sum(job.queued_tokens() for job in jobs if job.is_on_route(route=route, origin=origin))
 
     def expired_jobs(self, *, due_before: float) -> list[Job]:
         """Returns the jobs without items left to run that were due before a wall-clock time."""
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -52,8 +52,7 @@
         self._status_s = status_s
         self._pending_replies: dict[int, list[Reply]] = {}  # by position of the entry whose commit they wait for
         self._submitted: dict[tuple[str, str], int] = {}  # position by job, for jobs that are not committed yet
-        # Tokens of the jobs that are not committed yet, by (tenant, route) and then by job.
-        self._submitted_tokens: dict[tuple[str, str], dict[str, int]] = {}
+        self._uncommitted: dict[tuple[str, str], job_table.Job] = {}  # the same jobs, whose tokens count already
         self._expiring: set[tuple[str, str]] = set()  # jobs whose `JobForgotten` is not committed yet
         self._inherited: set[tuple[str, str]] = set()  # jobs accepted by an earlier primary
         self._serving_since: float | None = None
@@ -93,7 +92,7 @@
         if isinstance(entry, job_entries.JobAccepted):
             if self._submitted.pop(key, None) is None:
                 self._inherited.add(key)
-            self._submitted_tokens.get((entry.tenant, entry.route), {}).pop(entry.job, None)
+            self._uncommitted.pop(key, None)
         elif isinstance(entry, job_entries.JobForgotten):
             self.replication.log.forget(entry.positions)
             self._expiring.discard(key)
@@ -125,10 +124,6 @@
         if key in self._submitted:
             self._pending_replies.setdefault(self._submitted[key], []).append(reply)
             return
-        tokens = sum(item.tokens for item in job_table.parse_items(message.body).values())
-        if message.max_queued_tokens and self._queued_tokens(message) + tokens > message.max_queued_tokens:
-            reply(Outcome.OVER_QUOTA)
-            return
         entry = job_entries.JobAccepted(
             tenant=message.tenant,
             job=message.job,
@@ -137,12 +132,19 @@
             max_attempts=message.max_attempts,
             body=message.body,
         )
-        self._submitted_tokens.setdefault((message.tenant, message.route), {})[message.job] = tokens
+        job = job_table.new_job(entry)
+        if message.max_queued_tokens and self._queued_tokens(job) + job.queued_tokens() > message.max_queued_tokens:
+            reply(Outcome.OVER_QUOTA)
+            return
+        self._uncommitted[key] = job
         self._submitted[key] = self._append(entry, reply)
 
-    def _queued_tokens(self, message: batch_messages.SubmitJob) -> int:
-        submitted = self._submitted_tokens.get((message.tenant, message.route), {})
-        return self.table.queued_tokens(tenant=message.tenant, route=message.route) + sum(submitted.values())
+    def _queued_tokens(self, new: job_table.Job) -> int:
+        """Returns the tokens of the tenant's unfinished items on the route of a new job."""
+        uncommitted = [job for job in self._uncommitted.values() if job.tenant == new.tenant]
+        submitted = [job for job in uncommitted if job.is_on_route(route=new.route, origin=new.origin)]
+        committed = self.table.queued_tokens(tenant=new.tenant, route=new.route, origin=new.origin)
+        return committed + sum(job.queued_tokens() for job in submitted)
 
     def end_job(self, message: batch_messages.EndJob, reply: Reply) -> None:
         """Ends a job; a repeated call gets the same reply."""
@@ -166,14 +168,16 @@
                 for item in self.table.leasable_items(job, now=now):
                     yield job, item
 
-    def lease(self, job: job_table.Job, item: job_table.Item, holder: Holder) -> batch_messages.PulledItem:
+    def lease(self, job: job_table.Job, item: job_table.Item, holder: Holder) -> batch_messages.LeasedItem:
         """Leases an item to a proxy."""
         self._set_lease(item, holder)
-        return batch_messages.PulledItem(
+        return batch_messages.LeasedItem(
             tenant=job.tenant,
             job=job.job_id,
             item=item.item_id,
             route=job.route,
+            host=job.origin.host,
+            edition=job.origin.edition,
             path=item.path,
             headers=_json_bytes(item.headers),
             parcel=item.parcel.encode(),
--- a/ploverward/transport/batch_messages.py
+++ b/ploverward/transport/batch_messages.py
@@ -54,8 +54,30 @@
     limit: int
 
 
+class LeasedItem(typing.NamedTuple):
+    """An item that is leased to the proxy, with the host by which it is routed."""
+
+    tenant: str
+    job: str
+    item: str
+    route: str  # name of the route on which the job was submitted; routes the item only if `host` is empty
+    host: str  # host of that route; empty if the job was accepted by an earlier version
+    edition: int  # version of the configuration by which the job was accepted
+    path: str
+    headers: bytes  # JSON object: value by name
+    parcel: bytes  # request body in base64
+    left_ms: int  # until all results of the job are due
+
+
+class LeasedItems(typing.NamedTuple):
+    """Reply to `PullItems` of a proxy that sent a `Handshake` on the connection."""
+
+    number: int
+    items: tuple[LeasedItem, ...]
+
+
 class PulledItem(typing.NamedTuple):
-    """An item that is leased to the proxy."""
+    """An item that is leased to the proxy, without the host by which it is routed."""
 
     tenant: str
     job: str
@@ -68,7 +90,7 @@
 
 
 class PulledItems(typing.NamedTuple):
-    """Reply to `PullItems`."""
+    """Reply to `PullItems` of a proxy without a `Handshake`, and of stores of earlier versions."""
 
     number: int
     items: tuple[PulledItem, ...]
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -156,6 +156,11 @@
         NUMBER,
         _rows(batch_messages.PulledItem, TEXT, TEXT, TEXT, TEXT, TEXT, BLOB, BLOB, NUMBER),
     ),
+    batch_messages.LeasedItems: (
+        102,
+        NUMBER,
+        _rows(batch_messages.LeasedItem, TEXT, TEXT, TEXT, TEXT, TEXT, NUMBER, TEXT, BLOB, BLOB, NUMBER),
+    ),
     batch_messages.FinishItem: (84, NUMBER, TEXT, TEXT, TEXT, NUMBER, BLOB),
     batch_messages.ReadJob: (85, NUMBER, TEXT, TEXT, NUMBER),
     batch_messages.JobPage: (86, NUMBER, NUMBER, NUMBER, _rows(batch_messages.ItemResult, TEXT, NUMBER, BLOB)),
--- a/ploverward/transport/test_golden_frames.py
+++ b/ploverward/transport/test_golden_frames.py
@@ -79,6 +79,7 @@
     "job_reply": batch_messages.JobReply,
     "pull_items": batch_messages.PullItems,
     "pulled_items": batch_messages.PulledItems,
+    "leased_items": batch_messages.LeasedItems,
     "finish_item": batch_messages.FinishItem,
     "read_job": batch_messages.ReadJob,
     "job_page": batch_messages.JobPage,
