Without a batch route a proxy pulls 16 items at a time: all of them are given up

A proxy whose configuration has no batch route knows no slots for items and pulled one each 0.1 s, so that a heap of lots of a withdrawn route took long to be listed. Measured: with one item a pull 35 of 200 items of one lot were dead letters when test_many_waiting_items_of_a_withdrawn_route_are_given_up_within_seconds gave up after 200 reads; with 16 all are. On a full machine (load 25 to 36) tests of this file failed in their setup, which waits for real sockets; on load 13 all 14 passed.

--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -39,6 +39,7 @@
 REPORT_RETRY_S = 0.3
 MAX_REPORT_ATTEMPTS = 60
 _FIRST_SUCCESS, _FIRST_REDIRECT = 200, 300  # HTTP statuses
+ENDED_ITEMS_PER_PULL = 16  # without a batch route no item needs a slot: all are of routes that have ended
 ITEM_SLOT_SHARE = 0.5  # share of the replicas' slots that items of all proxies together may take
 
 
@@ -128,6 +129,8 @@
 
     def _max_running(self) -> int:
         """Returns this proxy's part of the slots that items may take."""
+        if not self._node.routes.batch_services:
+            return ENDED_ITEMS_PER_PULL
         slots = sum(
             replica.batch_slots for replica in self._node.table.replicas.values() if self._runs_items(replica.service)
         )
--- a/ploverward/data_plane/batch/test_route_changes.py
+++ b/ploverward/data_plane/batch/test_route_changes.py
@@ -59,6 +59,15 @@
     assert not waiting.arrivals()
 
 
+def test_many_waiting_items_of_a_withdrawn_route_are_given_up_within_seconds(waiting):
+    """Guards against a proxy without batch routes that pulls one item at a time."""
+    items = [batch_scene.item(f"i{number}", tokens=0) for number in range(200)]
+    assert waiting.submit("l2", items).status == 202
+    waiting.proxy.install_routes([SAFE], edition=5)
+    waiting.proxy.is_draining_batch = False
+    assert set(conditions(waiting, "l2").values()) == {"dead_letter"}
+
+
 def test_items_run_on_a_route_of_another_name_at_their_place(waiting):
     """Guards against items that wait for ever because their route was renamed."""
     waiting.proxy.install_routes([batch_route("renamed"), SAFE], edition=5)
