--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -111,7 +111,9 @@
         _replace(
             partition.Partition,
             "_queued_tokens",
-            lambda self, job: self.table.queued_tokens(tenant=job.tenant, route=job.route),
+            lambda self, tenant, new: sum(
+                use.tokens for use in self.table.route_uses(tenant) if use.is_same_route(new)
+            ),
         )
     ]
 
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -91,10 +91,6 @@
         """Whether items remain to be run."""
         return not self.is_ended and len(self.results) < len(self.items)
 
-    def is_on_route(self, *, route: str, origin: job_origin.JobOrigin) -> bool:
-        """Whether the job was submitted on a route of this name, or at the place of this route under another name."""
-        return self.route == route or job_origin.is_same_place(self.origin, origin)
-
     def queued_tokens(self) -> int:
         """Returns the tokens of all items without a listed result; 0 once the job is ended or complete."""
         if not self.is_open:
@@ -102,6 +98,24 @@
         return sum(item.tokens for item in self.items.values() if item.state is not ItemState.LISTED)
 
 
+class RouteUse(typing.NamedTuple):
+    """The tokens that a job has queued on a route.
+
+    Attributes:
+        route: Name of the route when the job was submitted.
+        origin: Host and path prefix of the route at that time.
+        tokens: The number of tokens.
+    """
+
+    route: str
+    origin: job_origin.JobOrigin
+    tokens: int
+
+    def is_same_route(self, other: RouteUse) -> bool:
+        """Whether both are on a route of one name, or on routes of the same host and path prefix."""
+        return self.route == other.route or job_origin.is_same_place(self.origin, other.origin)
+
+
 class JobBody(typing.NamedTuple):
     """The parsed body of a job.
 
@@ -194,19 +208,10 @@
         """Returns a job, or None if it is not in the table."""
         return self.jobs.get((tenant, job))
 
-    def queued_tokens(
-        self, *, tenant: str, route: str, origin: job_origin.JobOrigin = job_origin.UNKNOWN_ORIGIN
-    ) -> int:
-        """Returns the tokens of a tenant's unfinished items on a route, which count against its quota.
-
-        Args:
-            tenant: Name of the tenant.
-            route: Name of the route.
-            origin: Host and path prefix of the route; jobs that were submitted there under another name of the route
-                count, too.
-        """
+    def route_uses(self, tenant: str) -> list[RouteUse]:
+        """Returns the tokens of a tenant's unfinished items, which count against its quotas."""
         jobs = [job for job in self.jobs.values() if job.tenant == tenant]
-        return sum(job.queued_tokens() for job in jobs if job.is_on_route(route=route, origin=origin))
+        return [RouteUse(job.route, job.origin, job.queued_tokens()) for job in jobs]
 
     def expired_jobs(self, *, due_before: float) -> list[Job]:
         """Returns the jobs without items left to run that were due before a wall-clock time."""
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -52,7 +52,7 @@
         self._status_s = status_s
         self._pending_replies: dict[int, list[Reply]] = {}  # by position of the entry whose commit they wait for
         self._submitted: dict[tuple[str, str], int] = {}  # position by job, for jobs that are not committed yet
-        self._uncommitted: dict[tuple[str, str], job_table.Job] = {}  # the same jobs, whose tokens count already
+        self._uncommitted: dict[tuple[str, str], job_table.RouteUse] = {}  # their queued tokens
         self._expiring: set[tuple[str, str]] = set()  # jobs whose `JobForgotten` is not committed yet
         self._inherited: set[tuple[str, str]] = set()  # jobs accepted by an earlier primary
         self._serving_since: float | None = None
@@ -133,18 +133,18 @@
             body=message.body,
         )
         job = job_table.new_job(entry)
-        if message.max_queued_tokens and self._queued_tokens(job) + job.queued_tokens() > message.max_queued_tokens:
+        use = job_table.RouteUse(job.route, job.origin, job.queued_tokens())
+        if message.max_queued_tokens and self._queued_tokens(job.tenant, use) + use.tokens > message.max_queued_tokens:
             reply(Outcome.OVER_QUOTA)
             return
-        self._uncommitted[key] = job
+        self._uncommitted[key] = use
         self._submitted[key] = self._append(entry, reply)
 
-    def _queued_tokens(self, new: job_table.Job) -> int:
+    def _queued_tokens(self, tenant: str, new: job_table.RouteUse) -> int:
         """Returns the tokens of the tenant's unfinished items on the route of a new job."""
-        uncommitted = [job for job in self._uncommitted.values() if job.tenant == new.tenant]
-        submitted = [job for job in uncommitted if job.is_on_route(route=new.route, origin=new.origin)]
-        committed = self.table.queued_tokens(tenant=new.tenant, route=new.route, origin=new.origin)
-        return committed + sum(job.queued_tokens() for job in submitted)
+        uncommitted = [use for (owner, _job), use in self._uncommitted.items() if owner == tenant]
+        uses = [*self.table.route_uses(tenant), *uncommitted]
+        return sum(use.tokens for use in uses if use.is_same_route(new))
 
     def end_job(self, message: batch_messages.EndJob, reply: Reply) -> None:
         """Ends a job; a repeated call gets the same reply."""
--- a/ploverward/store/test_job_table.py
+++ b/ploverward/store/test_job_table.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from ploverward.common import job_origin
 from ploverward.store import job_entries
 from ploverward.store import job_table
 from ploverward.transport import batch_messages
@@ -77,13 +78,19 @@
     assert list(job.items) == ["a", "b", "c"] and job.is_open
 
 
+def queued_tokens(table, *, tenant, route):
+    place = job_table.RouteUse(route, job_origin.UNKNOWN_ORIGIN, 0)
+    return sum(use.tokens for use in table.route_uses(tenant) if use.is_same_route(place))
+
+
 def test_queued_tokens_count_only_unlisted_items_of_open_jobs():
     table = job_table.JobTable()
     apply(table, accepted("a", "b"), accepted("c", job="l2"), listed("a"))
-    assert table.queued_tokens(tenant="t", route="r") == 10
+    assert queued_tokens(table, tenant="t", route="r") == 10
     apply(table, job_entries.JobEnded("t", "l2"))
-    assert table.queued_tokens(tenant="t", route="r") == 5
-    assert table.queued_tokens(tenant="other", route="r") == 0
+    assert queued_tokens(table, tenant="t", route="r") == 5
+    assert queued_tokens(table, tenant="t", route="other") == 0
+    assert queued_tokens(table, tenant="other", route="r") == 0
 
 
 def test_open_jobs_are_sorted_by_due_time_and_a_leased_item_is_leasable_once_its_lease_ends():
