--- a/review/harness-2/lab.py
+++ b/review/harness-2/lab.py
@@ -120,13 +120,22 @@
         self.condition = "accepting"
         self.handle = handle
         self.server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
         """Starts to listen."""
         self.port = port
         self.server = await asyncio.start_server(self._serve, self.host, port, limit=MAX_HEAD_BYTES)
 
+    async def crash(self) -> None:
+        """Ends it: open connections are reset, new ones are refused."""
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (request := await read_request(reader)) is not None:
                 if request.headers.get("x-addressed-replica", self.id) != self.id:
@@ -135,6 +144,7 @@
                     continue
                 await self.handle(self, request, writer)
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     def row(self) -> dict[str, typing.Any]:
