--- a/ploverward/data_plane/batch/item_handler.py
+++ b/ploverward/data_plane/batch/item_handler.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
+import http
 import typing
 
 from ploverward.data_plane.quotas import tenant_directory
 from ploverward.data_plane.requests import admission_filters
+from ploverward.data_plane.requests import attempts
 from ploverward.data_plane.requests import handler_context
 from ploverward.data_plane.requests import request_handler
 from ploverward.data_plane.requests import request_state
 from ploverward.data_plane.requests import route_table
 from ploverward.transport import http_request
 
+if typing.TYPE_CHECKING:
+    from collections.abc import Iterable
+
 LATENCY_TARGET_S = 2.0  # target for the time to the first event of a response
 RUN_LIMIT_S = 60.0  # longest time of one run
 
@@ -69,6 +74,9 @@
         context: An `ItemContext`.
         request: The item's request.
         tenant: The tenant of the item's job; None if the configuration no longer has it.
+
+    Attributes:
+        failed_answers: Number of answers with status 500 that replicas gave in this run.
     """
 
     def __init__(
@@ -80,6 +88,15 @@
     ) -> None:
         super().__init__(context=context, request=request)
         self._tenant = tenant
+        self.failed_answers = 0
+
+    def handle_head(
+        self, attempt: attempts.Attempt, *, headers: Iterable[tuple[bytes, bytes]], table: dict[bytes, bytes]
+    ) -> None:
+        """Counts an answer with status 500, then handles the head of a replica's response."""
+        if attempt.status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.failed_answers += 1
+        super().handle_head(attempt, headers=headers, table=table)
 
     def start(self, route: route_table.Route) -> None:
         """Starts the first attempt."""
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -200,7 +200,17 @@
         return directory.by_name.get(name) if directory is not None else None
 
     def _handle_end(self, item: batch_messages.LeasedItem, status: int, body: bytes) -> None:
-        self._running.pop(_key(item), None)
+        handler = self._running.pop(_key(item), None)
+        if handler is not None and handler.failed_answers:
+            _log.info(
+                "item_run_failed",
+                extra={
+                    "item": item.item,
+                    "status": status,
+                    "attempts": handler.policy.sent_attempts,
+                    "failed_answers": handler.failed_answers,
+                },
+            )
         if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
             self._report_outcome(item, Condition.DELIVERED, item_request.extract_event_data(body))
         elif status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import math
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -22,6 +23,8 @@
 from ploverward.transport.batch_messages import Condition
 from ploverward.transport.batch_messages import Outcome
 
+_log = logging.getLogger(__name__)
+
 LEASE_S = 3.0  # duration of an item lease, unless the proxy renews it
 CLAIM_PERIOD_S = 1.2  # time for proxies to claim the items that they run from a new primary
 RETRY_PAUSE_S = 0.5  # between a failed or released run of an item and its next lease
@@ -226,6 +229,12 @@
             self._list_item(job, item, condition, message.text, reply)
 
     def _release(self, job: job_table.Job, item: job_table.Item, holder: Holder, *, has_failed: bool) -> None:
+        if has_failed:
+            is_counted = item.state is job_table.ItemState.LEASED and item.holder is holder
+            _log.info(
+                "item_failure_reported",
+                extra={"item": item.item_id, "failures": item.failures, "is_counted": is_counted},
+            )
         if item.state is not job_table.ItemState.LEASED or item.holder is not holder:
             return  # the report is from an earlier run, or a repetition
         if has_failed and item.failures + 1 >= job.max_attempts:
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -23,6 +23,7 @@
 import sortedcontainers
 
 from ploverward.transport import interfaces
+from ploverward.transport import turn_watch
 from ploverward.transport import work_counter
 from ploverward.transport.interfaces import Callback
 
@@ -94,6 +95,7 @@
         self._pool: concurrent.futures.ThreadPoolExecutor | None = None
         self._is_running = True
         self._on_error = on_error
+        self._watch = turn_watch.TurnWatch(now=time.monotonic)
         self.work: work_counter.WorkCounter | None = None
 
     def now(self) -> float:
@@ -199,6 +201,7 @@
         elif self._timers:
             wait_s = min(wait_s, max(0.0, self._timers[0].when - self.now()))
         ready = self._selector.select(wait_s)
+        self._watch.begin_turn()
         for key, mask in ready:
             self._run_callback(key.data, mask)
         has_commands = bool(self._commands)
@@ -212,6 +215,7 @@
             self._run_callback(timer.callback)
         while self._end_of_step:
             self._run_callback(self._end_of_step.popleft())
+        self._watch.end_turn()
         if self.work is not None:
             self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
@@ -224,3 +228,4 @@
             if self._on_error is None:
                 raise
             self._on_error(error)
+        self._watch.note_call(callback)
