Count each answer of 500 to an item once, and give the item up in time

Cause: failures were counted per run and by who reported them. A run was reported as failed only if its own status was 500; one that ended with 502 for want of another replica, with a broken stream or with its proxy counted nothing, and the store dropped reports of proxies without the lease.

Now the proxy reports each answer as its head comes, under an identifier, and repeats that until a store has committed it; no attempt starts before that, and the item is not given back. Stores count identifiers, whoever sends them, in the log. An item is given up after 2 x tries answers: never before tries, and with a third of the allowed 3 x tries left for answers that a killed proxy takes with it. A 422 in the middle of a stream, lost in the same way, counts too. The entry of the log is read by earlier stores as a failed run; a store that counts answers says so by a handshake, to others proxies report failed runs as before.

--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -2,7 +2,8 @@
 
 Nothing is pushed to a proxy: after a restart it requests the items that it can run. `ItemPuller` owns the runs in
 progress and lists them to their primaries at regular intervals. This renews the leases of the items, makes the runs
-known to a new primary, and returns the runs whose results are no longer needed.
+known to a new primary, and returns the runs whose results are no longer needed. A run that ends without a result gives
+its item back only once the store has counted the failed attempts of the run.
 
 An item is routed by its host and path in the current configuration. If no batch route covers it there, its route has
 ended and the item becomes a dead letter, but only if this configuration is not older than the one by which the job was
@@ -21,6 +22,7 @@
 
 from ploverward.common import errors
 from ploverward.common import job_origin
+from ploverward.data_plane.batch import failed_attempts
 from ploverward.data_plane.batch import item_handler
 from ploverward.data_plane.batch import item_request
 from ploverward.data_plane.batch import store_client
@@ -82,6 +84,7 @@
         self._context = typing.cast(handler_context.HandlerContext, item_handler.ItemContext(node))
         self._running: dict[ItemKey, item_handler.ItemHandler] = {}
         self._reports: dict[ItemKey, _PendingReport] = {}
+        self._failures = failed_attempts.FailedAttemptReports(loop=node.loop, stores=stores)
         self._requested = 0  # items requested by pulls in progress
         self._next_primary = 0
 
@@ -108,9 +111,12 @@
 
     def _handle_renewed(self, reply: batch_messages.ItemsRenewed | None) -> None:
         for key in reply.stopped if reply is not None else ():
-            handler = self._running.pop(key, None)
-            if handler is not None:
-                handler.on_client_gone()
+            self._stop_run(key)
+
+    def _stop_run(self, key: ItemKey) -> None:
+        handler = self._running.pop(key, None)
+        if handler is not None:
+            handler.on_client_gone()
 
     def _pull(self) -> None:
         primaries = self._stores.primaries()
@@ -190,7 +196,14 @@
             now=self._node.loop.now(),
             on_end=functools.partial(self._handle_end, item),
         )
-        handler = item_handler.ItemHandler(context=self._context, request=request, tenant=self._tenant(item.tenant))
+        handler = item_handler.ItemHandler(
+            context=self._context,
+            request=request,
+            tenant=self._tenant(item.tenant),
+            key=_key(item),
+            reports=self._failures,
+            on_not_needed=functools.partial(self._stop_run, _key(item)),
+        )
         self._context.handlers.add(handler)
         self._running[_key(item)] = handler
         handler.start(route)
@@ -211,19 +224,28 @@
                     "failed_answers": handler.failed_answers,
                 },
             )
+        is_rejected = handler is not None and handler.is_rejected
         if _FIRST_SUCCESS <= status < _FIRST_REDIRECT:
             self._report_outcome(item, Condition.DELIVERED, item_request.extract_event_data(body))
-        elif status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
+        elif is_rejected or status == http.HTTPStatus.UNPROCESSABLE_ENTITY:
             self._report_outcome(item, Condition.DEAD_LETTER, b"")
-        elif status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._report_outcome(item, Condition.FAILED, b"")
         else:
-            self._report_outcome(item, Condition.RELEASED, b"")
+            self._give_back(item, handler)
+
+    def _give_back(self, item: batch_messages.LeasedItem, handler: item_handler.ItemHandler | None) -> None:
+        """Makes an item available for another run, once the store has counted the failed attempts of this run."""
+        report = self._reports[_key(item)] = _PendingReport()
+
+        def send() -> None:
+            has_uncounted_failure = handler is not None and handler.has_uncounted_failure
+            condition = Condition.FAILED if has_uncounted_failure else Condition.RELEASED
+            self._send_report(report, _finish_message(item, condition, b""), attempt=1)
+
+        self._failures.when_settled(_key(item), send)
 
     def _report_outcome(self, item: batch_messages.LeasedItem, condition: Condition, text: bytes) -> None:
         report = self._reports[_key(item)] = _PendingReport()
-        message = batch_messages.FinishItem(0, item.tenant, item.job, item.item, int(condition), text)
-        self._send_report(report, message, attempt=1)
+        self._send_report(report, _finish_message(item, condition, text), attempt=1)
 
     def _send_report(self, report: _PendingReport, message: batch_messages.FinishItem, *, attempt: int) -> None:
         """Sends a report, and repeats it until the store replies: a lost message must not lose a result."""
@@ -252,6 +274,10 @@
     return ItemKey(item.tenant, item.job, item.item)
 
 
+def _finish_message(item: batch_messages.LeasedItem, condition: Condition, text: bytes) -> batch_messages.FinishItem:
+    return batch_messages.FinishItem(0, item.tenant, item.job, item.item, int(condition), text)
+
+
 def _without_origin(item: batch_messages.PulledItem) -> batch_messages.LeasedItem:
     """Returns an item that a store of an earlier version sent."""
     origin = job_origin.UNKNOWN_ORIGIN
--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -20,6 +20,7 @@
 
 RETRY_DELAY_S = 0.1  # between a failed attempt and the next one
 ATTEMPT_TIMEOUT_S = 0.9
+HANDSHAKE_TIMEOUT_S = 1.0  # after which a store that is connected and sent no handshake is of an earlier version
 
 ReplyCallback = Callable[[typing.Any], object]  # argument: the reply; None if none arrived in time
 # Arguments: the reply, and whether an earlier attempt may have taken effect.
@@ -40,7 +41,8 @@
         loop: The event loop.
         port: The port that stores listen on.
         peer_timeout_s: Seconds without received data after which a connection is closed.
-        handshake: Identifies this proxy on each new connection; stores answer `LeasedItems` to proxies that send one.
+        handshake: Identifies this proxy on each new connection; stores answer with their own, and send `LeasedItems`
+            to proxies that send one.
         on_up: Called with the address of a store for each new connection, while it is still connecting, and of a
             reachable store that became primary of further partitions.
     """
@@ -157,13 +159,29 @@
         connector = self._connectors.get(address)
         return connector is not None and connector.link is not None and connector.link.is_up
 
+    def counts_failed_attempts(self, address: str) -> bool | None:
+        """Returns whether the store counts each failed attempt; None while that is not known.
+
+        It does if it sends a handshake. A store of an earlier version sends none.
+        """
+        connector = self._connectors.get(address)
+        connection = connector.link if connector is not None else None
+        if connection is None or not connection.is_up:
+            return None
+        if connection.hello is not None:
+            return True
+        return False if self._loop.now() - connection.opened_at > HANDSHAKE_TIMEOUT_S else None
+
     def send_heartbeats(self) -> None:
         """Sends a heartbeat to each store; to be called at each heartbeat interval."""
         for connector in self._connectors.values():
             if connector.link is not None and connector.link.is_up:
                 connector.link.keep_alive()
 
-    def _handle_message(self, _connection: peer_connection.PeerConnection, message: tuple) -> None:
+    def _handle_message(self, connection: peer_connection.PeerConnection, message: tuple) -> None:
+        if isinstance(message, messages.Handshake):
+            connection.hello = message
+            return
         number = getattr(message, "number", None)
         if number is not None and not isinstance(message, messages.KeepAlive):
             self._finish(number, message)
--- a/ploverward/simulation/batch/simulated_store.py
+++ b/ploverward/simulation/batch/simulated_store.py
@@ -21,6 +21,7 @@
 from ploverward.store import replication
 from ploverward.store import store_disk
 from ploverward.transport import batch_messages
+from ploverward.transport import messages
 
 TIMING = replication.Timing(lease_s=0.6)
 STATUS_S = 4.0  # for how long a job stays readable after its due time
@@ -119,7 +120,11 @@
             ),
             send_report=lambda report: self._send_report(self.name, report),
         )
-        self.jobs = job_service.JobService(owned=self.primary.owned, has_capacity=lambda: True)
+        self.jobs = job_service.JobService(
+            owned=self.primary.owned,
+            has_capacity=lambda: True,
+            handshake=messages.Handshake("store", self.name, self.zone, "", self.incarnation, ""),
+        )
         self._handlers: dict[type, Callable] = {
             **self.jobs.handlers(),
             batch_messages.RenewPrimaryLeases: self.copies.handle_leases,
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -49,13 +49,15 @@
 
     is_draining_batch = False
 
-    def begin_batch(self, port: int, *, proxy_count: int = 1) -> None:
+    def begin_batch(self, port: int, *, number: int = 0, proxy_count: int = 1) -> None:
         """Starts the batch tier, which handles job calls from now on.
 
         Args:
             port: The port that the stores listen at.
+            number: Distinguishes this proxy from the others.
             proxy_count: The number of proxies that share the replicas.
         """
+        self.incarnation = f"proxy-{number}"
         self.routes = route_table.Routes(body=BODY)
         self.quota_allowance.install(BODY)
         self.quota_allowance.record(core="k", sent_at=self.loop.now() + 600.0, proxy_count=1, credits=[])
@@ -139,8 +141,8 @@
             for _number in range(proxies)
         ]
         self.proxy = self.proxies[0]
-        for proxy in self.proxies:
-            proxy.begin_batch(self.port, proxy_count=proxies)
+        for number, proxy in enumerate(self.proxies):
+            proxy.begin_batch(self.port, number=number, proxy_count=proxies)
         self.roles: dict[str, tuple] = {}
         self._reports: dict[int, batch_messages.CopyReport] = {}
         self._lost_at: dict[str, float] = {}
--- a/ploverward/store/job_entries.py
+++ b/ploverward/store/job_entries.py
@@ -56,11 +56,20 @@
 
 
 class ItemFailed(typing.NamedTuple):
-    """A replica answered a run of an item with 500."""
+    """A replica answered an attempt of an item with 500.
+
+    Attributes:
+        tenant: The tenant that the job belongs to.
+        job: The id of the job.
+        item: The id of the item.
+        attempt: Identifies the attempt, so that it counts once. Empty in entries of earlier versions, and of reports of
+            earlier versions: they stand for a whole run, of whose attempts at least one was answered with 500.
+    """
 
     tenant: str
     job: str
     item: str
+    attempt: str = ""
 
 
 class JobForgotten(typing.NamedTuple):
@@ -89,7 +98,7 @@
     if isinstance(entry, ItemListed):
         return _pack({"item": [entry.tenant, entry.job, entry.item, entry.condition]}, entry.text)
     if isinstance(entry, ItemFailed):
-        return _pack({"failed": [*entry]}, b"")
+        return _pack({"failed": [entry.tenant, entry.job, entry.item]}, entry.attempt.encode())
     if isinstance(entry, JobForgotten):
         return _pack({"forgotten": [entry.tenant, entry.job, [*entry.positions]]}, b"")
     return _pack({"end": [entry.tenant, entry.job]}, b"")
@@ -121,7 +130,8 @@
     if kind == "end":
         return JobEnded._make(fields)
     if kind == "failed":
-        return ItemFailed._make(fields)
+        tenant, job, item = fields
+        return ItemFailed(tenant, job, item, rest.decode())
     if kind == "forgotten":
         tenant, job, positions = fields
         return JobForgotten(tenant, job, tuple(positions))
--- a/ploverward/store/job_service.py
+++ b/ploverward/store/job_service.py
@@ -23,11 +23,20 @@
     Args:
         owned: The partitions that this store is primary of, by number.
         has_capacity: Returns whether disk and memory can hold another job.
+        handshake: Identifies this store to proxies that identify themselves; tells them that it counts each failed
+            attempt.
     """
 
-    def __init__(self, *, owned: Mapping[int, partitions.Partition], has_capacity: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        owned: Mapping[int, partitions.Partition],
+        has_capacity: Callable[[], bool],
+        handshake: messages.Handshake,
+    ) -> None:
         self._owned = owned
         self._has_capacity = has_capacity
+        self._handshake = handshake
         self._identified: set[interfaces.Connection] = set()  # connections of proxies that read `LeasedItems`
 
     def handlers(self) -> dict[type, Callable]:
@@ -51,6 +60,7 @@
 
     def _handle_handshake(self, connection: interfaces.Connection, _message: messages.Handshake) -> None:
         self._identified.add(connection)
+        connection.send(self._handshake)
 
     def _serving_partition(self, tenant: str) -> partitions.Partition | None:
         """Returns the tenant's partition if this store may answer for it, else None."""
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -17,6 +17,9 @@
 from ploverward.store import job_entries
 from ploverward.transport import batch_messages
 
+# An item is given up after this many answers of 500 for each of its route's `tries`. Three times `tries` are allowed;
+# the rest is left for answers that no store learns of, because the proxy that received them was killed.
+FAILED_ANSWERS_PER_TRY = 2
 PAGE_BYTES = 900_000  # size of the results in one page; the protocol allows one megabyte
 
 
@@ -43,7 +46,9 @@
         lease_ends_at: When the lease ends, in seconds of the loop's clock.
         not_before: Earliest time of the next lease after a failed or released run, in seconds of the loop's clock.
         holder: Connection of the proxy that holds the lease; None if that connection has closed.
-        failures: Number of runs that a replica answered with 500.
+        failed_attempts: Log position of each attempt that a replica answered with 500, by its identifier.
+        failed_runs: Number of further runs with such an answer, reported by earlier versions, which do not tell how
+            many answers a run had.
     """
 
     item_id: str
@@ -55,7 +60,13 @@
     lease_ends_at: float = 0.0
     not_before: float = 0.0
     holder: object | None = None
-    failures: int = 0
+    failed_attempts: dict[str, int] = dataclasses.field(default_factory=dict)
+    failed_runs: int = 0
+
+    @property
+    def failures(self) -> int:
+        """Number of answers with 500 that are certain."""
+        return len(self.failed_attempts) + self.failed_runs
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -67,7 +78,7 @@
         job_id: The id of the job.
         route: The name of the job's route.
         due_at: When all results are due, in wall-clock seconds.
-        max_attempts: Number of 500 responses after which an item becomes a dead letter.
+        max_attempts: Number of 500 responses after which an item may become a dead letter (`tries`).
         items: Items by id, in the order in which the client sent them.
         origin: The host and the path prefix of its route when it was submitted.
         results: Results in the order of their positions.
@@ -91,6 +102,18 @@
         """Whether items remain to be run."""
         return not self.is_ended and len(self.results) < len(self.items)
 
+    def has_failed_too_often(self, item: Item, *, further_runs: int = 0) -> bool:
+        """Returns whether an item is to be given up.
+
+        Args:
+            item: The item.
+            further_runs: Number of failed runs to count besides those that the item has.
+        """
+        runs = item.failed_runs + further_runs
+        certain = len(item.failed_attempts) + runs
+        possible = len(item.failed_attempts) + runs * self.max_attempts
+        return certain >= self.max_attempts and possible >= self.max_attempts * FAILED_ANSWERS_PER_TRY
+
     def queued_tokens(self) -> int:
         """Returns the tokens of all items without a listed result; 0 once the job is ended or complete."""
         if not self.is_open:
@@ -186,15 +209,19 @@
         elif isinstance(entry, job_entries.ItemListed):
             self._add_result(job, entry)
         elif isinstance(entry, job_entries.ItemFailed):
-            self._count_failure(job, entry)
+            self._count_failure(job, position, entry)
         elif isinstance(entry, job_entries.JobForgotten):
             del self.jobs[key]
 
     @staticmethod
-    def _count_failure(job: Job, entry: job_entries.ItemFailed) -> None:
+    def _count_failure(job: Job, position: int, entry: job_entries.ItemFailed) -> None:
         item = job.items.get(entry.item)
-        if item is not None:
-            item.failures += 1
+        if item is None:
+            return
+        if entry.attempt:
+            item.failed_attempts[entry.attempt] = position
+        else:
+            item.failed_runs += 1
 
     @staticmethod
     def _add_result(job: Job, entry: job_entries.ItemListed) -> None:
--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -4,8 +4,12 @@
 (`replication`), so the next primary knows everything that clients have been shown or promised.
 
 Item leases are held in memory only. A new primary does not lease out items of jobs that it inherited for the first
-`CLAIM_PERIOD_S`, so that proxies can claim the items that they are still running. A report that a run failed or was
-released counts only if it comes from the proxy that holds the lease.
+`CLAIM_PERIOD_S`, so that proxies can claim the items that they are still running. A report that a run was released
+counts only if it comes from the proxy that holds the lease.
+
+An answer with status 500 counts once, by the identifier of its attempt: whoever reports it, however often, and whatever
+becomes of the run or of the lease. Its report is answered once the count is committed. Proxies of earlier versions only
+report that a run failed, without an identifier; such a report counts as a released run does.
 """
 
 from __future__ import annotations
@@ -26,6 +30,7 @@
 _log = logging.getLogger(__name__)
 
 LEASE_S = 3.0  # duration of an item lease, unless the proxy renews it
+_OVER = (job_table.ItemState.LISTED, job_table.ItemState.FINISHING)
 CLAIM_PERIOD_S = 1.2  # time for proxies to claim the items that they run from a new primary
 RETRY_PAUSE_S = 0.5  # between a failed or released run of an item and its next lease
 
@@ -198,7 +203,7 @@
         item = job.items.get(running.item) if job is not None else None
         if job is None or item is None or job.is_ended:
             return False
-        if item.state in (job_table.ItemState.LISTED, job_table.ItemState.FINISHING):
+        if item.state in _OVER:
             return False
         if item.state is job_table.ItemState.LEASED and item.holder not in (holder, None):
             return False
@@ -220,31 +225,58 @@
             reply(Outcome.NOT_FOUND)
             return
         condition = Condition(message.condition)
-        if item.state in (job_table.ItemState.LISTED, job_table.ItemState.FINISHING):
+        if condition is Condition.FAILED and message.text:
+            self._count_failed_attempt(job, item, message.text.decode(errors="replace"), reply)
+        elif item.state in _OVER:
             reply(Outcome.DONE)
-        elif condition in (Condition.FAILED, Condition.RELEASED):
-            self._release(job, item, holder, has_failed=condition is Condition.FAILED)
+        elif condition is Condition.FAILED:
+            self._count_failed_run(job, item, holder, reply)
+        elif condition is Condition.RELEASED:
+            self._release(item, holder)
             reply(Outcome.DONE)
         else:
             self._list_item(job, item, condition, message.text, reply)
 
-    def _release(self, job: job_table.Job, item: job_table.Item, holder: Holder, *, has_failed: bool) -> None:
-        if has_failed:
-            is_counted = item.state is job_table.ItemState.LEASED and item.holder is holder
-            _log.info(
-                "item_failure_reported",
-                extra={"item": item.item_id, "failures": item.failures, "is_counted": is_counted},
-            )
+    def _count_failed_attempt(self, job: job_table.Job, item: job_table.Item, attempt: str, reply: Reply) -> None:
+        """Counts an attempt that was answered with 500, and gives the item up if there were enough of them.
+
+        `reply` is called once the count is committed: with `NOT_NEEDED` if the item is not to be tried again.
+        """
+
+        def reply_with_verdict(outcome: Outcome) -> None:
+            reply(Outcome.NOT_NEEDED if outcome is Outcome.DONE and item.state in _OVER else outcome)
+
+        position = item.failed_attempts.get(attempt)
+        _log_failure(item, is_counted=position is None)
+        if position is None:
+            entry = job_entries.ItemFailed(job.tenant, job.job_id, item.item_id, attempt)
+            item.failed_attempts[attempt] = self._append(entry, reply_with_verdict)
+            if item.state not in _OVER and job.has_failed_too_often(item):
+                self._list_item(job, item, Condition.DEAD_LETTER, b"", None)
+        elif position > self.replication.committed:
+            self._pending_replies.setdefault(position, []).append(reply_with_verdict)
+        else:
+            reply_with_verdict(Outcome.DONE)
+
+    def _count_failed_run(self, job: job_table.Job, item: job_table.Item, holder: Holder, reply: Reply) -> None:
+        """Counts a run that failed, as reported by a proxy of an earlier version, and makes the item available."""
+        is_counted = self._release(item, holder)
+        _log_failure(item, is_counted=is_counted)
+        if not is_counted:
+            reply(Outcome.DONE)
+        elif job.has_failed_too_often(item, further_runs=1):
+            self._list_item(job, item, Condition.DEAD_LETTER, b"", reply)
+        else:
+            self._append(job_entries.ItemFailed(job.tenant, job.job_id, item.item_id), reply)
+
+    def _release(self, item: job_table.Item, holder: Holder) -> bool:
+        """Makes an item available for another run; returns False for a report of an earlier run, or a repeated one."""
         if item.state is not job_table.ItemState.LEASED or item.holder is not holder:
-            return  # the report is from an earlier run, or a repetition
-        if has_failed and item.failures + 1 >= job.max_attempts:
-            self._list_item(job, item, Condition.DEAD_LETTER, b"", None)
-            return
-        if has_failed:
-            self._append(job_entries.ItemFailed(job.tenant, job.job_id, item.item_id))
+            return False
         item.state = job_table.ItemState.WAITING
         item.holder = None
         item.not_before = self._now() + RETRY_PAUSE_S
+        return True
 
     def _list_item(
         self, job: job_table.Job, item: job_table.Item, condition: Condition, text: bytes, reply: Reply | None
@@ -255,5 +287,12 @@
         self._append(job_entries.ItemListed(job.tenant, job.job_id, item.item_id, int(condition), text), reply)
 
 
+def _log_failure(item: job_table.Item, *, is_counted: bool) -> None:
+    _log.info(
+        "item_failure_reported",
+        extra={"item": item.item_id, "failures": item.failures, "is_counted": is_counted},
+    )
+
+
 def _json_bytes(headers: dict[str, str]) -> bytes:
     return json.dumps(headers, separators=(",", ":")).encode()
--- a/ploverward/store/store_node.py
+++ b/ploverward/store/store_node.py
@@ -130,7 +130,18 @@
             make_links=self._make_links,
             send_report=send_report,
         )
-        self._jobs = job_service.JobService(owned=self.primary.owned, has_capacity=lambda: not self.disk.is_full)
+        self._jobs = job_service.JobService(
+            owned=self.primary.owned,
+            has_capacity=lambda: not self.disk.is_full,
+            handshake=messages.Handshake(
+                role=ROLE,
+                address=settings.ip,
+                zone=settings.zone,
+                region=settings.region,
+                incarnation=self.incarnation,
+                public_address="",  # clients do not call stores
+            ),
+        )
 
     def _make_links(self, **callbacks: typing.Any) -> store_links.StoreLinks:  # noqa: ANN401  # callbacks of `StoreLinks`
         return store_links.StoreLinks(
--- a/ploverward/store/test_job_table.py
+++ b/ploverward/store/test_job_table.py
@@ -32,7 +32,7 @@
         text=strategies.binary(max_size=100),
     ),
     strategies.builds(job_entries.JobEnded, tenant=NAMES, job=NAMES),
-    strategies.builds(job_entries.ItemFailed, tenant=NAMES, job=NAMES, item=NAMES),
+    strategies.builds(job_entries.ItemFailed, tenant=NAMES, job=NAMES, item=NAMES, attempt=NAMES),
     strategies.builds(
         job_entries.JobForgotten,
         tenant=NAMES,
--- a/ploverward/transport/batch_messages.py
+++ b/ploverward/transport/batch_messages.py
@@ -16,6 +16,7 @@
     NOT_FOUND = 3  # the job or item certainly does not exist
     NOT_OWNER = 4  # the request had no effect: another store is the primary, or this one can't serve it now
     NOT_KNOWN = 5  # the store is no longer the primary: only its successor knows whether the request took effect
+    NOT_NEEDED = 6  # only for a failed attempt: it is counted, and the item is not to be tried again
 
 
 class Condition(enum.IntEnum):
@@ -23,7 +24,7 @@
 
     DELIVERED = 1
     DEAD_LETTER = 2  # it is not tried again
-    FAILED = 3  # the replica responded with status 500
+    FAILED = 3  # a replica responded with status 500
     RELEASED = 4  # the run did not finish, and no replica is known to have failed
 
 
@@ -97,14 +98,19 @@
 
 
 class FinishItem(typing.NamedTuple):
-    """Reports the result of a run of an item."""
+    """Reports the result of a run of an item, or one failed attempt of a run that goes on.
+
+    Proxies send each failed attempt to a store that sent a `Handshake`: `condition` is `FAILED`, and `text` identifies
+    the attempt. To other stores, and by proxies of earlier versions, the end of a run with such an attempt is sent as
+    `FAILED` without a text.
+    """
 
     number: int
     tenant: str
     job: str
     item: str
     condition: int  # a `Condition`
-    text: bytes  # response, if delivered; otherwise empty
+    text: bytes  # response, if delivered; identifier of a failed attempt; otherwise empty
 
 
 class ReadJob(typing.NamedTuple):
