Bound what the bytes of each peer may take of a turn of the loop

Cause: all events in a read of up to 128 KiB were processed before the loop went on. The same stood in answers of replicas (chunks, skipped duplicates within the parser's loop, events of a stream, found by a quadratic search), frames of nodes, commands that queue commands, accepts, and reads before a close.

Now a connection processes 64 events in a turn, leaves the rest in its parser, stops reading and goes on as a continuation; continuations of all connections have 10 ms of each turn, in order. A client or replica with over 128 events a second reads as a continuation too. Timeouts take bytes that wait in a parser for received. The watched events of a socket, kept in three places, are one class.

The tests count events, not time.

--- a/ploverward/data_plane/requests/attempts.py
+++ b/ploverward/data_plane/requests/attempts.py
@@ -131,8 +131,8 @@
     ) -> None:
         """Handles the head of a response; `attempt.response_class` is set."""
 
-    def handle_data(self, attempt: Attempt, data: bytes) -> None:
-        """Handles a chunk of the body."""
+    def handle_data(self, attempt: Attempt, data: bytes) -> int:
+        """Handles a chunk of the body; returns the number of events of a stream in it."""
 
     def handle_end(self, attempt: Attempt) -> None:
         """Handles the end of a complete response."""
@@ -223,11 +223,12 @@
         self.first_event_at = self.first_event_at if self.first_event_at is not None else now
         self.last_event_at = now
 
-    def on_data(self, data: bytes) -> None:
-        """Notifies the handler of a chunk of the body."""
-        if not self.is_over:
-            self.last_received_at = self.handler.loop.now()
-            self.handler.handle_data(self, data)
+    def on_data(self, data: bytes) -> int:
+        """Notifies the handler of a chunk of the body, and returns the number of events of a stream in it."""
+        if self.is_over:
+            return 0
+        self.last_received_at = self.handler.loop.now()
+        return self.handler.handle_data(self, data)
 
     def on_end(self) -> None:
         """Notifies the handler that the response is complete."""
--- a/ploverward/data_plane/requests/replica_watch.py
+++ b/ploverward/data_plane/requests/replica_watch.py
@@ -72,7 +72,9 @@
         # Data on another connection to the replica also shows that it responds.
         idle_s = self._loop.now() - max(attempt.last_received_at, attempt.replica.last_received_at)
         delay_s = timeout_s - idle_s
-        if idle_s >= timeout_s and attempt.connection.is_up and not attempt.connection.is_paused:
+        connection = attempt.connection
+        is_reading = connection.is_up and not connection.is_paused and not connection.has_undelivered_data
+        if idle_s >= timeout_s and is_reading:
             if attempt.replica.is_probe_failed and self._may_fail_over(attempt):
                 self._on_timeout(attempt)
                 return
--- a/ploverward/data_plane/requests/request_handler.py
+++ b/ploverward/data_plane/requests/request_handler.py
@@ -243,22 +243,24 @@
                 self._note_request_started()
             self.writer.begin_body(forwarded)
 
-    def handle_data(self, attempt: attempts.Attempt, data: bytes) -> None:
-        """Handles a chunk of the body of a replica's response."""
+    def handle_data(self, attempt: attempts.Attempt, data: bytes) -> int:
+        """Handles a chunk of the body of a replica's response; returns the number of events of a stream in it."""
         if attempt.response_class is attempts.ResponseClass.NOT_RUN:
-            return
+            return 0
         stream = self.writer.stream
         if stream is None or attempt.response_class is not attempts.ResponseClass.SUCCESS:
             self.writer.write_body(data, status=attempt.status)
-            return
+            return 0
         if not attempt.is_prefilled:
             attempt.is_prefilled = True
             self._note_request_started()
             self._steps.record(step_log.PREFILLED, now=self.loop.now())
             attempt_accounting.note_prefilled(attempt, facts=self.facts, route=self.route, context=self.context)
-        for event in stream.receive_data(data):
+        events = stream.receive_data(data)
+        for event in events:
             attempt.note_event(now=attempt.last_received_at)
             self.forward_event(event)
+        return len(events)
 
     def _note_request_started(self) -> None:
         """Records that a replica began to run the request; once per request, also if it is resumed or sent again."""
--- a/ploverward/data_plane/requests/stream_resumption.py
+++ b/ploverward/data_plane/requests/stream_resumption.py
@@ -8,7 +8,10 @@
 its beginning. A replica may also repeat events that the client has; these are recognised by their ids and dropped.
 """
 
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+import re
+
+EVENT_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+MAX_PARTIAL_TERMINATOR_BYTES = 3  # at the end of the data, of which the next data may complete a terminator
 
 
 def event_id(event: bytes) -> bytes | None:
@@ -19,12 +22,6 @@
     return None
 
 
-def _event_end(data: bytes) -> int:
-    """Returns the length of the first complete event, or -1."""
-    ends = [start + len(terminator) for terminator in EVENT_TERMINATORS if (start := data.find(terminator)) >= 0]
-    return min(ends) if ends else -1
-
-
 def _is_repeated(current_id: bytes, last_id: bytes) -> bool:
     try:
         return int(current_id) <= int(last_id)
@@ -43,30 +40,33 @@
     def __init__(self, *, last_id: bytes | None) -> None:
         self.last_id = last_id
         self.is_resumable = True
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0  # at the start of the buffer, which contain no terminator
         self._has_accepted_event = False
 
     def begin_segment(self) -> None:
         """Starts the segment of another replica and drops the incomplete event of the previous segment."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
 
     def receive_data(self, data: bytes) -> list[bytes]:
         """Adds received data, and returns the complete new events in order, for forwarding."""
         self._buffer += data
         new_events: list[bytes] = []
-        while self._buffer:
-            event_end = _event_end(self._buffer)
-            if event_end < 0:
-                break
-            event = self._buffer[:event_end]
-            self._buffer = self._buffer[event_end:]
+        start = 0
+        for found in EVENT_TERMINATOR.finditer(self._buffer, self._searched_bytes):
+            event = bytes(self._buffer[start : found.end()])
+            start = found.end()
             if self._accept(event):
                 new_events.append(event)
+        self._buffer = self._buffer[start:] if start else self._buffer
+        self._searched_bytes = max(0, len(self._buffer) - MAX_PARTIAL_TERMINATOR_BYTES)
         return new_events
 
     def take_remainder(self) -> bytes:
         """Removes and returns the data after the last complete event; used when a segment ended regularly."""
-        remainder, self._buffer = self._buffer, b""
+        remainder, self._buffer = bytes(self._buffer), bytearray()
+        self._searched_bytes = 0
         return remainder
 
     def _accept(self, event: bytes) -> bool:
--- a/ploverward/data_plane/requests/test_replica_watch.py
+++ b/ploverward/data_plane/requests/test_replica_watch.py
@@ -46,7 +46,7 @@
             is_prefilled=False,
             last_received_at=0.0,
             replica=types.SimpleNamespace(last_received_at=0.0, is_probe_failed=is_probe_failed),
-            connection=types.SimpleNamespace(is_up=True, is_paused=False),
+            connection=types.SimpleNamespace(is_up=True, is_paused=False, has_undelivered_data=False),
         )
         self.watch = replica_watch.ReplicaWatch(
             loop=self.clock,
@@ -75,7 +75,7 @@
     assert scene.probes and not scene.timeouts
 
 
-@pytest.mark.parametrize("name, value", [("is_up", False), ("is_paused", True)])
+@pytest.mark.parametrize("name, value", [("is_up", False), ("is_paused", True), ("has_undelivered_data", True)])
 def test_connecting_or_paused_connection_does_not_time_out(name, value):
     scene = Scene()
     setattr(scene.attempt.connection, name, value)
--- a/ploverward/data_plane/requests/test_stream_resumption.py
+++ b/ploverward/data_plane/requests/test_stream_resumption.py
@@ -1,6 +1,8 @@
 """Tests the events of a stream over several segments, without sockets."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies
 
 from ploverward.data_plane.requests import stream_resumption
 
@@ -49,3 +51,38 @@
     stream = stream_resumption.ResumableStream(last_id=None)
     assert stream.receive_data(event(1) + b": end") == [event(1)]
     assert (stream.take_remainder(), stream.take_remainder()) == (b": end", b"")
+
+
+def events_by_repeated_search(data: bytes) -> list[bytes]:
+    """Returns the complete events in the data, by a search for each terminator from the start of the rest."""
+    found = []
+    while True:
+        ends = [data.find(end) + len(end) for end in (b"\n\n", b"\r\n\r\n", b"\r\r") if end in data]
+        if not ends:
+            return found
+        found.append(data[: min(ends)])
+        data = data[min(ends) :]
+
+
+@given(strategies.lists(strategies.text(alphabet="\r\nd:", max_size=12).map(str.encode), max_size=8))
+def test_events_are_those_of_a_repeated_search_however_the_data_is_split(pieces):
+    stream = stream_resumption.ResumableStream(last_id=None)
+    found = [event for piece in pieces for event in stream.receive_data(piece)]
+    assert found == events_by_repeated_search(b"".join(pieces))
+    assert b"".join(found) + stream.take_remainder() == b"".join(pieces)
+
+
+def test_long_event_in_many_pieces_is_searched_once(monkeypatch):
+    """Guards against a search of the whole buffer for each piece, which makes a large event quadratic."""
+    searched = []
+
+    class Terminator:
+        def finditer(self, buffer, start):
+            searched.append(len(buffer) - start)
+            return stream_resumption.re.finditer(rb"\n\n", buffer[start:])
+
+    monkeypatch.setattr(stream_resumption, "EVENT_TERMINATOR", Terminator())
+    stream = stream_resumption.ResumableStream(last_id=None)
+    for _piece in range(100):
+        stream.receive_data(b"x" * 1000)
+    assert sum(searched) < 100 * (1000 + 2 * stream_resumption.MAX_PARTIAL_TERMINATOR_BYTES)
--- a/ploverward/data_plane/upstream/response_reader.py
+++ b/ploverward/data_plane/upstream/response_reader.py
@@ -20,6 +20,7 @@
 from ploverward.data_plane.upstream import upstream_errors
 
 MAX_SKIPPED_RESPONSES = 2  # replicas are known to send one duplicate; the second is a margin
+PIECE_BYTES = 4096  # of a body, as passed to the attempt at a time: bounds the events of a stream in one piece
 MAX_HEAD_BYTES = 65536  # per response; h11 buffers no more of an incomplete head
 
 
@@ -44,6 +45,7 @@
 
     NEED_DATA = "need data"  # no event until more data is passed to `receive_data`
     RESPONSE_END = "response end"  # the response is complete
+    SKIPPED = "skipped"  # a part of a duplicate response
 
 
 class ResponseReader:
@@ -61,6 +63,8 @@
         self.keep_alive_s: float | None = None
         self._h11 = _new_connection()
         self._sent: tuple[h11.Request, bytes] | None = None  # head and body, until the response is complete
+        self._data = b""  # received bytes of the body
+        self._data_start = 0  # where those begin in `_data` that `next_event` has not returned yet
         self._skipped = 0
         self._is_skipping = False
         self._has_skipped = False  # after a duplicate response the connection is not reused: others may follow
@@ -85,33 +89,43 @@
             is_unsent: Whether no byte of the request was sent, so that no response can belong to it.
 
         Returns:
-            The head of the response, then the bytes of its body, then RESPONSE_END; NEED_DATA if the received bytes
-            contain no further event.
+            The head of the response, then the bytes of its body in pieces, then RESPONSE_END; SKIPPED in place of the
+            events of a duplicate response; NEED_DATA if the received bytes contain no further event.
 
         Raises:
             h11.RemoteProtocolError: The bytes are not valid HTTP.
             upstream_errors.RemoteProtocolError: A response does not belong to the request and may not be skipped.
             upstream_errors.ConnectionEndedError: The connection was closed cleanly, without a response.
         """
-        while True:
-            event = self._h11.next_event()
-            if isinstance(event, h11.Data):
-                if not self._is_skipping:
-                    return bytes(event.data)
-            elif event is h11.NEED_DATA or event is h11.PAUSED:
-                return Signal.NEED_DATA
-            elif isinstance(event, h11.Response):
-                head = self._read_head(event, is_unsent=is_unsent)
-                if head is not None:
-                    return head
-            elif isinstance(event, h11.EndOfMessage):
-                if not self._is_skipping:
-                    self._sent = None
-                    self.served += 1
-                    return Signal.RESPONSE_END
+        if self._data_start < len(self._data):
+            return self._next_piece()
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return Signal.NEED_DATA
+        if isinstance(event, h11.Response):
+            return self._read_head(event, is_unsent=is_unsent) or Signal.SKIPPED
+        if isinstance(event, h11.ConnectionClosed):
+            raise upstream_errors.ConnectionEndedError("connection closed by the replica before its response")
+        if self._is_skipping:
+            if isinstance(event, h11.EndOfMessage):
                 self._resume_after_skipped()
-            elif isinstance(event, h11.ConnectionClosed):
-                raise upstream_errors.ConnectionEndedError("connection closed by the replica before its response")
+            return Signal.SKIPPED
+        if isinstance(event, h11.Data):
+            self._data = bytes(event.data)
+            self._data_start = 0
+            return self._next_piece()
+        if isinstance(event, h11.EndOfMessage):
+            self._sent = None
+            self.served += 1
+            return Signal.RESPONSE_END
+        return Signal.SKIPPED  # an interim response
+
+    def _next_piece(self) -> bytes:
+        start, self._data_start = self._data_start, self._data_start + PIECE_BYTES
+        piece = self._data[start : self._data_start]
+        if self._data_start >= len(self._data):
+            self._data, self._data_start = b"", 0
+        return piece
 
     def _read_head(self, event: h11.Response, *, is_unsent: bool) -> ResponseHead | None:
         """Returns the head if it belongs to the request, None if its response is skipped."""
--- a/ploverward/data_plane/upstream/test_response_reader.py
+++ b/ploverward/data_plane/upstream/test_response_reader.py
@@ -26,6 +26,8 @@
     reader.receive_data(data)
     found = []
     while (event := reader.next_event(is_unsent=is_unsent)) is not Signal.NEED_DATA:
+        if event is Signal.SKIPPED:
+            continue
         found.append(event.status if isinstance(event, response_reader.ResponseHead) else event)
         if event is Signal.RESPONSE_END:
             break
--- /dev/null
+++ b/ploverward/data_plane/upstream/test_response_share.py
@@ -0,0 +1,134 @@
+"""Tests that a replica's answer takes a bounded part of each turn of the loop, on real sockets (review/6)."""
+
+import re
+
+import h11
+import pytest
+
+from ploverward.data_plane.requests import request_handler
+from ploverward.data_plane.upstream import response_reader
+from ploverward.simulation import loopback
+from ploverward.simulation import request_scene
+from ploverward.transport import read_share
+
+MAX_EVENTS = 2 * read_share.MAX_EVENTS_PER_TURN  # as a ready socket, and once more as a continuation
+CHUNK = b"1\r\nx\r\n"
+
+
+@pytest.fixture
+def parsed(monkeypatch):
+    """Counts the events that readers of responses returned."""
+    counts = [0]
+    original = response_reader.ResponseReader.next_event
+
+    def next_event(self, *, is_unsent):
+        counts[0] += 1
+        return original(self, is_unsent=is_unsent)
+
+    monkeypatch.setattr(response_reader.ResponseReader, "next_event", next_event)
+    return counts
+
+
+def largest_step(scene, what, counts):
+    """Steps the loop until the client has received `what`; returns the largest number of events of a step."""
+    largest = 0
+    for _step in range(20_000):
+        if what in scene.client.got:
+            return largest
+        before = counts[0]
+        scene.loop.call_soon_threadsafe(callback=lambda: None)  # no wait
+        scene.loop.step()
+        largest = max(largest, counts[0] - before)
+    raise AssertionError(scene.client.got[-200:])
+
+
+def chunked_head(which):
+    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\n" % which
+
+
+def test_answer_in_chunks_of_one_byte_takes_a_bounded_part_of_each_turn(parsed):
+    """Guards against a replica that keeps a proxy's loop busy with one answer."""
+
+    def script(_number, received):
+        which = request_scene.request_id(received)
+        return [chunked_head(which) + CHUNK * 20_000 + b"0\r\n\r\n"]
+
+    scene = request_scene.Scene(script)
+    scene.request("safe")
+    assert largest_step(scene, b"x" * 20_000, parsed) <= MAX_EVENTS
+    assert request_scene.statuses(scene.client) == [200]
+
+
+def test_skipped_answer_in_chunks_of_one_byte_takes_a_bounded_part_of_each_turn(monkeypatch):
+    """Guards against a duplicate of another answer, whose events are dropped within the parser's loop."""
+    counts = [0]
+    original = h11.Connection.next_event
+
+    def next_event(self):
+        counts[0] += self.our_role is h11.CLIENT
+        return original(self)
+
+    monkeypatch.setattr(h11.Connection, "next_event", next_event)
+
+    def script(_number, received):
+        which = request_scene.request_id(received)
+        return [chunked_head(b"other") + CHUNK * 20_000 + b"0\r\n\r\n" + request_scene.answer(which, b"mine")]
+
+    scene = request_scene.Scene(script)
+    scene.request("safe")
+    assert largest_step(scene, b"mine", counts) <= MAX_EVENTS
+
+
+def test_stream_of_tiny_events_in_large_chunks_takes_a_bounded_part_of_each_turn(monkeypatch):
+    """Guards against events of a stream that the parser of HTTP does not see: one chunk has thousands of them."""
+    counts = [0]
+    forward = request_handler.RequestHandler.forward_event
+
+    def forward_event(self, event):
+        counts[0] += 1
+        forward(self, event)
+
+    monkeypatch.setattr(request_handler.RequestHandler, "forward_event", forward_event)
+    tiny = b":\n\n" * 30_000
+
+    def script(_number, received):
+        which = request_scene.request_id(received)
+        return [request_scene.head(which) + b"%x\r\n%s\r\n" % (len(tiny), tiny) + b"0\r\n\r\n"]
+
+    scene = request_scene.Scene(script)
+    scene.request("safe")
+    largest = largest_step(scene, b"0\r\n\r\n", counts)
+    assert largest <= 2 * (response_reader.PIECE_BYTES // 3 + read_share.MAX_EVENTS_PER_TURN)
+    body = b"".join(re.findall(rb"\r\n(:\n\n)", scene.client.got))
+    assert body == tiny
+
+
+def test_answer_is_complete_when_the_client_reads_late_and_data_waits_for_its_turn():
+    """Guards against data that stays in the parser after a pause, with nothing to wake it."""
+    texts = b"".join(b"%x\r\n%s\r\n" % (len(event), event) for event in (b"id: %d\n\n" % n for n in range(1, 5001)))
+
+    def script(_number, received):
+        return [request_scene.head(request_scene.request_id(received)) + texts + b"0\r\n\r\n"]
+
+    scene = request_scene.Scene(script)
+    scene.request("safe")
+    assert scene.until(b"id: 1\n")
+    (handler,) = scene.proxy.handlers
+    assert handler.attempt.connection.has_undelivered_data
+    handler.attempt.connection.pause()
+    for _step in range(50):
+        scene.loop.step_or_skip()
+    received = len(scene.client.got)
+    for _step in range(20):
+        scene.loop.step_or_skip()
+    assert len(scene.client.got) == received  # paused
+    handler.attempt.connection.resume()
+    assert loopback.until(scene.loop, lambda: b"id: 5000\n" in scene.client.got)
+
+
+def test_ordinary_answer_is_delivered_in_one_turn(parsed):
+    """Guards against ordinary answers that are slowed down."""
+    scene = request_scene.Scene(request_scene.respond_with(b"y" * 50_000))
+    scene.request("safe")
+    assert scene.until(b"y" * 50_000)
+    assert parsed[0] <= 50_000 // response_reader.PIECE_BYTES + 8
--- a/ploverward/data_plane/upstream/upstream_connection.py
+++ b/ploverward/data_plane/upstream/upstream_connection.py
@@ -11,6 +11,9 @@
 * BUSY: an attempt uses it, until its response is complete, the connection ends, or the attempt is abandoned.
 * CLOSED: no more events are delivered. Abandoning an attempt closes its connection in the same step.
 
+What a replica sent is processed within its share of each turn of the loop (`read_share`). Beyond that nothing is read
+from its socket, and the rest is delivered when the turn of this connection comes.
+
 Invariant: `is_unsent` becomes false with the first byte that the kernel accepts, and stays false for that request.
 An attempt that ends unsent was not run by the replica.
 """
@@ -28,6 +31,8 @@
 from ploverward.data_plane.upstream import response_reader
 from ploverward.data_plane.upstream import upstream_errors
 from ploverward.transport import peer_connection
+from ploverward.transport import read_share
+from ploverward.transport import socket_watch
 
 if typing.TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,8 +93,12 @@
     ) -> None:
         """Called when the head of the response was received."""
 
-    def on_data(self, data: bytes) -> None:
-        """Called when bytes of the body were received."""
+    def on_data(self, data: bytes) -> int:
+        """Called when bytes of the body were received.
+
+        Returns:
+            The number of events of a stream in these bytes, which count towards the connection's share of the turn.
+        """
 
     def on_end(self) -> None:
         """Called when the response is complete; the connection no longer belongs to the attempt."""
@@ -122,6 +131,7 @@
         state: Current state.
         is_up: Whether the connection was ever established.
         is_paused: Whether reading from the replica is paused, because the client does not read.
+        has_undelivered_data: Whether received data waits for the turn of this connection.
         is_unsent: Whether the kernel has accepted no byte of the last request.
         attempt: The attempt that uses the connection, None if there is none.
         idle_since: When it last became idle, in seconds on the loop's clock.
@@ -143,6 +153,7 @@
         self.state = ConnectionState.CONNECTING
         self.is_up = False
         self.is_paused = False
+        self.has_undelivered_data = False
         self.is_unsent = True
         self.attempt: UpstreamAttempt | None = None
         self.idle_since = loop.now()
@@ -155,14 +166,15 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         peer_connection.configure_socket(sock=self.sock, peer_timeout_s=peer_timeout_s)
+        self._share = read_share.ReadShare(now=loop.now)
+        self._is_continuation_queued = False
+        self._watch = socket_watch.SocketWatch(loop=loop, sock=self.sock, callback=self._ready)
         code = self.sock.connect_ex(replica.endpoint)
-        self._mask = selectors.EVENT_READ | selectors.EVENT_WRITE
         if code not in (0, errno.EINPROGRESS):
             # Deferred to the next step: the attempt that will use the connection is assigned only after this call.
             self._timer = loop.after(delay=0, callback=lambda: self._fail(_connect_error(code)))
-            self._mask = 0
             return
-        loop.watch(sock=self.sock, mask=self._mask, callback=self._ready)
+        self._watch.update(selectors.EVENT_READ | selectors.EVENT_WRITE)
         self._timer = loop.after(delay=connect_s, callback=self._on_connect_timeout)
 
     @property
@@ -223,21 +235,14 @@
         """Reads from the replica again, because the client reads again."""
         if self.is_paused:
             self.is_paused = False
+            if self.has_undelivered_data:
+                self._queue_continuation()
             self._update_mask()
 
     def _update_mask(self) -> None:
-        mask = (0 if self.is_paused else selectors.EVENT_READ) | (
-            selectors.EVENT_WRITE if self._out or not self.is_up else 0
-        )
-        if mask == self._mask or not self.is_open:
-            return
-        if not mask:
-            self.loop.unwatch(sock=self.sock)
-        elif not self._mask:
-            self.loop.watch(sock=self.sock, mask=mask, callback=self._ready)
-        else:
-            self.loop.rewatch(sock=self.sock, mask=mask, callback=self._ready)
-        self._mask = mask
+        if self.is_open:
+            reads = 0 if self.is_paused or self._is_continuation_queued else selectors.EVENT_READ
+            self._watch.update(reads | (selectors.EVENT_WRITE if self._out or not self.is_up else 0))
 
     # The socket.
     def _ready(self, mask: int) -> None:
@@ -247,8 +252,29 @@
             if not self.is_up and not self._finish_connecting():
                 return
             self._flush()
-        if mask & selectors.EVENT_READ and self.is_open:
-            self._read()
+        if mask & selectors.EVENT_READ and self.is_open and not self._is_continuation_queued:
+            if self._share.is_used_up:
+                self._queue_continuation()
+            else:
+                self._read()
+
+    def _queue_continuation(self) -> None:
+        """Stops reading from the socket until the turn of this connection among the continuations."""
+        if not self._is_continuation_queued:
+            self._is_continuation_queued = True
+            self._update_mask()
+            self.loop.continue_later(callback=self._continue)
+
+    def _continue(self) -> None:
+        self._is_continuation_queued = False
+        if not self.is_open:
+            return
+        if not self.is_paused:
+            if self.has_undelivered_data:
+                self._deliver()
+            else:
+                self._read()
+        self._update_mask()
 
     def _on_connect_timeout(self) -> None:
         if not self.is_up:
@@ -286,8 +312,12 @@
             self._on_remote_end()
             return
         self.replica.last_received_at = self.loop.now()
+        self._reader.receive_data(data)
+        self._deliver()
+
+    def _deliver(self) -> None:
+        """Delivers received data to the attempt, within this connection's share of the turn."""
         try:
-            self._reader.receive_data(data)
             self._deliver_events()
         except h11.RemoteProtocolError as error:
             self._fail(upstream_errors.RemoteProtocolError(f"invalid HTTP response: {error}"))
@@ -312,20 +342,28 @@
 
     def _deliver_events(self) -> None:
         reader = self._reader
+        events = 0
+        self.has_undelivered_data = False
         # Within each call the attempt may be abandoned or the connection closed.
         while self.attempt is not None:
+            if events >= read_share.MAX_EVENTS_PER_TURN:
+                self.has_undelivered_data = True
+                self._queue_continuation()
+                return
+            events += 1
+            self._share.note(1)
             try:
                 event = reader.next_event(is_unsent=self.is_unsent)
             except upstream_errors.UpstreamError as error:
                 self._fail(error)
                 return
             if isinstance(event, bytes):
-                self.attempt.on_data(event)
+                events += self.attempt.on_data(event)
             elif isinstance(event, response_reader.ResponseHead):
                 self.attempt.on_head(
                     status=event.status, headers=event.headers, table=event.table, is_framed=event.is_framed
                 )
-            else:
+            elif event is not response_reader.Signal.SKIPPED:
                 if event is response_reader.Signal.RESPONSE_END:
                     self._on_response_end()
                 return
@@ -378,7 +416,7 @@
             return
         self.state = ConnectionState.CLOSED
         self.loop.cancel(timer=self._timer)
-        self.loop.unwatch(sock=self.sock)
+        self._watch.update(0)
         self.sock.close()
         self.replica.remove_connection(self)
 
--- a/ploverward/simulation/loopback.py
+++ b/ploverward/simulation/loopback.py
@@ -58,7 +58,7 @@
 
     def step_or_skip(self) -> None:
         """Runs one step; if no command waits and no socket is ready, first skips the time until the next timer."""
-        if not self._commands and self._timers and not self._selector.select(SOCKET_WAIT_S):
+        if not self.has_pending_calls and self._timers and not self._selector.select(SOCKET_WAIT_S):
             self._skipped_s += max(0.0, self._timers[0].when - self.now())
         self.step()
 
--- a/ploverward/simulation/zone_proxies.py
+++ b/ploverward/simulation/zone_proxies.py
@@ -200,6 +200,10 @@
         """As `event_loop.Loop` does; not deferred: sent data is written even if the node freezes in the same step."""
         self._loop.at_end_of_step(callback=callback)
 
+    def continue_later(self, *, callback: Callable) -> None:
+        """As `event_loop.Loop` does."""
+        self._loop.continue_later(callback=self._guard(callback))
+
     def call_soon_threadsafe(self, *, callback: Callable) -> None:
         """As `event_loop.Loop` does."""
         self._loop.call_soon_threadsafe(callback=callback)
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -4,8 +4,12 @@
 the loop's thread.
 
 A step waits for sockets until the next timer is due, then makes the calls in this order: ready sockets, commands, due
-timers, callbacks deferred to the end of the step. Sockets come first so that a process that was frozen reads the data
-that arrived in the meantime before its timers conclude from the clock that the peers are silent.
+timers, continuations, callbacks deferred to the end of the step. Sockets come first so that a process that was frozen
+reads the data that arrived in the meantime before its timers conclude from the clock that the peers are silent.
+
+Each step is bounded, whatever peers send. A ready socket is served once, and its callback processes a bounded number of
+events (`read_share`); the rest is a continuation. Continuations have `CONTINUATION_S` of each step, in the order in
+which they were queued. Calls that are queued while their queue is served wait for the next step.
 
 An exception in a callback ends only that callback: it is passed to `on_error`, and the loop continues. This is the only
 place that catches all exceptions.
@@ -31,6 +35,7 @@
 # Enough to write the registers, write the tallies and build a configuration at the same time, so that none of them
 # waits for a disk that hangs.
 WORKER_THREADS = 3
+CONTINUATION_S = 0.01  # time for continuations in each step; the last one that is begun may exceed it
 _WAKE_READ_BYTES = 4096
 
 SocketCallback = Callable[[int], object]  # called with the ready events, a bit mask as used by `selectors`
@@ -88,6 +93,7 @@
         self._commands: collections.deque[Callback] = collections.deque()
         self._repetitions: dict[float, list[RepeatingCall]] = {}  # by interval in seconds
         self._end_of_step: collections.deque[Callback] = collections.deque()
+        self._continuations: collections.deque[Callback] = collections.deque()
         self._wake_reader, self._wake_writer = os.pipe()
         os.set_blocking(self._wake_reader, False)
         os.set_blocking(self._wake_writer, False)
@@ -163,6 +169,18 @@
         """Schedules a callback after all other calls of this step, before the loop waits again."""
         self._end_of_step.append(callback)
 
+    def continue_later(self, *, callback: Callback) -> None:
+        """Queues the rest of work that has used its share of this step.
+
+        Continuations are called in order, for a bounded time in each step.
+        """
+        self._continuations.append(callback)
+
+    @property
+    def has_pending_calls(self) -> bool:
+        """Whether calls are queued that do not wait for a socket or a timer."""
+        return bool(self._commands or self._end_of_step or self._continuations)
+
     def cancel(self, *, timer: interfaces.Timer | None) -> None:
         """Cancels a timer; does nothing for None or if its call was already made."""
         if timer is not None and not timer.is_over:
@@ -196,7 +214,7 @@
     def step(self) -> None:
         """Waits for the next event, then makes all calls that are due."""
         wait_s = MAX_WAIT_S
-        if self._commands or self._end_of_step:
+        if self.has_pending_calls:
             wait_s = 0.0
         elif self._timers:
             wait_s = min(wait_s, max(0.0, self._timers[0].when - self.now()))
@@ -205,20 +223,31 @@
         for key, mask in ready:
             self._run_callback(key.data, mask)
         has_commands = bool(self._commands)
-        while self._commands:
-            self._run_callback(self._commands.popleft())
+        self._run_queued(self._commands)
         now = self.now()
         has_timers = bool(self._timers) and self._timers[0].when <= now
         while self._timers and self._timers[0].when <= now:
             timer = self._timers.pop(0)
             timer.is_over = True
             self._run_callback(timer.callback)
-        while self._end_of_step:
-            self._run_callback(self._end_of_step.popleft())
+        self._run_continuations()
+        self._run_queued(self._end_of_step)
         self._watch.end_turn()
         if self.work is not None:
             self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
+    def _run_queued(self, queue: collections.deque[Callback]) -> None:
+        """Makes the calls that are queued now; those that they add wait for the next step."""
+        for _call in range(len(queue)):
+            self._run_callback(queue.popleft())
+
+    def _run_continuations(self) -> None:
+        until = self.now() + CONTINUATION_S if self._continuations else 0.0
+        for _call in range(len(self._continuations)):
+            self._run_callback(self._continuations.popleft())
+            if self.now() >= until:
+                return
+
     def _run_callback(self, callback: Callable, *args: int) -> None:
         if self.work is not None:
             self.work.note_call(callback)
--- a/ploverward/transport/frames.py
+++ b/ploverward/transport/frames.py
@@ -12,6 +12,7 @@
 import io
 import json
 import struct
+import sys
 import typing
 from collections.abc import Iterable
 from typing import Any
@@ -337,14 +338,18 @@
     return _HEADER.pack(len(body), kind.number) + body
 
 
-def split(buffer: bytearray) -> list[bytes]:
-    """Removes all complete frames from the front of the buffer and returns them.
+def split(buffer: bytearray, *, limit: int = sys.maxsize) -> list[bytes]:
+    """Removes complete frames from the front of the buffer and returns them.
+
+    Args:
+        buffer: Received bytes.
+        limit: Largest number of frames to return.
 
     Raises:
         FrameError: A frame is of an unknown kind or larger than `MAX_FRAME_BYTES`.
     """
-    frames = []
-    while len(buffer) >= HEADER_BYTES:
+    frames: list[bytes] = []
+    while len(buffer) >= HEADER_BYTES and len(frames) < limit:
         size, number = _HEADER.unpack_from(buffer, 0)
         if size > MAX_FRAME_BYTES or number not in _KINDS_BY_NUMBER:
             raise errors.FrameError(
--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -11,9 +11,12 @@
 h11 (up to the size of one request of maximum size, beyond that the connection is closed) and are parsed when the
 response has ended.
 
+What a client sent is processed within its share of each turn of the loop (`read_share`). Beyond that the connection is
+paused: it does not read from its socket, and goes on with what is in the parser, or on the socket, when its turn comes.
+
 Both the client and this process may be slow, and a timeout has to tell which one is: if it fires while there are unread
-bytes on the socket, this process is late, so they are read first. This way neither a request that arrived in time nor
-one that crosses with the close of an idle connection is lost.
+bytes on the socket or in the parser, this process is late, so they are read first. This way neither a request that
+arrived in time nor one that crosses with the close of an idle connection is lost.
 """
 
 import enum
@@ -27,6 +30,8 @@
 import h11
 
 from ploverward.transport import peer_connection
+from ploverward.transport import read_share
+from ploverward.transport import socket_watch
 from ploverward.transport.http_request import REASONS
 from ploverward.transport.http_request import ClientRequestError
 from ploverward.transport.http_request import RefusedRequestError
@@ -40,6 +45,7 @@
 SEND_HIGH_WATERMARK_BYTES = 256 * 1024  # queued for a client; the source of a streamed response pauses above this
 IO_BYTES = 128 * 1024  # read or written at a time
 DISCARD_BYTES = 64 * 1024  # read and discarded at a time from a connection that is closed
+MAX_DISCARDS = 16  # a client that goes on sending gets a reset
 IDLE_RECHECK_S = 0.05  # until a timed-out connection with unread bytes is checked again
 MIN_ANNOUNCED_IDLE_S = 2  # shorter times are not worth a Keep-Alive header
 # Share of the idle timeout: clients that reuse a connection until then must not find it closed.
@@ -80,16 +86,18 @@
         self._state = _IDLE
         self._out = bytearray()
         self._request: Request | None = None  # being read or answered
-        self._chunks: list[bytes] = []  # of the body being read
-        self._body_bytes = 0
+        self._body = bytearray()  # of the request being read
         self._head_started_at = 0.0  # when the first byte of the current request arrived
         self._pipelined_bytes = 0  # received after the request being answered
-        self._mask = selectors.EVENT_READ
+        self._share = read_share.ReadShare(now=self.loop.now)
+        self._is_paused = False  # until `_continue_reading`
+        self._has_unparsed_bytes = False  # whether the parser may have further events
         self._limits = server.limits()
         self._close_at = server.choose_close_time()
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
         peer_connection.configure_socket(sock=sock, peer_timeout_s=server.peer_timeout_s)
-        self.loop.watch(sock=sock, mask=self._mask, callback=self._ready)
+        self._watch = socket_watch.SocketWatch(loop=self.loop, sock=sock, callback=self._ready)
+        self._watch.update(selectors.EVENT_READ)
         self._timer = self.loop.after(delay=self._limits.idle_s, callback=self._on_timeout)
 
     @property
@@ -154,7 +162,8 @@
             self._state = _READING_HEAD
             self._head_started_at = self.loop.now()
             # Not called directly: the handler that ended this response is still running.
-            self.loop.call_soon_threadsafe(callback=self._read_events)
+            self._has_unparsed_bytes = True
+            self._pause_reading()
 
     def abort_response(self) -> None:
         """Closes the connection so that the client can't take the response for complete.
@@ -179,7 +188,7 @@
             return
         self._state = _CLOSED
         self.loop.cancel(timer=self._timer)
-        self.loop.unwatch(sock=self.sock)
+        self._watch.update(0)
         self.server.remove_connection(self)
         if not may_reset:
             self._discard_unread()
@@ -208,8 +217,9 @@
 
     def _discard_unread(self) -> None:
         try:
-            while self.sock.recv(DISCARD_BYTES):
-                pass
+            for _read in range(MAX_DISCARDS):
+                if not self.sock.recv(DISCARD_BYTES):
+                    return
         except OSError:
             pass
 
@@ -222,7 +232,7 @@
     def _on_timeout(self) -> None:
         if self._state in (_ANSWERING, _REFUSING, _CLOSED):
             return
-        if self._has_unread_bytes():
+        if self._is_paused or self._has_unread_bytes():
             self._set_timeout(delay=IDLE_RECHECK_S)  # this process is late, not the client
         elif self._out:
             # If the client has stopped reading, TCP_USER_TIMEOUT ends the connection.
@@ -243,8 +253,29 @@
     def _ready(self, mask: int) -> None:
         if mask & selectors.EVENT_WRITE:
             self._flush()
-        if mask & selectors.EVENT_READ and self._state is not _CLOSED:
+        if mask & selectors.EVENT_READ and self._state is not _CLOSED and not self._is_paused:
+            if self._share.is_used_up:
+                self._pause_reading()
+            else:
+                self._receive()
+
+    def _pause_reading(self) -> None:
+        """Stops reading from the socket until the turn of this connection among the continuations."""
+        if self._is_paused:
+            return
+        self._is_paused = True
+        self._update_mask()
+        self.loop.continue_later(callback=self._continue_reading)
+
+    def _continue_reading(self) -> None:
+        self._is_paused = False
+        if self._state is _CLOSED:
+            return
+        if self._has_unparsed_bytes:
+            self._read_events()
+        else:
             self._receive()
+        self._update_mask()
 
     def _receive(self) -> None:
         try:
@@ -281,7 +312,8 @@
         self._read_events()
 
     def _read_events(self) -> None:
-        """Processes the events that h11 parsed, up to the end of one request."""
+        """Processes events that h11 parsed, within this connection's share and up to the end of one request."""
+        self._has_unparsed_bytes = False
         try:
             is_complete = self._read_request()
         except h11.RemoteProtocolError as error:
@@ -295,12 +327,17 @@
     def _read_request(self) -> bool:
         """Processes events of h11 and returns whether the request is complete.
 
+        Pauses if further events may follow.
+
         Raises:
             h11.RemoteProtocolError: The bytes are not a valid request.
             RefusedRequestError: The request is rejected.
         """
-        while self._state in _READING:
+        for _event in range(read_share.MAX_EVENTS_PER_TURN):
+            if self._state not in _READING:
+                return False
             event = self._h11.next_event()
+            self._share.note(1)
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 self._send_continue()
                 return False
@@ -312,6 +349,8 @@
                 self._handle_data(event.data)
             elif isinstance(event, h11.ConnectionClosed):
                 self.close()
+        self._has_unparsed_bytes = True
+        self._pause_reading()
         return False
 
     def _send_continue(self) -> None:
@@ -328,24 +367,22 @@
             begun_at=self._head_started_at,
         )
         self._state = _READING_BODY
-        self._chunks = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._set_timeout(delay=self._limits.idle_s)
 
     def _handle_data(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if not self.server.body_budget.reserve(owner=self, size=self._body_bytes):
+        self._body += data
+        if not self.server.body_budget.reserve(owner=self, size=len(self._body)):
             raise ServerOverloadedError(status=503)
-        if self._body_bytes > self._limits.body_bytes:
+        if len(self._body) > self._limits.body_bytes:
             raise ClientRequestError(status=413)
-        self._chunks.append(bytes(data))
 
     def _dispatch_request(self) -> None:
         request = self._request
         assert request is not None
-        request.body = b"".join(self._chunks)
+        request.body = bytes(self._body)
         request.at = self.loop.now()
-        self._chunks = []
+        self._body = bytearray()
         self._state = _ANSWERING
         self.loop.cancel(timer=self._timer)
         self.server.handle(request)
@@ -372,10 +409,12 @@
             return
         if not self._out:
             self._on_all_sent()
-        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._out else 0)
-        if mask != self._mask and self._state is not _CLOSED:
-            self._mask = mask
-            self.loop.rewatch(sock=self.sock, mask=mask, callback=self._ready)
+        self._update_mask()
+
+    def _update_mask(self) -> None:
+        if self._state is not _CLOSED:
+            reads = 0 if self._is_paused else selectors.EVENT_READ
+            self._watch.update(reads | (selectors.EVENT_WRITE if self._out else 0))
 
     def _on_all_sent(self) -> None:
         if self._state in _ENDING:
--- a/ploverward/transport/http_server.py
+++ b/ploverward/transport/http_server.py
@@ -145,7 +145,7 @@
             self._sock.close()
 
     def _ready(self, _mask: int) -> None:
-        self._acceptor.accept_all()
+        self._acceptor.accept_waiting()
 
     def _handle_accepted(self, sock: socket.socket, _address: SocketAddress) -> None:
         if len(self.connections) >= self._max_connections:
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -18,6 +18,10 @@
 * Code that relies on a peer checks `has_received`: the kernel of a stopped process still accepts connections, so an
   established connection proves nothing until its first byte arrives.
 
+What a peer sent is processed within a bounded part of each turn of the loop (`read_share`): at most a number of frames.
+Further ones wait for the turn of this connection among the continuations, and nothing is read from its socket until
+then. Such a peer is not silent, however long that takes.
+
 A closed connection does not mean that the peer is dead either: it may have acted on what was sent. Therefore messages
 have to be idempotent, or fenced by an epoch.
 """
@@ -34,12 +38,15 @@
 from ploverward.common import failure_spell
 from ploverward.transport import frames
 from ploverward.transport import messages
+from ploverward.transport import read_share
+from ploverward.transport import socket_watch
 from ploverward.transport.event_loop import Loop
 
 _log = logging.getLogger(__name__)
 
 MAX_SEND_BUFFER_BYTES = 32 * 1024 * 1024  # above the largest frame; a peer that falls this far behind counts as dead
 IO_BYTES = 256 * 1024  # read or written at a time, so that one peer's data does not delay the others
+MAX_ACCEPTS_PER_TURN = 64
 LISTEN_BACKLOG = 512  # connections waiting for accept; all proxies reconnect at once after a partition
 SILENCE_CHECKS = 4  # per peer timeout; silence is detected at most a quarter of the timeout late
 FIRST_BACKOFF_SHARE = 1 / 40  # share of the peer timeout
@@ -98,9 +105,9 @@
             now=now, failed_event="accept_failed", recovered_event="accept_recovered"
         )
 
-    def accept_all(self) -> None:
-        """Accepts all waiting connections."""
-        while True:
+    def accept_waiting(self) -> None:
+        """Accepts waiting connections, as many as one turn of the loop allows."""
+        for _accept in range(MAX_ACCEPTS_PER_TURN):
             try:
                 accepted, address = self._sock.accept()
             except (BlockingIOError, ConnectionError):
@@ -160,10 +167,11 @@
         self._out = bytearray()
         self.frame = b""
         configure_socket(sock=sock, peer_timeout_s=peer_timeout_s)
-        self._mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if is_connecting else 0)
-        loop.watch(sock=sock, mask=self._mask, callback=self._ready)
+        self._watch = socket_watch.SocketWatch(loop=loop, sock=sock, callback=self._ready)
+        self._watch.update(selectors.EVENT_READ | (selectors.EVENT_WRITE if is_connecting else 0))
         self._silence_check = loop.every(interval_s=peer_timeout_s / SILENCE_CHECKS, callback=self._check_peer_timeout)
         self._has_sent = False  # whether anything was sent since the last call of `keep_alive`
+        self._is_paused = False  # whether complete frames may wait in `_in` for this connection's turn
         self._is_flush_due = False  # whether `_flush` will be called at the end of this step of the loop
 
     @property
@@ -221,11 +229,13 @@
             self._write_pending()  # frames sent earlier in this step
         self.state = State.CLOSED
         self._silence_check.is_stopped = True
-        self.loop.unwatch(sock=self.sock)
+        self._watch.update(0)
         self.sock.close()
         self._on_end(self, reason)
 
     def _check_peer_timeout(self) -> None:
+        if self._is_paused:
+            return  # this process is late, not the peer
         if self.loop.now() - self.last_received_at > self.peer_timeout_s:
             self.close(reason="silent")
 
@@ -236,7 +246,7 @@
             if self.state is State.CONNECTING and not self._finish_connecting():
                 return
             self._flush()
-        if mask & selectors.EVENT_READ and self.state is not State.CLOSED:
+        if mask & selectors.EVENT_READ and self.state is not State.CLOSED and not self._is_paused:
             self._receive()
 
     def _finish_connecting(self) -> bool:
@@ -262,11 +272,28 @@
         self.last_received_at = self.loop.now()
         self.has_received = True
         self._in += data
+        self._deliver_received()
+
+    def _deliver_received(self) -> None:
+        """Delivers received frames, within this connection's share of the turn."""
         try:
-            self._deliver(frames.split(self._in))
+            received = frames.split(self._in, limit=read_share.MAX_EVENTS_PER_TURN)
+            self._deliver(received)
         except errors.FrameError as error:
             # Raised by the codec or by the owner; after an invalid frame the stream can't be decoded any further.
             self.close(reason=str(error))
+            return
+        if self._in and len(received) == read_share.MAX_EVENTS_PER_TURN:
+            self._is_paused = True
+            self.loop.continue_later(callback=self._continue_delivery)
+        self._update_mask()
+
+    def _continue_delivery(self) -> None:
+        self._is_paused = False
+        if self.state is State.CLOSED:
+            return
+        self.last_received_at = self.loop.now()
+        self._deliver_received()
 
     def _deliver(self, received: list[bytes]) -> None:
         for frame in received:
@@ -303,11 +330,11 @@
         return None
 
     def _update_mask(self) -> None:
+        if self.state is State.CLOSED:
+            return
+        reads = 0 if self._is_paused else selectors.EVENT_READ
         wants_write = self._out or self.state is State.CONNECTING
-        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if wants_write else 0)
-        if mask != self._mask and self.state is not State.CLOSED:
-            self._mask = mask
-            self.loop.rewatch(sock=self.sock, mask=mask, callback=self._ready)
+        self._watch.update(reads | (selectors.EVENT_WRITE if wants_write else 0))
 
 
 class Connector:
@@ -434,7 +461,7 @@
         self._sock.close()
 
     def _ready(self, _mask: int) -> None:
-        self._acceptor.accept_all()
+        self._acceptor.accept_waiting()
 
     def _handle_accepted(self, sock: socket.socket, address: SocketAddress) -> None:
         self._on_connection(
--- a/ploverward/transport/test_peer_connection.py
+++ b/ploverward/transport/test_peer_connection.py
@@ -170,9 +170,9 @@
             sock=sock, now=lambda: clock[0], on_accepted=lambda one, _address: sockets.append(one)
         )
         for _step in range(3):
-            acceptor.accept_all()
+            acceptor.accept_waiting()
         clock[0] = 7.5
-        acceptor.accept_all()
+        acceptor.accept_waiting()
     assert sockets == [accepted]
     assert [(record.levelname, record.message) for record in caplog.records] == [
         ("ERROR", "accept_failed"),
