Simulations: items that fail, a bound on their answers, and planted faults

No world of ours had an answer of 500 to an item, so none could find that such answers were not counted. Callers of the simulated stores now have items that fail at each run: they report each failed attempt until a store has counted it, repeat reports, and are killed with one answer at most for each item. The model counts the answers itself and checks that an item is no dead letter before `tries` of them and is not given out after three times as many. The job histories have failing items too.

--- a/ploverward/data_plane/batch/test_failed_attempts.py
+++ b/ploverward/data_plane/batch/test_failed_attempts.py
@@ -16,7 +16,7 @@
 from ploverward.transport.batch_messages import Condition
 from ploverward.transport.batch_messages import Outcome
 
-TRIES = batch_scene.JOB_ROUTE["tries"]
+TRIES = batch_scene.JOB_TRIES
 ALLOWED = 3 * TRIES
 fail = request_scene.respond_with(status=b"500 Failed")
 
--- a/ploverward/simulation/batch/batch_run.py
+++ b/ploverward/simulation/batch/batch_run.py
@@ -73,7 +73,9 @@
         self.chance = random.Random(plan.seed + 1)
         self.network = store_network.Network(self.clock)
         self.model = job_model.JobModel(
-            max_queued_tokens=scene.MAX_QUEUED_TOKENS, on_finding=lambda text: self.record(f"FINDING {text}")
+            max_queued_tokens=scene.MAX_QUEUED_TOKENS,
+            max_tries=scene.MAX_TRIES,
+            on_finding=lambda text: self.record(f"FINDING {text}"),
         )
         self.history: list[tuple[float, str]] = []
         self.rows: dict[str, typing.Any] = {}
--- a/ploverward/simulation/batch/job_model.py
+++ b/ploverward/simulation/batch/job_model.py
@@ -1,15 +1,22 @@
 """Independent model of the batch tier, which checks each answer against those that callers received before.
 
 An acknowledged job is kept; a position that was read keeps its result; an item has one position; a tenant's queued
-tokens stay within its quota; a job that every answer rejected is never run.
+tokens stay within its quota; a job that every answer rejected is never run. An item is a dead letter only after its
+`tries` answers of 500, and is not given out after three times as many: the model counts the answers itself, those
+included that no store learnt of.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 from collections.abc import Callable
 
+from ploverward.transport.batch_messages import Condition
+
+MAX_ANSWERS_PER_TRY = 3  # answers of 500 for each of `tries`, after which an item may not reach a replica again
+
 
 class Result(typing.NamedTuple):
     """One result on a page of results."""
@@ -32,6 +39,8 @@
         is_end_acknowledged: Whether that request was acknowledged.
         results: The longest list of results that was read.
         finished: All texts that proxies have sent as the output of an item, by item.
+        failed: Number of answers of 500 that replicas gave, by item.
+        lost: Number of them that were lost with their proxy, by item.
     """
 
     tokens: dict[str, int]
@@ -42,6 +51,8 @@
     is_end_acknowledged: bool = False
     results: list[Result] = dataclasses.field(default_factory=list)
     finished: dict[str, set[bytes]] = dataclasses.field(default_factory=dict)
+    failed: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    lost: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
 
 
 class JobModel:
@@ -49,6 +60,7 @@
 
     Args:
         max_queued_tokens: The tenant's quota.
+        max_tries: The route's `tries`.
         on_finding: Called with the description of each failed check.
 
     Attributes:
@@ -56,10 +68,11 @@
         findings: Descriptions of failed checks.
     """
 
-    def __init__(self, *, max_queued_tokens: int, on_finding: Callable[[str], object]) -> None:
+    def __init__(self, *, max_queued_tokens: int, max_tries: int, on_finding: Callable[[str], object]) -> None:
         self.jobs: dict[str, JobRecord] = {}
         self.findings: list[str] = []
         self._max_queued_tokens = max_queued_tokens
+        self._max_tries = max_tries
         self._on_finding = on_finding
 
     def note_finding(self, text: str) -> None:
@@ -77,11 +90,18 @@
         if queued > self._max_queued_tokens:
             self.note_finding(f"QUOTA {job_id}: {queued} tokens wait")
 
-    @staticmethod
-    def _queued_tokens(job: JobRecord) -> int:
+    def _queued_tokens(self, job: JobRecord) -> int:
         if not job.is_acknowledged or job.is_end_requested:
             return 0
-        return sum(tokens for item, tokens in job.tokens.items() if item not in job.finished)
+        return sum(tokens for item, tokens in job.tokens.items() if not self._may_be_listed(job, item))
+
+    def _may_be_listed(self, job: JobRecord, item: str) -> bool:
+        """Returns whether an item may have a result: its output was sent, or it failed often enough."""
+        return item in job.finished or job.failed[item] >= self._max_tries
+
+    def may_be_complete(self, job: JobRecord) -> bool:
+        """Returns whether all items of a job may have a result."""
+        return all(self._may_be_listed(job, item) for item in job.tokens)
 
     def note_page(self, job_id: str, *, after: int, total: int, page: list[Result]) -> None:
         """Checks a page of results that was read from position `after` on, and records its new results."""
@@ -101,7 +121,12 @@
             return
         if any(known.item == result.item for known in job.results):
             self.note_finding(f"TWICE {job_id}: {result.item} at a second position")
-        if result.text not in job.finished.get(result.item, ()):
+        if result.condition == Condition.DEAD_LETTER:
+            if job.failed[result.item] < self._max_tries:
+                self.note_finding(
+                    f"MIXED {job_id}: {result.item} is a dead letter after {job.failed[result.item]} answers"
+                )
+        elif result.text not in job.finished.get(result.item, ()):
             self.note_finding(f"MIXED {job_id}: {result.item} has a text that no run gave")
         job.results.append(result)
 
@@ -126,11 +151,12 @@
         if listed < known:
             self.note_finding(f"LOST {job_id}: {listed} results, {known} were read")
 
-    def note_pulled_item(self, job_id: str, *, was_end_acknowledged: bool) -> None:
-        """Checks that an item given out to a proxy belongs to a job that may run.
+    def note_pulled_item(self, job_id: str, item: str, *, was_end_acknowledged: bool) -> None:
+        """Checks that an item given out to a proxy may run.
 
         Args:
             job_id: The job.
+            item: The item.
             was_end_acknowledged: Whether the job's end was acknowledged before the request was sent.
         """
         job = self.jobs.get(job_id)
@@ -138,3 +164,5 @@
             self.note_finding(f"REFUSED {job_id}: it runs")
         elif was_end_acknowledged:
             self.note_finding(f"UNASKED {job_id}: it was ended")
+        elif job.failed[item] >= MAX_ANSWERS_PER_TRY * self._max_tries:
+            self.note_finding(f"BUDGET {job_id}: {item} runs after {job.failed[item]} answers of 500")
--- a/ploverward/simulation/batch/scene.py
+++ b/ploverward/simulation/batch/scene.py
@@ -15,6 +15,7 @@
 PARTITION = batch_partitions.partition_of(TENANT)  # the only partition of the simulation
 COPIES = 3
 MAX_QUEUED_TOKENS = 400
+MAX_TRIES = 3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/ploverward/simulation/batch/store_callers.py
+++ b/ploverward/simulation/batch/store_callers.py
@@ -8,6 +8,7 @@
 import collections
 import functools
 import json
+import random
 import typing
 from collections.abc import Callable
 
@@ -24,7 +25,13 @@
 REPLY_TIMEOUT_S = 0.9
 POLL_INTERVAL_S = 0.01  # between checks for a reply
 CALLS_AFTER_FAULTS_S = 6.0  # for how long calls continue after the phase with faults
-MAX_ITEM_TRIES = 3
+FAILING_ITEM_SHARE = 0.3  # share of the items that each replica answers with 500
+ANSWER_S = (0.05, 0.5)  # bounds of the time until a replica answers with 500
+FURTHER_ATTEMPT_CHANCE = 0.5  # that a run makes another attempt after a failed one
+KILL_CHANCE = 0.1  # that a proxy is killed with an answer that it has not reported
+MAX_LOST_ANSWERS = 1  # for each item
+REPETITION_CHANCE = 0.3  # that a report arrives once more after it was answered
+REPORT_RETRY_S = 0.05
 NEW_JOB_CHANCE = 0.1  # probability that a call submits a new job
 END_CHANCE = 0.1  # probability that a drawn request to end a job is sent
 MAX_FINISH_ATTEMPTS = 20
@@ -130,7 +137,7 @@
             self._submit(self._chance.choice(recent))
 
     def _may_be_forgotten(self, record: job_model.JobRecord) -> bool:
-        is_over = record.is_end_requested or record.finished.keys() >= record.tokens.keys()
+        is_over = record.is_end_requested or self._model.may_be_complete(record)
         return is_over and self._clock.time - record.submitted_at > JOB_DUE_MS / 1000 + simulated_store.STATUS_S
 
     def _submit(self, job_id: str) -> None:
@@ -156,7 +163,7 @@
         self._send_request(
             self._draw_store(),
             lambda number: batch_messages.SubmitJob(
-                number, scene.TENANT, job_id, "r", JOB_DUE_MS, MAX_ITEM_TRIES, scene.MAX_QUEUED_TOKENS, body
+                number, scene.TENANT, job_id, "r", JOB_DUE_MS, scene.MAX_TRIES, scene.MAX_QUEUED_TOKENS, body
             ),
             on_reply,
         )
@@ -202,13 +209,50 @@
 
         def on_reply(reply: batch_messages.PulledItems | None) -> None:
             for item in reply.items if reply is not None else ():
-                self._model.note_pulled_item(item.job, was_end_acknowledged=item.job in ended)
+                self._model.note_pulled_item(item.job, item.item, was_end_acknowledged=item.job in ended)
+                if self._fails(item):
+                    self._start_failing_attempt(item)
+                    continue
                 self._clock.later(
                     delay=self._chance.uniform(0.05, 3.0), callback=functools.partial(self._finish_item, item, 1)
                 )
 
         self._send_request(store, lambda number: batch_messages.PullItems(number, self._chance.randint(1, 3)), on_reply)
 
+    # Failing items.
+    def _fails(self, item: batch_messages.PulledItem) -> bool:
+        """Returns whether replicas answer an item with 500, as they do at each run of it."""
+        return random.Random(f"{item.job} {item.item}").random() < FAILING_ITEM_SHARE
+
+    def _start_failing_attempt(self, item: batch_messages.PulledItem) -> None:
+        self._clock.later(
+            delay=self._chance.uniform(*ANSWER_S), callback=functools.partial(self._receive_failure, item)
+        )
+
+    def _receive_failure(self, item: batch_messages.PulledItem) -> None:
+        """Counts an answer of 500 in the model, and reports it, unless its proxy is killed in this moment."""
+        record = self._model.jobs[item.job]
+        record.failed[item.item] += 1
+        if record.lost[item.item] < MAX_LOST_ANSWERS and self._chance.random() < KILL_CHANCE:
+            record.lost[item.item] += 1
+            return
+        self._runs += 1
+        self._report_failure(item, f"attempt {self._runs}".encode())
+
+    def _report_failure(self, item: batch_messages.PulledItem, attempt: bytes) -> None:
+        """Reports a failed attempt until a store has counted it; the run goes on only after that."""
+
+        def on_reply(reply: batch_messages.JobReply | None) -> None:
+            if reply is None or reply.outcome in (Outcome.NOT_OWNER, Outcome.NOT_KNOWN):
+                self._clock.later(delay=REPORT_RETRY_S, callback=functools.partial(self._report_failure, item, attempt))
+            elif reply.outcome == Outcome.DONE and self._chance.random() < FURTHER_ATTEMPT_CHANCE:
+                self._start_failing_attempt(item)
+
+        message = batch_messages.FinishItem(0, scene.TENANT, item.job, item.item, int(Condition.FAILED), attempt)
+        self._send_request(self._draw_store(), lambda number: message._replace(number=number), on_reply)
+        if self._chance.random() < REPETITION_CHANCE:
+            self._send_request(self._draw_store(), lambda number: message._replace(number=number), lambda _reply: None)
+
     def _finish_item(self, item: batch_messages.PulledItem, attempt: int) -> None:
         """Sends the output of an item's run; each run has its own text, so that a second listing is detected."""
         if attempt == 1:
--- a/ploverward/simulation/batch/store_mutants.py
+++ b/ploverward/simulation/batch/store_mutants.py
@@ -169,6 +169,42 @@
     ]
 
 
+def _count_leased_only() -> list[Patch]:
+    """Drops the report of a failed attempt whose item is not leased any more, as after a failover."""
+    original = partition.Partition._count_failed_attempt
+
+    def count(
+        self: partition.Partition, job: job_table.Job, item: job_table.Item, attempt: str, reply: partition.Reply
+    ) -> None:
+        if item.state is job_table.ItemState.LEASED:
+            original(self, job, item, attempt, reply)
+        else:
+            reply(batch_messages.Outcome.DONE)
+
+    return [_replace(partition.Partition, "_count_failed_attempt", count)]
+
+
+def _count_repetitions() -> list[Patch]:
+    """Counts a repeated report of a failed attempt again."""
+    original = partition.Partition._count_failed_attempt
+
+    def count(
+        self: partition.Partition, job: job_table.Job, item: job_table.Item, attempt: str, reply: partition.Reply
+    ) -> None:
+        original(self, job, item, f"{attempt} {len(item.failed_attempts)}", reply)
+
+    return [_replace(partition.Partition, "_count_failed_attempt", count)]
+
+
+def _count_in_memory() -> list[Patch]:
+    """Does not apply failed attempts from the log, so that the next primary counts from 0."""
+    return [_replace(job_table.JobTable, "_count_failure", staticmethod(lambda _job, _position, _entry: None))]
+
+
+def _give_up_early() -> list[Patch]:
+    return [_replace(job_table.Job, "has_failed_too_often", lambda self, item: item.failures >= self.max_attempts - 1)]
+
+
 _RETIREMENTS = ("retire", "retire, wipe")  # kinds of faults
 
 MUTANTS = (
@@ -198,6 +234,10 @@
         kinds=("retire, wipe",),
         fault_s=7.0,
     ),
+    Mutant("counts failed attempts of leased items only", _count_leased_only, kinds=("kill", "power"), fault_s=1.5),
+    Mutant("counts a failed attempt once for each report", _count_repetitions),
+    Mutant("forgets failed attempts with its process", _count_in_memory, kinds=("kill", "power", "all"), fault_s=1.2),
+    Mutant("gives an item up before `tries` answers", _give_up_early),
 )
 
 
--- a/ploverward/simulation/batch_scene.py
+++ b/ploverward/simulation/batch_scene.py
@@ -28,7 +28,15 @@
 KEY = "key-1"
 MAX_BODY_BYTES = 1_000_000
 COORDINATION_S = 0.1  # between two runs of the coordinator
-JOB_ROUTE = {"kind": "batch", "tries": 2, "deadlineMs": 15000, "maxWaitS": 40, "maxQueuedTokens": 1000, "sticky": True}
+JOB_TRIES = 2
+JOB_ROUTE = {
+    "kind": "batch",
+    "tries": JOB_TRIES,
+    "deadlineMs": 15000,
+    "maxWaitS": 40,
+    "maxQueuedTokens": 1000,
+    "sticky": True,
+}
 SAFE_ROUTE = loopback_proxy.route("safe", "/safe/", kind="retry_safe", sticky=False, tries=3)
 BODY = {
     **loopback_proxy.CONFIGURATION,
--- a/ploverward/simulation/job_history.py
+++ b/ploverward/simulation/job_history.py
@@ -2,8 +2,8 @@
 
 The production code of two proxies and three stores runs on the loopback range. One proxy learns of each configuration
 later than the other. Routes are withdrawn, renamed, moved and put back, and their names are used for other routes;
-stores restart or lose their disks, one at a time. `JobHistory` checks every answer and every request at the replicas
-against the configurations that it sent.
+stores restart or lose their disks, one at a time; replicas answer some items with 500 at each run. `JobHistory` checks
+every answer and every request at the replicas against the configurations that it sent and the answers of 500.
 
 python3 -m ploverward.simulation.job_history --first 1000 --seeds 50 --jobs 4
 """
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import argparse
+import collections
 import collections.abc
 import concurrent.futures
 import dataclasses
@@ -35,6 +36,8 @@
 NEWS_DELAY_S = (0.0, 0.6)  # bounds of the time after which the second proxy learns of a configuration
 ROUTING_SLACK_S = 0.3  # time after a change of the configuration in which items may arrive by the former one
 RENAMING_CHANCE = 0.3  # that a new configuration keeps the route in place, often under another name
+FAILING_ITEM_SHARE = 0.15  # share of the items that replicas answer with 500
+MAX_ANSWERS = 3 * batch_scene.JOB_TRIES  # of 500, after which an item may not reach a replica again
 COMPLETION_S = 20.0  # time without changes and faults within which all jobs have to be complete
 
 
@@ -102,6 +105,8 @@
         self._configurations = [first]
         self._installed = [[(0.0, first)] for _proxy in self._scene.proxies]  # (time, configuration) by proxy
         self._seen_requests: set[bytes] = set()
+        self._failing_items: set[str] = set()
+        self._failed_answers: collections.Counter[str] = collections.Counter()  # by item
         self._hidden_until = 0.0  # replicas do not answer before
         self._submitted = 0
 
@@ -130,6 +135,10 @@
         self._check_request(received)
         if self._scene.loop.now() < self._hidden_until:
             return ["reset"]
+        which = request_scene.request_id(received)
+        if which.decode() in self._failing_items:
+            self._failed_answers[which.decode()] += 1
+            return [request_scene.answer(which, status=b"500 Failed")]
         return self._answer(number, received)
 
     def _check_request(self, received: bytes) -> None:
@@ -141,6 +150,8 @@
         path, host_text, item_id = found[1].decode(), host[1].decode(), item[1].decode()
         if host_text != HOST or not path.startswith(f"{PREFIX}3/{item_id}"):
             self._fail(f"ROUTE: {item_id} runs as {host_text}{path}")
+        if self._failed_answers[item_id] >= MAX_ANSWERS:
+            self._fail(f"BUDGET: {item_id} runs after {self._failed_answers[item_id]} answers of 500")
         since = self._scene.loop.now() - ROUTING_SLACK_S
         if not any(
             configuration.covers(host_text, path)
@@ -161,6 +172,7 @@
         self._submitted += 1
         job, key = f"l{self._submitted}", self._chance.choice(("key-1", "key-2", "key-3"))
         items = [batch_scene.item(f"{job}i{index}", tokens=1) for index in range(self._chance.randint(1, 6))]
+        self._failing_items |= {row["id"] for row in items if self._chance.random() < FAILING_ITEM_SHARE}
         answer = self._scene.call(
             "POST",
             f"{PREFIX}x",
@@ -198,12 +210,14 @@
         if any(known["id"] == row["id"] for known in record.results):
             self._fail(f"TWICE: {row['id']} at a second position of {job}")
         if row["condition"] == "delivered":
-            if row["text"] != "one\ntwo":
+            if row["text"] != "one\ntwo" or row["id"] in self._failing_items:
                 self._fail(f"MIXED: {row}")
             return
+        if self._failed_answers[row["id"]] >= batch_scene.JOB_TRIES:
+            return
         later = [known for known in self._configurations if known.edition >= record.edition]
         if all(known.covers(HOST, record.paths[row["id"]]) for known in later):
-            self._fail(f"MIXED: {row['id']} is a dead letter, its route did not end")
+            self._fail(f"MIXED: {row['id']} is a dead letter, its route did not end and it did not fail often enough")
 
     def _read_body(self) -> None:
         if not self.jobs:
--- a/ploverward/simulation/test_job_history.py
+++ b/ploverward/simulation/test_job_history.py
@@ -6,9 +6,11 @@
 import pytest
 
 from ploverward.data_plane.batch import batch_api
+from ploverward.data_plane.batch import failed_attempts
 from ploverward.data_plane.batch import item_puller
 from ploverward.data_plane.requests import route_table
 from ploverward.simulation import job_history
+from ploverward.store import job_table
 from ploverward.transport.batch_messages import Condition
 
 MAX_SEEDS = 12
@@ -65,8 +67,25 @@
     monkeypatch.setattr(route_table.Routes, "find_batch_route", find)
 
 
+def count_no_failed_attempts(monkeypatch):
+    monkeypatch.setattr(failed_attempts.FailedAttemptReports, "report", lambda _self, _key, **_arguments: None)
+
+
+def give_up_at_the_first_failure(monkeypatch):
+    monkeypatch.setattr(job_table.Job, "has_failed_too_often", lambda _self, item, **_arguments: item.failures > 0)
+
+
 @pytest.mark.parametrize(
-    "plant", [require_a_route, route_by_name, give_nothing_up, give_up_by_an_older_configuration, ignore_hosts]
+    "plant",
+    [
+        require_a_route,
+        route_by_name,
+        give_nothing_up,
+        give_up_by_an_older_configuration,
+        ignore_hosts,
+        count_no_failed_attempts,
+        give_up_at_the_first_failure,
+    ],
 )
 def test_checks_find_the_planted_fault(plant, monkeypatch):
     plant(monkeypatch)
