Simulations: deadlines of the rude peers' histories do not depend on the machine

Traced with 14 processes side by side: the client has a 504, as the route of the test configuration ends after 5 s and the history took longer. The histories count turns, so their route has a deadline beyond the length of any history.

--- a/ploverward/simulation/rude_peers.py
+++ b/ploverward/simulation/rude_peers.py
@@ -25,7 +25,9 @@
 
 import h11
 
+from ploverward.data_plane.requests import route_table
 from ploverward.simulation import loopback
+from ploverward.simulation import loopback_proxy
 from ploverward.simulation import request_scene
 
 STEPS = 300
@@ -34,6 +36,10 @@
 MAX_EVENTS = 2 * 64  # of one parser in a turn: as a ready socket, and once more as a continuation
 RUDE_CLIENTS = (5, 40)
 MAX_BODY_BYTES = 200_000
+# The deadline of a request and the latency target are far beyond the length of a history on any machine.
+ROUTE = loopback_proxy.route(
+    "safe", "/safe/", kind="retry_safe", sticky=False, tries=3, expiryMs=600_000, targetMs=60_000
+)
 CHUNK = b"1\r\nx\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -149,6 +155,7 @@
         self._scene = request_scene.Scene(answer_rudely, answer_rudely)
         limits = loopback.limits(body_bytes=MAX_BODY_BYTES, idle_s=600.0, head_s=600.0)
         self._scene.proxy.server.limits = lambda: limits
+        self._scene.proxy.routes = route_table.Routes(body={**loopback_proxy.CONFIGURATION, "routes": [ROUTE]})
         self._rude = [RudeClient(scene=self._scene) for _number in range(self._chance.randint(*RUDE_CLIENTS))]
         self._waiting: list[SentRequest] = []
         self._kept: list[loopback.Client] = []  # connections of ordinary clients without a request
@@ -241,7 +248,7 @@
                 self._waiting.remove(request)
 
     def _unanswered(self) -> list[str]:
-        late = [f"{request.request_id!r} is not answered" for request in self._waiting]
+        late = [f"{request.request_id!r} is answered {request.client.got[:100]!r}" for request in self._waiting]
         rude = [
             f"a rude client has {client.answers} answers to {client.requests} requests"
             for client in self._rude
