Event loop: timers that due timers schedule wait for the next step

Of the queues that calls refill, that of timers had no bound in a turn: a call that schedules another one for a time that has passed was never left. No caller does so today. Now a step makes the calls that were due at its beginning; those that are cancelled meanwhile are not made, as before.

On the code before, the first test never ends; the one of the cancelled timer passes on both.

--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -18,6 +18,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import itertools
 import os
 import selectors
 import time
@@ -226,23 +227,29 @@
         self._run_queued(self._commands)
         now = self.now()
         has_timers = bool(self._timers) and self._timers[0].when <= now
-        while self._timers and self._timers[0].when <= now:
-            timer = self._timers.pop(0)
-            timer.is_over = True
-            self._run_callback(timer.callback)
-        self._run_continuations()
+        if has_timers:
+            self._run_timers(now)
+        if self._continuations:
+            self._run_continuations()
         self._run_queued(self._end_of_step)
         self._watch.end_turn()
         if self.work is not None:
             self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
+    def _run_timers(self, now: float) -> None:
+        """Makes the calls that are due; those that they schedule wait for the next step, even if they are due."""
+        for timer in list(itertools.takewhile(lambda timer: timer.when <= now, self._timers)):
+            if not timer.is_over:  # not cancelled by an earlier call
+                self.cancel(timer=timer)
+                self._run_callback(timer.callback)
+
     def _run_queued(self, queue: collections.deque[Callback]) -> None:
         """Makes the calls that are queued now; those that they add wait for the next step."""
         for _call in range(len(queue)):
             self._run_callback(queue.popleft())
 
     def _run_continuations(self) -> None:
-        until = self.now() + CONTINUATION_S if self._continuations else 0.0
+        until = self.now() + CONTINUATION_S
         for _call in range(len(self._continuations)):
             self._run_callback(self._continuations.popleft())
             if self.now() >= until:
--- a/ploverward/transport/test_read_share.py
+++ b/ploverward/transport/test_read_share.py
@@ -257,6 +257,32 @@
     assert "".join(calls) == "abcabc"
 
 
+def test_due_timers_that_schedule_due_timers_leave_the_turn():
+    """Guards against a queue that calls refill, so that sockets and commands are never served again."""
+    loop = event_loop.Loop()
+    calls = []
+
+    def again():
+        calls.append(1)
+        loop.at(when=0.0, callback=again)
+
+    loop.at(when=0.0, callback=again)
+    loop.step()
+    assert calls == [1]
+    loop.step()
+    assert calls == [1, 1]
+
+
+def test_timer_that_is_cancelled_by_another_call_of_its_turn_is_not_called():
+    loop = event_loop.Loop()
+    calls = []
+    loop.at(when=0.0, callback=lambda: loop.cancel(timer=second))
+    second = loop.at(when=0.0, callback=lambda: calls.append("second"))
+    loop.at(when=0.0, callback=lambda: calls.append("third"))
+    loop.step()
+    assert calls == ["third"]
+
+
 def test_share_is_used_up_by_many_events_and_available_again_in_the_next_window():
     times = [100.0]
     share = read_share.ReadShare(now=lambda: times[0])
