Stores: give an item up whose last count survived its primary without the result

Callers could see: one more run of an item than it was given up after. The last count and the result are two entries of the log; a primary that was lost between them left a successor that knew of enough answers of 500 and gave the item out again. Found by reading, shown by the test, which fails before. The successor lists it as a dead letter in place of a lease.

--- a/ploverward/store/partition.py
+++ b/ploverward/store/partition.py
@@ -174,7 +174,11 @@
         for job in self.table.open_jobs():
             if is_claim_period_over or (job.tenant, job.job_id) not in self._inherited:
                 for item in self.table.leasable_items(job, now=now):
-                    yield job, item
+                    if job.has_failed_too_often(item):
+                        # The earlier primary was lost between the last count and the result.
+                        self._list_item(job, item, Condition.DEAD_LETTER, b"", None)
+                    else:
+                        yield job, item
 
     def lease(self, job: job_table.Job, item: job_table.Item, holder: Holder) -> batch_messages.LeasedItem:
         """Leases an item to a proxy."""
--- a/ploverward/store/test_failed_attempts.py
+++ b/ploverward/store/test_failed_attempts.py
@@ -14,6 +14,7 @@
 
 TRIES = 3
 GIVEN_UP_AFTER = TRIES * job_table.FAILED_ANSWERS_PER_TRY
+LISTED = job_entries.ItemListed
 
 
 class Replication:
@@ -40,7 +41,8 @@
         rows = [{"id": "a", "path": "/x", "parcel": base64.b64encode(b"b").decode(), "tokens": 5}]
         body = json.dumps({"requests": rows}).encode()
         accepted = job_entries.pack(job_entries.JobAccepted("t", "l", "r", 10.0, TRIES, body))
-        self.partition = partition.Partition(now=lambda: 100.0, wall_time=lambda: 0.0, status_s=60.0)
+        self.now = 100.0
+        self.partition = partition.Partition(now=lambda: self.now, wall_time=lambda: 0.0, status_s=60.0)
         self.replication = Replication(entries or [accepted])
         self.partition.begin(self.replication)
         self.outcomes = []
@@ -71,6 +73,10 @@
     def lease(self, holder="proxy"):
         self.partition.lease(self.job, self.job.items["a"], holder)
 
+    def leasable(self):
+        """Returns the ids of the items that may be leased now."""
+        return [item.item_id for _job, item in self.partition.leasable_items()]
+
     def successor(self):
         """Returns the next primary, which has the committed entries only."""
         return Primary(self.replication.entries[: self.replication.committed])
@@ -136,6 +142,29 @@
     assert primary.successor().report("p-last") is Outcome.NOT_NEEDED
 
 
+def test_an_item_is_given_up_by_a_successor_that_has_the_last_count_without_the_result(primary):
+    """Guards against a further run where the primary was lost between the two entries."""
+    for number in range(GIVEN_UP_AFTER):
+        primary.report(f"p-{number}")
+    counts = [data for data in primary.replication.entries if not isinstance(job_entries.unpack(data), LISTED)]
+    successor = Primary(counts)
+    assert successor.conditions == []
+    assert successor.leasable() == []  # begins to serve
+    successor.now += partition.CLAIM_PERIOD_S
+    assert successor.leasable() == []
+    successor.commit()
+    assert successor.conditions == [Condition.DEAD_LETTER]
+
+
+def test_an_item_with_fewer_failed_attempts_is_leased_by_a_successor(primary):
+    for number in range(GIVEN_UP_AFTER - 1):
+        primary.report(f"p-{number}")
+    successor = primary.successor()
+    assert successor.leasable() == []  # begins to serve
+    successor.now += partition.CLAIM_PERIOD_S
+    assert successor.leasable() == ["a"]
+
+
 def test_a_failed_attempt_of_an_item_with_a_result_is_not_needed(primary):
     primary.report("", condition=Condition.DELIVERED)
     assert primary.report("p-1") is Outcome.NOT_NEEDED
