Tell a store of an earlier version by its replies, not by a second without a handshake

Callers could see: an answer of 500 that no store is told of, where a store was stopped for a second as its connection began, or the connection took that long to be established: the proxy took it for one of an earlier version. Found by reading. A store that counts answers sends its handshake before its first reply, as it got the proxy's before the first call; so only a reply without one tells.

Three of the four tests fail before; the other one holds both ways.

--- a/ploverward/data_plane/batch/store_client.py
+++ b/ploverward/data_plane/batch/store_client.py
@@ -20,7 +20,6 @@
 
 RETRY_DELAY_S = 0.1  # between a failed attempt and the next one
 ATTEMPT_TIMEOUT_S = 0.9
-HANDSHAKE_TIMEOUT_S = 1.0  # after which a store that is connected and sent no handshake is of an earlier version
 
 ReplyCallback = Callable[[typing.Any], object]  # argument: the reply; None if none arrived in time
 # Arguments: the reply, and whether an earlier attempt may have taken effect.
@@ -65,6 +64,7 @@
         self._connectors: dict[str, peer_connection.Connector] = {}
         self._calls: dict[int, _PendingCall] = {}
         self._numbers = itertools.count(1)
+        self._replied_without_handshake: set[peer_connection.PeerConnection] = set()
 
     def update_roles(self, roles: Mapping[str, typing.Sequence]) -> None:
         """Reads the primary of each partition from the register of singleton roles and adjusts the connections."""
@@ -162,7 +162,9 @@
     def counts_failed_attempts(self, address: str) -> bool | None:
         """Returns whether the store counts each failed attempt; None while that is not known.
 
-        It does if it sends a handshake. A store of an earlier version sends none.
+        It does if it answers this proxy's handshake with its own. That comes before its reply to any call, as the
+        handshake was sent before: a store that replied without one is of an earlier version. Time tells nothing, as a
+        store that does count may be stopped for a while, or its connection may take long to be established.
         """
         connector = self._connectors.get(address)
         connection = connector.link if connector is not None else None
@@ -170,7 +172,7 @@
             return None
         if connection.hello is not None:
             return True
-        return False if self._loop.now() - connection.opened_at > HANDSHAKE_TIMEOUT_S else None
+        return False if connection in self._replied_without_handshake else None
 
     def send_heartbeats(self) -> None:
         """Sends a heartbeat to each store; to be called at each heartbeat interval."""
@@ -184,9 +186,12 @@
             return
         number = getattr(message, "number", None)
         if number is not None and not isinstance(message, messages.KeepAlive):
+            if connection.hello is None:
+                self._replied_without_handshake.add(connection)
             self._finish(number, message)
 
-    def _handle_end(self, address: str, _connection: peer_connection.PeerConnection, _reason: str) -> None:
+    def _handle_end(self, address: str, connection: peer_connection.PeerConnection, _reason: str) -> None:
+        self._replied_without_handshake.discard(connection)
         for number in [number for number, call in self._calls.items() if call.address == address]:
             self._finish(number, None)
 
--- a/ploverward/data_plane/batch/test_failed_attempts.py
+++ b/ploverward/data_plane/batch/test_failed_attempts.py
@@ -4,15 +4,19 @@
 """
 
 import re
+import types
 
 import pytest
 
 from ploverward.data_plane.batch import failed_attempts
+from ploverward.data_plane.batch import store_client
 from ploverward.simulation import batch_scene
+from ploverward.simulation import loopback
 from ploverward.simulation import request_scene
 from ploverward.store import job_service
 from ploverward.store import job_table
 from ploverward.transport import batch_messages
+from ploverward.transport import messages
 from ploverward.transport.batch_messages import Condition
 from ploverward.transport.batch_messages import Outcome
 
@@ -212,3 +216,54 @@
 
 def test_allowed_answers_leave_room_for_those_that_no_store_learns_of():
     assert 1 <= job_table.FAILED_ANSWERS_PER_TRY < ALLOWED / TRIES
+
+
+class Link:
+    """Stands in for a connection that took long to be established, and on which nothing has arrived."""
+
+    is_up = True
+    hello = None
+    opened_at = 0.0
+
+
+@pytest.fixture
+def link():
+    return Link()
+
+
+@pytest.fixture
+def client(link):
+    """A client for stores with one connection."""
+    loop = loopback.new_loop()
+    stores = store_client.StoreClient(
+        loop=loop, port=1, peer_timeout_s=1.0, handshake=messages.Handshake("proxy", "p", "z", "r", "i", "")
+    )
+    stores._connectors["store"] = types.SimpleNamespace(link=link)
+    return stores
+
+
+HANDSHAKE = messages.Handshake("store", "s", "z", "r", "i", "")
+REPLY = batch_messages.JobReply(7, int(Outcome.DONE))
+
+
+def test_a_store_of_which_nothing_has_arrived_is_not_taken_for_an_earlier_version(client):
+    """Guards against an answer of 500 that is not reported because its store was stopped, or far away, for a second."""
+    assert client.counts_failed_attempts("store") is None
+
+
+def test_a_heartbeat_does_not_tell_the_version_of_a_store(client, link):
+    client._handle_message(link, messages.KeepAlive(number=0))
+    assert client.counts_failed_attempts("store") is None
+
+
+def test_a_store_that_replies_without_a_handshake_is_of_an_earlier_version(client, link):
+    client._handle_message(link, REPLY)
+    assert client.counts_failed_attempts("store") is False
+    client._handle_end("store", link, "closed")
+    assert client.counts_failed_attempts("store") is None  # it may be updated meanwhile
+
+
+def test_a_store_that_sends_a_handshake_before_its_first_reply_counts_failed_attempts(client, link):
+    client._handle_message(link, HANDSHAKE)
+    client._handle_message(link, REPLY)
+    assert client.counts_failed_attempts("store") is True
