A proxy that is stopped in order waits for the reports of its items

Callers could see: an answer of 500 lost with a proxy that got SIGTERM while the store of the item could not be reached: once no request was in progress the process ended, with reports that no store had confirmed. Found by reading. Being idle now includes these; the end of the time is as before.

The tests need the new parameter, so that they fail before for that alone.

--- a/ploverward/data_plane/batch/batch_tier.py
+++ b/ploverward/data_plane/batch/batch_tier.py
@@ -57,6 +57,11 @@
     def _handle_store_up(self, address: str) -> None:
         self._puller.renew_leases(address)
 
+    @property
+    def has_unconfirmed_reports(self) -> bool:
+        """Whether a store still has to confirm what became of an item that this proxy ran."""
+        return self._puller.has_unconfirmed_reports
+
     def start(self) -> None:
         """Starts to pull and run items."""
         self._puller.start()
--- a/ploverward/data_plane/batch/failed_attempts.py
+++ b/ploverward/data_plane/batch/failed_attempts.py
@@ -68,6 +68,11 @@
         self._waiting.setdefault(key, [])
         self._send(_Report(key, message, done))
 
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether any report waits for its store."""
+        return bool(self._waiting)
+
     def is_settled(self, key: ItemKey) -> bool:
         """Returns whether no report of the item waits for its store."""
         return key not in self._waiting
--- a/ploverward/data_plane/batch/item_puller.py
+++ b/ploverward/data_plane/batch/item_puller.py
@@ -88,6 +88,11 @@
         self._requested = 0  # items requested by pulls in progress
         self._next_primary = 0
 
+    @property
+    def has_unconfirmed_reports(self) -> bool:
+        """Whether a store still has to confirm a result, the end of a run or a failed attempt."""
+        return bool(self._reports) or self._failures.has_unconfirmed
+
     def start(self) -> None:
         """Starts pulling items and renewing leases."""
         self._node.loop.every(interval_s=PULL_INTERVAL_S, callback=self._pull)
--- a/ploverward/data_plane/batch/test_failed_attempts.py
+++ b/ploverward/data_plane/batch/test_failed_attempts.py
@@ -267,3 +267,25 @@
     client._handle_message(link, HANDSHAKE)
     client._handle_message(link, REPLY)
     assert client.counts_failed_attempts("store") is True
+
+
+def test_reports_that_no_store_has_confirmed_are_known_until_the_last_one_is(tmp_path, monkeypatch):
+    """Guards against a proxy that exits while a store does not know of an answer of 500."""
+    held = []
+    is_held = True
+    handle = job_service.JobService._handle_finish
+
+    def hold(self, connection, message):
+        held.append(message)
+        if not is_held:
+            handle(self, connection, message)
+
+    monkeypatch.setattr(job_service.JobService, "_handle_finish", hold)
+    scene = batch_scene.BatchScene(tmp_path, fail)
+    scene.submit("l1", [batch_scene.item("a")])
+    assert not scene.proxy.batch.has_unconfirmed_reports
+    assert scene.until(lambda: held)
+    assert scene.proxy.batch.has_unconfirmed_reports
+    is_held = False
+    scene.all_results("l1")
+    assert scene.until(lambda: not scene.proxy.batch.has_unconfirmed_reports)
--- a/ploverward/data_plane/proxy_node.py
+++ b/ploverward/data_plane/proxy_node.py
@@ -190,6 +190,7 @@
             front_end=self._front_end,
             announce=lambda: self._connections.send_state(messages.NodeState(is_ready=False, is_draining=True)),
             send_last_reports=self._send_last_reports,
+            has_unconfirmed_reports=lambda: self._batch is not None and self._batch.has_unconfirmed_reports,
         )
         self.drain_window = self._shutdown.drain_window
 
--- a/ploverward/data_plane/requests/graceful_shutdown.py
+++ b/ploverward/data_plane/requests/graceful_shutdown.py
@@ -2,7 +2,8 @@
 
 The proxy is removed from look-up responses at once. While clients may still have its address it continues to serve,
 but accepts no request that it may have to abort (`DrainWindow`). After `IDLE_FROM_SHARE` of `graceS` the process exits
-as soon as nothing is in progress, and after `END_SHARE` of it regardless of what is in progress.
+as soon as nothing is in progress and the stores have confirmed all reports of items, and after `END_SHARE` of it
+regardless of what is in progress.
 """
 
 from collections.abc import Callable
@@ -72,6 +73,7 @@
         front_end: http_front_end.HttpFrontEnd,
         announce: Callable[[], None],
         send_last_reports: Callable[[], None],
+        has_unconfirmed_reports: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the shutdown of a process that has not received SIGTERM.
 
@@ -81,12 +83,15 @@
             front_end: the listeners, which accept the requests.
             announce: notifies the core nodes that this proxy is draining.
             send_last_reports: sends the remaining reports once all requests have ended.
+            has_unconfirmed_reports: whether reports of items have to be confirmed, which would be lost with the
+                process.
         """
         self._loop = loop
         self._settings = settings
         self._front_end = front_end
         self._announce = announce
         self._send_last_reports = send_last_reports
+        self._has_unconfirmed_reports = has_unconfirmed_reports
         self.is_draining = False
         self.drain_window = DrainWindow(now=loop.now, grace_s=self._grace_s())
 
@@ -106,7 +111,7 @@
         self._loop.after(delay=grace_s * END_SHARE, callback=self._end)
 
     def _end_when_idle(self) -> None:
-        if self._front_end.close_idle():
+        if self._front_end.close_idle() and not self._has_unconfirmed_reports():
             self._end()
         else:
             self._loop.after(delay=IDLE_CHECK_S, callback=self._end_when_idle)
--- a/ploverward/data_plane/requests/test_graceful_shutdown.py
+++ b/ploverward/data_plane/requests/test_graceful_shutdown.py
@@ -1,7 +1,10 @@
 """Graceful shutdown: what a draining proxy accepts, and how it ends waiting requests (docs/requests.md, SIGTERM)."""
 
+import types
+
 import pytest
 
+from ploverward.data_plane.requests import graceful_shutdown
 from ploverward.data_plane.requests import http_front_end
 from ploverward.data_plane.requests import request_handler
 from ploverward.simulation import loopback
@@ -82,3 +85,25 @@
     scene.request("once", left_ms=5000)
     assert request_scene.wait_until_idle(scene)
     assert request_scene.statuses(scene.client) == [503]
+
+
+@pytest.mark.parametrize("has_reports", [False, True])
+def test_process_waits_for_unconfirmed_reports_until_the_end_of_its_time(has_reports):
+    """Guards against answers of replicas to items that are lost with a proxy that is stopped in order (review/8)."""
+    loop = loopback.new_loop()
+    ends = []
+    shutdown = graceful_shutdown.ProxyShutdown(
+        loop=loop,
+        settings=lambda: types.SimpleNamespace(bound=lambda *, name: 10.0),
+        front_end=types.SimpleNamespace(
+            drain=lambda: None, close_idle=lambda: True, end=lambda: ends.append(loop.now())
+        ),
+        announce=lambda: None,
+        send_last_reports=lambda: None,
+        has_unconfirmed_reports=lambda: has_reports,
+    )
+    begun_at = loop.now()
+    shutdown.begin()
+    assert loopback.until(loop, lambda: ends)
+    share = graceful_shutdown.END_SHARE if has_reports else graceful_shutdown.IDLE_FROM_SHARE
+    assert ends[0] - begun_at == pytest.approx(10.0 * share, abs=0.5)
