Parse heads of many lines in their turn; cut only streams into pieces

Callers saw: beside a hundred clients that send proper heads of many short lines, requests came late and readiness checks were missed.

Cause: a head is one event of the parser, and its lines are processed one by one: 22 ms for 16 KiB (from a profile), as long as 1,800 events, and each client had one in each turn. Now heads count by their size, lines of responses and trailers by their number; a head above 2 KiB is parsed as a continuation, on whichever connection it comes; a new connection has 64 events before it waits, and a share that was exceeded has to drain.

Events of a stream within a piece count too. A pause mostly makes no system call.

The unit test of the share is replaced: a window that forgot what exceeded it is now a bucket that drains, tested for new, idle and exceeded connections.

--- a/ploverward/data_plane/requests/attempts.py
+++ b/ploverward/data_plane/requests/attempts.py
@@ -131,6 +131,9 @@
     ) -> None:
         """Handles the head of a response; `attempt.response_class` is set."""
 
+    def is_event_stream(self, attempt: Attempt) -> bool:
+        """Returns whether the response is a stream, of which each event is handled by itself."""
+
     def handle_data(self, attempt: Attempt, data: bytes) -> int:
         """Handles a chunk of the body; returns the number of events of a stream in it."""
 
@@ -217,6 +220,11 @@
         self.response_class = classify_response(status=status, table=table, is_framed=is_framed)
         self.handler.handle_head(self, headers=headers, table=table)
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the response is a stream of events; False before its head."""
+        return self.handler.is_event_stream(self)
+
     def note_event(self, *, now: float) -> None:
         """Records that a complete event was received."""
         self.event_count += 1
--- a/ploverward/data_plane/requests/request_handler.py
+++ b/ploverward/data_plane/requests/request_handler.py
@@ -243,12 +243,16 @@
                 self._note_request_started()
             self.writer.begin_body(forwarded)
 
+    def is_event_stream(self, attempt: attempts.Attempt) -> bool:
+        """Returns whether the response of a replica is a stream, which is forwarded event by event."""
+        return self.writer.stream is not None and attempt.response_class is attempts.ResponseClass.SUCCESS
+
     def handle_data(self, attempt: attempts.Attempt, data: bytes) -> int:
         """Handles a chunk of the body of a replica's response; returns the number of events of a stream in it."""
         if attempt.response_class is attempts.ResponseClass.NOT_RUN:
             return 0
         stream = self.writer.stream
-        if stream is None or attempt.response_class is not attempts.ResponseClass.SUCCESS:
+        if stream is None or not self.is_event_stream(attempt):
             self.writer.write_body(data, status=attempt.status)
             return 0
         if not attempt.is_prefilled:
--- a/ploverward/data_plane/upstream/response_reader.py
+++ b/ploverward/data_plane/upstream/response_reader.py
@@ -18,9 +18,10 @@
 import h11
 
 from ploverward.data_plane.upstream import upstream_errors
+from ploverward.transport import read_share
 
 MAX_SKIPPED_RESPONSES = 2  # replicas are known to send one duplicate; the second is a margin
-PIECE_BYTES = 4096  # of a body, as passed to the attempt at a time: bounds the events of a stream in one piece
+PIECE_BYTES = 4096  # of a stream, as passed to the attempt at a time: bounds the events of the stream in one piece
 MAX_HEAD_BYTES = 65536  # per response; h11 buffers no more of an incomplete head
 
 
@@ -55,12 +56,17 @@
         served: Number of responses that were received completely.
         last_request_id: Id of the last request, None before the first one.
         keep_alive_s: Idle timeout that the replica stated in its last response, None if it stated none.
+        events: Number of events that were processed, as they count towards a turn of the loop (`read_share`).
+        is_event_stream: Whether the body of the response is a stream of events, so that it is returned in pieces of
+            `PIECE_BYTES`. Set by the owner after each head.
     """
 
     def __init__(self) -> None:
         self.served = 0
         self.last_request_id: bytes | None = None
         self.keep_alive_s: float | None = None
+        self.events = 0
+        self.is_event_stream = False
         self._h11 = _new_connection()
         self._sent: tuple[h11.Request, bytes] | None = None  # head and body, until the response is complete
         self._data = b""  # received bytes of the body
@@ -69,6 +75,7 @@
         self._is_skipping = False
         self._has_skipped = False  # after a duplicate response the connection is not reused: others may follow
         self._must_close = False
+        self._head_meter = read_share.HeadMeter()
 
     def send_request(self, *, request_id: bytes, head: h11.Request, body: bytes) -> bytes:
         """Records a request as the current one and returns its bytes."""
@@ -76,10 +83,13 @@
         self._sent = (head, body)
         self._skipped = 0
         self._is_skipping = False
+        self._head_meter.begin()
         return _send(self._h11, head=head, body=body)
 
     def receive_data(self, data: bytes) -> None:
         """Buffers received bytes; empty bytes mean that the replica closed the connection."""
+        if self._h11.their_state is h11.SEND_RESPONSE:
+            self._head_meter.add(data)
         self._h11.receive_data(data)
 
     def next_event(self, *, is_unsent: bool) -> ResponseHead | bytes | Signal:
@@ -89,17 +99,19 @@
             is_unsent: Whether no byte of the request was sent, so that no response can belong to it.
 
         Returns:
-            The head of the response, then the bytes of its body in pieces, then RESPONSE_END; SKIPPED in place of the
-            events of a duplicate response; NEED_DATA if the received bytes contain no further event.
+            The head of the response, then the bytes of its body, then RESPONSE_END; SKIPPED in place of the events of
+            a duplicate response; NEED_DATA if the received bytes contain no further event.
 
         Raises:
             h11.RemoteProtocolError: The bytes are not valid HTTP.
             upstream_errors.RemoteProtocolError: A response does not belong to the request and may not be skipped.
             upstream_errors.ConnectionEndedError: The connection was closed cleanly, without a response.
         """
+        self.events += 1
         if self._data_start < len(self._data):
             return self._next_piece()
         event = self._h11.next_event()
+        self.events += _further_events(event)
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return Signal.NEED_DATA
         if isinstance(event, h11.Response):
@@ -111,6 +123,8 @@
                 self._resume_after_skipped()
             return Signal.SKIPPED
         if isinstance(event, h11.Data):
+            if not self.is_event_stream:
+                return bytes(event.data)
             self._data = bytes(event.data)
             self._data_start = 0
             return self._next_piece()
@@ -167,6 +181,11 @@
         if trailing:
             self._h11.receive_data(trailing)
 
+    @property
+    def is_large_head_expected(self) -> bool:
+        """Whether a head is expected, and the received bytes are more than an ordinary one."""
+        return self._h11.their_state is h11.SEND_RESPONSE and self._head_meter.is_large
+
     def start_next_cycle(self) -> bool:
         """Prepares for another request after a response, and returns whether the connection may be reused."""
         is_reusable = (
@@ -190,6 +209,13 @@
     return None
 
 
+def _further_events(event: object) -> int:
+    """Returns the number of events that the header lines of an event count as."""
+    if not isinstance(event, h11.Response | h11.InformationalResponse | h11.EndOfMessage):
+        return 0
+    return read_share.count_line_events(len(event.headers))
+
+
 def _new_connection() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/ploverward/data_plane/upstream/test_response_share.py
+++ b/ploverward/data_plane/upstream/test_response_share.py
@@ -9,6 +9,7 @@
 from ploverward.data_plane.upstream import response_reader
 from ploverward.simulation import loopback
 from ploverward.simulation import request_scene
+from ploverward.transport import event_loop
 from ploverward.transport import read_share
 
 MAX_EVENTS = 2 * read_share.MAX_EVENTS_PER_TURN  # as a ready socket, and once more as a continuation
@@ -132,3 +133,59 @@
     scene.request("safe")
     assert scene.until(b"y" * 50_000)
     assert parsed[0] <= 50_000 // response_reader.PIECE_BYTES + 8
+
+
+LINES = b"a: b\r\n" * 600  # 3,600 bytes
+
+
+def test_heads_of_many_lines_of_replicas_wait_for_their_turn(monkeypatch):
+    """Guards against replicas whose heads are all parsed in one turn, whichever connections they come on."""
+    heads = [0]
+    read_head = response_reader.ResponseReader._read_head
+
+    def count(self, event, *, is_unsent):
+        heads[0] += 1
+        return read_head(self, event, is_unsent=is_unsent)
+
+    monkeypatch.setattr(response_reader.ResponseReader, "_read_head", count)
+    monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)  # one continuation a turn
+    scene = request_scene.Scene(lambda _number, _received: None)
+    clients = [loopback.Client(loop=scene.loop, address=scene.proxy.address) for _number in range(10)]
+    for number, client in enumerate(clients):
+        client.send(
+            b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: c%d\r\nX-Time-Left-Ms: 60000\r\n"
+            b"Content-Length: 4\r\n\r\nbody" % number
+        )
+    (replica,) = scene.peers
+    assert loopback.until(scene.loop, lambda: sum(received.endswith(b"body") for received in replica.received) == 10)
+    for number, received in enumerate(replica.received):
+        which = request_scene.request_id(received)
+        replica.callback(number, [request_scene.answer(which, more=b"X-Postmark: p\r\n" + LINES)])
+    largest = 0
+    for _step in range(20_000):
+        if all(b"\r\n\r\nok" in client.got for client in clients):
+            break
+        before = heads[0]
+        scene.loop.call_soon_threadsafe(callback=lambda: None)  # no wait
+        scene.loop.step()
+        largest = max(largest, heads[0] - before)
+    assert heads[0] == 10
+    assert largest == 1
+
+
+def test_header_lines_of_an_answer_count_as_events():
+    """Guards against a replica whose answers have many lines, one after the other on a connection."""
+    reader = response_reader.ResponseReader()
+    reader.send_request(request_id=b"r", head=h11.Request(method="GET", target="/", headers=[("Host", "h")]), body=b"")
+    reader.receive_data(b"HTTP/1.1 100 Continue\r\n" + LINES + b"\r\n")
+    assert reader.next_event(is_unsent=False) is response_reader.Signal.SKIPPED
+    assert reader.events > read_share.MAX_EVENTS_PER_TURN
+
+
+def test_ordinary_head_of_an_answer_counts_as_one_event():
+    reader = response_reader.ResponseReader()
+    reader.send_request(request_id=b"r", head=h11.Request(method="GET", target="/", headers=[("Host", "h")]), body=b"")
+    reader.receive_data(request_scene.answer(b"r"))
+    assert not reader.is_large_head_expected
+    assert isinstance(reader.next_event(is_unsent=False), response_reader.ResponseHead)
+    assert reader.events == 1
--- a/ploverward/data_plane/upstream/upstream_connection.py
+++ b/ploverward/data_plane/upstream/upstream_connection.py
@@ -84,10 +84,19 @@
 
 
 class UpstreamAttempt(typing.Protocol):
-    """The attempt that uses a connection and receives its events (`attempts.Attempt`)."""
+    """The attempt that uses a connection and receives its events (`attempts.Attempt`).
+
+    Attributes:
+        request_id: Id of its request.
+        is_event_stream: Whether the response is a stream of events; False before its head.
+    """
 
     request_id: bytes
 
+    @property
+    def is_event_stream(self) -> bool:
+        """As above."""
+
     def on_head(
         self, *, status: int, headers: Iterable[tuple[bytes, bytes]], table: dict[bytes, bytes], is_framed: bool
     ) -> None:
@@ -252,17 +261,19 @@
             if not self.is_up and not self._finish_connecting():
                 return
             self._flush()
-        if mask & selectors.EVENT_READ and self.is_open and not self._is_continuation_queued:
-            if self._share.is_used_up:
-                self._queue_continuation()
-            else:
-                self._read()
+        if not mask & selectors.EVENT_READ or not self.is_open:
+            return
+        if self._is_continuation_queued:
+            self._update_mask()  # not before: mostly the turn comes in the same step, without a system call
+        elif self._share.is_used_up:
+            self._queue_continuation()
+        else:
+            self._read()
 
     def _queue_continuation(self) -> None:
         """Stops reading from the socket until the turn of this connection among the continuations."""
         if not self._is_continuation_queued:
             self._is_continuation_queued = True
-            self._update_mask()
             self.loop.continue_later(callback=self._continue)
 
     def _continue(self) -> None:
@@ -313,7 +324,15 @@
             return
         self.replica.last_received_at = self.loop.now()
         self._reader.receive_data(data)
-        self._deliver()
+        if self._reader.is_large_head_expected:
+            self._deliver_later()
+        else:
+            self._deliver()
+
+    def _deliver_later(self) -> None:
+        """Leaves received data in the reader until the turn of this connection among the continuations."""
+        self.has_undelivered_data = True
+        self._queue_continuation()
 
     def _deliver(self) -> None:
         """Delivers received data to the attempt, within this connection's share of the turn."""
@@ -341,32 +360,37 @@
             self.close()
 
     def _deliver_events(self) -> None:
-        reader = self._reader
-        events = 0
+        first = self._reader.events
         self.has_undelivered_data = False
-        # Within each call the attempt may be abandoned or the connection closed.
-        while self.attempt is not None:
-            if events >= read_share.MAX_EVENTS_PER_TURN:
-                self.has_undelivered_data = True
-                self._queue_continuation()
-                return
-            events += 1
-            self._share.note(1)
-            try:
-                event = reader.next_event(is_unsent=self.is_unsent)
-            except upstream_errors.UpstreamError as error:
-                self._fail(error)
-                return
-            if isinstance(event, bytes):
-                events += self.attempt.on_data(event)
-            elif isinstance(event, response_reader.ResponseHead):
-                self.attempt.on_head(
-                    status=event.status, headers=event.headers, table=event.table, is_framed=event.is_framed
-                )
-            elif event is not response_reader.Signal.SKIPPED:
-                if event is response_reader.Signal.RESPONSE_END:
-                    self._on_response_end()
-                return
+        try:
+            # Within each call the attempt may be abandoned or the connection closed.
+            while self.attempt is not None and self._reader.events - first < read_share.MAX_EVENTS_PER_TURN:
+                if not self._deliver_event(self.attempt):
+                    return
+        finally:
+            self._share.note(self._reader.events - first)
+        if self.attempt is not None:
+            self._deliver_later()
+
+    def _deliver_event(self, attempt: UpstreamAttempt) -> bool:
+        """Delivers the next event to the attempt; returns whether further ones may follow for it."""
+        reader = self._reader
+        try:
+            event = reader.next_event(is_unsent=self.is_unsent)
+        except upstream_errors.UpstreamError as error:
+            self._fail(error)
+            return False
+        if isinstance(event, bytes):
+            stream_events = attempt.on_data(event)
+            reader.events += max(0, stream_events - 1)
+        elif isinstance(event, response_reader.ResponseHead):
+            attempt.on_head(status=event.status, headers=event.headers, table=event.table, is_framed=event.is_framed)
+            reader.is_event_stream = attempt.is_event_stream
+        elif event is not response_reader.Signal.SKIPPED:
+            if event is response_reader.Signal.RESPONSE_END:
+                self._on_response_end()
+            return False
+        return True
 
     def _on_response_end(self) -> None:
         attempt, self.attempt = self.attempt, None
--- a/ploverward/simulation/rude_peers.py
+++ b/ploverward/simulation/rude_peers.py
@@ -1,11 +1,13 @@
 """Seeded histories of rude clients and replicas at one proxy, on real sockets (docs/design.md 2).
 
-Rude clients send bodies in chunks of one byte, a few bytes at a time, or many requests at once; they keep their
-connections open, leave in the middle of a request, or reset. Rude replicas answer in chunks of one byte, or with
-thousands of events in one chunk. Ordinary clients send requests meanwhile. `RudePeersHistory` counts turns of the loop
-and events of the parsers, not time, so its checks do not depend on the speed of the machine:
+Rude clients send bodies in chunks of one byte, a few bytes at a time, many requests at once, or heads of many lines;
+they keep their connections open, leave in the middle of a request, or reset. Rude replicas answer in chunks of one
+byte, with thousands of events in one chunk, or with many header lines. Ordinary clients send requests meanwhile.
+`RudePeersHistory` counts turns of the loop and events of the parsers, not time, so its checks do not depend on the
+speed of the machine:
 
 * TURN: in one turn, no parser processes more events than the share of its connection.
+* HEAD: a head of many lines is parsed as a continuation, not as soon as it arrives.
 * LATE: an ordinary request is answered within `MAX_TURNS` turns.
 * LOST: each complete request on a connection that stays open is answered.
 
@@ -26,9 +28,11 @@
 import h11
 
 from ploverward.data_plane.requests import route_table
+from ploverward.data_plane.upstream import upstream_connection
 from ploverward.simulation import loopback
 from ploverward.simulation import loopback_proxy
 from ploverward.simulation import request_scene
+from ploverward.transport import http_connection
 
 STEPS = 300
 FINAL_TURNS = 6000  # within which all complete requests have to be answered
@@ -42,6 +46,9 @@
 )
 CHUNK = b"1\r\nx\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+LINES = b"a: b\r\n" * 600
+MANY_LINES = 500
+KINDS = ("plain", "plain", "plain", "chunks", "events", "lines")  # of requests of ordinary clients, as drawn
 
 
 def answer_rudely(_number: int, received: bytes) -> list[loopback.Action] | None:
@@ -55,7 +62,8 @@
     if which.startswith(b"events"):
         events = b":\n\n" * 3000
         return [request_scene.head(which) + b"%x\r\n%s\r\n" % (len(events), events) + LAST_CHUNK]
-    return [request_scene.answer(which, b"ok")]
+    more = LINES if which.startswith(b"lines") else b""
+    return [request_scene.answer(which, b"ok", more=b"X-Postmark: p\r\n" + more)]
 
 
 class SentRequest(typing.NamedTuple):
@@ -123,6 +131,12 @@
         self.requests += count
         self._send(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n" * count)
 
+    def send_large_head(self) -> None:
+        """Sends a complete request with many header lines."""
+        self.finish_body()
+        self.requests += 1
+        self._send(b"GET /none HTTP/1.1\r\nHost: h\r\n" + LINES + b"\r\n")
+
     def leave(self, *, is_reset: bool) -> None:
         """Leaves, whatever is in progress."""
         if self.is_open:
@@ -153,7 +167,7 @@
         self.largest = 0
         self._chance = random.Random(seed)
         self._scene = request_scene.Scene(answer_rudely, answer_rudely)
-        limits = loopback.limits(body_bytes=MAX_BODY_BYTES, idle_s=600.0, head_s=600.0)
+        limits = loopback.limits(head_bytes=16_384, body_bytes=MAX_BODY_BYTES, idle_s=600.0, head_s=600.0)
         self._scene.proxy.server.limits = lambda: limits
         self._scene.proxy.routes = route_table.Routes(body={**loopback_proxy.CONFIGURATION, "routes": [ROUTE]})
         self._rude = [RudeClient(scene=self._scene) for _number in range(self._chance.randint(*RUDE_CLIENTS))]
@@ -162,6 +176,7 @@
         self._turn = 0
         self._sent = 0
         self._events: collections.Counter[int] = collections.Counter()  # of this turn, by parser
+        self._is_serving_socket = False  # rather than a continuation
 
     def play(self) -> list[str]:
         """Plays the history and returns the descriptions of failed checks."""
@@ -180,19 +195,43 @@
 
     @contextlib.contextmanager
     def _counting(self) -> typing.Iterator[None]:
-        original = h11.Connection.next_event
+        next_event = h11.Connection.next_event
 
-        def next_event(parser: h11.Connection) -> object:
+        def count(parser: h11.Connection) -> object:
             self._events[id(parser)] += 1
-            return original(parser)
-
-        with unittest.mock.patch.object(h11.Connection, "next_event", next_event):
+            event = next_event(parser)
+            if isinstance(event, h11.Request | h11.Response) and self._is_serving_socket:
+                self._check_head(event)
+            return event
+
+        with contextlib.ExitStack() as patches:
+            patches.enter_context(unittest.mock.patch.object(h11.Connection, "next_event", count))
+            for connection_type in (http_connection.HttpConnection, upstream_connection.UpstreamConnection):
+                patches.enter_context(
+                    unittest.mock.patch.object(connection_type, "_ready", self._marking(connection_type._ready))
+                )
             yield
 
+    def _check_head(self, head: h11.Request | h11.Response) -> None:
+        if len(head.headers) > MANY_LINES:
+            self.findings.append(f"HEAD: {len(head.headers)} lines were parsed as soon as they arrived")
+
+    def _marking(self, ready: typing.Callable[[typing.Any, int], None]) -> typing.Callable[[typing.Any, int], None]:
+        """Returns a callback of a ready socket that says while it runs."""
+
+        def run(connection: object, mask: int) -> None:
+            self._is_serving_socket = True
+            try:
+                ready(connection, mask)
+            finally:
+                self._is_serving_socket = False
+
+        return run
+
     # Peers.
     def _act(self) -> None:
         if self._chance.random() < 0.3:
-            self._send_ordinary(self._chance.choice(("plain", "plain", "plain", "chunks", "events")))
+            self._send_ordinary(self._chance.choice(KINDS))
             return
         number = self._chance.randrange(len(self._rude))
         client = self._rude[number]
@@ -206,8 +245,10 @@
             client.send_chunks(self._chance.randint(1, 60))
         elif chance < 0.8:
             client.finish_body()
-        elif chance < 0.9:
+        elif chance < 0.85:
             client.send_many(self._chance.randint(1, 30))
+        elif chance < 0.9:
+            client.send_large_head()
         else:
             client.leave(is_reset=self._chance.random() < 0.5)
 
@@ -223,7 +264,7 @@
             b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 600000\r\n"
             b"Content-Length: 4\r\n\r\nbody" % request_id
         )
-        self._waiting.append(SentRequest(request_id, client, self._turn, kind == "plain"))
+        self._waiting.append(SentRequest(request_id, client, self._turn, kind in ("plain", "lines")))
 
     # Turns and checks.
     def _run_turns(self, count: int) -> None:
--- a/ploverward/simulation/test_rude_peers.py
+++ b/ploverward/simulation/test_rude_peers.py
@@ -51,6 +51,10 @@
     monkeypatch.setattr(http_connection.HttpConnection, "_continue_reading", continue_again)
 
 
+def parse_heads_as_they_arrive(monkeypatch):
+    monkeypatch.setattr(read_share.HeadMeter, "is_large", False)
+
+
 @pytest.mark.parametrize(
     "plant",
     [
@@ -58,6 +62,7 @@
         forget_bytes_in_the_parser,
         forget_answers_in_the_parser,
         serve_the_last_continuation_first,
+        parse_heads_as_they_arrive,
     ],
 )
 def test_checks_find_the_planted_fault(plant, monkeypatch):
--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -90,6 +90,7 @@
         self._head_started_at = 0.0  # when the first byte of the current request arrived
         self._pipelined_bytes = 0  # received after the request being answered
         self._share = read_share.ReadShare(now=self.loop.now)
+        self._head_meter = read_share.HeadMeter()
         self._is_paused = False  # until `_continue_reading`
         self._has_unparsed_bytes = False  # whether the parser may have further events
         self._limits = server.limits()
@@ -157,13 +158,12 @@
         self._limits = self.server.limits()
         self._h11.start_next_cycle()
         self._set_timeout(delay=self._limits.idle_s)
-        self._pipelined_bytes = len(self._h11.trailing_data[0])
-        if self._pipelined_bytes:
-            self._state = _READING_HEAD
-            self._head_started_at = self.loop.now()
-            # Not called directly: the handler that ended this response is still running.
-            self._has_unparsed_bytes = True
-            self._pause_reading()
+        pipelined = self._h11.trailing_data[0]
+        self._pipelined_bytes = len(pipelined)
+        if pipelined:
+            self._begin_head()
+            self._head_meter.add(pipelined)
+            self._parse_later()  # not at once: the handler that ended this response is still running
 
     def abort_response(self) -> None:
         """Closes the connection so that the client can't take the response for complete.
@@ -253,19 +253,20 @@
     def _ready(self, mask: int) -> None:
         if mask & selectors.EVENT_WRITE:
             self._flush()
-        if mask & selectors.EVENT_READ and self._state is not _CLOSED and not self._is_paused:
-            if self._share.is_used_up:
-                self._pause_reading()
-            else:
-                self._receive()
+        if not mask & selectors.EVENT_READ or self._state is _CLOSED:
+            return
+        if self._is_paused:
+            self._update_mask()  # not before: mostly the turn comes in the same step, without a system call
+        elif self._share.is_used_up:
+            self._pause_reading()
+        else:
+            self._receive()
 
     def _pause_reading(self) -> None:
         """Stops reading from the socket until the turn of this connection among the continuations."""
-        if self._is_paused:
-            return
-        self._is_paused = True
-        self._update_mask()
-        self.loop.continue_later(callback=self._continue_reading)
+        if not self._is_paused:
+            self._is_paused = True
+            self.loop.continue_later(callback=self._continue_reading)
 
     def _continue_reading(self) -> None:
         self._is_paused = False
@@ -301,15 +302,29 @@
 
     def _feed_parser(self, data: bytes) -> None:
         if self._state is _IDLE:
-            self._state = _READING_HEAD
-            self._head_started_at = self.loop.now()
+            self._begin_head()
             self._set_timeout(delay=self._limits.head_s)
+        if self._state is _READING_HEAD:
+            self._head_meter.add(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._refuse(ClientRequestError(status=error.error_status_hint or 400))
             return
-        self._read_events()
+        if self._state is _READING_HEAD and self._head_meter.is_large:
+            self._parse_later()
+        else:
+            self._read_events()
+
+    def _begin_head(self) -> None:
+        self._state = _READING_HEAD
+        self._head_started_at = self.loop.now()
+        self._head_meter.begin()
+
+    def _parse_later(self) -> None:
+        """Leaves received bytes in the parser until the turn of this connection among the continuations."""
+        self._has_unparsed_bytes = True
+        self._pause_reading()
 
     def _read_events(self) -> None:
         """Processes events that h11 parsed, within this connection's share and up to the end of one request."""
@@ -333,32 +348,41 @@
             h11.RemoteProtocolError: The bytes are not a valid request.
             RefusedRequestError: The request is rejected.
         """
-        for _event in range(read_share.MAX_EVENTS_PER_TURN):
-            if self._state not in _READING:
-                return False
-            event = self._h11.next_event()
-            self._share.note(1)
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                self._send_continue()
-                return False
-            if isinstance(event, h11.EndOfMessage):
-                return True
-            if isinstance(event, h11.Request):
-                self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                self._handle_data(event.data)
-            elif isinstance(event, h11.ConnectionClosed):
-                self.close()
-        self._has_unparsed_bytes = True
-        self._pause_reading()
+        events = 0
+        try:
+            while events < read_share.MAX_EVENTS_PER_TURN and self._state in _READING:
+                event = self._h11.next_event()
+                events += self._handle_event(event)
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._send_continue()
+                    return False
+                if isinstance(event, h11.EndOfMessage):
+                    return True
+        finally:
+            self._share.note(events)
+        if self._state in _READING:
+            self._parse_later()
         return False
 
+    def _handle_event(self, event: Any) -> int:  # noqa: ANN401  # any event of h11
+        """Processes an event of a request; returns the number of events that it counts as."""
+        if isinstance(event, h11.Request):
+            return 1 + read_share.count_head_events(self._handle_head(event))
+        if isinstance(event, h11.EndOfMessage):
+            return 1 + read_share.count_line_events(len(event.headers))
+        if isinstance(event, h11.Data):
+            self._handle_data(event.data)
+        elif isinstance(event, h11.ConnectionClosed):
+            self.close()
+        return 1
+
     def _send_continue(self) -> None:
         if self._h11.they_are_waiting_for_100_continue:
             self._write(self._h11.send(h11.InformationalResponse(status_code=100, headers=[])))
 
-    def _handle_head(self, head: h11.Request) -> None:
-        check_head(head=head, limits=self._limits)
+    def _handle_head(self, head: h11.Request) -> int:
+        """Begins to read the body; returns the size of the head in bytes."""
+        size = check_head(head=head, limits=self._limits)
         self._request = Request(
             http_connection=self,
             method=head.method,
@@ -369,6 +393,7 @@
         self._state = _READING_BODY
         self._body = bytearray()
         self._set_timeout(delay=self._limits.idle_s)
+        return size
 
     def _handle_data(self, data: bytes) -> None:
         self._body += data
--- a/ploverward/transport/http_request.py
+++ b/ploverward/transport/http_request.py
@@ -80,9 +80,11 @@
     """The bodies of all connections would take too much memory (503): not an error of the client."""
 
 
-def check_head(*, head: h11.Request, limits: Limits) -> None:
+def check_head(*, head: h11.Request, limits: Limits) -> int:
     """Checks what h11 does not: ambiguous body lengths and the sizes of head and body.
 
+    Returns the size of the head in bytes.
+
     Two different lengths, or a length together with chunked encoding, are rejected: a server behind this one could
     interpret the length differently and take the remaining bytes for another request (request smuggling).
 
@@ -98,6 +100,7 @@
         raise ClientRequestError(status=431)
     if lengths and int(next(iter(lengths))) > limits.body_bytes:
         raise ClientRequestError(status=413)
+    return size
 
 
 class ResponseWriter(Protocol):
--- a/ploverward/transport/read_share.py
+++ b/ploverward/transport/read_share.py
@@ -5,43 +5,89 @@
 parser, stops reading from its socket and goes on through `Loop.continue_later`, so that all such connections together
 have a bounded part of each turn and take turns within it.
 
-A peer that sends few events at a time, but often, stays below that limit. `ReadShare` counts the events of a
-connection: beyond `PROMPT_EVENTS_PER_S` it reads from its socket through `Loop.continue_later` as well.
+A head is one event of the parser as well, but its header lines are processed one by one: a head of 16 KiB in short
+lines takes as long as a thousand events. `count_head_events` counts it as that many, by its size: a long line may be a
+list that is processed one by one. `HeadMeter` recognises such a head before it is parsed, so that it is parsed through
+`Loop.continue_later`, whichever connection it arrives on.
+
+A peer that sends few events at a time, but often, stays below the limit of a turn. `ReadShare` counts the events of a
+connection over time: one that exceeds `PROMPT_EVENTS_PER_S` reads through `Loop.continue_later` as well. A new
+connection has only `NEW_CONNECTION_EVENTS` before that, so that a peer gains nothing by opening another one.
 """
 
 from collections.abc import Callable
 
 MAX_EVENTS_PER_TURN = 64  # several times the events of an ordinary message
 PROMPT_EVENTS_PER_S = 128
-WINDOW_S = 1.0
+BURST_EVENTS = 2 * PROMPT_EVENTS_PER_S
+NEW_CONNECTION_EVENTS = 64  # enough for the first requests of an ordinary connection
+ORDINARY_HEAD_BYTES = 2048  # a head of up to this size counts as one event
+HEAD_BYTES_PER_EVENT = 8  # beyond that size: about one short header line
+ORDINARY_HEADER_LINES = 64  # further lines of a response, or of trailers, count as one event each
+HEAD_END = b"\r\n\r\n"
+
+
+def count_head_events(size: int) -> int:
+    """Returns the number of events that the head of a request counts as, besides the one that it is.
+
+    Args:
+        size: Its size in bytes.
+    """
+    return max(0, size - ORDINARY_HEAD_BYTES) // HEAD_BYTES_PER_EVENT
+
+
+def count_line_events(lines: int) -> int:
+    """Returns the number of events that header lines of a response or of trailers count as, besides their own one."""
+    return max(0, lines - ORDINARY_HEADER_LINES)
+
+
+class HeadMeter:
+    """Measures a head while it is received, before it is parsed."""
+
+    __slots__ = ("_received",)
+
+    def __init__(self) -> None:
+        self._received = 0
+
+    def begin(self) -> None:
+        """Starts with the next head."""
+        self._received = 0
+
+    def add(self, data: bytes) -> None:
+        """Counts received data up to the end of the head; all of it if the end is split over two calls."""
+        end = data.find(HEAD_END, 0, ORDINARY_HEAD_BYTES + len(HEAD_END))
+        self._received += len(data) if end < 0 else end
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the head is larger than an ordinary one."""
+        return self._received > ORDINARY_HEAD_BYTES
 
 
 class ReadShare:
-    """Counts the events that one connection processed in the current window.
+    """The events that one connection processed recently, as a leaky bucket: it drains at `PROMPT_EVENTS_PER_S`.
 
     Args:
         now: Returns the time of a monotonic clock, in seconds.
     """
 
-    __slots__ = ("_now", "_events", "_window_began_at")
+    __slots__ = ("_now", "_level", "_noted_at")
 
     def __init__(self, *, now: Callable[[], float]) -> None:
         self._now = now
-        self._events = 0
-        self._window_began_at = 0.0
+        self._level = float(BURST_EVENTS - NEW_CONNECTION_EVENTS)  # events that have not drained, at the last note
+        self._noted_at = now()
 
     def note(self, events: int) -> None:
         """Counts processed events."""
-        self._events += events
+        now = self._now()
+        self._level = self._level_at(now) + events
+        self._noted_at = now
+
+    def _level_at(self, now: float) -> float:
+        return max(0.0, self._level - (now - self._noted_at) * PROMPT_EVENTS_PER_S)
 
     @property
     def is_used_up(self) -> bool:
         """Whether the connection has to wait for its turn before it reads from its socket."""
-        if self._events < PROMPT_EVENTS_PER_S * WINDOW_S:
-            return False
-        now = self._now()
-        if now - self._window_began_at < WINDOW_S:
-            return True
-        self._window_began_at = now
-        self._events = 0
-        return False
+        return self._level >= BURST_EVENTS and self._level_at(self._now()) >= BURST_EVENTS
--- a/ploverward/transport/test_read_share.py
+++ b/ploverward/transport/test_read_share.py
@@ -283,12 +283,132 @@
     assert calls == ["third"]
 
 
-def test_share_is_used_up_by_many_events_and_available_again_in_the_next_window():
+def make_share():
     times = [100.0]
-    share = read_share.ReadShare(now=lambda: times[0])
-    share.note(read_share.PROMPT_EVENTS_PER_S)
-    assert not share.is_used_up  # the first window begins here
-    share.note(read_share.PROMPT_EVENTS_PER_S)
+    return read_share.ReadShare(now=lambda: times[0]), times
+
+
+def test_share_of_a_new_connection_is_used_up_by_few_events():
+    """Guards against a peer that opens a connection for each burst of events."""
+    share, times = make_share()
+    share.note(read_share.NEW_CONNECTION_EVENTS - 1)
+    assert not share.is_used_up
+    share.note(1)
     assert share.is_used_up
-    times[0] += read_share.WINDOW_S
+    times[0] += 1 / read_share.PROMPT_EVENTS_PER_S
     assert not share.is_used_up
+
+
+def test_share_of_an_idle_connection_allows_a_burst_and_no_more():
+    share, times = make_share()
+    times[0] += 60.0
+    share.note(read_share.BURST_EVENTS - 1)
+    assert not share.is_used_up
+    share.note(1)
+    assert share.is_used_up
+
+
+def test_share_that_was_exceeded_is_available_again_once_all_of_it_has_drained():
+    """Guards against a head of many lines that counts no longer than the next second."""
+    share, times = make_share()
+    times[0] += 60.0
+    share.note(read_share.BURST_EVENTS + 10 * read_share.PROMPT_EVENTS_PER_S)
+    times[0] += 9.9
+    assert share.is_used_up
+    times[0] += 0.2
+    assert not share.is_used_up
+
+
+LINES = b"a:b\r\n" * 600  # 3,600 bytes
+
+
+@pytest.fixture
+def large_heads(monkeypatch):
+    """Counts the heads of many lines that were parsed."""
+    counts = [0]
+    original = http_connection.check_head
+
+    def check_head(*, head, limits):
+        counts[0] += len(head.headers) > 500
+        return original(head=head, limits=limits)
+
+    monkeypatch.setattr(http_connection, "check_head", check_head)
+    return counts
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param([b"GET /x HTTP/1.1\r\nHost: h\r\n" + LINES + b"\r\n"], id="whole"),
+        pytest.param([b"GET /x HTTP/1.1\r\nHost: h\r\n" + LINES, b"\r\n"], id="its end comes later"),
+        pytest.param([b"GET /x HTTP/1.1\r\nHost: h\r\n" + LINES + b"\r", b"\n"], id="its end is split"),
+        pytest.param([b"GET /x HTTP/1.1\nHost: h\n" + LINES.replace(b"\r", b"") + b"\n"], id="bare line ends"),
+    ],
+)
+def test_heads_of_many_lines_on_new_connections_wait_for_their_turn(parts, large_heads, monkeypatch):
+    """Guards against peers with a hundred connections whose heads are all parsed in one turn."""
+    monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)  # one continuation a turn
+    scene = Scene()
+    clients = [scene.client() for _number in range(30)]
+    scene.until_connected(30)
+    for part in parts:
+        for client in clients:
+            client.send(part)
+        for _step in range(3):
+            before = large_heads[0]
+            scene.step()
+            assert large_heads[0] - before <= 1
+    ordinary = scene.client()
+    ordinary.send(ORDINARY)
+    assert scene.until(lambda: any(request.target == b"/ordinary" for request in scene.requests))
+    assert large_heads[0] < 15
+    assert scene.until(lambda: len(scene.requests) == 31)
+
+
+def test_pipelined_head_of_many_lines_that_ends_later_waits_for_its_turn(large_heads, monkeypatch):
+    """Guards against a head that is measured only from its last bytes on."""
+    monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)
+    scene = Scene()
+    clients = [scene.client() for _number in range(10)]
+    scene.until_connected(10)
+    for client in clients:
+        client.send(ORDINARY + b"GET /x HTTP/1.1\r\nHost: h\r\n" + LINES)
+    assert scene.until(lambda: len(scene.requests) == 10)
+    for request in scene.requests:
+        request.reply(status=200)
+    for _step in range(30):
+        scene.step()
+    for client in clients:
+        client.send(b"\r\n")
+    for _step in range(20):
+        before = large_heads[0]
+        scene.step()
+        assert large_heads[0] - before <= 1
+    assert scene.until(lambda: len(scene.requests) == 20)
+
+
+def test_connection_with_a_head_of_many_lines_reads_on_when_its_turn_comes(parsed, monkeypatch):
+    """Guards against such heads, one after the other on a connection, that count as one event each."""
+    monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)
+    scene = Scene()
+    clients = [scene.client() for _number in range(10)]
+    scene.until_connected(10)
+    for client in clients:
+        client.send(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n" + LINES + b"\r\n")
+    for _step in range(20):
+        scene.step()
+    for client in clients:
+        client.send(b"x")
+    before = parsed[0]
+    scene.step()
+    assert parsed[0] - before <= 3  # one connection's data, and the wait for more
+
+
+def test_trailers_of_many_lines_count_as_many_events():
+    """Guards against lines that come after a body in place of before it."""
+    scene = Scene()
+    client = scene.client()
+    client.send(HEAD + CHUNK + b"0\r\n" + LINES + b"\r\n")
+    assert scene.until(lambda: scene.requests)
+    (connection,) = scene.server.connections
+    assert connection._share.is_used_up
