Drop what refers to a request when it ends, so that its body is freed at once

Cause: request, handler and connection referred to each other, so only the cyclic collector freed them. With the collector off, gc.get_referrers names six references to each ended handler: the writer's on_head, four of the attempt runner, and on_disconnect; beside them callbacks of cancelled timers and of the watches of closed sockets, and the request of a closed connection.

Now the end of a request drops them at one place (_release); a timer that is over and the watch of a closed socket drop their callbacks.

--- a/ploverward/data_plane/requests/attempt_runner.py
+++ b/ploverward/data_plane/requests/attempt_runner.py
@@ -197,3 +197,9 @@
         """Cancels the timeout of the replica."""
         if self._watch is not None:
             self._watch.cancel()
+
+    def release(self) -> None:
+        """Ends the use of this runner, whose request is over, and drops its references to the handler."""
+        self.close()
+        self._watch = None
+        del self._listener, self._on_event, self._may_fail_over, self._on_timeout
--- a/ploverward/data_plane/requests/request_handler.py
+++ b/ploverward/data_plane/requests/request_handler.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import typing
+import weakref
 
 from ploverward.data_plane.load_reports import report_source
 from ploverward.data_plane.requests import admission_filters
@@ -25,6 +26,7 @@
 from ploverward.data_plane.requests import step_log
 
 if typing.TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Sequence
 
@@ -66,7 +68,8 @@
         self.state = request_state.RequestState.ADMITTING
         self.request_id = request.header(b"x-attempt-id")
         self.facts = admission_filters.RequestFacts()
-        self.writer = response_writer.ResponseWriter(request=request, on_head=self._on_head_written)
+        on_head = weakref.WeakMethod(self._on_head_written)  # this handler owns the writer: see `_release`
+        self.writer = response_writer.ResponseWriter(request=request, on_head=lambda: _call(on_head))
         self.edition: int = context.routes.edition
         self._selection = replica_selection.ReplicaSelection(facts=self.facts, context=context)
         self._steps = step_log.StepLog(begun_at=request.at)
@@ -444,12 +447,9 @@
             return
         facts, route = self.facts, self.facts.route
         self._apply_event(request_state.RequestEvent.FINISHED)
+        self._release()
         if route is not None:
             self._steps.write_if_slow(route=route.name, now=self.loop.now(), latency_target_s=facts.latency_target_s)
-        self._runner.close()
-        for timer in (self._retry_timer, self._deadline_timer):
-            self.loop.cancel(timer=timer)
-        self.context.handlers.discard(self)
         if (
             facts.tenant is not None
             and facts.is_counted
@@ -461,6 +461,25 @@
             trail = custody_trails.build_trail(handler=self, route=route, context=self.context, status=status)
             self.context.batches.add(trail)
 
+    def _release(self) -> None:
+        """Drops what refers to this handler.
+
+        Otherwise request, handler and client's connection would keep each other, and the bodies, in memory until the
+        cyclic collector runs, which is seldom (docs/incidents/bodies-in-memory.md).
+        """
+        self._runner.release()
+        for timer in (self._retry_timer, self._deadline_timer):
+            self.loop.cancel(timer=timer)
+        self.request.on_disconnect = None
+        self.request.on_drain = None
+        self.context.handlers.discard(self)
+
+
+def _call(reference: weakref.WeakMethod[Callable[[], None]]) -> None:
+    method = reference()
+    if method is not None:
+        method()
+
 
 def _retry_after(seconds: float) -> list[tuple[bytes, bytes]]:
     return [(b"Retry-After", b"%.2f" % seconds)]
--- a/ploverward/data_plane/upstream/upstream_connection.py
+++ b/ploverward/data_plane/upstream/upstream_connection.py
@@ -440,7 +440,7 @@
             return
         self.state = ConnectionState.CLOSED
         self.loop.cancel(timer=self._timer)
-        self._watch.update(0)
+        self._watch.close()
         self.sock.close()
         self.replica.remove_connection(self)
 
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -42,6 +42,10 @@
 SocketCallback = Callable[[int], object]  # called with the ready events, a bit mask as used by `selectors`
 
 
+def _do_nothing() -> None:
+    """The callback of a timer that is over."""
+
+
 class Timer:
     """A scheduled call.
 
@@ -185,8 +189,18 @@
     def cancel(self, *, timer: interfaces.Timer | None) -> None:
         """Cancels a timer; does nothing for None or if its call was already made."""
         if timer is not None and not timer.is_over:
-            timer.is_over = True
-            self._timers.discard(timer)
+            assert isinstance(timer, Timer), "the timer of another loop"
+            self._take_callback(timer)
+
+    def _take_callback(self, timer: Timer) -> Callback:
+        """Removes a timer and returns its callback, to which the timer does not refer any more.
+
+        Its owner often keeps the timer and is the owner of the callback, too: they would keep each other alive.
+        """
+        timer.is_over = True
+        self._timers.discard(timer)
+        callback, timer.callback = timer.callback, _do_nothing
+        return callback
 
     def watch(self, *, sock: Any, mask: int, callback: SocketCallback) -> None:  # noqa: ANN401  # sockets and fakes
         """Calls `callback(events)` whenever a socket is ready for one of the events of `mask`."""
@@ -240,8 +254,7 @@
         """Makes the calls that are due; those that they schedule wait for the next step, even if they are due."""
         for timer in list(itertools.takewhile(lambda timer: timer.when <= now, self._timers)):
             if not timer.is_over:  # not cancelled by an earlier call
-                self.cancel(timer=timer)
-                self._run_callback(timer.callback)
+                self._run_callback(self._take_callback(timer))
 
     def _run_queued(self, queue: collections.deque[Callback]) -> None:
         """Makes the calls that are queued now; those that they add wait for the next step."""
--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -188,7 +188,8 @@
             return
         self._state = _CLOSED
         self.loop.cancel(timer=self._timer)
-        self._watch.update(0)
+        self._watch.close()
+        self._request = None
         self.server.remove_connection(self)
         if not may_reset:
             self._discard_unread()
--- a/ploverward/transport/peer_connection.py
+++ b/ploverward/transport/peer_connection.py
@@ -229,7 +229,7 @@
             self._write_pending()  # frames sent earlier in this step
         self.state = State.CLOSED
         self._silence_check.is_stopped = True
-        self._watch.update(0)
+        self._watch.close()
         self.sock.close()
         self._on_end(self, reason)
 
--- a/ploverward/transport/socket_watch.py
+++ b/ploverward/transport/socket_watch.py
@@ -6,6 +6,10 @@
 from ploverward.transport.event_loop import Loop
 
 
+def _do_nothing(_mask: int) -> None:
+    """The callback of a socket that is no longer watched."""
+
+
 class SocketWatch:
     """Watches one socket for a set of events that changes, and may be empty.
 
@@ -23,6 +27,11 @@
         self._callback = callback
         self._mask = 0
 
+    def close(self) -> None:
+        """Stops watching for good, and drops the callback, whose owner mostly owns the watch as well."""
+        self.update(0)
+        self._callback = _do_nothing
+
     def update(self, mask: int) -> None:
         """Watches the socket for these events from now on."""
         if mask == self._mask:
