Tests on real sockets: a stall of the test process is no silence of its nodes

Cause, from a trace: with the test process stopped for 0.3 s, all four members' links are closed as 'silent' (their timeout is 0.25 s of real time), as no node of the process could send meanwhile. The member was about to reconnect when the test looked.

The clock of the loop on which all nodes and scripted peers of such a test run now counts waits, and at most 30 ms between two of them: a stall delays both sides alike. The test also waits until the member has joined before it closes its link.

--- a/ploverward/data_plane/load_reports/test_zone.py
+++ b/ploverward/data_plane/load_reports/test_zone.py
@@ -149,6 +149,7 @@
         zones.loop, lambda: all(cached_tokens(proxy) == {"i0": 110, "i1": 0} for proxy in zones.nodes.values())
     )
     reconnecting = max(ip for ip in zones.live if zones.zone_by_ip[ip] == "za" and ip != zones.digest())
+    assert loopback.until(zones.loop, lambda: zones.nodes[reconnecting].is_member)
     zones.nodes[reconnecting].digest_connector.link.close(reason="test")  # it reconnects and is sent a cut
     assert loopback.until(
         zones.loop,
--- a/ploverward/simulation/loopback.py
+++ b/ploverward/simulation/loopback.py
@@ -17,6 +17,7 @@
 from ploverward.transport import http_request
 
 WAIT_TIMEOUT_S = 10.0
+MAX_STEP_S = 0.03  # that the clock of a loop counts between two waits; above `event_loop.CONTINUATION_S`
 SOCKET_WAIT_S = 0.0005  # until data written to one loopback socket is readable on the other
 RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # SO_LINGER on, with a timeout of 0: close() sends RST
 PEERS_HOST = 254  # last byte of the address that scripted peers and servers listen on; test nodes use other values
@@ -39,29 +40,46 @@
 
 
 class SkippingLoop(event_loop.Loop):
-    """An event loop whose clock can skip ahead.
+    """An event loop whose clock can skip ahead, and which does not count the time in which a busy machine stalls it.
+
+    The clock counts the time that the loop waits for sockets, up to the time that it wanted to wait, and at most
+    `MAX_STEP_S` between two waits. All nodes and scripted peers of a test run on one loop, so a test process that gets
+    no processor time delays both sides alike, and no deadline passes meanwhile.
 
     A skip looks like a process freeze: all timers that fall into the skipped time are due at once.
     """
 
     def __init__(self, *, on_error: Callable[[Exception], object] | None = None) -> None:
         super().__init__(on_error=on_error)
-        self._skipped_s = 0.0
+        self._counted_s = time.monotonic()  # the time of the clock when `_counted_at` was taken
+        self._counted_at = self._counted_s
 
     def now(self) -> float:
         """Returns the loop's time in seconds, including the skipped time."""
-        return super().now() + self._skipped_s
+        return self._counted_s + min(time.monotonic() - self._counted_at, MAX_STEP_S)
 
     def skip(self, *, seconds: float) -> None:
         """Advances the clock without running anything."""
-        self._skipped_s += seconds
+        self._counted_s += seconds
 
     def step_or_skip(self) -> None:
         """Runs one step; if no command waits and no socket is ready, first skips the time until the next timer."""
         if not self.has_pending_calls and self._timers and not self._selector.select(SOCKET_WAIT_S):
-            self._skipped_s += max(0.0, self._timers[0].when - self.now())
+            self.skip(seconds=max(0.0, self._timers[0].when - self.now()))
         self.step()
 
+    def _select(self, wait_s: float) -> list[tuple[selectors.SelectorKey, int]]:
+        self._count(MAX_STEP_S)
+        ready = super()._select(wait_s)
+        self._count(wait_s)
+        return ready
+
+    def _count(self, most_s: float) -> None:
+        """Adds the time since the last call to the clock, up to `most_s` seconds."""
+        at = time.monotonic()
+        self._counted_s += min(at - self._counted_at, most_s)
+        self._counted_at = at
+
 
 def new_loop(*, errors: list[Exception] | None = None) -> SkippingLoop:
     """Returns a new event loop.
--- a/ploverward/transport/event_loop.py
+++ b/ploverward/transport/event_loop.py
@@ -233,7 +233,7 @@
             wait_s = 0.0
         elif self._timers:
             wait_s = min(wait_s, max(0.0, self._timers[0].when - self.now()))
-        ready = self._selector.select(wait_s)
+        ready = self._select(wait_s)
         self._watch.begin_turn()
         for key, mask in ready:
             self._run_callback(key.data, mask)
@@ -250,6 +250,10 @@
         if self.work is not None:
             self.work.note_turn(has_sockets=bool(ready), has_commands=has_commands, has_timers=has_timers)
 
+    def _select(self, wait_s: float) -> list[tuple[selectors.SelectorKey, int]]:
+        """Waits up to `wait_s` seconds for sockets and returns those that are ready, with their events."""
+        return self._selector.select(wait_s)
+
     def _run_timers(self, now: float) -> None:
         """Makes the calls that are due; those that they schedule wait for the next step, even if they are due."""
         for timer in list(itertools.takewhile(lambda timer: timer.when <= now, self._timers)):
