Parse trailers of many lines in their turn, and heads by what waits in the parser

Cause: lines were measured as they arrived, up to the end of a head, and trailers not at all; they were counted only after they had been parsed, so each new connection had one large block of them at once. A replica's trailers, and a head of many lines behind a duplicate answer in the same read, went the same way.

Now the bytes that wait in the parser decide, before each event: a head above 2 KiB, or a body in chunks of which more than 2 KiB wait, is parsed as a continuation. HeadMeter, which followed reads, is gone.

--- a/ploverward/data_plane/upstream/response_reader.py
+++ b/ploverward/data_plane/upstream/response_reader.py
@@ -75,7 +75,7 @@
         self._is_skipping = False
         self._has_skipped = False  # after a duplicate response the connection is not reused: others may follow
         self._must_close = False
-        self._head_meter = read_share.HeadMeter()
+        self._has_chunks = False  # whether the body of the response being read comes in chunks
 
     def send_request(self, *, request_id: bytes, head: h11.Request, body: bytes) -> bytes:
         """Records a request as the current one and returns its bytes."""
@@ -83,13 +83,10 @@
         self._sent = (head, body)
         self._skipped = 0
         self._is_skipping = False
-        self._head_meter.begin()
         return _send(self._h11, head=head, body=body)
 
     def receive_data(self, data: bytes) -> None:
         """Buffers received bytes; empty bytes mean that the replica closed the connection."""
-        if self._h11.their_state is h11.SEND_RESPONSE:
-            self._head_meter.add(data)
         self._h11.receive_data(data)
 
     def next_event(self, *, is_unsent: bool) -> ResponseHead | bytes | Signal:
@@ -115,6 +112,7 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return Signal.NEED_DATA
         if isinstance(event, h11.Response):
+            self._has_chunks = any(name == b"transfer-encoding" for name, _value in event.headers)
             return self._read_head(event, is_unsent=is_unsent) or Signal.SKIPPED
         if isinstance(event, h11.ConnectionClosed):
             raise upstream_errors.ConnectionEndedError("connection closed by the replica before its response")
@@ -182,9 +180,13 @@
             self._h11.receive_data(trailing)
 
     @property
-    def is_large_head_expected(self) -> bool:
-        """Whether a head is expected, and the received bytes are more than an ordinary one."""
-        return self._h11.their_state is h11.SEND_RESPONSE and self._head_meter.is_large
+    def may_parse_long_lines(self) -> bool:
+        """Whether the next event may be a large head, or a body's end with large trailers."""
+        state = self._h11.their_state
+        if state is h11.SEND_RESPONSE:
+            return read_share.may_be_long_head(self._h11.trailing_data[0])
+        is_in_chunks = self._has_chunks and state is h11.SEND_BODY
+        return is_in_chunks and read_share.may_be_long_trailers(self._h11.trailing_data[0])
 
     def start_next_cycle(self) -> bool:
         """Prepares for another request after a response, and returns whether the connection may be reused."""
--- a/ploverward/data_plane/upstream/test_response_share.py
+++ b/ploverward/data_plane/upstream/test_response_share.py
@@ -138,16 +138,32 @@
 LINES = b"a: b\r\n" * 600  # 3,600 bytes
 
 
-def test_heads_of_many_lines_of_replicas_wait_for_their_turn(monkeypatch):
-    """Guards against replicas whose heads are all parsed in one turn, whichever connections they come on."""
-    heads = [0]
-    read_head = response_reader.ResponseReader._read_head
+def answer_with_long_head(which):
+    return request_scene.answer(which, more=b"X-Postmark: p\r\n" + LINES)
 
-    def count(self, event, *, is_unsent):
-        heads[0] += 1
-        return read_head(self, event, is_unsent=is_unsent)
 
-    monkeypatch.setattr(response_reader.ResponseReader, "_read_head", count)
+def answer_with_long_trailers(which):
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\n" % which
+    return head + b"2\r\nok\r\n0\r\n" + LINES + b"\r\n"
+
+
+def duplicate_before_long_head(which):
+    return request_scene.answer(b"other") + answer_with_long_head(which)
+
+
+@pytest.mark.parametrize("answer", [answer_with_long_head, answer_with_long_trailers, duplicate_before_long_head])
+def test_many_lines_of_replicas_wait_for_their_turn(answer, monkeypatch):
+    """Guards against replicas whose lines are all parsed in one turn, whichever connections they come on."""
+    parsed_lines = [0]
+    next_event = h11.Connection.next_event
+
+    def count(self):
+        event = next_event(self)
+        if self.our_role is h11.CLIENT and isinstance(event, h11.Response | h11.EndOfMessage):
+            parsed_lines[0] += len(event.headers) > 500
+        return event
+
+    monkeypatch.setattr(h11.Connection, "next_event", count)
     monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)  # one continuation a turn
     scene = request_scene.Scene(lambda _number, _received: None)
     clients = [loopback.Client(loop=scene.loop, address=scene.proxy.address) for _number in range(10)]
@@ -159,17 +175,16 @@
     (replica,) = scene.peers
     assert loopback.until(scene.loop, lambda: sum(received.endswith(b"body") for received in replica.received) == 10)
     for number, received in enumerate(replica.received):
-        which = request_scene.request_id(received)
-        replica.callback(number, [request_scene.answer(which, more=b"X-Postmark: p\r\n" + LINES)])
+        replica.callback(number, [answer(request_scene.request_id(received))])
     largest = 0
     for _step in range(20_000):
-        if all(b"\r\n\r\nok" in client.got for client in clients):
+        if all(client.got.endswith(b"\r\n\r\nok") for client in clients):
             break
-        before = heads[0]
+        before = parsed_lines[0]
         scene.loop.call_soon_threadsafe(callback=lambda: None)  # no wait
         scene.loop.step()
-        largest = max(largest, heads[0] - before)
-    assert heads[0] == 10
+        largest = max(largest, parsed_lines[0] - before)
+    assert parsed_lines[0] == 10
     assert largest == 1
 
 
@@ -186,6 +201,6 @@
     reader = response_reader.ResponseReader()
     reader.send_request(request_id=b"r", head=h11.Request(method="GET", target="/", headers=[("Host", "h")]), body=b"")
     reader.receive_data(request_scene.answer(b"r"))
-    assert not reader.is_large_head_expected
+    assert not reader.may_parse_long_lines
     assert isinstance(reader.next_event(is_unsent=False), response_reader.ResponseHead)
     assert reader.events == 1
--- a/ploverward/data_plane/upstream/upstream_connection.py
+++ b/ploverward/data_plane/upstream/upstream_connection.py
@@ -177,6 +177,7 @@
         peer_connection.configure_socket(sock=self.sock, peer_timeout_s=peer_timeout_s)
         self._share = read_share.ReadShare(now=loop.now)
         self._is_continuation_queued = False
+        self._is_continuation = False  # whether it is this connection's turn among the continuations of the loop
         self._watch = socket_watch.SocketWatch(loop=loop, sock=self.sock, callback=self._ready)
         code = self.sock.connect_ex(replica.endpoint)
         if code not in (0, errno.EINPROGRESS):
@@ -268,6 +269,7 @@
         elif self._share.is_used_up:
             self._queue_continuation()
         else:
+            self._is_continuation = False
             self._read()
 
     def _queue_continuation(self) -> None:
@@ -280,6 +282,7 @@
         self._is_continuation_queued = False
         if not self.is_open:
             return
+        self._is_continuation = True
         if not self.is_paused:
             if self.has_undelivered_data:
                 self._deliver()
@@ -324,10 +327,7 @@
             return
         self.replica.last_received_at = self.loop.now()
         self._reader.receive_data(data)
-        if self._reader.is_large_head_expected:
-            self._deliver_later()
-        else:
-            self._deliver()
+        self._deliver()
 
     def _deliver_later(self) -> None:
         """Leaves received data in the reader until the turn of this connection among the continuations."""
@@ -360,11 +360,14 @@
             self.close()
 
     def _deliver_events(self) -> None:
+        """Delivers events; pauses if further ones may follow, and ahead of many header lines until its turn."""
         first = self._reader.events
         self.has_undelivered_data = False
         try:
             # Within each call the attempt may be abandoned or the connection closed.
             while self.attempt is not None and self._reader.events - first < read_share.MAX_EVENTS_PER_TURN:
+                if not self._is_continuation and self._reader.may_parse_long_lines:
+                    break
                 if not self._deliver_event(self.attempt):
                     return
         finally:
--- a/ploverward/simulation/rude_peers.py
+++ b/ploverward/simulation/rude_peers.py
@@ -1,13 +1,15 @@
 """Seeded histories of rude clients and replicas at one proxy, on real sockets (docs/design.md 2).
 
-Rude clients send bodies in chunks of one byte, a few bytes at a time, many requests at once, or heads of many lines;
-they keep their connections open, leave in the middle of a request, or reset. Rude replicas answer in chunks of one
-byte, with thousands of events in one chunk, or with many header lines. Ordinary clients send requests meanwhile.
+Rude clients send bodies in chunks of one byte, a few bytes at a time, many requests at once, or heads or trailers of
+many lines; they keep their connections open, leave in the middle of a request, or reset. Rude replicas answer in chunks
+of one byte, with thousands of events in one chunk, or with many lines in the head or the trailers. Ordinary clients
+send requests meanwhile.
+
 `RudePeersHistory` counts turns of the loop and events of the parsers, not time, so its checks do not depend on the
 speed of the machine:
 
 * TURN: in one turn, no parser processes more events than the share of its connection.
-* HEAD: a head of many lines is parsed as a continuation, not as soon as it arrives.
+* HEAD: a head or trailers of many lines are parsed as a continuation, not as soon as they arrive.
 * LATE: an ordinary request is answered within `MAX_TURNS` turns.
 * LOST: each complete request on a connection that stays open is answered.
 
@@ -48,7 +50,15 @@
 LAST_CHUNK = b"0\r\n\r\n"
 LINES = b"a: b\r\n" * 600
 MANY_LINES = 500
-KINDS = ("plain", "plain", "plain", "chunks", "events", "lines")  # of requests of ordinary clients, as drawn
+KINDS = (
+    "plain",
+    "plain",
+    "plain",
+    "chunks",
+    "events",
+    "lines",
+    "trailers",
+)  # of requests of ordinary clients, as drawn
 
 
 def answer_rudely(_number: int, received: bytes) -> list[loopback.Action] | None:
@@ -56,8 +66,10 @@
     if not received.endswith(b"body"):
         return None
     which = request_scene.request_id(received)
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\n" % which
+    if which.startswith(b"trailers"):
+        return [head + b"2\r\nok\r\n0\r\n" + LINES + b"\r\n"]
     if which.startswith(b"chunks"):
-        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Postmark: p\r\nTransfer-Encoding: chunked\r\n\r\n" % which
         return [head + CHUNK * 3000 + LAST_CHUNK]
     if which.startswith(b"events"):
         events = b":\n\n" * 3000
@@ -137,6 +149,15 @@
         self.requests += 1
         self._send(b"GET /none HTTP/1.1\r\nHost: h\r\n" + LINES + b"\r\n")
 
+    def send_large_trailers(self, *, is_whole: bool) -> None:
+        """Ends the request in progress, or sends a complete one if `is_whole`, with trailers of many lines."""
+        if is_whole:
+            self.finish_body()
+        self.send_chunks(1)
+        self._is_in_body = False
+        self.requests += 1
+        self._send(b"0\r\n" + LINES + b"\r\n")
+
     def leave(self, *, is_reset: bool) -> None:
         """Leaves, whatever is in progress."""
         if self.is_open:
@@ -200,8 +221,8 @@
         def count(parser: h11.Connection) -> object:
             self._events[id(parser)] += 1
             event = next_event(parser)
-            if isinstance(event, h11.Request | h11.Response) and self._is_serving_socket:
-                self._check_head(event)
+            if isinstance(event, h11.Request | h11.Response | h11.EndOfMessage) and self._is_serving_socket:
+                self._check_lines(event)
             return event
 
         with contextlib.ExitStack() as patches:
@@ -212,9 +233,9 @@
                 )
             yield
 
-    def _check_head(self, head: h11.Request | h11.Response) -> None:
-        if len(head.headers) > MANY_LINES:
-            self.findings.append(f"HEAD: {len(head.headers)} lines were parsed as soon as they arrived")
+    def _check_lines(self, event: h11.Request | h11.Response | h11.EndOfMessage) -> None:
+        if len(event.headers) > MANY_LINES:
+            self.findings.append(f"HEAD: {len(event.headers)} lines were parsed as soon as they arrived")
 
     def _marking(self, ready: typing.Callable[[typing.Any, int], None]) -> typing.Callable[[typing.Any, int], None]:
         """Returns a callback of a ready socket that says while it runs."""
@@ -247,8 +268,10 @@
             client.finish_body()
         elif chance < 0.85:
             client.send_many(self._chance.randint(1, 30))
-        elif chance < 0.9:
+        elif chance < 0.88:
             client.send_large_head()
+        elif chance < 0.92:
+            client.send_large_trailers(is_whole=self._chance.random() < 0.5)
         else:
             client.leave(is_reset=self._chance.random() < 0.5)
 
@@ -264,7 +287,7 @@
             b"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 600000\r\n"
             b"Content-Length: 4\r\n\r\nbody" % request_id
         )
-        self._waiting.append(SentRequest(request_id, client, self._turn, kind in ("plain", "lines")))
+        self._waiting.append(SentRequest(request_id, client, self._turn, kind in ("plain", "lines", "trailers")))
 
     # Turns and checks.
     def _run_turns(self, count: int) -> None:
--- a/ploverward/simulation/test_rude_peers.py
+++ b/ploverward/simulation/test_rude_peers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ploverward.data_plane.upstream import response_reader
 from ploverward.data_plane.upstream import upstream_connection
 from ploverward.simulation import rude_peers
 from ploverward.transport import event_loop
@@ -43,6 +44,7 @@
 
     def continue_again(self):
         self._is_paused = False
+        self._is_continuation = True
         if self._state is not http_connection.State.CLOSED:
             self._read_events()
             self.loop.continue_later(callback=lambda: continue_again(self))
@@ -52,7 +54,17 @@
 
 
 def parse_heads_as_they_arrive(monkeypatch):
-    monkeypatch.setattr(read_share.HeadMeter, "is_large", False)
+    monkeypatch.setattr(read_share, "may_be_long_head", lambda _unparsed: False)
+
+
+def parse_trailers_of_clients_as_they_arrive(monkeypatch):
+    is_in_chunks = property(lambda _self: False, lambda _self, _value: None)
+    monkeypatch.setattr(http_connection.HttpConnection, "_has_chunks", is_in_chunks, raising=False)
+
+
+def parse_trailers_of_replicas_as_they_arrive(monkeypatch):
+    is_in_chunks = property(lambda _self: False, lambda _self, _value: None)
+    monkeypatch.setattr(response_reader.ResponseReader, "_has_chunks", is_in_chunks, raising=False)
 
 
 @pytest.mark.parametrize(
@@ -63,6 +75,8 @@
         forget_answers_in_the_parser,
         serve_the_last_continuation_first,
         parse_heads_as_they_arrive,
+        parse_trailers_of_clients_as_they_arrive,
+        parse_trailers_of_replicas_as_they_arrive,
     ],
 )
 def test_checks_find_the_planted_fault(plant, monkeypatch):
--- a/ploverward/transport/http_connection.py
+++ b/ploverward/transport/http_connection.py
@@ -90,7 +90,8 @@
         self._head_started_at = 0.0  # when the first byte of the current request arrived
         self._pipelined_bytes = 0  # received after the request being answered
         self._share = read_share.ReadShare(now=self.loop.now)
-        self._head_meter = read_share.HeadMeter()
+        self._has_chunks = False  # whether the body of the request being read comes in chunks
+        self._is_continuation = False  # whether it is this connection's turn among the continuations of the loop
         self._is_paused = False  # until `_continue_reading`
         self._has_unparsed_bytes = False  # whether the parser may have further events
         self._limits = server.limits()
@@ -162,7 +163,6 @@
         self._pipelined_bytes = len(pipelined)
         if pipelined:
             self._begin_head()
-            self._head_meter.add(pipelined)
             self._parse_later()  # not at once: the handler that ended this response is still running
 
     def abort_response(self) -> None:
@@ -261,6 +261,7 @@
         elif self._share.is_used_up:
             self._pause_reading()
         else:
+            self._is_continuation = False
             self._receive()
 
     def _pause_reading(self) -> None:
@@ -273,6 +274,7 @@
         self._is_paused = False
         if self._state is _CLOSED:
             return
+        self._is_continuation = True
         if self._has_unparsed_bytes:
             self._read_events()
         else:
@@ -305,22 +307,16 @@
         if self._state is _IDLE:
             self._begin_head()
             self._set_timeout(delay=self._limits.head_s)
-        if self._state is _READING_HEAD:
-            self._head_meter.add(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             self._refuse(ClientRequestError(status=error.error_status_hint or 400))
             return
-        if self._state is _READING_HEAD and self._head_meter.is_large:
-            self._parse_later()
-        else:
-            self._read_events()
+        self._read_events()
 
     def _begin_head(self) -> None:
         self._state = _READING_HEAD
         self._head_started_at = self.loop.now()
-        self._head_meter.begin()
 
     def _parse_later(self) -> None:
         """Leaves received bytes in the parser until the turn of this connection among the continuations."""
@@ -343,7 +339,7 @@
     def _read_request(self) -> bool:
         """Processes events of h11 and returns whether the request is complete.
 
-        Pauses if further events may follow.
+        Pauses if further events may follow, and ahead of many header lines until the turn of this connection.
 
         Raises:
             h11.RemoteProtocolError: The bytes are not a valid request.
@@ -352,6 +348,8 @@
         events = 0
         try:
             while events < read_share.MAX_EVENTS_PER_TURN and self._state in _READING:
+                if not self._is_continuation and self._may_parse_long_lines():
+                    break
                 event = self._h11.next_event()
                 events += self._handle_event(event)
                 if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -365,6 +363,12 @@
             self._parse_later()
         return False
 
+    def _may_parse_long_lines(self) -> bool:
+        """Returns whether the next event may be a large head, or a body's end with large trailers."""
+        if self._state is _READING_HEAD:
+            return read_share.may_be_long_head(self._h11.trailing_data[0])
+        return self._has_chunks and read_share.may_be_long_trailers(self._h11.trailing_data[0])
+
     def _handle_event(self, event: Any) -> int:  # noqa: ANN401  # any event of h11
         """Processes an event of a request; returns the number of events that it counts as."""
         if isinstance(event, h11.Request):
@@ -392,6 +396,7 @@
             begun_at=self._head_started_at,
         )
         self._state = _READING_BODY
+        self._has_chunks = any(name == b"transfer-encoding" for name, _value in head.headers)
         self._body = bytearray()
         self._set_timeout(delay=self._limits.idle_s)
         return size
--- a/ploverward/transport/read_share.py
+++ b/ploverward/transport/read_share.py
@@ -5,10 +5,11 @@
 parser, stops reading from its socket and goes on through `Loop.continue_later`, so that all such connections together
 have a bounded part of each turn and take turns within it.
 
-A head is one event of the parser as well, but its header lines are processed one by one: a head of 16 KiB in short
-lines takes as long as a thousand events. `count_head_events` counts it as that many, by its size: a long line may be a
-list that is processed one by one. `HeadMeter` recognises such a head before it is parsed, so that it is parsed through
-`Loop.continue_later`, whichever connection it arrives on.
+A head, or the trailers after a body in chunks, are one event of the parser as well, but their lines are processed one
+by one: a head of 16 KiB in short lines takes as long as a thousand events. `count_head_events` counts it as that many,
+by its size: a long line may be a list that is processed one by one. `may_be_long_head` and `may_be_long_trailers`
+recognise such lines before they are parsed, so that they are parsed through `Loop.continue_later`, whichever connection
+they arrive on.
 
 A peer that sends few events at a time, but often, stays below the limit of a turn. `ReadShare` counts the events of a
 connection over time: one that exceeds `PROMPT_EVENTS_PER_S` reads through `Loop.continue_later` as well. A new
@@ -41,27 +42,19 @@
     return max(0, lines - ORDINARY_HEADER_LINES)
 
 
-class HeadMeter:
-    """Measures a head while it is received, before it is parsed."""
+def may_be_long_head(unparsed: bytes) -> bool:
+    """Returns whether the head at the start of unparsed bytes is larger than an ordinary one, as far as it is here."""
+    if len(unparsed) <= ORDINARY_HEAD_BYTES:
+        return False
+    return unparsed.find(HEAD_END, 0, ORDINARY_HEAD_BYTES + len(HEAD_END)) < 0
 
-    __slots__ = ("_received",)
 
-    def __init__(self) -> None:
-        self._received = 0
+def may_be_long_trailers(unparsed: bytes) -> bool:
+    """Returns whether unparsed bytes of a body in chunks may contain trailers larger than an ordinary head.
 
-    def begin(self) -> None:
-        """Starts with the next head."""
-        self._received = 0
-
-    def add(self, data: bytes) -> None:
-        """Counts received data up to the end of the head; all of it if the end is split over two calls."""
-        end = data.find(HEAD_END, 0, ORDINARY_HEAD_BYTES + len(HEAD_END))
-        self._received += len(data) if end < 0 else end
-
-    @property
-    def is_large(self) -> bool:
-        """Whether the head is larger than an ordinary one."""
-        return self._received > ORDINARY_HEAD_BYTES
+    Only the parser can tell where the last chunk ends, so the chunks before the trailers count as well.
+    """
+    return len(unparsed) > ORDINARY_HEAD_BYTES
 
 
 class ReadShare:
--- a/ploverward/transport/test_read_share.py
+++ b/ploverward/transport/test_read_share.py
@@ -336,6 +336,20 @@
     return counts
 
 
+@pytest.fixture
+def large_trailers(monkeypatch):
+    """Counts the trailers of many lines that were parsed."""
+    counts = [0]
+    handle_event = http_connection.HttpConnection._handle_event
+
+    def count(self, event):
+        counts[0] += isinstance(event, h11.EndOfMessage) and len(event.headers) > 500
+        return handle_event(self, event)
+
+    monkeypatch.setattr(http_connection.HttpConnection, "_handle_event", count)
+    return counts
+
+
 @pytest.mark.parametrize(
     "parts",
     [
@@ -412,3 +426,32 @@
     assert scene.until(lambda: scene.requests)
     (connection,) = scene.server.connections
     assert connection._share.is_used_up
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        pytest.param([HEAD + CHUNK + b"0\r\n" + LINES + b"\r\n"], id="whole"),
+        pytest.param([HEAD + CHUNK + b"0\r\n" + LINES, b"\r\n"], id="their end comes later"),
+        pytest.param([HEAD, CHUNK + b"0\r\n" + LINES + b"\r\n"], id="the head comes before"),
+        pytest.param([HEAD + b"4\r\n\r\n\r\n\r\n0\r\n" + LINES + b"\r\n"], id="the body looks like their end"),
+    ],
+)
+def test_trailers_of_many_lines_on_new_connections_wait_for_their_turn(parts, large_trailers, monkeypatch):
+    """Guards against peers with a hundred connections whose trailers are all parsed in one turn."""
+    monkeypatch.setattr(event_loop, "CONTINUATION_S", 0.0)  # one continuation a turn
+    scene = Scene()
+    clients = [scene.client() for _number in range(30)]
+    scene.until_connected(30)
+    for part in parts:
+        for client in clients:
+            client.send(part)
+        for _step in range(3):
+            before = large_trailers[0]
+            scene.step()
+            assert large_trailers[0] - before <= 1
+    ordinary = scene.client()
+    ordinary.send(ORDINARY)
+    assert scene.until(lambda: any(request.target == b"/ordinary" for request in scene.requests))
+    assert large_trailers[0] < 15
+    assert scene.until(lambda: len(scene.requests) == 31)
