Bound the values of a JSON body before it is parsed, and look at the key first

Callers would see late answers, and no order acknowledged, while a peer posts JSON of many small values: one add to a tally with 16 MB of empty lists took 2,138 ms of a core node's turn (whoever reaches its directory may send one), one lot with 4 MB of them 363 ms of a proxy's, without a key.

Cause: json.loads takes its time by values, not by bytes, in one call that holds the interpreter's lock, so that neither the loop nor another thread runs. Lots were validated before the key was looked at, and one with 400,000 headers was accepted and parsed again at each store.

A call's rule states how large its body may be (128 KiB; a configuration 16 MiB), else 413. A text that may have more than 20,000 values (a lot: 100 an item) or 400,000 (a configuration) is refused unparsed, by a count of its separators. A lot's key comes before its body.

--- a/ploverward/control_plane/configuration/parser.py
+++ b/ploverward/control_plane/configuration/parser.py
@@ -9,7 +9,9 @@
 import typing
 
 from ploverward.common import errors
+from ploverward.common import json_size
 
+MAX_VALUES = 400_000  # a configuration of 2,000 routes has some 50,000
 MAX_NESTING_DEPTH = 64  # levels; far below the encoder's limit, so a stored body can always be encoded again
 BODY_PATH = "body"  # the field path in errors that concern the whole body
 
@@ -23,6 +25,8 @@
     Raises:
         InvalidConfigurationError: The bytes are not a strict JSON object. No other exception leaves this function.
     """
+    if json_size.max_values(data) > MAX_VALUES:
+        raise errors.InvalidConfigurationError(f"may have more than {MAX_VALUES} values", field_path=BODY_PATH)
     try:
         text = data.decode("utf-8")
         body = json.loads(
--- a/ploverward/control_plane/configuration/test_parser.py
+++ b/ploverward/control_plane/configuration/test_parser.py
@@ -17,6 +17,7 @@
 from ploverward.control_plane.configuration import patch as configuration_patch
 from ploverward.control_plane.configuration import schema
 from ploverward.control_plane.configuration import test_schema
+from ploverward.simulation import order_costs
 
 VALID_BODY = test_schema.VALID_BODY
 STORED_PAYLOAD = {"edition": VALID_BODY["edition"], "body": VALID_BODY, "recent": [[VALID_BODY["edition"], "0" * 20]]}
@@ -146,6 +147,20 @@
         assert json.loads(json.dumps(new, allow_nan=False)) == new
 
 
+def test_read_json_rejects_too_many_values_before_it_parses(monkeypatch):
+    """Guards against a body that keeps all threads of a core node waiting for the parser of JSON."""
+    monkeypatch.setattr(parser.json, "loads", lambda *_arguments, **_named: pytest.fail("the body was parsed"))
+    with pytest.raises(errors.InvalidConfigurationError) as caught:
+        parser.read_json(data=b'{"routes":[' + b"[]," * 1_000_000 + b"[]]}")
+    assert caught.value.field_path == parser.BODY_PATH
+
+
+@pytest.mark.parametrize("routes", [2_000, 8_000])
+def test_read_json_accepts_configuration_of_many_routes(routes):
+    body = order_costs.make_configuration(routes=routes, edition=7)
+    assert parser.read_json(data=json.dumps(body).encode()) == body
+
+
 @pytest.mark.parametrize(
     "data, field_path",
     [
--- a/ploverward/control_plane/operator_api/configuration_handlers.py
+++ b/ploverward/control_plane/operator_api/configuration_handlers.py
@@ -15,6 +15,7 @@
 
 PATH = "/ploverward/configuration"
 BASE_HEADER = "If-Match"
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024  # a configuration of 2,000 routes has 0.7 MB
 _EDITION = re.compile(r"[0-9]{1,19}")  # an edition above MAX_EDITION is refused as stale
 
 
@@ -34,8 +35,8 @@
         """Returns the routing rules of the calls that are handled here."""
         return [
             Rule("GET", PATH, self.handle_get),
-            Rule("PUT", PATH, self.handle_change),
-            Rule("PATCH", PATH, self.handle_change),
+            Rule("PUT", PATH, self.handle_change, max_body_bytes=MAX_CONFIGURATION_BYTES),
+            Rule("PATCH", PATH, self.handle_change, max_body_bytes=MAX_CONFIGURATION_BYTES),
         ]
 
     def handle_get(self, call: Call) -> None:
--- a/ploverward/control_plane/operator_api/router.py
+++ b/ploverward/control_plane/operator_api/router.py
@@ -19,6 +19,7 @@
 
 RETRY_AFTER = b"0.3"  # seconds, for callers without a backoff of their own
 RETRY_LATER = ((b"Retry-After", b"1"),)  # seconds; for a state that takes longer to reach than a caller's usual backoff
+MAX_BODY_BYTES = 128 * 1024  # of a call, unless its rule states more
 ROUTING_HOST = "core"  # a host name that werkzeug requires; no rule depends on it
 
 Header: typing.TypeAlias = tuple[bytes, bytes]
@@ -124,11 +125,13 @@
         method: the method.
         path: the path, with variables in werkzeug's syntax.
         handler: called with the call and, as keyword arguments, the path's variables.
+        max_body_bytes: calls with a larger body are answered with 413; handlers parse bodies on the loop's thread.
     """
 
     method: str
     path: str
     handler: collections.abc.Callable[..., None]
+    max_body_bytes: int = MAX_BODY_BYTES
 
 
 class Router:
@@ -140,7 +143,7 @@
 
     def __init__(self, *, rules: collections.abc.Iterable[Rule]) -> None:
         self._map = werkzeug.routing.Map(
-            [werkzeug.routing.Rule(rule.path, endpoint=rule.handler, methods=[rule.method]) for rule in rules],
+            [werkzeug.routing.Rule(rule.path, endpoint=rule, methods=[rule.method]) for rule in rules],
             merge_slashes=False,
         )
 
@@ -148,11 +151,15 @@
         """Passes a request to its handler, or answers it with an error if no rule matches."""
         call = Call(request=request)
         try:
-            handler, variables = self._map.bind(ROUTING_HOST).match(call.path, method=call.method)
+            rule, variables = self._map.bind(ROUTING_HOST).match(call.path, method=call.method)
         except werkzeug.exceptions.HTTPException as error:
             call.answer(status=error.code or http.HTTPStatus.NOT_FOUND, body=ErrorBody(error=error.name))
             return
-        handler(call, **variables)
+        if len(call.body) > rule.max_body_bytes:
+            text = f"the body has {len(call.body)} bytes, {rule.max_body_bytes} are allowed"
+            call.answer(status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, body=ErrorBody(error=text))
+            return
+        rule.handler(call, **variables)
 
 
 def _split_target(target: bytes) -> tuple[str, bytes]:
--- a/ploverward/control_plane/operator_api/server.py
+++ b/ploverward/control_plane/operator_api/server.py
@@ -13,6 +13,7 @@
 from ploverward.control_plane.discovery import directory
 from ploverward.control_plane.operator_api.adapter_handlers import AdapterHandlers
 from ploverward.control_plane.operator_api.apply_barrier import ApplyBarrier
+from ploverward.control_plane.operator_api.configuration_handlers import MAX_CONFIGURATION_BYTES
 from ploverward.control_plane.operator_api.custody_handlers import CustodyHandlers
 from ploverward.control_plane.operator_api.dependencies import NodeState
 from ploverward.control_plane.operator_api.dependencies import Publisher
@@ -32,7 +33,6 @@
 from ploverward.transport.interfaces import Loop
 
 MAX_HEAD_BYTES = 65536
-MAX_BODY_BYTES = 16 * 1024 * 1024  # a configuration of 2,000 routes has 0.7 MB
 IDLE_CONTACTS = 4  # how long a connection may be idle, in multiples of contactMs
 MIN_CONNECTIONS = 200
 SERVED_BINDINGS = ("control", "directory")  # bindings in the settings; each serves all calls
@@ -158,7 +158,7 @@
     def _limits(self) -> http_request.Limits:
         return http_request.Limits(
             head_bytes=MAX_HEAD_BYTES,
-            body_bytes=MAX_BODY_BYTES,
+            body_bytes=MAX_CONFIGURATION_BYTES,
             head_s=self._contact_s,
             idle_s=self._contact_s * IDLE_CONTACTS,
         )
--- a/ploverward/control_plane/operator_api/test_router.py
+++ b/ploverward/control_plane/operator_api/test_router.py
@@ -87,6 +87,26 @@
     assert (status, answer["place"], changes) == (400, "If-Match", [])
 
 
+@pytest.mark.parametrize(
+    "method, target, size",
+    [
+        (b"POST", b"/ploverward/rollouts", 1_000_000),
+        (b"POST", b"/ploverward/evacuation/za", 1_000_000),
+        (b"GET", b"/ploverward/configuration", 1_000_000),
+        (b"PUT", b"/ploverward/configuration", 17_000_000),
+    ],
+)
+def test_body_larger_than_the_call_may_have_is_answered_413_unparsed(method, target, size, monkeypatch):
+    """Guards against callers whose bodies keep the loop of a core node in the parser of JSON."""
+    monkeypatch.setattr(json, "loads", lambda *_arguments, **_named: pytest.fail("the body was parsed"))
+    request_router, loop, changes = make_router()
+    request = FakeRequest(method=method, target=target, headers=[(b"if-match", b"1")], body=b" " * size)
+    request_router.handle(request)
+    loop.world.run(until=5.0)
+    ((status, _headers, _body),) = request.replies
+    assert (status, changes) == (413, [])
+
+
 def test_zone_in_the_path_is_percent_decoded():
     assert respond(FakeRequest(method=b"POST", target=b"/ploverward/evacuation/z%20b"))[3] == ["evac"]
     assert respond(FakeRequest(method=b"POST", target=b"/ploverward/evacuation/zc"))[0] == 404
--- a/ploverward/control_plane/operator_api/test_tally_handlers.py
+++ b/ploverward/control_plane/operator_api/test_tally_handlers.py
@@ -77,6 +77,16 @@
     assert harness.call(b"GET", b"/ploverward/tallies/t3") == (200, {"total": 1873})
 
 
+def test_add_with_a_large_body_is_answered_413_unparsed(monkeypatch):
+    """Guards against callers whose bodies keep the loop of a core node in the parser of JSON."""
+    harness = Harness()
+    monkeypatch.setattr(tally_handlers.json, "loads", lambda _body: pytest.fail("the body was parsed"))
+    request = FakeRequest(method=b"POST", target=b"/ploverward/tallies/t3", body=b"[" + b"[]," * 1_000_000 + b"[]]")
+    monkeypatch.setattr(request, "reply", lambda *, status, **_more: request.replies.append(status))
+    harness.router.handle(request)
+    assert request.replies == [413] and harness.tallies.adds == []
+
+
 @pytest.mark.parametrize("amount", [0, -7, 2**53 - 1, -(2**53 - 1)])
 def test_add_accepts_zero_and_negative_amounts(amount):
     harness = Harness()
--- a/ploverward/data_plane/batch/batch_api.py
+++ b/ploverward/data_plane/batch/batch_api.py
@@ -128,15 +128,15 @@
         if not job_id:
             _reply_error(request, http.HTTPStatus.BAD_REQUEST, "X-Attempt-Id gives the job's id")
             return
+        call = self._admit(request, is_keyless=route.is_keyless)
+        limits = route.batch
+        if call is None or limits is None:
+            return
         try:
             job_request.validate(body=request.body, path_prefix=prefix)
         except job_request.JobError as error:
             _reply_error(request, http.HTTPStatus.BAD_REQUEST, error.text)
             return
-        call = self._admit(request, is_keyless=route.is_keyless)
-        limits = route.batch
-        if call is None or limits is None:
-            return
         due_ms = int(limits.deadline_s * 1000)
         body = job_origin.append_origin(
             request.body, job_origin.JobOrigin(host=host, prefix=prefix, edition=self._node.routes.edition)
--- a/ploverward/data_plane/batch/job_request.py
+++ b/ploverward/data_plane/batch/job_request.py
@@ -8,8 +8,10 @@
 import typing
 
 from ploverward.common import errors
+from ploverward.common import json_size
 
 MAX_ITEMS = 200
+MAX_VALUES = 100 * MAX_ITEMS  # fields and headers of all items
 MAX_ID_BYTES = 200
 HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # a token (RFC 9110, 5.6.2)
 HEADER_VALUE_PATTERN = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")  # no control characters but tabs
@@ -49,6 +51,8 @@
     Raises:
         JobError: The job is malformed.
     """
+    if json_size.max_values(body) > MAX_VALUES:
+        raise JobError(f"the body may have more than {MAX_VALUES} values")
     try:
         job = json.loads(body)
     except (ValueError, RecursionError) as error:
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ploverward.data_plane.batch import job_request
 from ploverward.simulation import batch_scene
 from ploverward.simulation import request_scene
 from ploverward.transport import peer_connection
@@ -227,3 +228,26 @@
     scene.wait(4.0)
     connector.stop()
     assert ended == ["stopped"]
+
+
+MANY_VALUES = b'{"requests":[' + b"[]," * 200_000 + b"[]]}"
+
+
+def test_a_body_of_too_many_values_is_rejected_before_it_is_parsed(scene, monkeypatch):
+    """Guards against a tenant's body that keeps the loop of a proxy, and of each store, in the parser."""
+    monkeypatch.setattr(job_request.json, "loads", lambda _body: pytest.fail("the body was parsed"))
+    answer = scene.call("POST", "/lots/x", body=MANY_VALUES, more="X-Attempt-Id: l1\r\n")
+    assert answer.status == 400 and b"20000 values" in answer.body
+
+
+def test_the_body_of_a_caller_without_a_key_is_not_parsed(scene, monkeypatch):
+    """Guards against peers that are no tenants and keep a proxy busy with their bodies."""
+    monkeypatch.setattr(job_request.json, "loads", lambda _body: pytest.fail("the body was parsed"))
+    answer = scene.call("POST", "/lots/x", key="nobody", body=b"{}", more="X-Attempt-Id: l1\r\n")
+    assert answer.status == 401
+
+
+def test_a_job_of_200_items_with_as_many_headers_as_a_server_takes_is_accepted(scene):
+    headers = {f"X-Header-{number}": "a" for number in range(90)}
+    items = [batch_scene.item(f"i{number}", envelope=headers, tokens=1) for number in range(200)]
+    assert scene.submit("l1", items).status == 202
