Histories of jobs: a client that uses a new route at once, and exact editions

Only a job that is submitted between the first proxy's and the second proxy's news of a route can show it, and that was rare; and the checker took the edition of the accepting proxy before the call, which could install the next one: a dead letter was then excused by a configuration under which the job was never accepted.

Now a client often submits as soon as a configuration is sent, results are read before the next one is, and the edition is the first one with the route from the call on.

--- a/ploverward/simulation/job_history.py
+++ b/ploverward/simulation/job_history.py
@@ -35,6 +35,7 @@
 PAUSE_S = (0.0, 0.12)  # bounds of the time between two steps
 NEWS_DELAY_S = (0.0, 0.6)  # bounds of the time after which the second proxy learns of a configuration
 ROUTING_SLACK_S = 0.3  # time after a change of the configuration in which items may arrive by the former one
+PROMPT_CLIENT_CHANCE = 0.5  # that a client uses a new configuration before the second proxy has learned of it
 RENAMING_CHANCE = 0.3  # that a new configuration keeps the route in place, often under another name
 FAILING_ITEM_SHARE = 0.15  # share of the items that replicas answer with 500
 MAX_ANSWERS = 3 * batch_scene.JOB_TRIES  # of 500, after which an item may not reach a replica again
@@ -167,7 +168,10 @@
         return number, self._scene.proxies[number]
 
     def _submit(self) -> None:
-        number, proxy = self._draw_proxy()
+        self._submit_at(self._draw_proxy()[0])
+
+    def _submit_at(self, number: int) -> None:
+        proxy = self._scene.proxies[number]
         edition = proxy.routes.edition
         self._submitted += 1
         job, key = f"l{self._submitted}", self._chance.choice(("key-1", "key-2", "key-3"))
@@ -183,6 +187,9 @@
         )
         self._note(f"{job} with {len(items)} items at proxy {number}, edition {edition}: {answer.status}")
         if answer.status == 202:
+            # The proxy may have installed a configuration during the call: it accepts a job only by one with the route.
+            accepting = (known.edition for _at, known in self._installed[number] if known.covers(HOST, PREFIX))
+            edition = min(known for known in accepting if known >= edition)
             self.jobs[job] = JobRecord(key, {row["id"]: row["path"] for row in items}, edition)
 
     def _read(self) -> None:
@@ -233,7 +240,13 @@
 
     # Operator.
     def _configure(self) -> None:
-        """Sends a configuration that one of the proxies learns of at once, the other one later."""
+        """Sends a configuration that one of the proxies learns of at once, the other one later.
+
+        The results of all jobs are read before, so that they are checked against the configurations until then. Often
+        a client submits a job at the first proxy before the other one knows its route.
+        """
+        for job in list(self.jobs):
+            self._read_job(job)
         name = self._chance.choice(("jobs", f"jobs{len(self._configurations)}"))
         elsewhere = (None, BatchRoute(name, "other", PREFIX), BatchRoute(name, HOST, "/else/"))
         has_route = self._configurations[-1].covers(HOST, PREFIX)
@@ -241,9 +254,12 @@
             route = self._chance.choice(elsewhere)
         else:
             route = BatchRoute(name, HOST, PREFIX)
-        self._send_configuration(route, delay_s=self._chance.uniform(*NEWS_DELAY_S))
+        early = self._send_configuration(route, delay_s=self._chance.uniform(*NEWS_DELAY_S))
+        if self._chance.random() < PROMPT_CLIENT_CHANCE:
+            self._submit_at(early)  # which installs it as the call arrives
 
-    def _send_configuration(self, route: BatchRoute | None, *, delay_s: float) -> None:
+    def _send_configuration(self, route: BatchRoute | None, *, delay_s: float) -> int:
+        """Sends a configuration; returns the number of the proxy that learns of it at once."""
         configuration = Configuration(self._configurations[-1].edition + self._chance.randint(1, 3), route)
         self._configurations.append(configuration)
         self._note(f"{configuration}")
@@ -253,6 +269,7 @@
                 delay=0.0 if number == early else delay_s,
                 callback=functools.partial(self._install, number, configuration),
             )
+        return early
 
     def _install(self, number: int, configuration: Configuration) -> None:
         proxy, route = self._scene.proxies[number], configuration.route
