--- a/ploverward/data_plane/test_proxy_node.py
+++ b/ploverward/data_plane/test_proxy_node.py
@@ -87,6 +87,8 @@
             bindings={"counter": (host, free_port(host)), "readiness": (host, free_port(host))},
             bounds={**loopback_proxy.settings().bounds, "graceS": 1.0, "contactMs": 1000.0},
         )
+        # A stall of the process would close the link to the core node, and the proxy would announce itself again.
+        monkeypatch.setattr(proxy_node.event_loop, "Loop", loopback.SkippingLoop)
         self.node = proxy_node.ProxyNode(settings=self.settings)
         rows = [{"id": "i0", "service": "llm", "address": f"{host}:9", "zone": "za", "berths": 8}]
         rows[0] |= {"is_clearing": False, "cold_ms": 0, "left_ms": None, "models": ["m"]}
