Stores: a reply to a pull has at most 1 MiB of items

Cause: a store leased as many items as the proxy had slots for and put them into one frame, whatever their size: 144 items of 140,000 bytes are 26.9 MB, above the 24 that a frame may have. The proxy closed the connection, the leases ended together, and the next pull was as large.

A reply ends before the item that would make it larger than 1 MiB; a larger item is sent alone. Proxies pull ten times a second, so the rest follows at once.

--- a/ploverward/store/job_service.py
+++ b/ploverward/store/job_service.py
@@ -16,6 +16,8 @@
 from ploverward.transport import messages
 from ploverward.transport.batch_messages import Outcome
 
+MAX_PULLED_BYTES = 1024 * 1024  # size of the items in one reply; a single larger item is sent alone
+
 
 class JobService:
     """Serves the requests of proxies.
@@ -110,7 +112,11 @@
 
     # Items.
     def _handle_pull(self, connection: interfaces.Connection, message: batch_messages.PullItems) -> None:
-        """Leases the items with the earliest due times across all partitions that this store serves."""
+        """Leases the items with the earliest due times across all partitions that this store serves.
+
+        The reply has at most `MAX_PULLED_BYTES`, as a larger frame would be refused (`frames.MAX_FRAME_BYTES`) and one
+        that is not much smaller takes long to parse; proxies pull the rest at their next turn.
+        """
         found = [
             (job.due_at, owned, job, item)
             for owned in self._owned.values()
@@ -118,7 +124,13 @@
             for job, item in owned.leasable_items()
         ]
         found.sort(key=lambda row: row[0])
-        leased = [owned.lease(job, item, connection) for _due_at, owned, job, item in found[: message.limit]]
+        leased: list[batch_messages.LeasedItem] = []
+        size = 0
+        for _due_at, owned, job, item in found[: message.limit]:
+            size += item.size_bytes
+            if leased and size > MAX_PULLED_BYTES:
+                break
+            leased.append(owned.lease(job, item, connection))
         if connection in self._identified:
             connection.send(batch_messages.LeasedItems(message.number, tuple(leased)))
         else:
--- a/ploverward/store/job_table.py
+++ b/ploverward/store/job_table.py
@@ -63,6 +63,12 @@
     failed_attempts: dict[str, int] = dataclasses.field(default_factory=dict)
     failed_runs: int = 0
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of its request, as a proxy pulls it."""
+        headers = sum(len(name) + len(value) for name, value in self.headers.items())
+        return len(self.path) + headers + len(self.parcel)
+
     @property
     def failures(self) -> int:
         """Number of answers with 500 that are certain."""
