Simulations: a node counts as cut off by the votes that it reaches, not by the cut

The time now restarts while the node reaches, in both directions, a majority of the core sets of a value that a running node accepted last (agreement.py), looked at each 0.1 s and once more when a probe is judged.

--- a/ploverward/simulation/control_plane/fault_log.py
+++ b/ploverward/simulation/control_plane/fault_log.py
@@ -16,7 +16,7 @@
         edges: Times at which a fault of the core began or ended, in seconds of simulated time. A partition of regions
             and a split without a majority on either side also add one every second. The first entry is the time at
             which all machines had started.
-        isolated_since: Start of the isolation of each core machine that is isolated now, by host.
+        isolated_since: Time since which each core machine that is cut off reaches no majority of a core set, by host.
         proxy_fault_until: End of the last fault of each proxy, by host; may be in the future.
     """
 
--- a/ploverward/simulation/control_plane/mutant_patches.py
+++ b/ploverward/simulation/control_plane/mutant_patches.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import http
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Container
@@ -30,6 +31,8 @@
 from ploverward.control_plane.consensus import proposer
 from ploverward.control_plane.consensus import write_ahead_log
 from ploverward.control_plane.distribution import subscriber
+from ploverward.control_plane.operator_api import call_lifecycle
+from ploverward.control_plane.operator_api import router
 from ploverward.control_plane.quotas import share_leases
 from ploverward.transport import interfaces
 from ploverward.transport import messages
@@ -107,6 +110,16 @@
     return [mock.patch.object(share_lease_granter.ShareLeaseGranter, "handle_renewal", handle_renewal)]
 
 
+def order_blamed_for_isolation() -> Patches:
+    """Makes a node that has no contact with a majority refuse orders as stale, in place of sending callers on."""
+
+    def _forward(self: call_lifecycle.CallLifecycle, call: router.Call, *, is_isolated: bool) -> None:
+        del self, is_isolated
+        call.answer(status=http.HTTPStatus.PRECONDITION_FAILED, body=router.ErrorBody(error="stale"))
+
+    return [mock.patch.object(call_lifecycle.CallLifecycle, "_forward", _forward)]
+
+
 def grown_share_used_at_once() -> Patches:
     """Makes a node whose share of the limits grew lease it out before the older leases have expired."""
     return [mock.patch.object(share_leases.OwnedShare, "value", lambda self: self._share)]
--- a/ploverward/simulation/control_plane/mutants.py
+++ b/ploverward/simulation/control_plane/mutants.py
@@ -152,6 +152,11 @@
         checks=("grants", "cut off", "topics"),
         plan=scenario.Plan(seed=0, troubles=("cut", "freeze", "replace", "probe")),
     ),
+    "an order blamed for a cut": Mutant(
+        patches=mutant_patches.order_blamed_for_isolation,
+        checks=("cut off",),
+        plan=scenario.Plan(seed=0, troubles=("cut", "freeze", "probe")),
+    ),
     "news go back": Mutant(patches=mutant_patches.versions_go_back, checks=("back",)),
     "an add counted by node": Mutant(
         patches=tally_mutant_patches.counted_by_node, checks=TALLY_CHECKS, plan=TALLY_PLAN
--- a/ploverward/simulation/control_plane/scenario.py
+++ b/ploverward/simulation/control_plane/scenario.py
@@ -18,6 +18,7 @@
 
 from ploverward.control_plane.tallies import tally_folder
 from ploverward.control_plane.tallies import tally_service
+from ploverward.simulation.control_plane import agreement
 from ploverward.simulation.control_plane import checks
 from ploverward.simulation.control_plane import fault_log
 from ploverward.simulation.control_plane import faults
@@ -198,7 +199,13 @@
             contact_s=self._contact_s,
         ).check_later
         self.probes = isolation_probes.IsolationProbes(
-            network=self.network, recorder=self.recorder, operators=self.operators, faults=self.fault_log
+            network=self.network,
+            recorder=self.recorder,
+            operators=self.operators,
+            faults=self.fault_log,
+            may_reach_majority=lambda host: agreement.may_reach_majority(
+                fleet=self.fleet, network=self.network, host=host
+            ),
         )
         self.tallies = tally_callers.TallyCallers(
             seed=plan.seed,
--- a/ploverward/simulation/control_plane/test_scenarios.py
+++ b/ploverward/simulation/control_plane/test_scenarios.py
@@ -15,6 +15,7 @@
     "a lost race is taken",
     "a restarted node leads",
     "acknowledged by one",
+    "an order blamed for a cut",
     "few marks of orders",
     "grants without contact",
     "news go back",
@@ -56,6 +57,14 @@
     assert ended.returncode == 0, ended.stdout + ended.stderr
 
 
+@pytest.mark.parametrize("seed", [560085, 560101])
+def test_node_that_reaches_a_majority_within_a_cut_is_not_taken_for_cut_off(seed):
+    """Guards against a check that goes by the cut alone: a smaller side may have a majority of the core set."""
+    ended = run("-m", "ploverward", "simulate", f"--history={seed}")
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert "probe answered" in ended.stdout
+
+
 def test_same_seed_prints_same_history():
     first, second = (run("-m", "ploverward", "simulate", "--history=3", "--machines=3") for _time in range(2))
     assert first.stdout == second.stdout
