Errors for too many values say how many and how many are allowed

Found on a last reading: 'may have more than 20000 values' reads as a permission, and states no value found. The docstring of a pull spoke of a turn and meant a pull. The test checks both numbers.

--- a/ploverward/control_plane/configuration/parser.py
+++ b/ploverward/control_plane/configuration/parser.py
@@ -25,8 +25,10 @@
     Raises:
         InvalidConfigurationError: The bytes are not a strict JSON object. No other exception leaves this function.
     """
-    if json_size.max_values(data) > MAX_VALUES:
-        raise errors.InvalidConfigurationError(f"may have more than {MAX_VALUES} values", field_path=BODY_PATH)
+    values = json_size.max_values(data)
+    if values > MAX_VALUES:
+        text = f"up to {values} values, {MAX_VALUES} are allowed"
+        raise errors.InvalidConfigurationError(text, field_path=BODY_PATH)
     try:
         text = data.decode("utf-8")
         body = json.loads(
--- a/ploverward/data_plane/batch/job_request.py
+++ b/ploverward/data_plane/batch/job_request.py
@@ -51,8 +51,9 @@
     Raises:
         JobError: The job is malformed.
     """
-    if json_size.max_values(body) > MAX_VALUES:
-        raise JobError(f"the body may have more than {MAX_VALUES} values")
+    values = json_size.max_values(body)
+    if values > MAX_VALUES:
+        raise JobError(f"up to {values} values in the body, {MAX_VALUES} are allowed")
     try:
         job = json.loads(body)
     except (ValueError, RecursionError) as error:
--- a/ploverward/data_plane/batch/test_batch_tier.py
+++ b/ploverward/data_plane/batch/test_batch_tier.py
@@ -237,7 +237,7 @@
     """Guards against a tenant's body that keeps the loop of a proxy, and of each store, in the parser."""
     monkeypatch.setattr(job_request.json, "loads", lambda _body: pytest.fail("the body was parsed"))
     answer = scene.call("POST", "/lots/x", body=MANY_VALUES, more="X-Attempt-Id: l1\r\n")
-    assert answer.status == 400 and b"20000 values" in answer.body
+    assert answer.status == 400 and b"400004 values in the body, 20000 are allowed" in answer.body
 
 
 def test_the_body_of_a_caller_without_a_key_is_not_parsed(scene, monkeypatch):
--- a/ploverward/store/job_service.py
+++ b/ploverward/store/job_service.py
@@ -114,8 +114,8 @@
     def _handle_pull(self, connection: interfaces.Connection, message: batch_messages.PullItems) -> None:
         """Leases the items with the earliest due times across all partitions that this store serves.
 
-        The reply has at most `MAX_PULLED_BYTES`, as a larger frame would be refused (`frames.MAX_FRAME_BYTES`) and one
-        that is not much smaller takes long to parse; proxies pull the rest at their next turn.
+        The reply has at most `MAX_PULLED_BYTES`: a proxy refuses a frame above `frames.MAX_FRAME_BYTES`, and parses a
+        frame in one call. It gets the rest with its next pulls.
         """
         found = [
             (job.due_at, owned, job, item)
